--- /dev/null
+++ b/jayshore/__init__.py
@@ -0,0 +1,1 @@
+"""A cluster scheduler for heterogeneous workloads shared by many teams."""
--- /dev/null
+++ b/jayshore/clock.py
@@ -0,0 +1,109 @@
+"""The one clock of the project.
+
+All durations and instants are whole milliseconds, so that settings, messages
+and calculations share one unit, and tests can move time by hand.
+"""
+
+import abc
+import time
+from typing import NewType
+
+Millis = NewType('Millis', int)
+"""A duration, or an instant on one process's monotonic clock, in ms."""
+
+_NANOS_PER_MILLI = 1_000_000
+_MILLIS_PER_SECOND = 1000
+_ORIGIN = Millis(0)
+
+
+def to_seconds(duration: Millis) -> float:
+    """Convert to the unit of timers in libraries.
+
+    Args:
+        duration: milliseconds.
+
+    Returns:
+        The same duration in seconds.
+    """
+    return duration / _MILLIS_PER_SECOND
+
+
+def from_seconds(seconds: float) -> Millis:
+    """Convert from the unit of timers in libraries.
+
+    Args:
+        seconds: a duration in seconds.
+
+    Returns:
+        The same duration, rounded to whole milliseconds.
+    """
+    return Millis(round(seconds * _MILLIS_PER_SECOND))
+
+
+class Clock(abc.ABC):
+    """A source of time."""
+
+    @abc.abstractmethod
+    def now(self) -> Millis:
+        """Read the time.
+
+        Returns:
+            Milliseconds since an arbitrary origin, never decreasing.
+        """
+
+
+class MonotonicClock(Clock):
+    """The operating system's monotonic clock, not comparable across hosts."""
+
+    def now(self) -> Millis:
+        """Read the monotonic clock.
+
+        Returns:
+            Milliseconds since an arbitrary origin.
+        """
+        return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
+
+
+class WallClock(Clock):
+    """Time of day, for records that people read; never for decisions."""
+
+    def now(self) -> Millis:
+        """Read the time of day.
+
+        Returns:
+            Milliseconds since the Unix epoch.
+        """
+        return Millis(time.time_ns() // _NANOS_PER_MILLI)
+
+
+class ManualClock(Clock):
+    """A clock that tests move by hand."""
+
+    def __init__(self, *, start: Millis = _ORIGIN) -> None:
+        """Start at a given instant.
+
+        Args:
+            start: the first reading, in ms.
+        """
+        self._now = start
+
+    def now(self) -> Millis:
+        """Read the time set by the test.
+
+        Returns:
+            Milliseconds since the origin of the test.
+        """
+        return self._now
+
+    def advance(self, duration: Millis) -> None:
+        """Move the clock forward.
+
+        Args:
+            duration: milliseconds, not negative.
+
+        Raises:
+            ValueError: the duration is negative.
+        """
+        if duration < 0:
+            raise ValueError(f'cannot move a clock back by {duration} ms')
+        self._now = Millis(self._now + duration)
