Add daemon settings, leadership, worker leases and the configuration keeper

Cause: the leader needs a fenced link to each worker, and the daemon needs the configuration with evidence of its age. Ruled out: polling the whole document (up to 1 MB twice a second). Not yet measured: nothing runs end to end before the daemon is wired. Conclusion: to be exercised by the daemon's tests.

--- /dev/null
+++ b/jayshore/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, HTTP interface, wiring and graceful shutdown."""
--- /dev/null
+++ b/jayshore/daemon/configuration.py
@@ -0,0 +1,328 @@
+"""The configuration as one daemon holds it: polled, attested, and applied.
+
+An apply takes two writes of the same key. The first announces the new version;
+a majority of the roster then promises to attest nothing until it has seen a
+later write of the key; the second is a compare-and-swap on the announcement.
+"""
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Collection
+from typing import TypeAlias
+
+import curio
+import eliot
+import msgspec
+
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.config.document import Document
+from jayshore.config.snapshot import Snapshot
+from jayshore.freshness.evidence import StoreReading
+from jayshore.freshness.roster import Roster, may_write
+from jayshore.freshness.tracker import FreshnessTracker
+from jayshore.platform.settling import Write, WriteSettler, new_write_id
+from jayshore.platform.store import Store, StoreError, Written
+
+CONFIG_KEY = 'config/current'
+"""Store key of the configuration."""
+
+# A writer needs two writes and one round of promises; an announcement that is
+# older than this was left by a writer that died.
+_ABANDONED_AFTER_MS = Millis(3000)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoredConfig:
+    """The value of the configuration key.
+
+    Attributes:
+        version: counts the accepted documents from 1.
+        document: the accepted document.
+        is_announced: whether a write of the next version may follow.
+        write_id: random id of the write.
+    """
+
+    version: int = 0
+    document: Document = Document()
+    is_announced: bool = False
+    write_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Applied:
+    """The document is the accepted configuration."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VersionConflict:
+    """Another version was accepted since the operator looked."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoMajority:
+    """Too few daemons of the roster promised; nothing was changed."""
+
+    promised: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ApplyUnsettled:
+    """The store did not answer; the operator has to look again."""
+
+    detail: str
+
+
+ApplyOutcome: TypeAlias = (
+    Applied | VersionConflict | NoMajority | ApplyUnsettled
+)
+AskPromises: TypeAlias = Callable[
+    [Document, Document, int], Awaitable[Collection[str]]
+]
+
+
+class ConfigKeeper:
+    """Holds the newest configuration that this daemon has seen."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        store: Store,
+        settler: WriteSettler,
+        clock: Clock,
+        freshness_ms: Millis,
+    ) -> None:
+        """Start without a configuration.
+
+        Args:
+            name: name of this daemon in the roster.
+            store: the platform's store.
+            settler: resolves lost answers of writes.
+            clock: measures the age of evidence.
+            freshness_ms: oldest evidence on which keyed work is accepted.
+        """
+        self._name = name
+        self._store = store
+        self._settler = settler
+        self._clock = clock
+        self._freshness_ms = freshness_ms
+        self._tracker = FreshnessTracker(name=name)
+        self._snapshot = Snapshot(version=0, document=Document(), write_id='')
+        self._reachable = False
+        self._stored = StoredConfig()
+        self._revision = 0
+        self._seen = 0
+
+    @property
+    def tracker(self) -> FreshnessTracker:
+        """Evidence, attestations and promises of this daemon."""
+        return self._tracker
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The newest version seen, which need not be the newest there is."""
+        return self._snapshot
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last read of the store was answered."""
+        return self._reachable
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether fleet-wide facts may be acted on now."""
+        return self._tracker.is_fresh(
+            now=self._clock.now(), bound_ms=self._freshness_ms
+        )
+
+    async def poll(self, interval_ms: Millis) -> None:
+        """Read the store at a fixed interval until cancelled.
+
+        Args:
+            interval_ms: pause between two reads.
+        """
+        while True:
+            await self.refresh()
+            await curio.sleep(to_seconds(interval_ms))
+
+    async def refresh(self) -> None:
+        """Read the store once and take note of the result."""
+        try:
+            await self._read()
+        except StoreError as error:
+            if self._reachable:
+                eliot.log_message('config:store_error', error=str(error))
+            self._reachable = False
+
+    def adopt(self, stored: StoredConfig) -> None:
+        """Take over a committed version.
+
+        Args:
+            stored: read from the store, or sent by the peer that wrote it.
+        """
+        self._tracker.adopt(
+            version=stored.version, roster=roster_of(stored.document)
+        )
+        if stored.version > self._snapshot.version:
+            self._snapshot = Snapshot(
+                version=stored.version,
+                document=stored.document,
+                write_id=stored.write_id,
+            )
+            eliot.log_message('config:adopted', version=stored.version)
+
+    async def apply(
+        self,
+        document: Document,
+        *,
+        expected_version: int,
+        ask_promises: AskPromises,
+    ) -> ApplyOutcome:
+        """Make a document the accepted configuration.
+
+        Args:
+            document: the new document, already checked.
+            expected_version: the version that the operator last saw.
+            ask_promises: asks the rosters of the old and the new document for
+                promises on a store revision; returns the names that promised.
+
+        Returns:
+            What became of it.
+        """
+        try:
+            return await self._apply(document, expected_version, ask_promises)
+        except StoreError as error:
+            return ApplyUnsettled(detail=str(error))
+
+    async def _apply(
+        self,
+        document: Document,
+        expected_version: int,
+        ask_promises: AskPromises,
+    ) -> ApplyOutcome:
+        current, revision = await self._read()
+        if current.version != expected_version:
+            return VersionConflict(version=current.version)
+        following = StoredConfig(
+            version=current.version + 1,
+            document=document,
+            write_id=new_write_id(),
+        )
+        if current.version:
+            announced = await self._put(
+                _marked(current, is_announced=True), revision
+            )
+            if announced is None:
+                return await self._conflict()
+            revision = announced
+            promised = await self._gather(
+                current.document, document, revision, ask_promises
+            )
+            if promised is not None:
+                await self._put(_marked(current, is_announced=False), revision)
+                return NoMajority(promised=promised)
+        committed = await self._put(following, revision)
+        if committed is None:
+            return await self._conflict()
+        self.adopt(following)
+        await self.refresh()
+        return Applied(version=following.version)
+
+    async def _gather(
+        self,
+        old: Document,
+        new: Document,
+        revision: int,
+        ask_promises: AskPromises,
+    ) -> tuple[str, ...] | None:
+        """Gather promises.
+
+        Returns:
+            None when a majority promised, else those that did.
+        """
+        promised = set(await ask_promises(old, new, revision))
+        if self._tracker.give_promise(revision=revision, now=self._clock.now()):
+            promised.add(self._name)
+        if may_write(promised=promised, old=roster_of(old), new=roster_of(new)):
+            return None
+        return tuple(sorted(promised))
+
+    async def _conflict(self) -> VersionConflict:
+        current, _ = await self._read()
+        return VersionConflict(version=current.version)
+
+    async def _put(self, stored: StoredConfig, revision: int) -> int | None:
+        result = await self._settler.settle_write(
+            Write(
+                key=CONFIG_KEY,
+                value=msgspec.json.encode(stored, order='sorted').decode(),
+                expect_revision=revision,
+            ),
+            limit_ms=self._freshness_ms,
+        )
+        return result.revision if isinstance(result, Written) else None
+
+    async def _read(self) -> tuple[StoredConfig, int]:
+        """Read what changed since the last read.
+
+        An unchanged document is not sent again: it may have a megabyte.
+
+        Returns:
+            The value of the key and the revision of its last write.
+        """
+        sent_at = self._clock.now()
+        listing = await self._store.list(CONFIG_KEY, since=self._seen)
+        self._reachable = True
+        for entry in listing.entries:
+            if entry.revision > self._revision:
+                self._stored = msgspec.json.decode(
+                    entry.value, type=StoredConfig
+                )
+                self._revision = entry.revision
+        # Answers of concurrent reads may arrive in any order.
+        self._seen = max(self._seen, listing.revision)
+        self.adopt(self._stored)
+        self._tracker.record_store_read(
+            reading=StoreReading(
+                version=self._stored.version,
+                revision=self._revision,
+                is_announced=self._stored.is_announced,
+                roster=roster_of(self._stored.document),
+            ),
+            sent_at=sent_at,
+        )
+        await self._close_abandoned(self._stored, self._revision)
+        return self._stored, self._revision
+
+    async def _close_abandoned(
+        self, stored: StoredConfig, revision: int
+    ) -> None:
+        """Withdraw an announcement whose writer died, so promises close."""
+        promise = self._tracker.promise
+        if not stored.is_announced or promise is None:
+            return
+        age = self._clock.now() - promise.opened_at
+        if age > _ABANDONED_AFTER_MS and promise.revision == revision:
+            eliot.log_message('config:announcement_abandoned', age_ms=age)
+            await self._put(_marked(stored, is_announced=False), revision)
+
+
+def roster_of(document: Document) -> Roster:
+    """Collect the names of the daemons.
+
+    Args:
+        document: a configuration.
+
+    Returns:
+        Its roster.
+    """
+    return Roster(members=frozenset(entry.name for entry in document.instances))
+
+
+def _marked(stored: StoredConfig, *, is_announced: bool) -> StoredConfig:
+    return dataclasses.replace(
+        stored, is_announced=is_announced, write_id=new_write_id()
+    )
--- /dev/null
+++ b/jayshore/daemon/peers.py
@@ -0,0 +1,239 @@
+"""The other daemons of the roster: heartbeats, promises, and who leads where."""
+
+import random
+from collections.abc import Callable
+
+import curio
+import eliot
+
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.config.document import Document
+from jayshore.config.model import Instance
+from jayshore.daemon.configuration import ConfigKeeper
+from jayshore.freshness.evidence import Attestation, RelayedEvidence
+from jayshore.http.client import Address
+from jayshore.wire import messages as msg
+from jayshore.wire.client import PeerClient
+from jayshore.wire.errors import WireError
+from jayshore.wire.server import PeerAddress
+
+# A peer whose last heartbeat is older than this many intervals is not counted
+# on as a leader.
+_MISSED_HEARTBEATS = 4
+
+
+class Peer:
+    """One other daemon."""
+
+    def __init__(self, *, entry: Instance, client: PeerClient) -> None:
+        """Start without having heard from it.
+
+        Args:
+            entry: its entry in the roster.
+            client: calls to it.
+        """
+        self.entry = entry
+        self.client = client
+        self.status: msg.DaemonStatus | None = None
+        self.heard_at = Millis(0)
+
+
+class PeerGroup:
+    """All other daemons of the roster, with one heartbeat task for each."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: Clock,
+        source: random.Random,
+        interval_ms: Millis,
+        timeout_ms: Millis,
+        keeper: ConfigKeeper,
+        status: Callable[[], msg.DaemonStatus],
+    ) -> None:
+        """Start without peers.
+
+        Args:
+            name: name of this daemon in the roster.
+            clock: ages of statements.
+            source: random numbers for backoff.
+            interval_ms: between two heartbeats to a peer, in ms.
+            timeout_ms: timeout of a call to a peer, in ms.
+            keeper: takes the peers' evidence.
+            status: what this daemon tells its peers about itself.
+        """
+        self._name = name
+        self._clock = clock
+        self._source = source
+        self._interval_ms = interval_ms
+        self._timeout_ms = timeout_ms
+        self._keeper = keeper
+        self._status = status
+        self._peers: dict[str, Peer] = {}
+
+    async def run(self) -> None:
+        """Follow the roster and exchange heartbeats until cancelled."""
+        async with curio.TaskGroup() as tasks:
+            running: dict[str, curio.Task] = {}
+            while True:
+                self._follow_roster(self._keeper.snapshot.document)
+                for gone in running.keys() - self._peers.keys():
+                    await running.pop(gone).cancel()
+                for name, peer in self._peers.items():
+                    if name not in running:
+                        running[name] = await tasks.spawn(
+                            self._exchange(peer), daemon=True
+                        )
+                await curio.sleep(to_seconds(self._interval_ms))
+
+    def leader_of(self, domain: str) -> Peer | None:
+        """Find the leader of a domain among the peers that were heard.
+
+        Args:
+            domain: a failure domain.
+
+        Returns:
+            The peer with the highest epoch, or None.
+        """
+        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
+        leaders = [
+            peer
+            for peer in self._peers.values()
+            if peer.entry.domain == domain
+            and peer.status is not None
+            and peer.status.leader_epoch
+            and peer.heard_at >= oldest
+        ]
+        return max(leaders, key=_epoch_of, default=None)
+
+    def note(self, status: msg.DaemonStatus) -> None:
+        """Take note of the status in a peer's own heartbeat.
+
+        Args:
+            status: what the peer says about itself.
+        """
+        peer = self._peers.get(status.sender)
+        if peer is not None:
+            peer.status = status
+            peer.heard_at = self._clock.now()
+
+    async def ask_promises(
+        self, old: Document, new: Document, revision: int
+    ) -> set[str]:
+        """Ask the daemons of two rosters for promises.
+
+        Args:
+            old: the accepted document.
+            new: the document to be written.
+            revision: store revision of the announcement.
+
+        Returns:
+            The names of those that promised.
+        """
+        entries = {entry.name: entry for entry in new.instances}
+        entries.update({entry.name: entry for entry in old.instances})
+        entries.pop(self._name, None)
+        call = msg.PromiseConfig(revision=revision)
+        async with curio.TaskGroup(wait=all) as tasks:
+            for name, entry in entries.items():
+                peer = self._peers.get(name) or self._connect(entry)
+                await tasks.spawn(self._ask_promise(peer, call))
+        return {name for name in tasks.results if name}
+
+    async def announce(self, call: msg.ConfigCommitted) -> None:
+        """Send an accepted configuration to every peer.
+
+        A peer that does not get it reads the store soon after.
+
+        Args:
+            call: the accepted version.
+        """
+        async with curio.TaskGroup(wait=all) as tasks:
+            for peer in self._peers.values():
+                await tasks.spawn(self._announce_to(peer, call))
+
+    def _follow_roster(self, document: Document) -> None:
+        wanted = {
+            entry.name: entry
+            for entry in document.instances
+            if entry.name != self._name
+        }
+        for name, peer in tuple(self._peers.items()):
+            if wanted.get(name) != peer.entry:
+                del self._peers[name]
+        for name, entry in wanted.items():
+            if name not in self._peers:
+                self._peers[name] = self._connect(entry)
+
+    def _connect(self, entry: Instance) -> Peer:
+        address = Address.parse(entry.address)
+        client = PeerClient(
+            address=PeerAddress(host=address.host, port=address.port),
+            clock=self._clock,
+            rng=self._source,
+        )
+        return Peer(entry=entry, client=client)
+
+    async def _exchange(self, peer: Peer) -> None:
+        try:
+            while True:
+                await self._beat(peer)
+                await curio.sleep(to_seconds(self._interval_ms))
+        finally:
+            await peer.client.close()
+
+    async def _beat(self, peer: Peer) -> None:
+        call = msg.Heartbeat(status=self._status())
+        asked_at = self._clock.now()
+        try:
+            reply = await peer.client.heartbeat(
+                call, timeout_ms=self._timeout_ms
+            )
+        except WireError:
+            return
+        peer.status = reply.status
+        peer.heard_at = self._clock.now()
+        tracker = self._keeper.tracker
+        if reply.status.evidence_age_ms is not None:
+            tracker.record_relayed(
+                relayed=RelayedEvidence(
+                    version=reply.status.config_version,
+                    age_ms=reply.status.evidence_age_ms,
+                ),
+                asked_at=asked_at,
+            )
+        tracker.record_attestation(
+            attestation=Attestation(
+                peer=peer.entry.name,
+                version=call.status.config_version,
+                attests=reply.attests,
+            ),
+            asked_at=asked_at,
+        )
+
+    async def _ask_promise(self, peer: Peer, call: msg.PromiseConfig) -> str:
+        try:
+            reply = await peer.client.promise_config(
+                call, timeout_ms=self._timeout_ms
+            )
+        except WireError as error:
+            eliot.log_message(
+                'config:no_promise', peer=peer.entry.name, error=str(error)
+            )
+            return ''
+        return peer.entry.name if reply.promised else ''
+
+    async def _announce_to(self, peer: Peer, call: msg.ConfigCommitted) -> None:
+        try:
+            await peer.client.config_committed(
+                call, timeout_ms=self._timeout_ms
+            )
+        except WireError as error:
+            eliot.log_message(
+                'config:not_announced', peer=peer.entry.name, error=str(error)
+            )
+
+
+def _epoch_of(peer: Peer) -> int:
+    return peer.status.leader_epoch if peer.status else 0
--- /dev/null
+++ b/jayshore/daemon/settings.py
@@ -0,0 +1,158 @@
+"""Settings of one daemon, read from a JSON file at start.
+
+Everything that all daemons have to agree on is configuration in the store;
+here stands only what one process has to know about itself, and the bounds that
+protect it.
+"""
+
+import dataclasses
+import pathlib
+
+import msgspec
+
+from jayshore.outcomes import JayshoreError
+
+
+class SettingsError(JayshoreError):
+    """The settings file is unreadable or holds an invalid value."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timing:
+    """Intervals and timeouts, all in milliseconds.
+
+    Attributes:
+        freshness_ms: oldest evidence on which keyed work is accepted.
+        store_poll_ms: interval of configuration reads.
+        heartbeat_ms: interval of heartbeats to each peer.
+        list_poll_ms: interval of reads of the instance list.
+        leadership_ttl_ms: store lease on the leadership of a domain.
+        task_lease_ms: how long a worker runs a task without a renewal.
+        renew_wait_ms: how long a renewal waits for news at an upstream.
+        round_ms: longest pause between two placement rounds.
+        reconcile_ms: interval of the search for job records missed so far.
+        flush_ms: how long changes to one job record are gathered.
+        call_timeout_ms: timeout of a call to the store or an upstream.
+        drain_ms: bound on a graceful shutdown.
+        job_retention_ms: how long the record of an ended job is kept.
+    """
+
+    freshness_ms: int = 2000
+    store_poll_ms: int = 500
+    heartbeat_ms: int = 500
+    list_poll_ms: int = 1000
+    leadership_ttl_ms: int = 3000
+    task_lease_ms: int = 300_000
+    renew_wait_ms: int = 2000
+    round_ms: int = 50
+    reconcile_ms: int = 1000
+    flush_ms: int = 20
+    call_timeout_ms: int = 2000
+    drain_ms: int = 15_000
+    job_retention_ms: int = 86_400_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Bounds on what callers may send, and on what is kept.
+
+    Attributes:
+        max_body_bytes: largest body of a request or a job.
+        max_header_bytes: largest head of an HTTP message.
+        max_connections: connections of callers at a time.
+        header_timeout_ms: time for a caller to send the head of a message.
+        body_timeout_ms: time for a caller to send a body.
+        idle_timeout_ms: time an idle connection is kept.
+        write_timeout_ms: time for a caller to take an answer.
+        max_tasks: largest number of tasks in a job.
+        max_wait_ms: longest wait for a job's end in one call.
+        max_request_ms: longest timeout of a request.
+        intent_width: workers named in a job's recorded intent.
+    """
+
+    max_body_bytes: int = 1_000_000
+    max_header_bytes: int = 16_384
+    max_connections: int = 1024
+    header_timeout_ms: int = 5000
+    body_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+    write_timeout_ms: int = 10_000
+    max_tasks: int = 1000
+    max_wait_ms: int = 30_000
+    max_request_ms: int = 120_000
+    intent_width: int = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """What one daemon knows about itself.
+
+    Attributes:
+        name: the daemon's name in the roster of the configuration.
+        domain: its failure domain.
+        listen: `host:port` for callers, operators and metrics.
+        peer_listen: `host:port` for the other daemons.
+        store: `host:port` of the platform's store.
+        instance_list: `host:port` of the platform's instance list.
+        operator_key_sha256: hash of the key that may change the configuration.
+        log_file: path of the log, or empty for standard error.
+        timing: intervals and timeouts.
+        limits: bounds.
+    """
+
+    name: str
+    domain: str
+    listen: str
+    peer_listen: str
+    store: str
+    instance_list: str
+    operator_key_sha256: str
+    log_file: str = ''
+    timing: Timing = dataclasses.field(default_factory=Timing)
+    limits: Limits = dataclasses.field(default_factory=Limits)
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Args:
+        path: a JSON file.
+
+    Returns:
+        The settings, with defaults filled in.
+
+    Raises:
+        SettingsError: the file is unreadable, has an unknown field, or a value
+            that is not positive where only positive ones make sense.
+    """
+    try:
+        settings = msgspec.json.decode(path.read_bytes(), type=Settings)
+        _refuse_unknown(path.read_bytes())
+    except (OSError, msgspec.MsgspecError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    for group in (settings.timing, settings.limits):
+        for field in dataclasses.fields(group):
+            if getattr(group, field.name) <= 0:
+                raise SettingsError(f'{path}: {field.name} must be positive')
+    return settings
+
+
+def _refuse_unknown(text: bytes) -> None:
+    """Refuse fields that msgspec would skip in a dataclass.
+
+    Args:
+        text: the JSON document.
+
+    Raises:
+        ValidationError: a field has no counterpart in the settings.
+    """
+    document = msgspec.json.decode(text)
+    for kind, part, place in (
+        (Settings, document, '$'),
+        (Timing, document.get('timing', {}), '$.timing'),
+        (Limits, document.get('limits', {}), '$.limits'),
+    ):
+        known = {field.name for field in dataclasses.fields(kind)}
+        for name in part:
+            if name not in known:
+                raise msgspec.ValidationError(f'unknown field {place}.{name}')
--- /dev/null
+++ b/jayshore/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases: leadership of a failure domain, and fencing at upstreams."""
--- /dev/null
+++ b/jayshore/leases/leadership.py
@@ -0,0 +1,182 @@
+"""Leadership of a failure domain.
+
+The store lease only decides when another daemon tries to take over. What a
+former leader can still do is limited by the records in the store and by the
+leases of the upstreams, so a leader that cannot reach the store goes on.
+"""
+
+import abc
+import contextlib
+import dataclasses
+
+import curio
+import eliot
+import msgspec
+
+from jayshore.clock import Millis, to_seconds
+from jayshore.platform.settling import Write, WriteSettler, new_write_id
+from jayshore.platform.store import (
+    MUST_NOT_EXIST,
+    LeaseGone,
+    Store,
+    StoreError,
+    StoreLease,
+    Written,
+)
+
+_RENEWALS_PER_TTL = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderEntry:
+    """The value of the leader key of a domain.
+
+    Attributes:
+        holder: name of the leading daemon in the roster.
+        write_id: random id of the write.
+    """
+
+    holder: str
+    write_id: str
+
+
+class LeadershipObserver(abc.ABC):
+    """Starts and stops the work of a leader."""
+
+    @abc.abstractmethod
+    async def elected(self, epoch: int) -> None:
+        """Start to lead.
+
+        Args:
+            epoch: the epoch of this leadership, higher than any earlier one.
+        """
+
+    @abc.abstractmethod
+    async def deposed(self) -> None:
+        """Stop to lead; another daemon may have been elected."""
+
+
+def leader_key(domain: str) -> str:
+    """Name the store key of a domain's leader.
+
+    Args:
+        domain: the failure domain.
+
+    Returns:
+        The key.
+    """
+    return f'domains/{domain}/leader'
+
+
+class Leadership:
+    """Competes for the leadership of one domain, and keeps it."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        settler: WriteSettler,
+        domain: str,
+        holder: str,
+        ttl_ms: Millis,
+        observer: LeadershipObserver,
+    ) -> None:
+        """Prepare to compete.
+
+        Args:
+            store: the platform's store.
+            settler: resolves lost answers of writes.
+            domain: the failure domain.
+            holder: name of this daemon in the roster.
+            ttl_ms: time to live of the store lease, in ms.
+            observer: is told of elections.
+        """
+        self._store = store
+        self._settler = settler
+        self._key = leader_key(domain)
+        self._holder = holder
+        self._ttl_ms = ttl_ms
+        self._observer = observer
+        self._epoch = 0
+        self._lease: StoreLease | None = None
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the current leadership, 0 when not leading."""
+        return self._epoch
+
+    async def run(self) -> None:
+        """Compete and lead until cancelled."""
+        while True:
+            try:
+                await self._compete()
+            except StoreError as error:
+                eliot.log_message('leadership:store_error', error=str(error))
+            await curio.sleep(self._interval)
+
+    async def resign(self) -> None:
+        """Give the leadership up, so that another daemon is elected at once.
+
+        Called after `run` was cancelled.
+        """
+        if self._epoch:
+            self._epoch = 0
+            await self._observer.deposed()
+        if self._lease is not None:
+            with contextlib.suppress(StoreError):
+                await self._store.revoke_lease(self._lease.lease_id)
+
+    async def confirm(self) -> bool:
+        """Read the leader key.
+
+        Returns:
+            True when the key, read after this call began, still shows the
+            epoch of this leadership.
+
+        Raises:
+            StoreError: the store did not answer.
+        """  # noqa: DAR401 raised by the store
+        epoch = self._epoch
+        entry = await self._store.get(self._key)
+        return entry is not None and epoch == entry.revision
+
+    @property
+    def _interval(self) -> float:
+        return to_seconds(Millis(self._ttl_ms // _RENEWALS_PER_TTL))
+
+    async def _compete(self) -> None:
+        listing = await self._store.list(self._key)
+        if listing.entries:
+            await self._store.watch(
+                self._key, since=listing.revision, wait_ms=self._ttl_ms
+            )
+            return
+        lease = await self._store.grant_lease(self._ttl_ms)
+        self._lease = lease
+        entry = LeaderEntry(holder=self._holder, write_id=new_write_id())
+        written = await self._settler.settle_write(
+            Write(
+                key=self._key,
+                value=msgspec.json.encode(entry).decode(),
+                expect_revision=MUST_NOT_EXIST,
+                lease_id=lease.lease_id,
+            ),
+            limit_ms=self._ttl_ms,
+        )
+        if isinstance(written, Written):
+            await self._lead(lease, written.revision)
+
+    async def _lead(self, lease: StoreLease, epoch: int) -> None:
+        self._epoch = epoch
+        eliot.log_message('leadership:elected', epoch=epoch)
+        await self._observer.elected(epoch)
+        renewed: StoreLease | LeaseGone = lease
+        while not isinstance(renewed, LeaseGone):
+            await curio.sleep(self._interval)
+            try:
+                renewed = await self._store.renew_lease(lease.lease_id)
+            except StoreError as error:
+                eliot.log_message('leadership:not_renewed', error=str(error))
+        eliot.log_message('leadership:deposed', epoch=epoch)
+        self._epoch = 0
+        await self._observer.deposed()
--- /dev/null
+++ b/jayshore/leases/session.py
@@ -0,0 +1,211 @@
+"""One task per worker that keeps its lease open and passes its news on."""
+
+import abc
+import contextlib
+import random
+
+import curio
+import eliot
+
+from jayshore.clock import Millis, to_seconds
+from jayshore.leases.worker import (
+    AttemptName,
+    EpochSuperseded,
+    LeaseSuperseded,
+    OpenedLease,
+    Renewed,
+    StartOrder,
+    StartResult,
+    UpstreamError,
+    UpstreamUnreachable,
+    WorkerLink,
+)
+from jayshore.platform.backoff import Backoff
+
+
+class WorkerObserver(abc.ABC):
+    """What a leader does with the news of its workers."""
+
+    @abc.abstractmethod
+    async def lease_opened(self, worker_id: str, opened: OpenedLease) -> None:
+        """Compare the inventory with what was expected.
+
+        A start under an earlier lease that is not in the inventory did not
+        run and never will.
+
+        Args:
+            worker_id: the worker.
+            opened: the new lease.
+        """
+
+    @abc.abstractmethod
+    async def tasks_reported(self, worker_id: str, renewed: Renewed) -> None:
+        """Take note of ended tasks and of usage.
+
+        Args:
+            worker_id: the worker.
+            renewed: the worker's answer.
+        """
+
+    @abc.abstractmethod
+    async def worker_lost(self, worker_id: str) -> None:
+        """Give the worker no new work until its lease is opened again.
+
+        Args:
+            worker_id: the worker.
+        """
+
+    @abc.abstractmethod
+    async def epoch_superseded(self) -> None:
+        """Stop to lead: a leader with a higher epoch was elected."""
+
+
+class WorkerSession:
+    """The lease of one worker under one epoch."""
+
+    def __init__(
+        self,
+        *,
+        worker_id: str,
+        link: WorkerLink,
+        epoch: int,
+        observer: WorkerObserver,
+        renew_wait_ms: Millis,
+        source: random.Random,
+    ) -> None:
+        """Prepare the session.
+
+        Args:
+            worker_id: id of the worker on the platform's list.
+            link: calls to the worker.
+            epoch: of this leader.
+            observer: gets the news.
+            renew_wait_ms: longest wait of a renewal, in ms.
+            source: random numbers for the backoff.
+        """
+        self._worker_id = worker_id
+        self._link = link
+        self._epoch = epoch
+        self._observer = observer
+        self._renew_wait_ms = renew_wait_ms
+        self._source = source
+        self._backoff = Backoff()
+        self._opening = curio.Lock()
+        self._lease_id = 0
+        self._acknowledged: list[AttemptName] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the worker can be told to start tasks."""
+        return self._lease_id > 0
+
+    @property
+    def renewed_at(self) -> Millis:
+        """When the last call that may have renewed the tasks was sent."""
+        return self._link.renewed_at
+
+    async def run(self) -> None:
+        """Keep the lease until cancelled or until the epoch is superseded."""
+        failures = 0
+        while True:
+            try:
+                await self._keep()
+            except EpochSuperseded:
+                await self._observer.epoch_superseded()
+                return
+            except LeaseSuperseded:
+                failures = 0
+            except UpstreamError as error:
+                failures += 1
+                await self._note_lost(error)
+                pause = self._backoff.pause(failures, self._source)
+                await curio.sleep(to_seconds(pause))
+
+    async def start(self, order: StartOrder) -> StartResult:
+        """Start a task under the newest lease.
+
+        An uncertain start is settled by opening a new lease, whose inventory
+        goes to the observer.
+
+        Args:
+            order: what to run.
+
+        Returns:
+            Whether it was started; `UNCERTAIN` when the worker could not be
+            asked, in which case the next opened lease tells.
+        """
+        if not self._lease_id:
+            return StartResult.CERTAINLY_NOT
+        result = await self._link.start(self._lease_id, order)
+        if result is StartResult.UNCERTAIN:
+            self._lease_id = 0
+            with contextlib.suppress(UpstreamError):
+                await self.reopen()
+        return result
+
+    async def stop(self, task_id: str, *, checkpoint: bool) -> None:
+        """Ask the worker to stop a task.
+
+        Args:
+            task_id: the task.
+            checkpoint: whether to checkpoint it first.
+        """
+        try:
+            await self._link.stop(
+                self._lease_id, task_id, checkpoint=checkpoint
+            )
+        except UpstreamUnreachable as error:
+            eliot.log_message(
+                'worker:stop_failed',
+                worker=self._worker_id,
+                task=task_id,
+                error=str(error),
+            )
+
+    def acknowledge(self, name: AttemptName) -> None:
+        """Let the worker forget an ended task with the next renewal.
+
+        Args:
+            name: the attempt, whose result is recorded in the store.
+        """
+        self._acknowledged.append(name)
+
+    async def reopen(self) -> None:
+        """Open a new lease now, to settle an uncertain start.
+
+        Raises:
+            UpstreamError: the worker did not answer.
+        """  # noqa: DAR401 raised by the link
+        async with self._opening:
+            opened = await self._link.open(self._epoch)
+            self._lease_id = opened.lease_id
+            await self._observer.lease_opened(self._worker_id, opened)
+
+    async def _keep(self) -> None:
+        if not self._lease_id:
+            await self.reopen()
+        while self._lease_id:
+            await self._renew()
+
+    async def _renew(self) -> None:
+        lease_id = self._lease_id
+        sent = self._acknowledged.copy()
+        # Acknowledgements go out at once; only a renewal without one waits.
+        wait_ms = Millis(0) if sent else self._renew_wait_ms
+        try:
+            renewed = await self._link.renew(lease_id, sent, wait_ms)
+        except LeaseSuperseded:
+            if lease_id == self._lease_id:
+                self._lease_id = 0
+            raise
+        del self._acknowledged[: len(sent)]
+        if lease_id == self._lease_id:
+            await self._observer.tasks_reported(self._worker_id, renewed)
+
+    async def _note_lost(self, error: UpstreamError) -> None:
+        if self._lease_id:
+            eliot.log_message(
+                'worker:lost', worker=self._worker_id, error=str(error)
+            )
+        self._lease_id = 0
+        await self._observer.worker_lost(self._worker_id)
