Add the HTTP server and client

Cause: every outer interface is HTTP/1.1 with JSON, and nothing serves or calls it yet. Change: jayshore.http, h11 on curio. The server has one task per connection, typed JSON errors within configured bounds, and a drain that answers requests on open connections before it closes them. The client has a connection pool, and errors that tell whether anything was sent. Ruled out: waking idle connections by cancelling their tasks (curio delivers a cancellation to a task at most once, and late enough to hit a request that has just arrived); a timer around every socket operation (each is tried first).

--- /dev/null
+++ b/jayshore/http/clientconnection.py
@@ -0,0 +1,185 @@
+"""One connection of the client: sends a request and reads its answer."""
+
+import dataclasses
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import h11
+
+from jayshore.clock import Millis, MonotonicClock
+from jayshore.http import sockets
+from jayshore.http.messages import Request, Response
+from jayshore.outcomes import JayshoreError
+
+MAX_ANSWER_BYTES = 67_108_864
+"""Bound on the body of an answer, so that no upstream can exhaust memory."""
+
+_MAX_HEAD_BYTES = 65_536
+_PATH_SAFE = "/-._~!$&'()*+,;=:@"
+
+
+class ConnectFailed(JayshoreError):
+    """No connection could be had; certainly nothing was sent."""
+
+
+class ConnectionLost(JayshoreError):
+    """The request was sent, at least in part, and no whole answer came."""
+
+
+class CallTimedOut(JayshoreError):
+    """The request was sent and no answer came in time."""
+
+
+class NothingSent(JayshoreError):
+    """The connection was found broken before any byte was sent on it."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OutgoingRequest:
+    """A request with what the protocol adds to it.
+
+    Attributes:
+        request: what to send.
+        host: value of the `Host` header.
+        deadline: instant by which the answer must be complete, in ms.
+    """
+
+    request: Request
+    host: str
+    deadline: Millis
+
+
+class ClientConnection:
+    """One connection to a server.
+
+    Attributes:
+        pooled: True once the connection was returned to a pool.
+        reusable: True when the last answer left the connection usable.
+    """
+
+    def __init__(self, *, sock: Any) -> None:
+        """Take over a connected socket.
+
+        Args:
+            sock: a curio socket.
+        """
+        self.pooled = False
+        self.reusable = False
+        self._sock = sock
+        self._clock = MonotonicClock()
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+
+    async def call(self, outgoing: OutgoingRequest) -> Response:
+        """Send a request and read its answer.
+
+        Args:
+            outgoing: the request.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            NothingSent: the connection was broken before.
+            ConnectionLost: the connection broke, or carried no HTTP.
+            CallTimedOut: no whole answer before the deadline.
+        """
+        self.reusable = False
+        message = _encode(self._http, outgoing)
+        try:
+            sent = sockets.send_ready(self._sock, message)
+        except OSError as error:
+            raise NothingSent(str(error)) from None
+        try:
+            return await self._finish(message, sent, outgoing.deadline)
+        except sockets.WaitExpired:
+            raise CallTimedOut('no answer in time') from None
+        except (OSError, h11.RemoteProtocolError) as broken:
+            raise ConnectionLost(str(broken)) from None
+
+    def is_alive(self) -> bool:
+        """Tell whether the server kept the idle connection open.
+
+        Returns:
+            False when the server closed it, or sent what nobody asked for.
+        """
+        return sockets.is_quiet(self._sock)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    async def _finish(
+        self, message: bytes, sent: int, deadline: Millis
+    ) -> Response:
+        try:
+            await sockets.send_rest(
+                self._sock, message, sent, self._remaining(deadline)
+            )
+        except OSError:
+            # A server may refuse a large request before it has read all of
+            # it; its answer then waits in the receive buffer.
+            return await self._read_answer(deadline)
+        answer = await self._read_answer(deadline)
+        self._prepare_next()
+        return answer
+
+    def _prepare_next(self) -> None:
+        if self._http.our_state is not h11.DONE:
+            return
+        if self._http.their_state is h11.DONE:
+            self.reusable = not self._http.trailing_data[0]
+            self._http.start_next_cycle()
+
+    async def _read_answer(self, deadline: Millis) -> Response:
+        head = await self._next_event(deadline)
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event(deadline)
+        if not isinstance(head, h11.Response):
+            raise ConnectionLost('the server closed the connection')
+        chunks: list[bytes] = []
+        size = 0
+        event = await self._next_event(deadline)
+        while isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+            size += len(event.data)
+            if size > MAX_ANSWER_BYTES:
+                raise ConnectionLost(f'answer over {MAX_ANSWER_BYTES} bytes')
+            event = await self._next_event(deadline)
+        return Response(
+            status=head.status_code,
+            headers=tuple(
+                (name.decode('ascii'), text.decode('latin-1'))
+                for name, text in head.headers
+            ),
+            body=chunks[0] if len(chunks) == 1 else b''.join(chunks),
+        )
+
+    async def _next_event(self, deadline: Millis) -> Any:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            chunk = await sockets.receive(self._sock, self._remaining(deadline))
+            self._http.receive_data(chunk)
+            event = self._http.next_event()
+        return event
+
+    def _remaining(self, deadline: Millis) -> Millis:
+        return Millis(max(0, deadline - self._clock.now()))
+
+
+def _encode(connection: h11.Connection, outgoing: OutgoingRequest) -> bytes:
+    request = outgoing.request
+    target = quote(request.path, safe=_PATH_SAFE)
+    if request.query:
+        target = f'{target}?{urlencode(request.query)}'
+    headers = [('host', outgoing.host)]
+    headers.extend(request.headers.items())
+    if request.body or request.method in {'POST', 'PUT'}:
+        headers.append(('content-length', str(len(request.body))))
+    message = connection.send(
+        h11.Request(method=request.method, target=target, headers=headers)
+    )
+    if request.body:
+        message += connection.send(h11.Data(data=request.body))
+    return message + connection.send(h11.EndOfMessage())
--- /dev/null
+++ b/jayshore/http/requestreader.py
@@ -0,0 +1,234 @@
+"""Reads whole requests from a connection within the bounds of the server."""
+
+import dataclasses
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+import h11
+
+from jayshore.clock import Millis, MonotonicClock
+from jayshore.http import sockets
+from jayshore.http.messages import ErrorKind, Request, error_response
+from jayshore.outcomes import JayshoreError
+
+_STATUS_REQUEST_TIMEOUT = 408
+_STATUS_BODY_TOO_LARGE = 413
+_STATUS_HEADERS_TOO_LARGE = 431
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Bounds:
+    """What one caller may cost the server.
+
+    Attributes:
+        max_header_bytes: request line and headers together.
+        max_body_bytes: body of one request.
+        header_timeout_ms: from the first byte of a request to its headers.
+        body_timeout_ms: from the headers to the end of the body.
+        idle_timeout_ms: until the first byte of a request.
+        write_timeout_ms: for the caller to take an answer.
+        max_connections: connections open at once.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: Millis = Millis(5000)
+    body_timeout_ms: Millis = Millis(10_000)
+    idle_timeout_ms: Millis = Millis(60_000)
+    write_timeout_ms: Millis = Millis(10_000)
+    max_connections: int = 4096
+
+
+class BadRequest(JayshoreError):
+    """The caller's message is refused.
+
+    Attributes:
+        answer: what the caller is told.
+    """
+
+    def __init__(self, status: int, kind: ErrorKind, detail: str) -> None:
+        """Build the answer.
+
+        Args:
+            status: status code.
+            kind: type of the error.
+            detail: explanation in one line.
+        """
+        super().__init__(detail)
+        self.answer = error_response(status, kind, detail)
+
+
+class CallerGone(JayshoreError):
+    """The caller closed the connection or sent no further request."""
+
+
+class RequestReader:
+    """Assembles requests from the bytes of one connection.
+
+    Attributes:
+        idle: True while no byte of a next request was seen.
+    """
+
+    def __init__(
+        self, *, sock: Any, connection: h11.Connection, bounds: Bounds
+    ) -> None:
+        """Read from a connection.
+
+        Args:
+            sock: a curio socket.
+            connection: the protocol state of the server's side.
+            bounds: what the caller may cost.
+        """
+        self.idle = True
+        self._sock = sock
+        self._http = connection
+        self._bounds = bounds
+        self._clock = MonotonicClock()
+        self._head_bytes = 0
+
+    async def next_request(self) -> Request:
+        """Read one request with its whole body.
+
+        Returns:
+            The request.
+
+        Raises:
+            BadRequest: it is malformed, too large or too slow.
+        """
+        try:
+            head = await self._read_head()
+            return _assemble(head, await self._read_body(head))
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _STATUS_HEADERS_TOO_LARGE:
+                raise self._headers_too_large() from None
+            raise BadRequest(
+                error.error_status_hint, ErrorKind.MALFORMED, str(error)
+            ) from None
+
+    async def _read_head(self) -> h11.Request:
+        self.idle = False
+        self._head_bytes = 0
+        event = self._http.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._wait_for_head()
+        if isinstance(event, h11.ConnectionClosed):
+            raise CallerGone('the caller closed the connection')
+        if not isinstance(event, h11.Request):
+            raise BadRequest(400, ErrorKind.MALFORMED, 'a request must follow')
+        # h11 bounds only what is incomplete, so a large head that arrived
+        # at once has to be measured here.
+        if self._head_bytes > self._bounds.max_header_bytes:
+            if _head_size(event) > self._bounds.max_header_bytes:
+                raise self._headers_too_large()
+        return event
+
+    async def _wait_for_head(self) -> Any:
+        if not self._http.trailing_data[0]:
+            await self._wait_for_first_byte()
+        deadline = self._clock.now() + self._bounds.header_timeout_ms
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            await self._feed(
+                deadline, ErrorKind.HEADER_TIMEOUT, 'the headers are too slow'
+            )
+            event = self._http.next_event()
+        return event
+
+    async def _wait_for_first_byte(self) -> None:
+        self.idle = True
+        try:
+            chunk = await sockets.receive(
+                self._sock, self._bounds.idle_timeout_ms
+            )
+        except sockets.WaitExpired:
+            raise CallerGone('no further request') from None
+        self.idle = False
+        self._head_bytes = len(chunk)
+        self._http.receive_data(chunk)
+
+    async def _feed(self, deadline: int, kind: ErrorKind, slow: str) -> None:
+        remaining = Millis(max(0, deadline - self._clock.now()))
+        try:
+            chunk = await sockets.receive(self._sock, remaining)
+        except sockets.WaitExpired:
+            raise BadRequest(_STATUS_REQUEST_TIMEOUT, kind, slow) from None
+        self._head_bytes += len(chunk)
+        self._http.receive_data(chunk)
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        limit = self._bounds.max_body_bytes
+        if _declared_length(head) > limit:
+            raise self._body_too_large()
+        event = self._http.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        chunks: list[bytes] = []
+        size = 0
+        deadline = self._clock.now() + self._bounds.body_timeout_ms
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                size += len(event.data)
+            else:
+                await self._feed_body(deadline)
+            if size > limit:
+                raise self._body_too_large()
+            event = self._http.next_event()
+        return chunks[0] if len(chunks) == 1 else b''.join(chunks)
+
+    async def _feed_body(self, deadline: int) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await sockets.send(
+                self._sock,
+                self._http.send(go_ahead),
+                self._bounds.write_timeout_ms,
+            )
+        await self._feed(
+            deadline, ErrorKind.BODY_TIMEOUT, 'the body is too slow'
+        )
+
+    def _headers_too_large(self) -> BadRequest:
+        limit = self._bounds.max_header_bytes
+        return BadRequest(
+            _STATUS_HEADERS_TOO_LARGE,
+            ErrorKind.HEADERS_TOO_LARGE,
+            f'request line and headers exceed {limit} bytes',
+        )
+
+    def _body_too_large(self) -> BadRequest:
+        limit = self._bounds.max_body_bytes
+        return BadRequest(
+            _STATUS_BODY_TOO_LARGE,
+            ErrorKind.BODY_TOO_LARGE,
+            f'the body exceeds {limit} bytes',
+        )
+
+
+def _head_size(head: h11.Request) -> int:
+    return len(head.target) + sum(
+        len(name) + len(text) for name, text in head.headers
+    )
+
+
+def _declared_length(head: h11.Request) -> int:
+    for name, text in head.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
+
+
+def _assemble(head: h11.Request, body: bytes) -> Request:
+    headers: dict[str, str] = {}
+    for raw_name, raw_text in head.headers:
+        name = raw_name.decode('ascii')
+        text = raw_text.decode('latin-1')
+        headers[name] = f'{headers[name]}, {text}' if name in headers else text
+    path, mark, query = head.target.decode('ascii').partition('?')
+    return Request(
+        method=head.method.decode('ascii'),
+        path=unquote(path) if '%' in path else path,
+        query=dict(parse_qsl(query, keep_blank_values=True)) if mark else {},
+        headers=headers,
+        body=body,
+    )
--- /dev/null
+++ b/jayshore/http/server.py
@@ -0,0 +1,208 @@
+"""The HTTP server: accepts connections, bounds them, drains them."""
+
+from typing import Any
+
+import curio
+import eliot
+
+from jayshore.clock import (  # noqa: WPS347
+    Millis,
+    MonotonicClock,
+    to_seconds,
+)
+from jayshore.http import sockets
+from jayshore.http.messages import ErrorKind, error_response
+from jayshore.http.requestreader import Bounds
+from jayshore.http.serverconnection import Handler, ServerConnection
+from jayshore.outcomes import JayshoreError
+
+DRAIN_GRACE_MS = Millis(250)
+"""How long a draining server keeps idle connections open, in ms.
+
+A request that a caller sends before it learns of the drain needs one network
+latency to arrive; this is many times that of any link of the platform.
+"""
+
+_BACKLOG = 1024
+_MAX_REFUSING = 64
+_STATUS_UNAVAILABLE = 503
+
+# A process without free file descriptors cannot accept; retrying at once
+# would only use up the processor.
+_ACCEPT_RETRY_MS = Millis(50)
+
+
+class NotListening(JayshoreError):
+    """The server has no listening socket."""
+
+
+class HttpServer:
+    """Serves one handler on one address."""
+
+    def __init__(
+        self, *, host: str, port: int, handler: Handler, bounds: Bounds
+    ) -> None:
+        """Configure a server; it listens only from `listen` or `serve` on.
+
+        Args:
+            host: IP number to bind.
+            port: port to bind, 0 for any free one.
+            handler: answers the requests.
+            bounds: what callers may cost.
+        """
+        self._address = (host, port)
+        self._handler = handler
+        self._bounds = bounds
+        self._listener: Any = None
+        self._acceptor: Any = None
+        self._stopped = curio.Event()
+        self._draining = False
+        self._tasks: dict[ServerConnection, Any] = {}
+        self._refusing = 0
+
+    @property
+    def bound_port(self) -> int:
+        """Port on which the server listens.
+
+        Raises:
+            NotListening: the server does not listen.
+        """
+        if self._listener is None:
+            raise NotListening('the server does not listen')
+        return int(self._listener.getsockname()[1])
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are served."""
+        return len(self._tasks)
+
+    def listen(self) -> None:
+        """Bind the address, so that callers can connect."""
+        if self._listener is None:
+            self._listener = curio.tcp_server_socket(
+                *self._address, backlog=_BACKLOG
+            )
+
+    async def serve(self) -> None:
+        """Serve until cancelled, or until a drain is complete."""
+        self.listen()
+        self._acceptor = await curio.spawn(
+            self._accept_connections(), daemon=True
+        )
+        try:  # noqa: WPS501
+            await self._stopped.wait()
+        finally:
+            await self._stop_accepting()
+            await self._cancel_connections()
+
+    async def drain(
+        self, limit_ms: Millis, *, grace_ms: Millis = DRAIN_GRACE_MS
+    ) -> None:
+        """Stop without cutting off a call.
+
+        New connections are refused. Calls in progress, and calls that arrive
+        on open connections, are answered with `Connection: close`. Idle
+        connections are closed after the grace period. `serve` then returns.
+
+        Args:
+            limit_ms: the longest time for all this, in ms; calls that are
+                still in progress are then cut off.
+            grace_ms: how long idle connections stay open, in ms.
+        """
+        clock = MonotonicClock()
+        end = clock.now() + limit_ms
+        self._draining = True
+        for connection in self._tasks:
+            connection.draining = True
+        await self._stop_accepting()
+        await self._wait_for_connections(min(grace_ms, limit_ms))
+        for idle in self._tasks:
+            idle.end_if_idle()
+        await self._wait_for_connections(Millis(end - clock.now()))
+        await self._cancel_connections()
+        await self._stopped.set()
+
+    async def _accept_connections(self) -> None:
+        while True:
+            try:
+                sock, _ = await self._listener.accept()
+            except OSError as error:
+                eliot.log_message('http:accept_failed', error=repr(error))
+                await curio.sleep(to_seconds(_ACCEPT_RETRY_MS))
+            else:
+                await self._start_connection(sock)
+
+    async def _start_connection(self, sock: Any) -> None:
+        connection = ServerConnection(
+            sock=sock, handler=self._handler, bounds=self._bounds
+        )
+        connection.draining = self._draining
+        if len(self._tasks) < self._bounds.max_connections:
+            self._tasks[connection] = await curio.spawn(
+                self._run_connection(sock, connection), daemon=True
+            )
+        elif self._refusing < _MAX_REFUSING:
+            self._refusing += 1
+            await curio.spawn(
+                self._refuse_connection(sock, connection), daemon=True
+            )
+        else:
+            await sock.close()
+
+    async def _run_connection(
+        self, sock: Any, connection: ServerConnection
+    ) -> None:
+        try:
+            sockets.configure(sock)
+            await connection.run()
+        except Exception:
+            eliot.write_traceback()
+        finally:
+            del self._tasks[connection]
+            await sock.close()
+
+    async def _refuse_connection(
+        self, sock: Any, connection: ServerConnection
+    ) -> None:
+        limit = self._bounds.max_connections
+        try:  # noqa: WPS501
+            await connection.refuse(
+                error_response(
+                    _STATUS_UNAVAILABLE,
+                    ErrorKind.TOO_MANY_CONNECTIONS,
+                    f'{limit} connections are open',
+                )
+            )
+        finally:
+            self._refusing -= 1
+            await sock.close()
+
+    async def _stop_accepting(self) -> None:
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+            self._acceptor = None
+        if self._listener is None:
+            return
+        # Connections that the kernel has already established may carry
+        # requests; closing the listener alone would reset them.
+        listener = self._listener
+        self._listener = None
+        while self._draining:
+            try:
+                accepted, _ = listener._socket.accept()  # noqa: WPS437
+            except OSError:
+                break
+            await self._start_connection(curio.io.Socket(accepted))
+        await listener.close()
+
+    async def _wait_for_connections(self, limit_ms: Millis) -> None:
+        async with curio.ignore_after(to_seconds(limit_ms)):
+            for task in tuple(self._tasks.values()):
+                await task.wait()
+
+    async def _cancel_connections(self) -> None:
+        tasks = tuple(self._tasks.values())
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for cancelled in tasks:
+            await cancelled.wait()
