--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -17,14 +17,25 @@
 )
 from jayshore.http import sockets
 from jayshore.http.clientconnection import (
+    CallTimedOut,
     ClientConnection,
     ConnectFailed,
+    ConnectionLost,
     NothingSent,
     OutgoingRequest,
 )
 from jayshore.http.messages import Request, Response
 from jayshore.outcomes import JayshoreError
 
+__all__ = (  # noqa: WPS410
+    'Address',
+    'CallTimedOut',
+    'ConnectFailed',
+    'ConnectionLost',
+    'HttpClient',
+    'InvalidAddress',
+)
+
 _PORTS = range(1, 65_536)
 
 
--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -16,6 +16,8 @@
 from jayshore.http.serverconnection import Handler, ServerConnection
 from jayshore.outcomes import JayshoreError
 
+__all__ = ('Bounds', 'Handler', 'HttpServer', 'NotListening')  # noqa: WPS410
+
 DRAIN_GRACE_MS = Millis(250)
 """How long a draining server keeps idle connections open, in ms.
 
--- a/jayshore/http/serverconnection.py
+++ b/jayshore/http/serverconnection.py
@@ -22,6 +22,7 @@
     CallerGone,
     RequestReader,
 )
+from jayshore.outcomes import JayshoreError
 
 # After an answer that ends a connection, the rest of what the caller sent is
 # read and discarded for a moment: closing with unread bytes makes the kernel
@@ -50,6 +51,13 @@
         """
 
 
+class DropConnection(JayshoreError):
+    """A handler ends its connection without an answer.
+
+    Stand-ins raise it to act as a broken upstream; the daemon never does.
+    """
+
+
 class ServerConnection:
     """One accepted connection.
 
@@ -117,6 +125,8 @@
     async def _call_handler(self, request: Request) -> Response:
         try:
             return await self._handler.handle(request)
+        except DropConnection:
+            raise CallerGone('dropped by the handler') from None
         except (Exception, curio.TaskTimeout) as error:
             eliot.write_traceback()
             eliot.log_message(
--- /dev/null
+++ b/jayshore/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store and instance list, and how lost answers are settled."""
--- /dev/null
+++ b/standins/instancelist.py
@@ -0,0 +1,80 @@
+"""The lagging instance list of the store stand-in."""
+
+import dataclasses
+
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.http.messages import (
+    JsonObject,
+    Request,
+    Response,
+    decode_json,
+    json_response,
+)
+from standins.faults import Faults
+
+_STATUS_OK = 200
+
+
+class StoreFaults(Faults, kw_only=True):
+    """Faults of the store and its instance list.
+
+    Attributes:
+        lag_ms: lag of the instance list, in ms.
+    """
+
+    lag_ms: int = 0
+
+
+class _Instances(msgspec.Struct, kw_only=True):
+    instances: list[JsonObject]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Version:
+    since: Millis
+    instances: list[JsonObject]
+
+
+class LaggingList:
+    """Shows the list as it was some time ago."""
+
+    def __init__(self, *, faults: StoreFaults, clock: Clock) -> None:
+        """Start with an empty list.
+
+        Args:
+            faults: hold the lag.
+            clock: measures the lag.
+        """
+        self._faults = faults
+        self._clock = clock
+        self._versions: list[_Version] = []
+
+    async def read(self, _request: Request) -> Response:
+        """Read the list as it was before the lag.
+
+        Returns:
+            The instances.
+        """
+        horizon = self._clock.now() - self._faults.lag_ms
+        visible: list[JsonObject] = []
+        for version in self._versions:
+            if version.since <= horizon:
+                visible = version.instances
+        return json_response(_STATUS_OK, {'instances': visible})
+
+    async def write(self, request: Request) -> Response:
+        """Replace the list; the first one is visible at once.
+
+        Args:
+            request: the call with all instances.
+
+        Returns:
+            How many instances are listed.
+        """
+        instances = decode_json(request.body, _Instances).instances
+        # A test that starts a cell does not have to wait for the lag.
+        since = self._clock.now() if self._versions else Millis(0)
+        self._versions.append(_Version(since=since, instances=instances))
+        return json_response(_STATUS_OK, {'listed': len(instances)})
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,222 @@
+"""Stand-in for the platform's store and its lagging instance list.
+
+Run with `python -m standins.store --port PORT --settings JSON`.
+"""
+
+import curio
+import msgspec
+
+from jayshore.clock import (  # noqa: WPS347
+    Clock,
+    Millis,
+    MonotonicClock,
+    to_seconds,
+)
+from jayshore.http.messages import (
+    Request,
+    Response,
+    decode_json,
+    error_response,
+    json_response,
+)
+from standins.faults import FaultGate
+from standins.instancelist import LaggingList, StoreFaults
+from standins.keyvalue import (
+    KeyValueState,
+    LeaseUnknown,
+    Listing,
+    RevisionMismatch,
+)
+from standins.serving import (
+    ADMIN,
+    Route,
+    StandIn,
+    decode_settings,
+    read_arguments,
+    route,
+    run,
+)
+
+_TICK_MS = Millis(20)
+_STATUS_OK = 200
+_STATUS_NOT_FOUND = 404
+_STATUS_CONFLICT = 409
+_STATUS_GONE = 410
+_STATUS_TOO_LARGE = 413
+
+
+class StoreSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Settings of the process.
+
+    Attributes:
+        max_value_bytes: largest value that is stored.
+        lag_ms: lag of the instance list, in ms.
+    """
+
+    max_value_bytes: int = 1_048_576
+    lag_ms: int = 0
+
+
+class _Put(msgspec.Struct, kw_only=True):
+    value: str
+    expect_revision: int
+    lease_id: int | None = None
+
+
+class _Grant(msgspec.Struct, kw_only=True):
+    ttl_ms: int
+
+
+class StoreStandIn(StandIn):
+    """Answers the calls of section 8.2 of the design page."""
+
+    def __init__(self, *, settings: StoreSettings, clock: Clock) -> None:
+        """Start with an empty store and an empty list.
+
+        Args:
+            settings: of the process.
+            clock: time of leases and of the list's lag.
+        """
+        faults = StoreFaults(lag_ms=settings.lag_ms)
+        self._settings = settings
+        self._clock = clock
+        self._state = KeyValueState()
+        self._changed = curio.Event()
+        self._announced = 0
+        self._lists = LaggingList(faults=faults, clock=clock)
+        super().__init__(gate=FaultGate(faults))
+
+    def routes(self) -> list[Route]:
+        """List the calls.
+
+        Returns:
+            The table of routes.
+        """
+        return [
+            route('GET', '/v1/kv/(.+)', 'get', self._get),
+            route('PUT', '/v1/kv/(.+)', 'put', self._put),
+            route('DELETE', '/v1/kv/(.+)', 'delete', self._delete),
+            route('GET', '/v1/list', 'list', self._list),
+            route('GET', '/v1/watch', 'watch', self._watch),
+            route('POST', '/v1/leases', 'lease_grant', self._grant),
+            route(
+                'POST', r'/v1/leases/(\d+)/renew', 'lease_renew', self._renew
+            ),
+            route('DELETE', r'/v1/leases/(\d+)', 'lease_revoke', self._revoke),
+            route('GET', '/v1/instances', 'instances', self._lists.read),
+            route('PUT', '/admin/instances', ADMIN, self._lists.write),
+        ]
+
+    async def background(self) -> None:
+        """Expire leases and wake the watches of their keys."""
+        while True:
+            await curio.sleep(to_seconds(_TICK_MS))
+            await self._announce()
+
+    async def _get(self, _request: Request, key: str) -> Response:
+        await self._announce()
+        entry = self._state.get(key)
+        if entry is None:
+            return error_response(_STATUS_NOT_FOUND, 'not_found', key)
+        return json_response(_STATUS_OK, entry)
+
+    async def _put(self, request: Request, key: str) -> Response:
+        body = decode_json(request.body, _Put)
+        if len(body.value.encode()) > self._settings.max_value_bytes:
+            return error_response(_STATUS_TOO_LARGE, 'value_too_large', key)
+        await self._announce()
+        try:
+            revision = self._state.put(
+                key, body.value, body.expect_revision, body.lease_id
+            )
+        except RevisionMismatch as mismatch:
+            return _conflict(mismatch)
+        except LeaseUnknown as gone:
+            return _gone(gone)
+        return await self._written(revision)
+
+    async def _delete(self, request: Request, key: str) -> Response:
+        expected = int(request.query['expect_revision'])
+        await self._announce()
+        try:
+            revision = self._state.delete(key, expected)
+        except RevisionMismatch as mismatch:
+            return _conflict(mismatch)
+        return await self._written(revision)
+
+    async def _list(self, request: Request) -> Response:
+        await self._announce()
+        return json_response(_STATUS_OK, self._read_changes(request))
+
+    async def _watch(self, request: Request) -> Response:
+        wait = Millis(int(request.query['wait_ms']))
+        async with curio.ignore_after(to_seconds(wait)):
+            while not _has_changes(self._read_changes(request)):
+                await self._changed.wait()
+        self._gate.leave_wait(request)
+        return json_response(_STATUS_OK, self._read_changes(request))
+
+    async def _grant(self, request: Request) -> Response:
+        ttl = decode_json(request.body, _Grant).ttl_ms
+        lease_id = self._state.grant_lease(ttl, self._clock.now())
+        self._gate.leave_write()
+        return json_response(_STATUS_OK, {'lease_id': lease_id, 'ttl_ms': ttl})
+
+    async def _renew(self, _request: Request, digits: str) -> Response:
+        await self._announce()
+        lease_id = int(digits)
+        try:
+            ttl = self._state.renew_lease(lease_id, self._clock.now())
+        except LeaseUnknown as gone:
+            return _gone(gone)
+        self._gate.leave_write()
+        return json_response(_STATUS_OK, {'lease_id': lease_id, 'ttl_ms': ttl})
+
+    async def _revoke(self, _request: Request, digits: str) -> Response:
+        try:
+            self._state.revoke_lease(int(digits))
+        except LeaseUnknown as gone:
+            return _gone(gone)
+        return await self._written(self._state.revision)
+
+    async def _written(self, revision: int) -> Response:
+        await self._announce()
+        self._gate.leave_write()
+        return json_response(_STATUS_OK, {'revision': revision})
+
+    async def _announce(self) -> None:
+        self._state.expire_leases(self._clock.now())
+        if self._state.revision > self._announced:
+            self._announced = self._state.revision
+            changed = self._changed
+            self._changed = curio.Event()
+            await changed.set()
+
+    def _read_changes(self, request: Request) -> Listing:
+        return self._state.read_changes(
+            request.query.get('prefix', ''), int(request.query.get('since', 0))
+        )
+
+
+def _has_changes(listing: Listing) -> bool:
+    return bool(listing.entries or listing.deleted)
+
+
+def _conflict(mismatch: RevisionMismatch) -> Response:
+    return json_response(_STATUS_CONFLICT, {'revision': mismatch.revision})
+
+
+def _gone(gone: LeaseUnknown) -> Response:
+    return error_response(_STATUS_GONE, 'lease_gone', str(gone))
+
+
+def main() -> None:
+    """Run the process."""
+    arguments = read_arguments('store and instance list stand-in')
+    settings = decode_settings(arguments.settings, StoreSettings)
+    stand_in = StoreStandIn(settings=settings, clock=MonotonicClock())
+    run(stand_in, arguments.port)
+
+
+if __name__ == '__main__':
+    main()
