Add worker and executor stand-ins

Cause: leases, scheduling and routing need upstreams that speak section 8.3 and misbehave on demand, and a checker needs to know what really happened. They refuse only by lease, run whatever else they are told, also beyond capacity and twice, and report every start and end in GET /admin/history.

--- /dev/null
+++ b/standins/crossing.py
@@ -0,0 +1,60 @@
+"""Swaps two answers between their connections."""
+
+import curio
+
+from jayshore.clock import Millis, to_seconds  # noqa: WPS347
+from jayshore.http.messages import Response
+
+# Without a second request no partner comes; the first answer then goes out
+# on its own connection.
+_PARTNER_LIMIT_MS = Millis(2000)
+
+
+class Crossing:
+    """Holds the first answer of a pair until the second one is there."""
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self._first: Response | None = None
+        self._second: Response | None = None
+        self._completed = curio.Event()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the first answer of a pair waits for the second."""
+        return self._first is not None
+
+    async def begin(self, answer: Response) -> Response:
+        """Hold the first answer of a pair.
+
+        Args:
+            answer: the first answer.
+
+        Returns:
+            The second one, or the same when no other came in time.
+        """
+        completed = curio.Event()
+        self._completed = completed
+        self._first = answer
+        self._second = None
+        async with curio.ignore_after(to_seconds(_PARTNER_LIMIT_MS)):
+            await completed.wait()
+        if self._second is None:
+            self._first = None
+            return answer
+        return self._second
+
+    async def complete(self, answer: Response) -> Response:
+        """Give the second answer of a pair for the first.
+
+        Args:
+            answer: the second answer.
+
+        Returns:
+            The first one.
+        """
+        first = self._first
+        self._first = None
+        self._second = answer
+        await self._completed.set()
+        return first or answer
--- /dev/null
+++ b/standins/executor.py
@@ -0,0 +1,288 @@
+"""Stand-in for an executor: requests are timers, leases are honoured.
+
+Run with `python -m standins.executor --port PORT --settings JSON`. Slots and
+connections are reported and not enforced; a checker compares them with
+`GET /admin/history`.
+"""
+
+import curio
+import msgspec
+
+from jayshore.clock import (  # noqa: WPS347
+    Clock,
+    Millis,
+    MonotonicClock,
+    to_seconds,
+)
+from jayshore.http.messages import (
+    InvalidJson,
+    Request,
+    Response,
+    decode_json,
+    json_response,
+)
+from jayshore.http.serverconnection import DropConnection
+from standins.crossing import Crossing
+from standins.faults import FaultGate, Faults
+from standins.fencing import (
+    EpochTooLow,
+    LeaseNotCurrent,
+    LeaseState,
+    OpenBody,
+    refusal,
+)
+from standins.runs import RunTable
+from standins.serving import (
+    ADMIN,
+    Route,
+    StandIn,
+    decode_settings,
+    read_arguments,
+    route,
+    run,
+)
+
+REQUEST_ID_HEADER = 'jayshore-request-id'
+
+_STATUS_OK = 200
+_CONTENT_TYPE = ('content-type', 'application/octet-stream')
+
+
+class ExecutorSettings(
+    msgspec.Struct, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of the process.
+
+    Attributes:
+        slots: requests that run at once, as reported.
+        connections: connections at once, as reported.
+        service_ms: run time of a request whose body does not say it, in ms.
+        record_history: whether runs are kept for a checker; a benchmark
+            switches it off to keep memory constant.
+    """
+
+    slots: int = 8
+    connections: int = 64
+    service_ms: int = 0
+    record_history: bool = True
+
+
+class ExecutorFaults(Faults, kw_only=True):
+    """Faults of an executor.
+
+    Attributes:
+        leaving: whether the executor reports that it leaves.
+        drop_next_before_run: for how many requests the connection ends
+            without a run.
+        delay_next_answers: how many answers are held back.
+        answer_delay_ms: for how long, in ms.
+        cross_next_pairs: how many pairs of answers are swapped between
+            their connections.
+    """
+
+    leaving: bool = False
+    drop_next_before_run: int = 0
+    delay_next_answers: int = 0
+    answer_delay_ms: int = 0
+    cross_next_pairs: int = 0
+
+
+class _Renew(msgspec.Struct, kw_only=True):
+    lease_id: int
+    wait_ms: int = 0
+
+
+class _Work(msgspec.Struct, kw_only=True):
+    service_ms: int | None = None
+
+
+class ExecutorStandIn(StandIn):
+    """Answers the executor's calls of section 8.3 of the design page."""
+
+    def __init__(self, *, settings: ExecutorSettings, clock: Clock) -> None:
+        """Boot without requests.
+
+        Args:
+            settings: of the process.
+            clock: time of leases and runs.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._faults = ExecutorFaults()
+        self._lease = LeaseState(clock=clock)
+        self._runs = RunTable(clock=clock, keep=settings.record_history)
+        self._crossing = Crossing()
+        self._changed = curio.Event()
+        self._leaving_shown = False
+        super().__init__(gate=FaultGate(self._faults))
+
+    def routes(self) -> list[Route]:
+        """List the calls.
+
+        Returns:
+            The table of routes.
+        """
+        return [
+            route('POST', '/v1/run', 'run', self._run_request),
+            route('POST', '/v1/lease/open', 'lease_open', self._open),
+            route('POST', '/v1/lease/renew', 'lease_renew', self._renew),
+            route('GET', '/v1/runs/(.+)', 'query', self._query),
+            route('GET', '/admin/history', ADMIN, self._read_history),
+            route('POST', '/admin/reboot', ADMIN, self._reboot),
+        ]
+
+    async def change_faults(self, request: Request) -> Response:
+        """Set faults and wake the renewals that wait.
+
+        Args:
+            request: the call with a JSON object.
+
+        Returns:
+            All faults.
+        """
+        answer = await super().change_faults(request)
+        await self._announce()
+        return answer
+
+    async def _open(self, request: Request) -> Response:
+        try:
+            lease_id = self._lease.open(decode_json(request.body, OpenBody))
+        except EpochTooLow as error:
+            return refusal(error)
+        await self._announce()
+        self._gate.leave_write('lease_open')
+        return json_response(
+            _STATUS_OK,
+            {
+                'lease_id': lease_id,
+                'boot_id': self._lease.boot_id,
+                'capacity': {
+                    'slots': self._settings.slots,
+                    'connections': self._settings.connections,
+                },
+                **self._inventory(),
+            },
+        )
+
+    async def _renew(self, request: Request) -> Response:
+        body = decode_json(request.body, _Renew)
+        try:
+            self._lease.renew(body.lease_id)
+            if body.wait_ms > 0:
+                await self._wait_for_news(body)
+            self._lease.check(body.lease_id)
+        except LeaseNotCurrent as error:
+            return refusal(error)
+        self._gate.leave_wait(request)
+        return json_response(_STATUS_OK, self._inventory())
+
+    async def _wait_for_news(self, body: _Renew) -> None:
+        async with curio.ignore_after(to_seconds(Millis(body.wait_ms))):
+            await self._wait_for_change(body.lease_id)
+
+    async def _wait_for_change(self, lease_id: int) -> None:
+        while self._leaving_shown == self._faults.leaving:
+            await self._changed.wait()
+            self._lease.check(lease_id)
+
+    async def _run_request(self, request: Request) -> Response:
+        request_id = request.headers[REQUEST_ID_HEADER]
+        lease_id = int(request.headers['jayshore-lease'])
+        if self._faults.drop_next_before_run > 0:
+            self._faults.drop_next_before_run -= 1
+            raise DropConnection('dropped before the run by order')
+        try:
+            self._lease.check(lease_id)
+        except LeaseNotCurrent as error:
+            return refusal(error)
+        started = self._runs.start(
+            request_id=request_id,
+            team=request.headers.get('jayshore-team', ''),
+            lease_id=lease_id,
+            boot_id=self._lease.boot_id,
+            leaving=self._faults.leaving,
+        )
+        service = _read_service_ms(request.body, self._settings.service_ms)
+        if service > 0:
+            await curio.sleep(to_seconds(service))
+        if not self._runs.finish(started):
+            raise DropConnection('rebooted during the run')
+        return await self._answer(
+            Response(
+                status=_STATUS_OK,
+                headers=((REQUEST_ID_HEADER, request_id), _CONTENT_TYPE),
+                body=request.body,
+            )
+        )
+
+    async def _answer(self, answer: Response) -> Response:
+        self._gate.leave_write('run')
+        if self._faults.delay_next_answers > 0:
+            self._faults.delay_next_answers -= 1
+            delay = Millis(self._faults.answer_delay_ms)
+            await curio.sleep(to_seconds(delay))
+        if self._crossing.is_waiting:
+            return await self._crossing.complete(answer)
+        if self._faults.cross_next_pairs > 0:
+            self._faults.cross_next_pairs -= 1
+            return await self._crossing.begin(answer)
+        return answer
+
+    async def _query(self, _request: Request, request_id: str) -> Response:
+        return json_response(
+            _STATUS_OK, {'state': self._runs.state_of(request_id)}
+        )
+
+    async def _read_history(self, _request: Request) -> Response:
+        return json_response(
+            _STATUS_OK,
+            {
+                'boot_id': self._lease.boot_id,
+                'now_ms': self._clock.now(),
+                'slots': self._settings.slots,
+                'connections': self._settings.connections,
+                'leases': self._lease.grants,
+                'runs': self._runs.records(),
+            },
+        )
+
+    async def _reboot(self, _request: Request) -> Response:
+        self._lease.reboot()
+        self._runs.forget_all()
+        await self._announce()
+        return json_response(_STATUS_OK, {'boot_id': self._lease.boot_id})
+
+    async def _announce(self) -> None:
+        changed = self._changed
+        self._changed = curio.Event()
+        await changed.set()
+
+    def _inventory(self) -> dict[str, object]:
+        self._leaving_shown = self._faults.leaving
+        return {
+            'leaving': self._leaving_shown,
+            'tasks': self._runs.running(),
+        }
+
+
+def _read_service_ms(body: bytes, otherwise_ms: int) -> Millis:
+    if body.startswith(b'{'):
+        try:
+            wanted = decode_json(body, _Work).service_ms
+        except InvalidJson:
+            wanted = None
+        if wanted is not None:
+            return Millis(wanted)
+    return Millis(otherwise_ms)
+
+
+def main() -> None:
+    """Run the process."""
+    arguments = read_arguments('executor stand-in')
+    settings = decode_settings(arguments.settings, ExecutorSettings)
+    stand_in = ExecutorStandIn(settings=settings, clock=MonotonicClock())
+    run(stand_in, arguments.port)
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -36,12 +36,14 @@
         delay_ms: the delay of `slow`, in ms.
         lose_next_write_answers: for how many effective calls the connection
             ends after the effect.
+        lose_kinds: kinds of the calls whose answers are lost, empty for all.
         refuse_from: senders whose calls end without an effect.
     """
 
     mode: Mode = Mode.UP
     delay_ms: int = 0
     lose_next_write_answers: int = 0
+    lose_kinds: tuple[str, ...] = ()
     refuse_from: tuple[str, ...] = ()
 
 
@@ -83,12 +85,17 @@
             await curio.sleep(to_seconds(Millis(self.faults.delay_ms)))
         return None
 
-    def leave_write(self) -> None:
+    def leave_write(self, kind: str) -> None:
         """Apply the faults that follow an effect.
 
+        Args:
+            kind: name under which the call is counted.
+
         Raises:
             DropConnection: the answer is to be lost.
         """
+        if self.faults.lose_kinds and kind not in self.faults.lose_kinds:
+            return
         if self.faults.lose_next_write_answers > 0:
             self.faults.lose_next_write_answers -= 1
             raise DropConnection('answer lost by order')
--- /dev/null
+++ b/standins/fencing.py
@@ -0,0 +1,177 @@
+"""The lease that a worker or executor grants (section 4.1 of the design)."""
+
+import dataclasses
+import secrets
+
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.http.messages import Response, json_response
+
+DEFAULT_TASK_LEASE_MS = 300_000
+
+_BOOT_ID_BYTES = 8
+_LEASES_PER_MILLI = 1000
+_STATUS_CONFLICT = 409
+
+
+class OpenBody(msgspec.Struct, kw_only=True):
+    """Body of `POST /v1/lease/open`.
+
+    Attributes:
+        epoch: epoch of the leader that asks.
+        holder: name of the leader's process.
+        task_lease_ms: how long tasks run on without a renewal, in ms.
+    """
+
+    epoch: int
+    holder: str
+    task_lease_ms: int = DEFAULT_TASK_LEASE_MS
+
+
+class EpochTooLow(Exception):
+    """A lease was asked for by a leader that is known to be replaced."""
+
+    def __init__(self, *, epoch: int) -> None:
+        """Remember the highest epoch.
+
+        Args:
+            epoch: the highest epoch seen.
+        """
+        super().__init__(f'epoch {epoch} was seen')
+        self.epoch = epoch
+
+
+class LeaseNotCurrent(Exception):
+    """A call carries a lease id that is not the newest one."""
+
+    def __init__(self, *, lease_id: int) -> None:
+        """Remember the newest lease.
+
+        Args:
+            lease_id: the newest lease id.
+        """
+        super().__init__(f'the newest lease is {lease_id}')
+        self.lease_id = lease_id
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """One lease that was opened.
+
+    Attributes:
+        lease_id: its id.
+        epoch: epoch of the leader.
+        holder: name of the leader's process.
+        at_ms: when it was opened.
+    """
+
+    lease_id: int
+    epoch: int
+    holder: str
+    at_ms: Millis
+
+
+class LeaseState:
+    """The newest lease and the highest epoch of one boot.
+
+    Attributes:
+        boot_id: random id of this boot.
+        lease_id: the newest lease, 0 before the first.
+        task_lease_ms: how long tasks run on without a renewal, in ms.
+        renewed_ms: when the lease was last opened or renewed.
+        grants: all leases, across boots.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start a first boot.
+
+        Args:
+            clock: time of renewals.
+        """
+        self.grants: list[Grant] = []
+        self._clock = clock
+        self.reboot()
+
+    def reboot(self) -> None:
+        """Forget lease and epoch, as a restarted process does."""
+        self.boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        self.lease_id = 0
+        self.task_lease_ms = DEFAULT_TASK_LEASE_MS
+        self.renewed_ms = self._clock.now()
+        self._epoch = 0
+        # Ids of a later boot are larger than those of any earlier one, so
+        # that a delayed start can never carry a valid id by accident.
+        self._last_id = self.renewed_ms * _LEASES_PER_MILLI
+
+    def open(self, body: OpenBody) -> int:
+        """Grant a new lease.
+
+        Args:
+            body: who asks.
+
+        Returns:
+            The new lease id.
+
+        Raises:
+            EpochTooLow: a higher epoch was seen.
+        """
+        if body.epoch < self._epoch:
+            raise EpochTooLow(epoch=self._epoch)
+        self._epoch = body.epoch
+        self._last_id += 1
+        self.lease_id = self._last_id
+        self.task_lease_ms = body.task_lease_ms
+        self.renewed_ms = self._clock.now()
+        self.grants.append(
+            Grant(
+                lease_id=self.lease_id,
+                epoch=body.epoch,
+                holder=body.holder,
+                at_ms=self.renewed_ms,
+            )
+        )
+        return self.lease_id
+
+    def check(self, lease_id: int) -> None:
+        """Accept only the newest lease.
+
+        Args:
+            lease_id: the id that a call carries.
+
+        Raises:
+            LeaseNotCurrent: it is not the newest.
+        """
+        if not lease_id or lease_id != self.lease_id:
+            raise LeaseNotCurrent(lease_id=self.lease_id)
+
+    def renew(self, lease_id: int) -> None:
+        """Renew the newest lease.
+
+        Args:
+            lease_id: the id that the call carries.
+        """
+        self.check(lease_id)
+        self.renewed_ms = self._clock.now()
+
+    def is_task_lease_over(self) -> bool:
+        """Tell whether tasks have to be stopped.
+
+        Returns:
+            True when no renewal was seen for the task lease.
+        """
+        return self._clock.now() - self.renewed_ms > self.task_lease_ms
+
+
+def refusal(error: EpochTooLow | LeaseNotCurrent) -> Response:
+    """Encode a refusal by lease.
+
+    Args:
+        error: why.
+
+    Returns:
+        Status 409 with the epoch or lease id that counts.
+    """
+    if isinstance(error, EpochTooLow):
+        return json_response(_STATUS_CONFLICT, {'epoch': error.epoch})
+    return json_response(_STATUS_CONFLICT, {'lease_id': error.lease_id})
--- a/standins/store.py
+++ b/standins/store.py
@@ -133,7 +133,7 @@
             return _conflict(mismatch)
         except LeaseUnknown as gone:
             return _gone(gone)
-        return await self._written(revision)
+        return await self._written('put', revision)
 
     async def _delete(self, request: Request, key: str) -> Response:
         expected = int(request.query['expect_revision'])
@@ -142,7 +142,7 @@
             revision = self._state.delete(key, expected)
         except RevisionMismatch as mismatch:
             return _conflict(mismatch)
-        return await self._written(revision)
+        return await self._written('delete', revision)
 
     async def _list(self, request: Request) -> Response:
         await self._announce()
@@ -159,7 +159,7 @@
     async def _grant(self, request: Request) -> Response:
         ttl = decode_json(request.body, _Grant).ttl_ms
         lease_id = self._state.grant_lease(ttl, self._clock.now())
-        self._gate.leave_write()
+        self._gate.leave_write('lease_grant')
         return json_response(_STATUS_OK, {'lease_id': lease_id, 'ttl_ms': ttl})
 
     async def _renew(self, _request: Request, digits: str) -> Response:
@@ -169,7 +169,7 @@
             ttl = self._state.renew_lease(lease_id, self._clock.now())
         except LeaseUnknown as gone:
             return _gone(gone)
-        self._gate.leave_write()
+        self._gate.leave_write('lease_renew')
         return json_response(_STATUS_OK, {'lease_id': lease_id, 'ttl_ms': ttl})
 
     async def _revoke(self, _request: Request, digits: str) -> Response:
@@ -177,11 +177,11 @@
             self._state.revoke_lease(int(digits))
         except LeaseUnknown as gone:
             return _gone(gone)
-        return await self._written(self._state.revision)
+        return await self._written('lease_revoke', self._state.revision)
 
-    async def _written(self, revision: int) -> Response:
+    async def _written(self, kind: str, revision: int) -> Response:
         await self._announce()
-        self._gate.leave_write()
+        self._gate.leave_write(kind)
         return json_response(_STATUS_OK, {'revision': revision})
 
     async def _announce(self) -> None:
--- /dev/null
+++ b/standins/tasktable.py
@@ -0,0 +1,123 @@
+"""All tasks of the worker stand-in, and the history of what happened."""
+
+import msgspec
+
+from jayshore.clock import Clock
+from standins.tasks import (
+    Outcome,
+    RunningTask,
+    StartedUnder,
+    TaskOrder,
+    TaskRecord,
+    TaskReport,
+)
+
+
+class TaskName(msgspec.Struct, kw_only=True, frozen=True):
+    """One attempt of a task.
+
+    Attributes:
+        task_id: id of the task.
+        attempt: number of the attempt.
+    """
+
+    task_id: str
+    attempt: int
+
+
+class TaskTable:
+    """Tasks of the current boot and records of all boots."""
+
+    def __init__(self, *, clock: Clock, usage_lag_ms: int) -> None:
+        """Start without tasks.
+
+        Args:
+            clock: time of the tasks.
+            usage_lag_ms: age of a task at its first usage report, in ms.
+        """
+        self._clock = clock
+        self._usage_lag_ms = usage_lag_ms
+        self._tasks: list[RunningTask] = []
+        self._history: list[RunningTask] = []
+
+    def start(self, order: TaskOrder, under: StartedUnder) -> None:
+        """Start a task, whatever else runs.
+
+        Args:
+            order: what to run.
+            under: circumstances of the start.
+        """
+        started = RunningTask(order=order, under=under, clock=self._clock)
+        self._tasks.append(started)
+        self._history.append(started)
+
+    def find(self, task_id: str) -> list[RunningTask]:
+        """Find the runs of a task.
+
+        Args:
+            task_id: id of the task.
+
+        Returns:
+            All runs that are not acknowledged.
+        """
+        return [task for task in self._tasks if task.order.task_id == task_id]
+
+    def advance(self) -> bool:
+        """Let time pass.
+
+        Returns:
+            True when a task ended.
+        """
+        return any([task.advance() for task in self._tasks])
+
+    def end_all(self, outcome: Outcome) -> bool:
+        """End all running tasks.
+
+        Args:
+            outcome: how.
+
+        Returns:
+            True when a task was running.
+        """
+        running = [task for task in self._tasks if task.outcome is None]
+        for task in running:
+            task.end(outcome)
+        return bool(running)
+
+    def forget_all(self) -> None:
+        """Lose all tasks and results, as a reboot does."""
+        self.end_all(Outcome.REBOOTED)
+        self._tasks.clear()
+
+    def acknowledge(self, names: list[TaskName]) -> None:
+        """Forget finished tasks whose results are recorded.
+
+        Args:
+            names: these tasks; running ones are kept.
+        """
+        acknowledged = frozenset(names)
+        self._tasks = [
+            task
+            for task in self._tasks
+            if task.outcome is None or _name_of(task) not in acknowledged
+        ]
+
+    def reports(self) -> list[TaskReport]:
+        """Describe the tasks to the leader.
+
+        Returns:
+            Running tasks, and finished ones not yet acknowledged.
+        """
+        return [task.report(self._usage_lag_ms) for task in self._tasks]
+
+    def records(self) -> list[TaskRecord]:
+        """Describe what really happened, in the order of starts.
+
+        Returns:
+            One record for each start of any boot.
+        """
+        return [task.record() for task in self._history]
+
+
+def _name_of(task: RunningTask) -> TaskName:
+    return TaskName(task_id=task.order.task_id, attempt=task.order.attempt)
