Add the protocol between daemons

Daemons need to exchange status, promises, requests and job calls. The schema is loaded at run time; pycapnp's own RPC needs asyncio and was ruled out, so frames carry a length prefix over curio sockets.

A frame that was not handed over in whole cannot be decoded by the peer. The client therefore reports PeerUnreachable (certainly not sent) exactly in that case, and PeerLost or PeerTimedOut once the whole frame was handed over.

A test found that an answer followed at once by the end of the connection was reported as PeerLost; answered calls now leave the table of pending calls before the reader goes on.

--- /dev/null
+++ b/jayshore/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons: messages, framing, peer server and client."""
--- /dev/null
+++ b/jayshore/wire/client.py
@@ -0,0 +1,291 @@
+"""The side of a daemon that calls one peer."""
+
+import itertools
+import random
+from typing import Any, Final, TypeVar
+
+import curio
+
+from jayshore.clock import Clock, Millis, to_seconds  # noqa: WPS347
+from jayshore.retry import Backoff
+from jayshore.wire import messages as msg
+from jayshore.wire.codec import decode, encode
+from jayshore.wire.errors import (
+    FrameNotSentError,
+    PeerFailed,
+    PeerLost,
+    PeerTimedOut,
+    PeerUnreachable,
+    WireError,
+)
+from jayshore.wire.framing import DEFAULT_MAX_FRAME_BYTES, FrameStream
+from jayshore.wire.server import PeerAddress
+
+RECONNECT_BACKOFF: Final = Backoff(base_ms=Millis(50), max_ms=Millis(1000))
+"""The maximum stays below the 3 s within which a leader is replaced."""
+
+_ReplyT = TypeVar('_ReplyT', bound=msg.Reply)
+
+
+class _Pending:
+    """A call that waits for its answer."""
+
+    def __init__(self) -> None:
+        self.answer = curio.Result()
+        self.sent = False
+
+    def mark_sent(self) -> None:
+        """Note that the whole call was handed over."""
+        self.sent = True
+
+
+class _Connection:
+    """One connection and the task that reads the answers on it."""
+
+    def __init__(self, *, stream: FrameStream) -> None:
+        self.alive = True
+        self._stream = stream
+        self._pending: dict[int, _Pending] = {}
+        self._reader: Any = None
+
+    async def start(self) -> None:
+        """Start to read answers."""
+        self._reader = await curio.spawn(self._read_answers, daemon=True)
+
+    async def close(self) -> None:
+        """End the connection; pending calls are lost."""
+        await self._reader.cancel()
+
+    async def exchange(
+        self,
+        envelope: msg.Envelope,
+        pending: _Pending,
+    ) -> msg.Message:
+        """Send a call and wait for its answer."""
+        frame = encode(envelope)
+        self._pending[envelope.call_id] = pending
+        try:  # noqa: WPS501
+            await self._stream.write(frame, on_sent=pending.mark_sent)
+            answer: msg.Message = await pending.answer.unwrap()
+        finally:
+            self._pending.pop(envelope.call_id, None)
+        return answer
+
+    async def _read_answers(self) -> None:
+        try:
+            while True:
+                envelope = decode(await self._stream.read())
+                # Removed at once, so that a connection that ends right after
+                # the answer does not turn it into a lost call. An answer to a
+                # call that has timed out is dropped.
+                pending = self._pending.pop(envelope.call_id, None)
+                if pending is not None:
+                    await pending.answer.set_value(envelope.message)
+        except WireError:
+            return
+        finally:
+            await self._end()
+
+    async def _end(self) -> None:
+        self.alive = False
+        self._stream.abort()
+        for waiting in tuple(self._pending.values()):
+            await waiting.answer.set_exception(
+                PeerLost('the connection ended before the answer'),
+            )
+        await self._stream.close()
+
+
+class PeerClient:
+    """Calls one peer over one connection, several calls at a time.
+
+    It connects when a call needs it. After a failed attempt, calls fail at once
+    until the backoff has passed.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: PeerAddress,
+        clock: Clock,
+        rng: random.Random,
+        max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES,
+    ) -> None:
+        """Prepare to connect.
+
+        Args:
+            address: where the peer listens.
+            clock: measures the backoff.
+            rng: source of the jitter.
+            max_frame_bytes: limit for a frame in either direction.
+        """
+        self._address = address
+        self._clock = clock
+        self._rng = rng
+        self._max_frame_bytes = max_frame_bytes
+        self._connection: _Connection | None = None
+        self._connecting = curio.Lock()
+        self._failures = 0
+        self._retry_at = clock.now()
+        self._call_ids = itertools.count(1)
+
+    async def heartbeat(
+        self,
+        call: msg.Heartbeat,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.HeartbeatReply:
+        """Exchange status; see `call` for the errors."""
+        return await self.call(call, msg.HeartbeatReply, timeout_ms=timeout_ms)
+
+    async def promise_config(
+        self,
+        call: msg.PromiseConfig,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.PromiseConfigReply:
+        """Ask for a promise; see `call` for the errors."""
+        return await self.call(
+            call,
+            msg.PromiseConfigReply,
+            timeout_ms=timeout_ms,
+        )
+
+    async def config_committed(
+        self,
+        call: msg.ConfigCommitted,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.ConfigCommittedReply:
+        """Announce a configuration; see `call` for the errors."""
+        return await self.call(
+            call,
+            msg.ConfigCommittedReply,
+            timeout_ms=timeout_ms,
+        )
+
+    async def route_request(
+        self,
+        call: msg.RouteRequest,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.RouteReply:
+        """Have a request run; see `call` for the errors."""
+        return await self.call(call, msg.RouteReply, timeout_ms=timeout_ms)
+
+    async def job_notice(
+        self,
+        call: msg.JobNotice,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.JobNoticeReply:
+        """Announce a changed job record; see `call` for the errors."""
+        return await self.call(call, msg.JobNoticeReply, timeout_ms=timeout_ms)
+
+    async def job_query(
+        self,
+        call: msg.JobQuery,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.JobQueryReply:
+        """Ask for the state of a job; see `call` for the errors."""
+        return await self.call(call, msg.JobQueryReply, timeout_ms=timeout_ms)
+
+    async def cancel_job(
+        self,
+        call: msg.CancelJob,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.CancelJobReply:
+        """Cancel a job; see `call` for the errors."""
+        return await self.call(call, msg.CancelJobReply, timeout_ms=timeout_ms)
+
+    async def call(
+        self,
+        call: msg.Call,
+        reply_type: type[_ReplyT],
+        *,
+        timeout_ms: Millis,
+    ) -> _ReplyT:
+        """Send one call and wait for its answer.
+
+        Args:
+            call: the message.
+            reply_type: type of the answer to it.
+            timeout_ms: bound for connecting, sending and waiting, in ms.
+
+        Returns:
+            The answer.
+
+        Raises:
+            PeerUnreachable: the call was certainly not sent in whole.
+            MalformedMessageError: a value does not fit into its field; nothing
+                was sent.
+            FrameTooLargeError: the call exceeds the limit; nothing was sent.
+            PeerLost: it was sent and the connection ended before the answer.
+            PeerTimedOut: it was sent and not answered in time.
+            PeerFailed: the peer's handler failed, or answered out of protocol.
+        """
+        pending = _Pending()
+        try:
+            async with curio.timeout_after(to_seconds(timeout_ms)):
+                reply = await self._exchange(call, pending)
+        except curio.TaskTimeout as error:
+            if pending.sent:
+                raise PeerTimedOut(f'no answer in {timeout_ms} ms') from error
+            raise PeerUnreachable('not sent in time') from error
+        if isinstance(reply, reply_type):
+            return reply
+        raise PeerFailed(f'{type(call).__name__} answered with {reply}')
+
+    async def close(self) -> None:
+        """End the connection; pending calls are lost."""
+        if self._connection is not None:
+            await self._connection.close()
+
+    async def _exchange(self, call: msg.Call, pending: _Pending) -> msg.Message:
+        connection = await self._connected()
+        envelope = msg.Envelope(call_id=next(self._call_ids), message=call)
+        try:
+            return await connection.exchange(envelope, pending)
+        except FrameNotSentError as error:
+            raise PeerUnreachable('the connection ended') from error
+
+    async def _connected(self) -> _Connection:
+        async with self._connecting:
+            if self._connection is not None and self._connection.alive:
+                return self._connection
+            if self._clock.now() < self._retry_at:
+                raise PeerUnreachable('waiting before the next attempt')
+            # Counted as failed until it succeeds, so that a timeout in here
+            # counts too.
+            self._note_failure()
+            connection = await self._connect()
+            self._failures = 0
+            self._retry_at = self._clock.now()
+            self._connection = connection
+            return connection
+
+    def _note_failure(self) -> None:
+        self._failures += 1
+        self._retry_at = Millis(
+            self._clock.now()
+            + RECONNECT_BACKOFF.delay(attempt=self._failures, rng=self._rng),
+        )
+
+    async def _connect(self) -> _Connection:
+        try:
+            sock = await curio.open_connection(
+                self._address.host,
+                self._address.port,
+            )
+        except OSError as error:
+            raise PeerUnreachable('cannot connect') from error
+        connection = _Connection(
+            stream=FrameStream(
+                sock=sock,
+                max_frame_bytes=self._max_frame_bytes,
+            ),
+        )
+        await connection.start()
+        return connection
--- /dev/null
+++ b/jayshore/wire/codec_test.py
@@ -0,0 +1,128 @@
+"""Tests of the serialization of messages."""
+
+import pytest
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from jayshore.outcomes import (
+    NotRun,
+    NotRunReason,
+    Ran,
+    Unknown,
+    UnknownReason,
+)
+from jayshore.wire import messages as msg
+from jayshore.wire.codec import decode, encode
+from jayshore.wire.errors import MalformedMessageError
+
+STATUS = msg.DaemonStatus(
+    sender='d1',
+    domain='north',
+    config_version=2**63 + 1,
+    evidence_age_ms=0,
+    promised_version=4,
+    leader_epoch=9,
+    load=(
+        msg.ServiceLoad(service='fill', free_slots=3),
+        msg.ServiceLoad(service='labels', free_slots=0),
+    ),
+    state=msg.DaemonState.DRAINING,
+)
+IDLE = msg.DaemonStatus(
+    sender='d2',
+    domain='south',
+    config_version=0,
+    evidence_age_ms=None,
+    promised_version=0,
+    leader_epoch=0,
+    load=(),
+    state=msg.DaemonState.STARTING,
+)
+ROUTE = msg.RouteRequest(
+    request_id='r1',
+    service='fill',
+    team='dealer',
+    key_id='k1',
+    config_version=7,
+    idempotent=True,
+    timeout_ms=1500,
+    hops=1,
+    body=b'\x00\xffbody',
+    content_type='application/json',
+)
+MESSAGES = (
+    msg.Heartbeat(status=STATUS),
+    msg.HeartbeatReply(status=IDLE, attests=True),
+    msg.PromiseConfig(version=5, roster_version=2),
+    msg.PromiseConfigReply(promised=True, config_version=4),
+    msg.ConfigCommitted(version=5, document=b'{}'),
+    msg.ConfigCommittedReply(config_version=5),
+    ROUTE,
+    msg.RouteReply(outcome=Ran(body=b'done', content_type='text/plain')),
+    msg.RouteReply(outcome=NotRun(reason=NotRunReason.OVERLOADED)),
+    msg.RouteReply(
+        outcome=NotRun(reason=NotRunReason.NOT_FRESH, retry_after_ms=0),
+    ),
+    msg.RouteReply(outcome=Unknown(reason=UnknownReason.TIMEOUT)),
+    msg.JobNotice(job_id='j'),
+    msg.JobNoticeReply(),
+    msg.JobQuery(job_id='j', access=msg.TicketAccess(ticket='t'), wait_ms=9),
+    msg.JobQuery(job_id='j', access=msg.TeamAccess(team='t'), wait_ms=0),
+    msg.JobQueryReply(document=None),
+    msg.JobQueryReply(document=b''),
+    msg.CancelJob(job_id='j', team='t'),
+    msg.CancelJobReply(result=msg.CancelResult.FINISHED),
+    msg.CallFailed(detail='ValueError'),
+)
+
+
+@pytest.mark.parametrize('message', MESSAGES)
+def test_message_survives_the_wire(message):
+    """Guards against a field that is dropped or mixed up with another."""
+    envelope = msg.Envelope(call_id=77, message=message)
+    assert decode(encode(envelope)) == envelope
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        msg.ConfigCommittedReply(config_version=-1),
+        msg.ConfigCommittedReply(config_version=2**64),
+        msg.JobNotice(job_id=None),
+        msg.JobNotice(job_id='\ud800'),
+    ],
+)
+def test_value_that_does_not_fit_is_refused(message):
+    """Guards against an exception of capnp that leaves the package."""
+    with pytest.raises(MalformedMessageError):
+        encode(msg.Envelope(call_id=1, message=message))
+
+
+def decodes_or_refuses(frame):
+    """Decode; the only accepted failure is the typed one."""
+    try:
+        decode(frame)
+    except MalformedMessageError:
+        return
+
+
+@seed(1)
+@given(st.binary(max_size=200))
+def test_garbage_is_refused(frame):
+    """Guards against an untyped failure on hostile bytes."""
+    decodes_or_refuses(frame)
+
+
+@seed(2)
+@given(
+    st.sampled_from(MESSAGES),
+    st.integers(min_value=0),
+    st.integers(min_value=0, max_value=255),
+    st.booleans(),
+)
+def test_damaged_message_is_refused(message, position, octet, cut):
+    """Guards against an untyped failure deep inside a damaged message."""
+    frame = bytearray(encode(msg.Envelope(call_id=1, message=message)))
+    position %= len(frame)
+    frame[position] = octet
+    decodes_or_refuses(bytes(frame[:position] if cut else frame))
--- /dev/null
+++ b/jayshore/wire/protocol.capnp
@@ -0,0 +1,140 @@
+@0xc1f0d3a86b9e4a27;
+
+# Messages between jayshore daemons. Each frame carries one Envelope. A reply
+# carries the call id of its request; replies may come in any order.
+# In signed fields with the default -1, a negative value means "none".
+
+enum DaemonState {
+  starting @0;
+  serving @1;
+  draining @2;
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  freeSlots @1 :UInt32;
+}
+
+struct DaemonStatus {
+  sender @0 :Text;
+  domain @1 :Text;
+  configVersion @2 :UInt64;
+  evidenceAgeMs @3 :Int64 = -1;
+  promisedVersion @4 :UInt64;
+  leaderEpoch @5 :UInt64;       # 0: not the leader of its domain
+  load @6 :List(ServiceLoad);
+  state @7 :DaemonState;
+}
+
+struct HeartbeatReply {
+  status @0 :DaemonStatus;
+  attests @1 :Bool;
+}
+
+struct PromiseConfig {
+  version @0 :UInt64;
+  rosterVersion @1 :UInt64;
+}
+
+struct PromiseConfigReply {
+  promised @0 :Bool;
+  configVersion @1 :UInt64;
+}
+
+struct ConfigCommitted {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct ConfigCommittedReply {
+  configVersion @0 :UInt64;
+}
+
+struct RouteRequest {
+  requestId @0 :Text;
+  service @1 :Text;
+  team @2 :Text;
+  keyId @3 :Text;
+  configVersion @4 :UInt64;
+  idempotent @5 :Bool;
+  timeoutMs @6 :UInt32;
+  hops @7 :UInt8;
+  body @8 :Data;
+  contentType @9 :Text;
+}
+
+struct RouteReply {
+  union {
+    ran :group {
+      body @0 :Data;
+      contentType @1 :Text;
+    }
+    notRun :group {
+      reason @2 :Text;
+      retryAfterMs @3 :Int64 = -1;
+    }
+    unknown :group {
+      reason @4 :Text;
+    }
+  }
+}
+
+struct JobNotice {
+  jobId @0 :Text;
+}
+
+struct JobQuery {
+  jobId @0 :Text;
+  waitMs @1 :UInt32;
+  access :union {
+    ticket @2 :Text;
+    team @3 :Text;
+  }
+}
+
+struct JobQueryReply {
+  union {
+    unknown @0 :Void;
+    document @1 :Data;          # JSON
+  }
+}
+
+struct CancelJob {
+  jobId @0 :Text;
+  team @1 :Text;
+}
+
+enum CancelResult {
+  cancelled @0;
+  finished @1;
+  unknown @2;
+}
+
+struct CancelJobReply {
+  result @0 :CancelResult;
+}
+
+struct CallFailed {
+  detail @0 :Text;
+}
+
+struct Envelope {
+  callId @0 :UInt64;
+  union {
+    heartbeat @1 :DaemonStatus;
+    heartbeatReply @2 :HeartbeatReply;
+    promiseConfig @3 :PromiseConfig;
+    promiseConfigReply @4 :PromiseConfigReply;
+    configCommitted @5 :ConfigCommitted;
+    configCommittedReply @6 :ConfigCommittedReply;
+    routeRequest @7 :RouteRequest;
+    routeReply @8 :RouteReply;
+    jobNotice @9 :JobNotice;
+    jobNoticeReply @10 :Void;
+    jobQuery @11 :JobQuery;
+    jobQueryReply @12 :JobQueryReply;
+    cancelJob @13 :CancelJob;
+    cancelJobReply @14 :CancelJobReply;
+    callFailed @15 :CallFailed;
+  }
+}
