--- /dev/null
+++ b/jayshore/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that operators apply: model, checks, keys, snapshots."""
--- /dev/null
+++ b/jayshore/decoding.py
@@ -0,0 +1,168 @@
+"""Strict decoding of JSON into dataclasses, with every fault listed.
+
+msgspec ignores unknown fields of a dataclass and stops at the first fault.
+Operators need misspelt fields refused and all faults of a file in one run, so
+the value is first checked field by field, and then converted by msgspec.
+"""
+
+import dataclasses
+import types
+import typing
+from collections.abc import Iterator
+
+import msgspec
+
+T = typing.TypeVar('T')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Fault:
+    """One reason why a value was refused.
+
+    Attributes:
+        file: name of the file, empty for a value that came from no file.
+        path: JSON path within the file, such as `$[3].share`.
+        message: what is wrong, in one line.
+    """
+
+    file: str = ''
+    path: str = '$'
+    message: str
+
+    def __str__(self) -> str:
+        """Format as one line for people."""
+        place = f'{self.file}: {self.path}' if self.file else self.path
+        return f'{place}: {self.message}'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Faults:
+    """The value was refused; nothing of it may be used.
+
+    Attributes:
+        faults: every fault found, at least one.
+    """
+
+    faults: tuple[Fault, ...]
+
+
+def parse_json(raw: bytes, *, file: str = '') -> typing.Any:
+    """Parse JSON without a schema.
+
+    Args:
+        raw: UTF-8 text.
+        file: name used in the fault.
+
+    Returns:
+        The value made of dicts, lists and scalars, or Faults.
+    """
+    try:
+        return msgspec.json.decode(raw)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Faults(faults=(Fault(file=file, message=str(error)),))
+
+
+def convert_strictly(
+    value: object,
+    shape: type[T],
+    *,
+    file: str = '',
+    path: str = '$',
+) -> T | Faults:
+    """Convert a parsed JSON value into a dataclass or a tuple of them.
+
+    Args:
+        value: what `parse_json` returned.
+        shape: the wanted type.
+        file: name used in the faults.
+        path: JSON path of the value, used in the faults.
+
+    Returns:
+        The converted value, or Faults when it does not match the shape.
+    """
+    faults = tuple(_find_faults(value, shape, path))
+    if faults:
+        located = (dataclasses.replace(fault, file=file) for fault in faults)
+        return Faults(faults=tuple(located))
+    return msgspec.convert(value, shape, strict=True)
+
+
+def decode_strictly(raw: bytes, shape: type[T]) -> T | Faults:
+    """Parse and convert in one step.
+
+    Args:
+        raw: JSON as UTF-8 text.
+        shape: the wanted type.
+
+    Returns:
+        The converted value, or Faults.
+    """
+    value = parse_json(raw)
+    if isinstance(value, Faults):
+        return value
+    return convert_strictly(value, shape)
+
+
+def _find_faults(
+    value: object, shape: typing.Any, path: str
+) -> Iterator[Fault]:
+    shape = _without_none(shape, value)
+    if dataclasses.is_dataclass(shape) and isinstance(value, dict):
+        yield from _record_faults(value, shape, path)
+        return
+    found = False
+    if typing.get_origin(shape) is tuple and isinstance(value, list):
+        for index, element in enumerate(value):
+            for fault in _find_faults(
+                element, typing.get_args(shape)[0], f'{path}[{index}]'
+            ):
+                found = True
+                yield fault
+    if not found:
+        yield from _conversion_fault(value, shape, path)
+
+
+def _record_faults(
+    value: dict[str, object], shape: typing.Any, path: str
+) -> Iterator[Fault]:
+    hints = typing.get_type_hints(shape, include_extras=True)
+    fields = {field.name: field for field in dataclasses.fields(shape)}
+    for name, element in value.items():
+        place = f'{path}.{name}'
+        if name in fields:
+            yield from _find_faults(element, hints[name], place)
+        else:
+            yield Fault(path=place, message='unknown field')
+    for name, field in fields.items():
+        if name not in value and _is_required(field):
+            yield Fault(path=f'{path}.{name}', message='missing field')
+
+
+def _conversion_fault(
+    value: object, shape: typing.Any, path: str
+) -> Iterator[Fault]:
+    try:
+        msgspec.convert(value, shape, strict=True)
+    except msgspec.ValidationError as error:
+        yield Fault(path=path, message=str(error))
+
+
+def _is_required(field: dataclasses.Field[typing.Any]) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _without_none(shape: typing.Any, value: object) -> typing.Any:
+    """Reduce `X | None` to `X` so that the fields of X are checked too."""
+    if typing.get_origin(shape) not in {typing.Union, types.UnionType}:
+        return shape
+    options = [
+        option
+        for option in typing.get_args(shape)
+        if option is not types.NoneType
+    ]
+    if value is None or len(options) != 1:
+        return shape
+    return options[0]
