Add placement data types, policies and the full-scan cell

Placement needs an interface that the scheduler loop can be written against before the indexes exist. `Scheduler` is that interface; `NaiveCell` is its full-scan form and will be the oracle of the differential test. The policies are pure functions behind one base class.

--- /dev/null
+++ b/jayshore/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on workers: policies, indexes, estimates, health."""
--- /dev/null
+++ b/jayshore/placement/backfill.py
@@ -0,0 +1,159 @@
+"""EASY backfill: later work may pass the first blocked entry, not delay it.
+
+Source: Lifka, "The ANL/IBM SP Scheduling System", JSSPP 1995; Mu'alem and
+Feitelson, IEEE TPDS 12(6), 2001. Only one entry has a reservation, so two
+waiting gangs cannot block each other, and a reservation takes no resource: it
+only stops work that would still run when it falls due.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from jayshore.clock import Millis
+from jayshore.placement.entries import Entry, Tier
+from jayshore.placement.feasible import slots
+from jayshore.placement.loads import Load
+from jayshore.placement.policy import Policy
+from jayshore.placement.tasks import RunningTask, TaskId, smaller
+from jayshore.resources import Resources
+
+MIN_RESERVATION_MS = 1000
+"""Tasks past their estimate do not make the start time fall in the past."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reservation:
+    """Where and when the first blocked entry is expected to start.
+
+    Attributes:
+        entry_id: the entry.
+        tier: the tier it was in.
+        start_at: when the running tasks are expected to leave enough room;
+            the reservation lapses then.
+        rooms: what it takes on each worker.
+    """
+
+    entry_id: TaskId
+    tier: Tier
+    start_at: Millis
+    rooms: Mapping[str, Resources]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackfillCase:
+    """A candidate for a worker on which another entry is reserved.
+
+    Attributes:
+        room: what the candidate may use now.
+        projected: what it could use when the reservation falls due.
+        reserved: what the reserved entry takes there.
+        run_ms: an upper bound of the candidate's run time, None when endless.
+        start_in_ms: the time until the reservation falls due.
+    """
+
+    room: Resources
+    projected: Resources
+    reserved: Resources
+    run_ms: Millis | None
+    start_in_ms: Millis
+
+
+class EasyBackfill(Policy[BackfillCase, Resources]):
+    """A candidate that ends in time may use all room, others the spare."""
+
+    def evaluate(self, case: BackfillCase) -> Resources:
+        """Bound what a candidate may use.
+
+        Args:
+            case: the candidate and the reservation.
+
+        Returns:
+            The room that is open to it; components may be negative.
+        """
+        if case.run_ms is not None and case.run_ms <= case.start_in_ms:
+            return case.room
+        return smaller(case.room, case.projected - case.reserved)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReservationCase:
+    """The first blocked entry and the state of the cell.
+
+    Attributes:
+        entry: the blocked entry.
+        tier: its tier.
+        loads: the accounts of the workers it may start on.
+        ending: running tasks in the order of their expected ends; endless
+            ones, and ones on workers not in `loads`, may be included.
+        now: the time.
+    """
+
+    entry: Entry
+    tier: Tier
+    loads: Mapping[str, Load]
+    ending: Iterable[RunningTask]
+    now: Millis
+
+
+class EarliestStart(Policy[ReservationCase, Reservation | None]):
+    """Let tasks end in order until the entry fits; that is its start."""
+
+    def evaluate(self, case: ReservationCase) -> Reservation | None:
+        """Reserve the earliest start.
+
+        Args:
+            case: the entry and the cell.
+
+        Returns:
+            The reservation, None when the expected ends never make room.
+        """
+        first = case.entry.first
+        size = len(case.entry.tasks)
+        offered = _offers(case)
+        count = sum(offered.values())
+        loads: dict[str, Load] = {}
+        for ended in case.ending:
+            worker_id = ended.worker_id
+            if ended.ends_at is None or worker_id not in case.loads:
+                continue
+            load = loads.get(worker_id) or case.loads[worker_id]
+            load = load.without_charge(ended.task, ended.charge)
+            loads[worker_id] = load
+            fitting = slots(first.demand, load.room_for(first), size)
+            count += fitting - offered.get(worker_id, 0)
+            offered[worker_id] = fitting
+            if count >= size:
+                return _reservation(case, offered, ended.ends_at)
+        return None
+
+
+def _offers(case: ReservationCase) -> dict[str, int]:
+    """Count what fits now; a blocked single task fits nowhere."""
+    first = case.entry.first
+    size = len(case.entry.tasks)
+    if size == 1:
+        return {}
+    return {
+        worker_id: slots(first.demand, load.room_for(first), size)
+        for worker_id, load in case.loads.items()
+    }
+
+
+def _reservation(
+    case: ReservationCase, offered: Mapping[str, int], ends_at: Millis
+) -> Reservation:
+    missing = len(case.entry.tasks)
+    rooms: dict[str, Resources] = {}
+    by_offer = sorted(offered, key=lambda name: (-offered[name], name))
+    for worker_id in by_offer:
+        taken = min(missing, offered[worker_id])
+        if not taken:
+            break
+        rooms[worker_id] = case.entry.first.demand.scaled(taken)
+        missing -= taken
+    return Reservation(
+        entry_id=case.entry.entry_id,
+        tier=case.tier,
+        start_at=Millis(max(ends_at, case.now + MIN_RESERVATION_MS)),
+        rooms=rooms,
+    )
--- /dev/null
+++ b/jayshore/placement/entries.py
@@ -0,0 +1,158 @@
+"""The unit that waits: one task, or all tasks of a gang."""
+
+import dataclasses
+import enum
+import zlib
+from typing import NamedTuple
+
+from jayshore.clock import Millis
+from jayshore.placement.deadlines import Urgency
+from jayshore.placement.lane import uses_lane
+from jayshore.placement.tasks import PendingTask, TaskId, TaskKind
+from jayshore.resources import Resources
+
+
+class Tier(enum.IntEnum):
+    """Classes of waiting work; a lower one always goes first."""
+
+    LANE = 0
+    RAISED = 1
+    ORDINARY = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """Tasks that start together.
+
+    Attributes:
+        tasks: one task, or all tasks of a gang in the order of their numbers.
+    """
+
+    tasks: tuple[PendingTask, ...]
+
+    @property
+    def first(self) -> PendingTask:
+        """The task that stands for all, as the tasks of a gang are alike."""
+        return self.tasks[0]
+
+    @property
+    def entry_id(self) -> TaskId:
+        """The id of the first task."""
+        return self.tasks[0].task_id
+
+    @property
+    def demand(self) -> Resources:
+        """What all tasks take together."""
+        first = self.tasks[0]
+        if len(self.tasks) == 1:
+            return first.demand
+        return first.demand.scaled(len(self.tasks))
+
+
+def is_gang(task: PendingTask) -> bool:
+    """Tell whether a task starts only together with others.
+
+    Args:
+        task: the task.
+
+    Returns:
+        True for a gang of more than one task.
+    """
+    return task.kind is TaskKind.GANG and task.gang_size > 1
+
+
+def tier_of(task: PendingTask, urgency: Urgency | None, now: Millis) -> Tier:
+    """Classify a waiting task.
+
+    Args:
+        task: the task.
+        urgency: when its deadline begins to matter.
+        now: the time.
+
+    Returns:
+        Its tier at this time.
+    """
+    if uses_lane(task):
+        return Tier.LANE
+    if urgency is not None and urgency.raise_at <= now:
+        return Tier.RAISED
+    return Tier.ORDINARY
+
+
+def run_bound(task: PendingTask) -> Millis | None:
+    """Round the run time up to a power of two.
+
+    Tasks of similar run time then share one test against a reservation.
+
+    Args:
+        task: the task.
+
+    Returns:
+        At least its estimated run time in ms, None when endless.
+    """
+    if task.estimated_run_ms is None:
+        return None
+    return Millis(1 << max(0, task.estimated_run_ms - 1).bit_length())
+
+
+class Shape(NamedTuple):
+    """All that decides where an entry can start.
+
+    Entries of one shape can start on the same workers, so one test holds for
+    all of them.
+    """
+
+    tier: Tier
+    kind: TaskKind
+    in_lane: bool
+    size: int
+    demand: Resources
+    run_ms: Millis | None
+    allowed: frozenset[str] | None
+    avoided: frozenset[str]
+
+
+def shape_of(entry: Entry, tier: Tier) -> Shape:
+    """Derive the shape of an entry.
+
+    Args:
+        entry: the entry.
+        tier: its present tier.
+
+    Returns:
+        Its shape.
+    """
+    first = entry.first
+    return Shape(
+        tier=tier,
+        kind=first.kind,
+        in_lane=uses_lane(first),
+        size=len(entry.tasks),
+        demand=first.demand,
+        run_ms=run_bound(first),
+        allowed=first.allowed_workers,
+        avoided=first.avoided_workers,
+    )
+
+
+def fit_key(room: Resources, worker_id: str) -> tuple[int, int, int, int, str]:
+    """Order workers for best fit: the least room first.
+
+    Accelerators come first, so that work without need of them leaves workers
+    that have some free alone. Ties are broken by a checksum of the id, as ids
+    often follow the racks and equal workers must not be filled rack by rack.
+
+    Args:
+        room: what the worker has free for the class of work.
+        worker_id: the worker.
+
+    Returns:
+        A sort key.
+    """
+    return (
+        room.accelerators,
+        room.cpu_millis,
+        room.memory_mb,
+        zlib.crc32(worker_id.encode()),
+        worker_id,
+    )
--- /dev/null
+++ b/jayshore/placement/fairness.py
@@ -0,0 +1,54 @@
+"""Weighted dominant-resource fairness, for the order among teams.
+
+Source: Ghodsi et al., "Dominant Resource Fairness: Fair Allocation of Multiple
+Resource Types", NSDI 2011, section 4.3 for weights.
+"""
+
+import dataclasses
+
+from jayshore.placement.policy import Policy
+from jayshore.resources import Resources
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShareCase:
+    """What one team uses of the cell.
+
+    Attributes:
+        used: the sum of the grants of its running tasks.
+        capacity: the capacity of all workers of the cell.
+        weight: the team's share, a positive whole number.
+        weight_sum: the sum of all configured shares.
+    """
+
+    used: Resources
+    capacity: Resources
+    weight: int
+    weight_sum: int
+
+
+class DominantShare(Policy[ShareCase, float]):
+    """Weighted dominant share: `max_r(used_r / capacity_r) * sum(w) / w`.
+
+    The value is 1 for a team that has exactly its share of the cell. The team
+    with the lowest value is served first. No room is kept for a team that asks
+    for nothing, so the policy is work-conserving.
+    """
+
+    def evaluate(self, case: ShareCase) -> float:
+        """Compute the weighted dominant share.
+
+        Args:
+            case: one team's usage.
+
+        Returns:
+            0 or more; 1 is the team's own share. A resource that the cell does
+            not have is left out.
+        """
+        used, capacity = case.used, case.capacity
+        dominant = max(
+            used.cpu_millis / (capacity.cpu_millis or 1),
+            used.memory_mb / (capacity.memory_mb or 1),
+            used.accelerators / (capacity.accelerators or 1),
+        )
+        return dominant * case.weight_sum / case.weight
--- /dev/null
+++ b/jayshore/placement/naive.py
@@ -0,0 +1,140 @@
+"""The placement policy by full scan, the oracle of the differential test.
+
+Every decision sorts all waiting entries and recomputes all accounts from the
+running tasks. It is written to be checked by reading, not to be fast; the
+indexes of `jayshore.placement.cell` must lead to the same decisions.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from jayshore.clock import Millis
+from jayshore.placement import naive_scan as scan
+from jayshore.placement.decisions import (
+    Decision,
+    Headroom,
+    Preempt,
+    Scheduler,
+    Wait,
+)
+from jayshore.placement.entries import (
+    Shape,
+    shape_of,
+)
+from jayshore.placement.rounds import (
+    ATTEMPT_INTERVAL_MS,
+    ATTEMPTS,
+    place,
+    preemption_reservation,
+)
+from jayshore.placement.tasks import (
+    PendingTask,
+    RunningTask,
+    TaskId,
+    WorkerState,
+    WorkerView,
+)
+from jayshore.resources import Resources
+
+
+class NaiveCell(Scheduler):
+    """A cell without indexes."""
+
+    def __init__(self, *, headroom: Headroom) -> None:
+        """Start empty.
+
+        Args:
+            headroom: the limits of the teams.
+        """
+        self._state = scan.NaiveState(headroom=headroom)
+
+    def apply_shares(self, shares: Mapping[str, int]) -> None:
+        """Replace the shares."""
+        self._state.shares = dict(shares)
+
+    def add_worker(self, worker: WorkerView) -> None:
+        """Add a worker."""
+        self._state.workers[worker.worker_id] = worker
+
+    def remove_worker(self, worker_id: str) -> tuple[RunningTask, ...]:
+        """Remove a worker and its tasks."""
+        self._state.workers.pop(worker_id)
+        lost = tuple(
+            one
+            for one in self._state.running.values()
+            if one.worker_id == worker_id
+        )
+        for running in lost:
+            self._state.running.pop(running.task.task_id)
+        return lost
+
+    def set_worker_state(self, worker_id: str, state: WorkerState) -> None:
+        """Change the state of a worker."""
+        worker = self._state.workers[worker_id]
+        self._state.workers[worker_id] = dataclasses.replace(
+            worker, state=state
+        )
+
+    def enqueue(self, task: PendingTask) -> None:
+        """Add a waiting task."""
+        self._state.pending[task.task_id] = task
+
+    def withdraw(self, task_id: TaskId) -> PendingTask:
+        """Remove a waiting task."""
+        return self._state.pending.pop(task_id)
+
+    def start(self, task_id: TaskId, worker_id: str, now: Millis) -> None:
+        """Start a waiting task."""
+        task = self._state.pending.pop(task_id)
+        self.adopt(RunningTask(task=task, worker_id=worker_id, started_at=now))
+
+    def adopt(self, running: RunningTask) -> None:
+        """Add a running task."""
+        self._state.running[running.task.task_id] = running
+
+    def finish(self, task_id: TaskId) -> RunningTask:
+        """Remove a running task."""
+        return self._state.running.pop(task_id)
+
+    def preempt(self, decision: Preempt) -> None:
+        """Mark tasks as being stopped."""
+        for task_id in decision.task_ids:
+            running = self._state.running[task_id]
+            self._state.running[task_id] = dataclasses.replace(
+                running, stopping=True
+            )
+        wanted = self._state.pending[decision.beneficiary]
+        self._state.reservation = preemption_reservation(
+            decision, wanted, self._state.now
+        )
+
+    def update_usage(self, task_id: TaskId, usage: Resources) -> None:
+        """Replace the reported usage of a running task."""
+        running = self._state.running[task_id]
+        self._state.running[task_id] = dataclasses.replace(running, usage=usage)
+
+    def headroom_changed(self, team: str) -> None:
+        """Do nothing, as every decision asks about every team."""
+
+    def decide(self, now: Millis) -> Decision:
+        """Try every waiting entry in order."""
+        self._state.now = now
+        scan.drop_reservation(self._state, now)
+        attempts = ATTEMPTS if now >= self._state.next_attempt else 0
+        tried: set[Shape] = set()
+        for entry in scan.in_order(self._state, now):
+            if not scan.allows(self._state, entry):
+                continue
+            workers = scan.choose(self._state, entry, now)
+            if workers:
+                return place(entry, workers)
+            shape = shape_of(entry, scan.current_tier(self._state, entry))
+            if len(tried) < attempts and shape not in tried:
+                tried.add(shape)
+                self._state.next_attempt = Millis(now + ATTEMPT_INTERVAL_MS)
+                preempt = scan.unblock(self._state, entry)
+                if preempt is not None:
+                    return preempt
+        if attempts:
+            self._state.next_attempt = Millis(now + ATTEMPT_INTERVAL_MS)
+        return Wait()
--- /dev/null
+++ b/jayshore/placement/naive_scan.py
@@ -0,0 +1,367 @@
+"""The full scans of `jayshore.placement.naive`.
+
+Each function answers one question from the plain state, without any index.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from jayshore.clock import Millis
+from jayshore.placement.aging import AgingCase, LinearAging
+from jayshore.placement.backfill import (
+    BackfillCase,
+    EarliestStart,
+    EasyBackfill,
+    Reservation,
+    ReservationCase,
+)
+from jayshore.placement.deadlines import ShortSlack
+from jayshore.placement.decisions import (
+    Headroom,
+    Preempt,
+)
+from jayshore.placement.entries import (
+    Entry,
+    Tier,
+    fit_key,
+    is_gang,
+    run_bound,
+    tier_of,
+)
+from jayshore.placement.fairness import DominantShare, ShareCase
+from jayshore.placement.feasible import slots
+from jayshore.placement.lane import ReservedLane
+from jayshore.placement.loads import Load
+from jayshore.placement.preemption import (
+    VICTIM_CANDIDATES,
+    LatestStarted,
+    PreemptionCase,
+    may_be_stopped,
+    patience_ms,
+)
+from jayshore.placement.rounds import (
+    may_preempt,
+    may_reserve,
+)
+from jayshore.placement.spreading import SPREAD_CANDIDATES, places_of
+from jayshore.placement.tasks import (
+    PendingTask,
+    RunningTask,
+    TaskId,
+    TaskKind,
+    WorkerState,
+    WorkerView,
+)
+from jayshore.resources import Resources, total
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class NaiveState:
+    """A cell as plain maps.
+
+    Attributes:
+        headroom: the limits of the teams.
+        shares: the share of each team that has one.
+        workers: by id.
+        pending: waiting tasks by id.
+        running: running tasks by id.
+        reservation: the only reservation, if any.
+        next_attempt: when blocked entries are looked at again.
+        now: the time of the last decision.
+    """
+
+    headroom: Headroom
+    shares: dict[str, int] = dataclasses.field(default_factory=dict)
+    workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
+    pending: dict[TaskId, PendingTask] = dataclasses.field(default_factory=dict)
+    running: dict[TaskId, RunningTask] = dataclasses.field(default_factory=dict)
+    reservation: Reservation | None = None
+    next_attempt: Millis = Millis(0)
+    now: Millis = Millis(0)
+
+
+def _entries(state: NaiveState) -> Iterator[Entry]:
+    gangs: dict[str, list[PendingTask]] = collections.defaultdict(list)
+    for task in state.pending.values():
+        if is_gang(task):
+            gangs[task.task_id.job_id].append(task)
+        else:
+            yield Entry(tasks=(task,))
+    for tasks in gangs.values():
+        if len(tasks) == tasks[0].gang_size:
+            yield Entry(tasks=tuple(sorted(tasks, key=lambda one: one.task_id)))
+
+
+def in_order(state: NaiveState, now: Millis) -> list[Entry]:
+    """Sort all waiting entries.
+
+    Args:
+        state: the cell.
+        now: the time.
+
+    Returns:
+        The entries, the first to be tried first.
+    """
+    shares = {
+        team: DominantShare().evaluate(_share_case(state, team))
+        for team in {task.team for task in state.pending.values()}
+    }
+    reservation = state.reservation
+
+    def rank(entry: Entry) -> tuple[object, ...]:  # noqa: WPS430
+        first = entry.first
+        urgency = ShortSlack().evaluate(first)
+        tier = tier_of(first, urgency, now)
+        key: float = LinearAging().evaluate(
+            AgingCase(share=shares[first.team], enqueued_at=first.enqueued_at)
+        )
+        if tier is Tier.RAISED and urgency is not None:
+            key = urgency.latest_start
+        held = reservation is not None and (
+            reservation.entry_id == entry.entry_id
+        )
+        return (tier, not held, key, first.enqueued_at, entry.entry_id)
+
+    return sorted(_entries(state), key=rank)
+
+
+def _share_case(state: NaiveState, team: str) -> ShareCase:
+    return ShareCase(
+        used=total(
+            one.task.demand
+            for one in state.running.values()
+            if one.task.team == team
+        ),
+        capacity=total(one.capacity for one in state.workers.values()),
+        weight=state.shares.get(team, 1),
+        weight_sum=sum(state.shares.values()) or 1,
+    )
+
+
+def allows(state: NaiveState, entry: Entry) -> bool:
+    """Ask whether the limit of the entry's team allows it.
+
+    Args:
+        state: the cell.
+        entry: a waiting entry.
+
+    Returns:
+        True when it does.
+    """
+    return state.headroom.has_headroom(entry.first.team, entry.demand)
+
+
+def _load_of(
+    state: NaiveState, worker: WorkerView, without: Millis | None = None
+) -> Load:
+    """Sum up a worker, less what has ended by an instant if given."""
+    load = Load(
+        capacity=worker.capacity,
+        lane=ReservedLane().evaluate(worker.capacity),
+    )
+    for one in state.running.values():
+        if one.worker_id != worker.worker_id:
+            continue
+        gone = one.stopping or (
+            one.ends_at is not None and one.ends_at <= (without or 0)
+        )
+        if without is None or not gone:
+            load = load.with_charge(one.task, one.charge)
+    return load
+
+
+def _open_to(state: NaiveState, task: PendingTask) -> list[WorkerView]:
+    return [
+        worker
+        for worker in state.workers.values()
+        if worker.state is WorkerState.USABLE
+        and worker.worker_id not in task.avoided_workers
+        and (
+            task.allowed_workers is None
+            or worker.worker_id in task.allowed_workers
+        )
+    ]
+
+
+def _available(
+    state: NaiveState, entry: Entry, worker: WorkerView, now: Millis
+) -> Resources:
+    task = entry.first
+    room = _load_of(state, worker).room_for(task)
+    reservation = state.reservation
+    if reservation is None or reservation.entry_id == entry.entry_id:
+        return room
+    reserved = reservation.rooms.get(worker.worker_id)
+    if current_tier(state, entry) < reservation.tier or reserved is None:
+        return room
+    projected = _load_of(state, worker, reservation.start_at)
+    return EasyBackfill().evaluate(
+        BackfillCase(
+            room=room,
+            projected=projected.room_for(task),
+            reserved=reserved,
+            run_ms=run_bound(task),
+            start_in_ms=Millis(reservation.start_at - now),
+        )
+    )
+
+
+def choose(state: NaiveState, entry: Entry, now: Millis) -> tuple[str, ...]:
+    """Choose the workers of an entry.
+
+    Args:
+        state: the cell.
+        entry: a waiting entry.
+        now: the time.
+
+    Returns:
+        One worker id per task, or none.
+    """
+    demand, size = entry.first.demand, len(entry.tasks)
+    workers = [
+        worker
+        for worker in _open_to(state, entry.first)
+        if slots(demand, _available(state, entry, worker, now), 1)
+    ]
+    workers.sort(
+        key=lambda worker: fit_key(
+            _load_of(state, worker).room_for(entry.first), worker.worker_id
+        )
+    )
+    if entry.first.kind is TaskKind.SERVICE:
+        del workers[SPREAD_CANDIDATES:]
+        crowding = _crowding(state, entry.entry_id.job_id)
+        workers.sort(key=lambda one: [crowding[p] for p in places_of(one)])
+    chosen: list[str] = []
+    for worker in workers:
+        room = _available(state, entry, worker, now)
+        count = slots(demand, room, size - len(chosen))
+        chosen.extend([worker.worker_id] * count)
+    return tuple(chosen) if len(chosen) == size else ()
+
+
+def _crowding(state: NaiveState, job_id: str) -> collections.Counter[str]:
+    return collections.Counter(
+        place_key
+        for running in state.running.values()
+        if running.task.task_id.job_id == job_id
+        for place_key in places_of(state.workers[running.worker_id])
+    )
+
+
+def current_tier(state: NaiveState, entry: Entry) -> Tier:
+    """Classify an entry at the time of the state.
+
+    Args:
+        state: the cell.
+        entry: a waiting entry.
+
+    Returns:
+        Its tier.
+    """
+    first = entry.first
+    return tier_of(first, ShortSlack().evaluate(first), state.now)
+
+
+def drop_reservation(state: NaiveState, now: Millis) -> None:
+    """Forget a reservation that lapsed or lost its entry or a worker.
+
+    Args:
+        state: the cell, changed in place.
+        now: the time.
+    """
+    reservation = state.reservation
+    if reservation is None:
+        return
+    waiting = {entry.entry_id: entry for entry in _entries(state)}
+    entry = waiting.get(reservation.entry_id)
+    if (
+        now >= reservation.start_at
+        or entry is None
+        or not allows(state, entry)
+        or not all(_is_usable(state, name) for name in reservation.rooms)
+    ):
+        state.reservation = None
+
+
+def _is_usable(state: NaiveState, worker_id: str) -> bool:
+    worker = state.workers.get(worker_id)
+    return worker is not None and worker.state is WorkerState.USABLE
+
+
+def unblock(state: NaiveState, entry: Entry) -> Preempt | None:
+    """Look for tasks to stop for a blocked entry, else reserve for it.
+
+    Args:
+        state: the cell; its reservation may be replaced.
+        entry: the blocked entry.
+
+    Returns:
+        What to stop, or None.
+    """
+    tier = current_tier(state, entry)
+    if may_preempt(state.reservation, entry, tier):
+        victims = _find_victims(state, entry)
+        if victims:
+            return Preempt(
+                task_ids=tuple(one.task.task_id for one in victims),
+                worker_id=victims[0].worker_id,
+                beneficiary=entry.entry_id,
+            )
+    if may_reserve(state.reservation, tier):
+        state.reservation = _earliest_start(state, entry) or state.reservation
+    return None
+
+
+def _earliest_start(state: NaiveState, entry: Entry) -> Reservation | None:
+    ending = [one for one in state.running.values() if one.ends_at is not None]
+    ending.sort(key=lambda one: (one.ends_at, one.task.task_id))
+    return EarliestStart().evaluate(
+        ReservationCase(
+            entry=entry,
+            tier=current_tier(state, entry),
+            loads=_open_loads(state, entry),
+            ending=ending,
+            now=state.now,
+        )
+    )
+
+
+def _open_loads(state: NaiveState, entry: Entry) -> dict[str, Load]:
+    return {
+        worker.worker_id: _load_of(state, worker)
+        for worker in _open_to(state, entry.first)
+    }
+
+
+def _find_victims(state: NaiveState, entry: Entry) -> tuple[RunningTask, ...]:
+    first = entry.first
+    stopping = any(one.stopping for one in state.running.values())
+    if stopping or state.now - first.enqueued_at < patience_ms(first):
+        return ()
+    stoppable = [
+        one
+        for one in state.running.values()
+        if may_be_stopped(one) and one.task.team != first.team
+    ]
+    if not stoppable:
+        return ()
+    cases = {
+        one.task.team: _share_case(state, one.task.team) for one in stoppable
+    }
+    team = max(
+        cases,
+        key=lambda name: (DominantShare().evaluate(cases[name]), name),
+    )
+    stoppable = [one for one in stoppable if one.task.team == team]
+    stoppable.sort(key=lambda one: (-one.started_at, one.task.task_id))
+    return LatestStarted().evaluate(
+        PreemptionCase(
+            entry=entry,
+            owner=_share_case(state, first.team),
+            victim=cases[team],
+            candidates=stoppable[:VICTIM_CANDIDATES],
+            loads=_open_loads(state, entry),
+        )
+    )
