Add the indexed cell and its differential test

The full-scan cell sorts all waiting entries at every decision. The indexed one keeps workers sorted by room, waiting entries by shape and team share, and sets a shape aside until a worker gains room for it.

--- /dev/null
+++ b/bench/differential.py
@@ -0,0 +1,363 @@
+"""Seeded histories in which the cell and its oracle must agree.
+
+`python -m bench.differential --rounds 10000` prints the agreement. A history is
+a small cell that lives through random changes; after each change a round of
+decisions is made, each by both implementations, and compared by value.
+"""
+
+import argparse
+import dataclasses
+import json
+import random
+import sys
+from collections.abc import Callable, Iterator
+from typing import TypeAlias
+
+from jayshore.clock import Millis
+from jayshore.placement.cell import Cell
+from jayshore.placement.decisions import (
+    Decision,
+    Headroom,
+    Place,
+    Preempt,
+    Scheduler,
+    Wait,
+)
+from jayshore.placement.naive import NaiveCell
+from jayshore.placement.tasks import (
+    PendingTask,
+    RunningTask,
+    TaskId,
+    TaskKind,
+    WorkerState,
+    WorkerView,
+)
+from jayshore.resources import NOTHING, Resources
+
+_WeightedChange: TypeAlias = tuple[Callable[[], None], int]
+ROUNDS_PER_HISTORY = 100
+_TEAMS = 5
+_MAX_PENDING = 40
+_RUNS_MS = (None, 300, 2_000, 9_000, 70_000, 1_500_000)
+_STEPS_MS = (0, 1, 20, 400, 3_000, 40_000)
+
+
+class TeamLimits(Headroom):
+    """Limits in processors, against what the history runs."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self.limits: dict[str, int] = {}
+        self.used: dict[str, int] = {}
+
+    def has_headroom(self, team: str, demand: Resources) -> bool:
+        """Compare with the limit.
+
+        Args:
+            team: the team.
+            demand: what it would take.
+
+        Returns:
+            True when there is no limit or it is not exceeded.
+        """
+        limit = self.limits.get(team)
+        wanted = self.used.get(team, 0) + demand.cpu_millis
+        return limit is None or wanted <= limit
+
+    def count(self, task: PendingTask, sign: int) -> None:
+        """Count a task that starts (1) or ends (-1).
+
+        Args:
+            task: the task.
+            sign: 1 or -1.
+        """
+        used = self.used.get(task.team, 0)
+        self.used[task.team] = used + sign * task.demand.cpu_millis
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Disagreement:
+    """Two decisions that differ.
+
+    Attributes:
+        seed: the seed of the history.
+        number: the number of the round within it.
+        fast: the decision of the cell.
+        naive: the decision of the oracle.
+    """
+
+    seed: int
+    number: int
+    fast: Decision
+    naive: Decision
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tally:
+    """What a history contained.
+
+    Attributes:
+        rounds: rounds of decisions.
+        places: decisions of each kind.
+        gangs: places of more than one task.
+        preempts: decisions of each kind.
+        waits: decisions of each kind.
+    """
+
+    rounds: int = 0
+    places: int = 0
+    gangs: int = 0
+    preempts: int = 0
+    waits: int = 0
+
+
+class History:
+    """One cell, kept twice."""
+
+    def __init__(self, *, seed: int, tally: Tally) -> None:
+        """Create some workers.
+
+        Args:
+            seed: the seed of all choices.
+            tally: what is counted up.
+        """
+        self._seed = seed
+        self._tally = tally
+        self._random = random.Random(seed)
+        self._limits = TeamLimits()
+        self._cells: tuple[Scheduler, ...] = (
+            Cell(headroom=self._limits),
+            NaiveCell(headroom=self._limits),
+        )
+        self._now = 0
+        self._serial = 0
+        self._pending: dict[TaskId, PendingTask] = {}
+        self._running: dict[TaskId, RunningTask] = {}
+        self._workers: list[str] = []
+        for _ in range(self._random.randint(2, 9)):
+            self._add_worker()
+
+    def play(self, rounds: int) -> Disagreement | None:
+        """Live through changes and compare the decisions after each.
+
+        Args:
+            rounds: how many rounds.
+
+        Returns:
+            The first disagreement, if any.
+        """
+        for number in range(rounds):
+            for _ in range(self._random.randint(1, 4)):
+                self._change()
+            self._now += self._random.choice(_STEPS_MS)
+            self._tally.rounds += 1
+            for fast, naive in self._decisions():
+                if fast != naive:
+                    return Disagreement(
+                        seed=self._seed, number=number, fast=fast, naive=naive
+                    )
+        return None
+
+    def _decisions(self) -> Iterator[tuple[Decision, Decision]]:
+        """Decide until there is nothing left to do."""
+        while True:
+            fast, naive = (one.decide(Millis(self._now)) for one in self._cells)
+            yield fast, naive
+            if isinstance(fast, Wait):
+                self._tally.waits += 1
+                return
+            self._carry_out(fast)
+
+    def _carry_out(self, decision: Place | Preempt) -> None:
+        if isinstance(decision, Preempt):
+            self._tally.preempts += 1
+            for preempted in self._cells:
+                preempted.preempt(decision)
+            return
+        self._tally.places += 1
+        self._tally.gangs += len(decision.assignments) > 1
+        for one in decision.assignments:
+            task = self._pending.pop(one.task_id)
+            self._limits.count(task, 1)
+            self._running[one.task_id] = RunningTask(
+                task=task,
+                worker_id=one.worker_id,
+                started_at=Millis(self._now),
+            )
+            for cell in self._cells:
+                cell.start(one.task_id, one.worker_id, Millis(self._now))
+
+    def _change(self) -> None:
+        changes: tuple[_WeightedChange, ...] = (
+            (self._submit, 40),
+            (self._finish, 30),
+            (self._withdraw, 4),
+            (self._report, 8),
+            (self._change_limit, 5),
+            (self._change_shares, 2),
+            (self._add_worker, 2),
+            (self._remove_worker, 1),
+            (self._change_state, 4),
+        )
+        weights = [weight for _, weight in changes]
+        self._random.choices(changes, weights)[0][0]()
+
+    def _add_worker(self) -> None:
+        self._serial += 1
+        cores = self._random.choice((4, 8, 16, 32))
+        view = WorkerView(
+            worker_id=f'w{self._serial}',
+            rack=f'r{self._random.randint(0, 3)}',
+            failure_domain=f'd{self._random.randint(0, 1)}',
+            capacity=Resources(
+                cpu_millis=cores * 1000,
+                memory_mb=cores * self._random.choice((1024, 4096)),
+                accelerators=self._random.choice((0, 0, 2, 4)),
+            ),
+        )
+        self._workers.append(view.worker_id)
+        for cell in self._cells:
+            cell.add_worker(view)
+
+    def _remove_worker(self) -> None:
+        if len(self._workers) < 3:
+            return
+        worker_id = self._random.choice(self._workers)
+        self._workers.remove(worker_id)
+        for cell in self._cells:
+            cell.remove_worker(worker_id)
+        for task_id, running in tuple(self._running.items()):
+            if running.worker_id == worker_id:
+                self._limits.count(self._running.pop(task_id).task, -1)
+
+    def _change_state(self) -> None:
+        worker_id = self._random.choice(self._workers)
+        state = self._random.choice(
+            (WorkerState.USABLE, WorkerState.USABLE, *WorkerState)
+        )
+        for cell in self._cells:
+            cell.set_worker_state(worker_id, state)
+
+    def _submit(self) -> None:
+        if len(self._pending) > _MAX_PENDING:
+            return
+        self._serial += 1
+        first = _random_task(self._random, self._now, self._workers)
+        count = self._random.choice((1, 1, 2, 5))
+        if first.kind is TaskKind.GANG:
+            count = first.gang_size
+        for index in range(count):
+            task_id = TaskId(job_id=f'j{self._serial}', index=index)
+            task = dataclasses.replace(first, task_id=task_id)
+            self._pending[task_id] = task
+            for cell in self._cells:
+                cell.enqueue(task)
+
+    def _finish(self) -> None:
+        if not self._running:
+            return
+        task_id = self._random.choice(tuple(self._running))
+        self._limits.count(self._running.pop(task_id).task, -1)
+        for cell in self._cells:
+            cell.finish(task_id)
+
+    def _withdraw(self) -> None:
+        if not self._pending:
+            return
+        task_id = self._random.choice(tuple(self._pending))
+        self._pending.pop(task_id)
+        for cell in self._cells:
+            cell.withdraw(task_id)
+
+    def _report(self) -> None:
+        if not self._running:
+            return
+        task_id = self._random.choice(tuple(self._running))
+        cores = self._random.choice((0, 1, 4, 20))
+        usage = NOTHING
+        if cores:
+            usage = Resources(cpu_millis=cores * 1000, memory_mb=cores * 512)
+        for cell in self._cells:
+            cell.update_usage(task_id, usage)
+
+    def _change_limit(self) -> None:
+        team = f't{self._random.randrange(_TEAMS)}'
+        self._limits.limits[team] = self._random.choice((4_000, 12_000, 90_000))
+        for cell in self._cells:
+            cell.headroom_changed(team)
+
+    def _change_shares(self) -> None:
+        shares = {
+            f't{number}': self._random.choice((1, 2, 5))
+            for number in range(_TEAMS)
+        }
+        for cell in self._cells:
+            cell.apply_shares(shares)
+
+
+def _random_task(
+    pick: random.Random, now: int, workers: list[str]
+) -> PendingTask:
+    cores = pick.choice((1, 1, 2, 3, 8, 14))
+    kind = pick.choice((*TaskKind, TaskKind.BATCH, TaskKind.BATCH))
+    run_ms = pick.choice(_RUNS_MS)
+    deadline = now + pick.choice((500_000, 900_000, 3_000_000))
+    allowed = frozenset(pick.choices(workers, k=3))
+    return PendingTask(
+        task_id=TaskId(job_id='', index=0),
+        team=f't{pick.randrange(_TEAMS)}',
+        kind=kind,
+        demand=Resources(
+            cpu_millis=cores * 1000,
+            memory_mb=cores * pick.choice((256, 1024, 3000)),
+            accelerators=pick.choice((0, 0, 0, 1, 2)),
+        ),
+        enqueued_at=Millis(now),
+        urgent=pick.randrange(100) < 10,
+        estimated_run_ms=None if run_ms is None else Millis(run_ms),
+        deadline=Millis(deadline) if pick.randrange(100) < 30 else None,
+        idempotent=pick.randrange(100) < 70,
+        preemptible=pick.randrange(100) < 70,
+        gang_size=pick.choice((2, 3, 6)) if kind is TaskKind.GANG else 1,
+        allowed_workers=allowed if pick.randrange(100) < 15 else None,
+        avoided_workers=allowed if pick.randrange(100) < 10 else frozenset(),
+    )
+
+
+def compare(
+    *, first_seed: int, rounds: int
+) -> tuple[Tally, Disagreement | None]:
+    """Play histories one after the other.
+
+    Args:
+        first_seed: the seed of the first history; the next ones count up.
+        rounds: how many rounds in all.
+
+    Returns:
+        What was played, and the first disagreement if there was one.
+    """
+    tally = Tally()
+    seed = first_seed
+    while tally.rounds < rounds:
+        history = History(seed=seed, tally=tally)
+        left = rounds - tally.rounds
+        found = history.play(min(ROUNDS_PER_HISTORY, left))
+        if found is not None:
+            return tally, found
+        seed += 1
+    return tally, None
+
+
+def main() -> None:
+    """Print the agreement as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--rounds', type=int, default=10_000)
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    tally, found = compare(first_seed=options.seed, rounds=options.rounds)
+    report = {'tally': dataclasses.asdict(tally), 'found': str(found)}
+    sys.stdout.write(f'{json.dumps(report)}\n')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/jayshore/placement/room_index.py
@@ -0,0 +1,99 @@
+"""Workers sorted by their room, so that best fit needs no full scan."""
+
+import heapq
+from collections.abc import Iterator
+from typing import TypeAlias
+
+from sortedcontainers import SortedDict, SortedList
+
+from jayshore.placement.entries import fit_key
+from jayshore.resources import Resources
+
+FitKey: TypeAlias = tuple[int, int, int, int, str]
+"""Accelerators, processors, memory, checksum and id, as of `fit_key`."""
+
+
+class RoomIndex:
+    """The usable workers, by their room for one class of work.
+
+    There is one sorted list per count of free accelerators and power of two of
+    free memory. Within a list only processors vary freely, so the workers that
+    fit are a suffix of it, but for the one list whose memory range contains the
+    demand.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._keys: dict[str, FitKey] = {}
+        self._levels: SortedDict = SortedDict()
+
+    def put(self, worker_id: str, room: Resources) -> None:
+        """Insert a worker or change its room.
+
+        Args:
+            worker_id: the worker.
+            room: its room.
+        """
+        key = fit_key(room, worker_id)
+        if self._keys.get(worker_id) == key:
+            return
+        self.discard(worker_id)
+        self._keys[worker_id] = key
+        level = self._levels.setdefault(key[0], {})
+        level.setdefault(_memory_class(key[2]), SortedList()).add(key)
+
+    def discard(self, worker_id: str) -> None:
+        """Remove a worker if it is there.
+
+        Args:
+            worker_id: the worker.
+        """
+        key = self._keys.pop(worker_id, None)
+        if key is None:
+            return
+        level = self._levels[key[0]]
+        memory_class = _memory_class(key[2])
+        level[memory_class].remove(key)
+        if not level[memory_class]:
+            level.pop(memory_class)
+        if not level:
+            self._levels.pop(key[0])
+
+    def fitting(self, demand: Resources) -> Iterator[str]:
+        """List the workers on which a demand fits.
+
+        Requests are not indexed; the caller checks them.
+
+        Args:
+            demand: what one task takes.
+
+        Yields:
+            Worker ids in the order of `fit_key`.
+        """
+        for accelerators in self._levels.irange(minimum=demand.accelerators):
+            level = self._levels[accelerators]
+            suffixes = [
+                _suffix(members, accelerators, demand, memory_class)
+                for memory_class, members in level.items()
+                if memory_class >= _memory_class(demand.memory_mb)
+            ]
+            for key in heapq.merge(*suffixes):
+                yield key[-1]
+
+
+def _memory_class(memory_mb: int) -> int:
+    return memory_mb.bit_length() if memory_mb >= 0 else -1
+
+
+def _suffix(
+    members: SortedList,
+    accelerators: int,
+    demand: Resources,
+    memory_class: int,
+) -> Iterator[FitKey]:
+    suffix: Iterator[FitKey] = members.irange(
+        minimum=(accelerators, demand.cpu_millis)
+    )
+    if memory_class > _memory_class(demand.memory_mb):
+        return suffix
+    return (key for key in suffix if key[2] >= demand.memory_mb)
--- a/jayshore/placement/rounds_test.py
+++ b/jayshore/placement/rounds_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
     Place,
     UnlimitedHeadroom,
@@ -48,7 +49,7 @@
     )
 
 
-@pytest.fixture(params=[NaiveCell], name='cell')
+@pytest.fixture(params=[Cell, NaiveCell], name='cell')
 def make_cell(request):
     """Build an empty cell of each implementation."""
     return request.param(headroom=UnlimitedHeadroom())
--- /dev/null
+++ b/jayshore/placement/walk.py
@@ -0,0 +1,297 @@
+"""One decision: try waiting entries in order until something can be done."""
+
+import types
+from collections.abc import Iterator, Mapping
+from typing import TypeAlias
+
+from jayshore.clock import Millis
+from jayshore.placement.backfill import (
+    BackfillCase,
+    EarliestStart,
+    EasyBackfill,
+    Reservation,
+    ReservationCase,
+)
+from jayshore.placement.backlog import Backlog, Waiting
+from jayshore.placement.decisions import Decision, Headroom, Preempt, Wait
+from jayshore.placement.entries import Entry, Shape, fit_key
+from jayshore.placement.feasible import slots
+from jayshore.placement.packing import (
+    AllOrNone,
+    BestFit,
+    Offer,
+    PlacementCase,
+)
+from jayshore.placement.policy import Policy
+from jayshore.placement.preemption import (
+    VICTIM_CANDIDATES,
+    LatestStarted,
+    PreemptionCase,
+    patience_ms,
+)
+from jayshore.placement.roster import (
+    Member,
+    Roster,
+    is_usable,
+    open_loads,
+    projected_room,
+)
+from jayshore.placement.rounds import (
+    ATTEMPT_INTERVAL_MS,
+    ATTEMPTS,
+    may_preempt,
+    may_reserve,
+    place,
+)
+from jayshore.placement.spreading import RackSpread
+from jayshore.placement.tasks import PendingTask, RunningTask, TaskKind
+from jayshore.placement.usage import TeamUsage
+from jayshore.resources import Resources
+
+_Chooser: TypeAlias = Policy[PlacementCase, tuple[str, ...]]
+_POLICIES: Mapping[TaskKind, _Chooser] = types.MappingProxyType(
+    {
+        TaskKind.SERVICE: RackSpread(),
+        TaskKind.BATCH: BestFit(),
+        TaskKind.GANG: AllOrNone(),
+        TaskKind.PREVIEW: BestFit(),
+    }
+)
+
+
+class Walk:
+    """The state that outlives one decision, and the decision itself."""
+
+    def __init__(
+        self,
+        *,
+        headroom: Headroom,
+        roster: Roster,
+        usage: TeamUsage,
+        backlog: Backlog,
+    ) -> None:
+        """Start without reservation.
+
+        Args:
+            headroom: the limits of the teams.
+            roster: the workers.
+            usage: the usage of the teams.
+            backlog: the waiting entries.
+        """
+        self.now = Millis(0)
+        self.stopping = 0
+        self._headroom = headroom
+        self._roster = roster
+        self._usage = usage
+        self._backlog = backlog
+        self._reservation: Reservation | None = None
+        self._held_pending = False
+        self._next_attempt = Millis(0)
+
+    def reserve(self, reservation: Reservation | None) -> None:
+        """Replace the only reservation.
+
+        Args:
+            reservation: the new one, or None.
+        """
+        self._reservation = reservation
+        self._held_pending = True
+        self._backlog.unpark_all(constrained_only=True)
+
+    def decide(self, now: Millis) -> Decision:
+        """Choose the next thing to do.
+
+        Args:
+            now: the time.
+
+        Returns:
+            One decision.
+        """
+        attempts = self._prepare(now)
+        tried: set[Shape] = set()
+        for waiting in iter(self._next, None):
+            shape = waiting.queue.shape
+            workers = self._choose(waiting.entry, shape)
+            if workers:
+                return place(waiting.entry, workers)
+            self._set_aside(waiting)
+            if len(tried) < attempts and shape not in tried:
+                tried.add(shape)
+                self._next_attempt = Millis(now + ATTEMPT_INTERVAL_MS)
+                preempt = self._unblock(waiting)
+                if preempt is not None:
+                    return preempt
+        if attempts:
+            self._next_attempt = Millis(now + ATTEMPT_INTERVAL_MS)
+        return Wait()
+
+    def _prepare(self, now: Millis) -> int:
+        """Take in what changed; return how many blocked shapes to unblock."""
+        self.now = now
+        for worker_id in self._roster.drain_gained():
+            if is_usable(self._roster.members, worker_id):
+                member = self._roster.members[worker_id]
+                self._backlog.unpark_fitting(member)
+                self._held_pending = True
+        self._backlog.raise_due(now)
+        self._drop_reservation()
+        if now < self._next_attempt:
+            return 0
+        self._backlog.unpark_all()
+        self._held_pending = True
+        return ATTEMPTS
+
+    def _next(self) -> Waiting | None:
+        """Choose the entry to try next, passing over teams at their limit."""
+        waiting = self._candidate()
+        while waiting is not None and not self._allows(waiting.entry):
+            self._backlog.block(waiting.queue, waiting.entry.first.team)
+            waiting = self._candidate()
+        return waiting
+
+    def _candidate(self) -> Waiting | None:
+        """Choose the entry to try: in its tier, the reserved one is first."""
+        queue = self._backlog.first()
+        if self._held_pending and self._reservation is not None:
+            held = self._backlog.waiting.get(self._reservation.entry_id)
+            if held is not None and (
+                queue is None or held.queue.shape.tier <= queue.shape.tier
+            ):
+                return held
+        if queue is None:
+            return None
+        return Waiting(entry=queue.first(), queue=queue)
+
+    def _set_aside(self, waiting: Waiting) -> None:
+        reservation = self._reservation
+        if _holds(reservation, waiting.entry):
+            self._held_pending = False
+        if self._backlog.first() is waiting.queue:
+            constrained = reservation is not None and (
+                waiting.queue.shape.tier >= reservation.tier
+            )
+            self._backlog.park(waiting.queue, constrained=constrained)
+
+    def _allows(self, entry: Entry) -> bool:
+        return self._headroom.has_headroom(entry.first.team, entry.demand)
+
+    def _drop_reservation(self) -> None:
+        reservation = self._reservation
+        if reservation is None:
+            return
+        members = self._roster.members
+        waiting = self._backlog.waiting.get(reservation.entry_id)
+        if (
+            self.now >= reservation.start_at
+            or waiting is None
+            or not self._allows(waiting.entry)
+            or not all(is_usable(members, name) for name in reservation.rooms)
+        ):
+            self.reserve(None)
+
+    def _choose(self, entry: Entry, shape: Shape) -> tuple[str, ...]:
+        return _POLICIES[shape.kind].evaluate(
+            PlacementCase(
+                offers=self._offers(entry, shape),
+                demand=shape.demand,
+                size=shape.size,
+                peers=self._roster.peers(entry.entry_id.job_id),
+            )
+        )
+
+    def _offers(self, entry: Entry, shape: Shape) -> Iterator[Offer]:
+        first = entry.first
+        reservation = self._reservation
+        if reservation is not None and (
+            shape.tier < reservation.tier or _holds(reservation, entry)
+        ):
+            reservation = None
+        for worker_id in self._candidates(first, shape):
+            member = self._roster.members[worker_id]
+            if worker_id in shape.avoided:
+                continue
+            room = member.load.room_for(first)
+            if reservation is not None and worker_id in reservation.rooms:
+                room = _backfill_room(
+                    member, first, shape, reservation, self.now
+                )
+            if slots(shape.demand, room, 1):
+                yield Offer(worker=member.view, room=room)
+
+    def _candidates(self, task: PendingTask, shape: Shape) -> Iterator[str]:
+        if shape.allowed is None:
+            rooms = self._roster.rooms(in_lane=shape.in_lane)
+            yield from rooms.fitting(shape.demand)
+            return
+        members = self._roster.members
+        yield from sorted(
+            (name for name in shape.allowed if is_usable(members, name)),
+            key=lambda name: fit_key(members[name].load.room_for(task), name),
+        )
+
+    def _unblock(self, waiting: Waiting) -> Preempt | None:
+        entry, tier = waiting.entry, waiting.queue.shape.tier
+        if may_preempt(self._reservation, entry, tier):
+            victims = self._victims(entry)
+            if victims:
+                return Preempt(
+                    task_ids=tuple(one.task.task_id for one in victims),
+                    worker_id=victims[0].worker_id,
+                    beneficiary=entry.entry_id,
+                )
+        if may_reserve(self._reservation, tier):
+            reservation = EarliestStart().evaluate(
+                ReservationCase(
+                    entry=entry,
+                    tier=tier,
+                    loads=open_loads(self._roster.members, entry.first),
+                    ending=self._roster.ending(),
+                    now=self.now,
+                )
+            )
+            if reservation is not None:
+                self.reserve(reservation)
+        return None
+
+    def _victims(self, entry: Entry) -> tuple[RunningTask, ...]:
+        first = entry.first
+        waited_ms = self.now - first.enqueued_at
+        if self.stopping or waited_ms < patience_ms(first):
+            return ()
+        team = self._usage.furthest_above(first.team)
+        if team is None:
+            return ()
+        stoppable = zip(
+            range(VICTIM_CANDIDATES), self._usage.stoppable(team), strict=False
+        )
+        return LatestStarted().evaluate(
+            PreemptionCase(
+                entry=entry,
+                owner=self._usage.case(first.team),
+                victim=self._usage.case(team),
+                candidates=(running for _, running in stoppable),
+                loads=open_loads(self._roster.members, first),
+            )
+        )
+
+
+def _holds(reservation: Reservation | None, entry: Entry) -> bool:
+    return reservation is not None and reservation.entry_id == entry.entry_id
+
+
+def _backfill_room(
+    member: Member,
+    task: PendingTask,
+    shape: Shape,
+    reservation: Reservation,
+    now: Millis,
+) -> Resources:
+    return EasyBackfill().evaluate(
+        BackfillCase(
+            room=member.load.room_for(task),
+            projected=projected_room(member, task, reservation.start_at),
+            reserved=reservation.rooms[member.view.worker_id],
+            run_ms=shape.run_ms,
+            start_in_ms=Millis(reservation.start_at - now),
+        )
+    )
