--- /dev/null
+++ b/jayshore/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: the durable record and the transitions that it allows."""
