--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Millis,
     MonotonicClock,
     to_seconds,
--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -5,7 +5,7 @@
 import curio
 import eliot
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Millis,
     MonotonicClock,
     to_seconds,
--- a/jayshore/http/sockets.py
+++ b/jayshore/http/sockets.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from jayshore.clock import Millis, to_seconds  # noqa: WPS347
+from jayshore.clock import Millis, to_seconds
 from jayshore.outcomes import JayshoreError
 
 RECEIVE_BYTES = 65536
--- /dev/null
+++ b/jayshore/jobs/acceptance.py
@@ -0,0 +1,287 @@
+"""Accepts jobs: a job is accepted once its record is in the store."""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+from typing import Annotated
+
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.config.model import Queue, Team
+from jayshore.jobs.record import (
+    JobKind,
+    JobRecord,
+    JobSpec,
+    decode_record,
+    encode_record,
+    job_key,
+    new_record,
+)
+from jayshore.outcomes import (
+    Accepted,
+    RefusalReason,
+    Refused,
+    SubmitOutcome,
+)
+from jayshore.platform.settling import Write, WriteSettler, new_write_id
+from jayshore.platform.store import (
+    MUST_NOT_EXIST,
+    Store,
+    StoreError,
+    StoreRejected,
+    Written,
+)
+from jayshore.resources import Resources
+
+_ID_BYTES = 16
+_RETRY_AFTER_MS = Millis(1000)
+_MAX_KEY_CHARS = 200
+
+# Fields that two submissions with one idempotency key must share.
+_SAME_JOB = ('queue', 'task_count', 'demand', 'payload', 'idempotent')
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+
+
+class Demand(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """What each task needs, as submitted."""
+
+    cpu_millis: _Count = 0
+    memory_mb: _Count = 0
+    accelerators: _Count = 0
+
+    def resources(self) -> Resources:
+        """Convert to a resource vector.
+
+        Returns:
+            The same amounts.
+        """
+        return Resources(
+            cpu_millis=self.cpu_millis,
+            memory_mb=self.memory_mb,
+            accelerators=self.accelerators,
+        )
+
+
+class Submission(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """The body of a call that submits a job.
+
+    Attributes:
+        queue: name of a configured queue, which sets the kind of work.
+        tasks: number of tasks.
+        demand: what each task needs.
+        run_ms: expected run time of a task in ms, 0 when not known.
+        payload: given to the worker, any JSON value.
+        idempotent: whether a task that may have run can run again.
+        deadline_ms: wall clock, ms since the Unix epoch, or None.
+        idempotency_key: the same key from the same team is the same job.
+    """
+
+    queue: str
+    tasks: Annotated[int, msgspec.Meta(ge=1)] = 1
+    demand: Demand
+    run_ms: _Count = 0
+    payload: msgspec.Raw = msgspec.Raw(b'{}')
+    idempotent: bool = False
+    deadline_ms: int | None = None
+    idempotency_key: Annotated[str, msgspec.Meta(max_length=_MAX_KEY_CHARS)] = (
+        ''
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Submitter:
+    """Who submits.
+
+    Attributes:
+        team: the team that is charged.
+        key_id: the key presented, empty for an open queue.
+        secret: of the key, from which tickets are derived; never stored.
+    """
+
+    team: Team
+    key_id: str = ''
+    secret: str = dataclasses.field(default='', repr=False)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PreparedJob:
+    """A job that is ready to be recorded.
+
+    Attributes:
+        record: the record.
+        ticket: the secret with which its result can be fetched.
+    """
+
+    record: JobRecord
+    ticket: str = dataclasses.field(repr=False)
+
+
+def prepare(
+    submission: Submission,
+    submitter: Submitter,
+    *,
+    queue: Queue,
+    domain: str,
+    max_tasks: int,
+    wall_clock: Clock,
+) -> PreparedJob | Refused:
+    """Make the record of a job.
+
+    The ticket is derived from the submitter's secret and the job id, so that
+    submitting again with the same idempotency key gives the same ticket.
+
+    Args:
+        submission: what was submitted.
+        submitter: who submits.
+        queue: the queue that the submission names.
+        domain: the failure domain in which the job is to run.
+        max_tasks: largest number of tasks.
+        wall_clock: time of day.
+
+    Returns:
+        The job, or why it is refused.
+    """
+    refusal = _check(submission, submitter, queue, max_tasks)
+    if refusal is not None:
+        return refusal
+    job_id = _job_id(submitter.team.name, submission.idempotency_key)
+    secret = submitter.secret or submission.idempotency_key
+    ticket = _ticket(secret or secrets.token_hex(_ID_BYTES), job_id)
+    spec = JobSpec(
+        job_id=job_id,
+        team=submitter.team.name,
+        key_id=submitter.key_id,
+        queue=queue.name,
+        kind=JobKind(queue.kind.value),
+        task_count=submission.tasks,
+        demand=submission.demand.resources(),
+        run_ms=submission.run_ms,
+        payload=bytes(submission.payload).decode(),
+        idempotent=submission.idempotent,
+        deadline_ms=submission.deadline_ms,
+        domain=domain,
+        ticket_hash=hash_ticket(ticket),
+        accepted_at_ms=wall_clock.now(),
+    )
+    return PreparedJob(
+        record=new_record(spec, write_id=new_write_id()), ticket=ticket
+    )
+
+
+async def record_job(
+    prepared: PreparedJob,
+    *,
+    store: Store,
+    settler: WriteSettler,
+    limit_ms: Millis,
+) -> SubmitOutcome:
+    """Create the record of a job.
+
+    Args:
+        prepared: the job.
+        store: the platform's store.
+        settler: resolves lost answers of writes.
+        limit_ms: longest time to settle the write, in ms.
+
+    Returns:
+        Accepted when the record, or an equal one, is in the store.
+    """
+    record = prepared.record
+    key = job_key(record.job_id)
+    try:
+        written = await settler.settle_write(
+            Write(
+                key=key,
+                value=encode_record(record),
+                expect_revision=MUST_NOT_EXIST,
+            ),
+            limit_ms=limit_ms,
+        )
+        if isinstance(written, Written):
+            return Accepted(job_id=record.job_id, ticket=prepared.ticket)
+        entry = await store.get(key)
+    except StoreRejected as error:
+        return Refused(reason=RefusalReason.MALFORMED, detail=str(error))
+    except StoreError as error:
+        return Refused(
+            reason=RefusalReason.STORE_UNAVAILABLE,
+            detail=str(error),
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+    if entry is not None:
+        return _compare(prepared, decode_record(entry.value))
+    return Refused(
+        reason=RefusalReason.CONFLICT, detail='the job ended long ago'
+    )
+
+
+def hash_ticket(ticket: str) -> str:
+    """Hash a ticket as it is kept in the record.
+
+    Args:
+        ticket: the secret.
+
+    Returns:
+        SHA-256 in hex.
+    """
+    return hashlib.sha256(ticket.encode()).hexdigest()
+
+
+def _check(
+    submission: Submission, submitter: Submitter, queue: Queue, max_tasks: int
+) -> Refused | None:
+    demand = submission.demand.resources()
+    if submission.tasks > max_tasks:
+        return _malformed(f'tasks: {submission.tasks} exceeds {max_tasks}')
+    if not any(demand):
+        return _malformed('demand: at least one resource is needed')
+    is_service = queue.kind.value == JobKind.SERVICE.value
+    if is_service and not submission.idempotent:
+        return _malformed('idempotent: replicas of a service are restarted')
+    together = submission.tasks if queue.kind.value == JobKind.GANG.value else 1
+    short = demand.scaled(together).short_of(submitter.team.limit)
+    if short:
+        return Refused(
+            reason=RefusalReason.OVER_LIMIT,
+            detail=f'exceeds the limit of the team: {", ".join(short)}',
+        )
+    return None
+
+
+def _malformed(detail: str) -> Refused:
+    return Refused(reason=RefusalReason.MALFORMED, detail=detail)
+
+
+def _job_id(team: str, idempotency_key: str) -> str:
+    if not idempotency_key:
+        return secrets.token_hex(_ID_BYTES)
+    digest = hashlib.sha256(f'{team}\n{idempotency_key}'.encode())
+    return digest.hexdigest()[: 2 * _ID_BYTES]
+
+
+def _ticket(secret: str, job_id: str) -> str:
+    return hmac.digest(secret.encode(), job_id.encode(), 'sha256').hex()
+
+
+def _compare(prepared: PreparedJob, existing: JobRecord) -> SubmitOutcome:
+    wanted = prepared.record
+    is_same = all(
+        getattr(existing, name) == getattr(wanted, name)
+        for name in _SAME_JOB
+    )
+    if not is_same:
+        return Refused(
+            reason=RefusalReason.CONFLICT,
+            detail='the idempotency key was used for another job',
+        )
+    has_ticket = existing.ticket_hash == wanted.ticket_hash
+    return Accepted(
+        job_id=existing.job_id, ticket=prepared.ticket if has_ticket else ''
+    )
--- /dev/null
+++ b/jayshore/jobs/admission.py
@@ -0,0 +1,236 @@
+"""Takes jobs over from earlier leaders and admits new ones."""
+
+import functools
+import itertools
+from collections.abc import Collection, Iterable
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis, to_seconds
+from jayshore.jobs import transitions
+from jayshore.jobs.attempts import AttemptTable, Phase
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.endings import Ending, EndingRecorder
+from jayshore.jobs.placing import Placer
+from jayshore.jobs.record import (
+    JobKind,
+    JobRecord,
+    TaskState,
+    WorkerBoot,
+)
+from jayshore.placement.tasks import WorkerView
+from jayshore.platform.store import StoreError
+
+_WAIT_FOR_WORKERS_MS = Millis(50)
+_RETRY_PAUSE_MS = Millis(500)
+
+
+class Admission:
+    """Brings records under this leader's epoch and queues their tasks."""
+
+    def __init__(
+        self,
+        *,
+        context: LeaderContext,
+        book: JobBook,
+        attempts: AttemptTable,
+        placer: Placer,
+        endings: EndingRecorder,
+        tasks: BackgroundTasks,
+    ) -> None:
+        """Prepare to admit.
+
+        Args:
+            context: what the parts of the leader share.
+            book: the job records.
+            attempts: the newest attempts of all tasks.
+            placer: queues attempts.
+            endings: records attempts that end without having started.
+            tasks: background tasks of the leader.
+        """
+        self._context = context
+        self._book = book
+        self._attempts = attempts
+        self._placer = placer
+        self._endings = endings
+        self._tasks = tasks
+        self._in_progress: set[str] = set()
+
+    async def take_over(self) -> None:
+        """Claim every active record of earlier leaders, then admit new ones.
+
+        Returns when all claims are written, however long the store is out of
+        reach.
+        """
+        found = await self._read_all()
+        owned = [item for item in found if item.epoch and not item.is_final]
+        with eliot.start_action(action_type='leader:claim', jobs=len(owned)):
+            async with curio.TaskGroup(wait=all) as claims:
+                for record in owned:
+                    await claims.spawn(self._claim(record))
+        await self.admit([item for item in found if not item.epoch])
+
+    async def admit(self, records: Iterable[JobRecord]) -> None:
+        """Admit records in the background.
+
+        Args:
+            records: newly read; ended ones are ignored.
+        """
+        for record in records:
+            job_id = record.job_id
+            if not record.is_final and job_id not in self._in_progress:
+                self._in_progress.add(job_id)
+                await self._tasks.spawn(self._admit(record))
+
+    async def cancel(self, job_id: str) -> JobRecord:
+        """Cancel a job.
+
+        Args:
+            job_id: a job that is held.
+
+        Returns:
+            Its record after the cancellation was recorded.
+
+        Raises:
+            NotOwner: another leader has claimed the job.
+        """  # noqa: DAR401 raised by the book
+        record = await self._book.change(
+            job_id,
+            functools.partial(transitions.cancel, epoch=self._context.epoch),
+        )
+        await self.enforce_cancel(record)
+        return record
+
+    async def enforce_cancel(self, record: JobRecord) -> None:
+        """Withdraw and stop what is left of a job that is being cancelled.
+
+        Args:
+            record: a record; those not being cancelled are left alone.
+        """
+        if not record.is_cancelling:
+            return
+        for attempt in self._attempts.of_job(record):
+            if attempt.phase is Phase.QUEUED:
+                self._placer.withdraw(attempt)
+                never = transitions.NeverStarted(workers=frozenset())
+                await self._endings.record_later(
+                    attempt, Ending(outcome=None, proof=never), None
+                )
+            elif attempt.phase is Phase.RUNNING:
+                await self._placer.stop(attempt, checkpoint=False)
+
+    async def _read_all(self) -> list[JobRecord]:
+        while True:
+            try:
+                return await self._book.read_changes()
+            except StoreError as error:
+                eliot.log_message('job:not_read', error=str(error))
+                await curio.sleep(to_seconds(_RETRY_PAUSE_MS))
+
+    async def _claim(self, record: JobRecord) -> None:
+        epoch = self._context.epoch
+        try:
+            claimed = await self._book.change(
+                record.job_id,
+                functools.partial(transitions.claim, epoch=epoch),
+            )
+        except transitions.NotOwner:
+            return
+        self._attempts.adopt(claimed, epoch=epoch)
+        if any(task.state is TaskState.WAITING for task in claimed.tasks):
+            await self.admit([claimed])
+
+    async def _admit(self, record: JobRecord) -> None:
+        while not self._placer.boots:
+            await curio.sleep(to_seconds(_WAIT_FOR_WORKERS_MS))
+        views = self._placer.views
+        epoch = self._context.epoch
+        chosen = choose_intent(record, views, self._context.intent_width)
+        try:
+            admitted = await self._book.change(
+                record.job_id,
+                functools.partial(
+                    _admit_record,
+                    epoch=epoch,
+                    workers=[self._placer.boots[name] for name in chosen],
+                    reason=impossible_reason(record, views),
+                ),
+            )
+        except transitions.TransitionRefused as refusal:
+            eliot.log_message(
+                'job:not_admitted', job=record.job_id, why=str(refusal)
+            )
+            return
+        finally:
+            self._in_progress.discard(record.job_id)
+        known = {item.index for item in self._attempts.of_job(admitted)}
+        for attempt in self._attempts.adopt(admitted, epoch=epoch, known=known):
+            self._placer.enqueue(attempt)
+        await self.enforce_cancel(admitted)
+        await self._placer.wake()
+
+
+def choose_intent(
+    record: JobRecord, views: Collection[WorkerView], width: int
+) -> list[str]:
+    """Choose the workers that a record names before they are needed.
+
+    Args:
+        record: the job.
+        views: the workers of the domain.
+        width: how many to name at least.
+
+    Returns:
+        Ids of workers on which a task fits when they are empty, spread by a
+        digest of the job so that jobs do not all name the same ones.
+    """
+    fitting = sorted(
+        view.worker_id for view in views if record.demand.fits_in(view.capacity)
+    )
+    if not fitting:
+        return []
+    first = int(record.job_id[-6:], 16) % len(fitting)
+    wanted = max(width, min(record.task_count, len(fitting)))
+    return (fitting[first:] + fitting[:first])[:wanted]
+
+
+def impossible_reason(record: JobRecord, views: Collection[WorkerView]) -> str:
+    """Tell why a job can never run in this domain.
+
+    Args:
+        record: the job.
+        views: the workers of the domain, at least one.
+
+    Returns:
+        `never_fits` and the resources that are short, or an empty text.
+    """
+    shortages = [record.demand.short_of(view.capacity) for view in views]
+    if all(shortages):
+        names = sorted(set(itertools.chain.from_iterable(shortages)))
+        return f'never_fits: {", ".join(names)}'
+    if record.kind is JobKind.GANG:
+        room = sum(_copies(record, view) for view in views)
+        if room < record.task_count:
+            return f'never_fits: room for {room} of {record.task_count} tasks'
+    return ''
+
+
+def _copies(record: JobRecord, view: WorkerView) -> int:
+    ratios = [
+        free // wanted
+        for wanted, free in zip(record.demand, view.capacity, strict=True)
+        if wanted
+    ]
+    return min(ratios, default=record.task_count)
+
+
+def _admit_record(
+    record: JobRecord, *, epoch: int, workers: list[WorkerBoot], reason: str
+) -> JobRecord:
+    claimed = transitions.claim(record, epoch=epoch)
+    if reason:
+        return transitions.reject(claimed, epoch=epoch, reason=reason)
+    return transitions.permit(claimed, epoch=epoch, workers=workers)
--- /dev/null
+++ b/jayshore/jobs/book.py
@@ -0,0 +1,293 @@
+"""The job records of one domain as its leader holds them.
+
+All changes go through `JobBook.change`. Changes of one job that come while a
+write is under way are written together, so store calls grow with jobs and not
+with tasks.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import TypeAlias
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis, to_seconds
+from jayshore.jobs.record import (
+    JOB_PREFIX,
+    JobRecord,
+    MalformedRecordError,
+    decode_record,
+    encode_record,
+    job_key,
+)
+from jayshore.jobs.transitions import NotOwner, TransitionRefused
+from jayshore.platform.settling import Write, WriteSettler, new_write_id
+from jayshore.platform.store import (
+    Entry,
+    Store,
+    StoreError,
+    StoreUnavailable,
+    Written,
+)
+
+Transition: TypeAlias = Callable[[JobRecord], JobRecord]
+
+_RETRY_PAUSE_MS = Millis(200)
+
+
+class _Change:
+    """One change that waits to be written."""
+
+    def __init__(self, *, transition: Transition) -> None:
+        self.transition = transition
+        self.done = curio.Event()
+        self.refusal: TransitionRefused | None = None
+        self.result: JobRecord | None = None
+
+
+class _Held:
+    """A record with its revision and the changes that wait."""
+
+    def __init__(self, *, record: JobRecord, revision: int) -> None:
+        self.record = record
+        self.revision = revision
+        self.waiting: list[_Change] = []
+        self.is_writing = False
+        self.ended = curio.Event()
+
+
+class JobBook:
+    """Reads and changes job records under one epoch."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        settler: WriteSettler,
+        domain: str,
+        epoch: int,
+        write_limit_ms: Millis,
+        flush_ms: Millis,
+        tasks: BackgroundTasks,
+    ) -> None:
+        """Start without records.
+
+        Args:
+            store: the platform's store.
+            settler: resolves lost answers of writes.
+            domain: only jobs of this failure domain are held.
+            epoch: of this leader.
+            write_limit_ms: longest time to settle one write, in ms.
+            flush_ms: how long changes of one job are gathered, in ms.
+            tasks: background tasks of the leader.
+        """
+        self._store = store
+        self._settler = settler
+        self._domain = domain
+        self._epoch = epoch
+        self._write_limit_ms = write_limit_ms
+        self._flush_ms = flush_ms
+        self._tasks = tasks
+        self._held: dict[str, _Held] = {}
+        self._seen = 0
+
+    @property
+    def records(self) -> tuple[JobRecord, ...]:
+        """All records held, ended ones included until they are deleted."""
+        return tuple(held.record for held in self._held.values())
+
+    def find(self, job_id: str) -> JobRecord | None:
+        """Look up a record.
+
+        Args:
+            job_id: the job.
+
+        Returns:
+            The record as last read or written, or None.
+        """
+        held = self._held.get(job_id)
+        return held.record if held else None
+
+    async def read_changes(self) -> list[JobRecord]:
+        """Read the records that were written since the last call.
+
+        Returns:
+            Records of this domain that were not known before.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """  # noqa: DAR401 raised by the store
+        listing = await self._store.list(JOB_PREFIX, since=self._seen)
+        found = [self._take(entry) for entry in listing.entries]
+        for key in listing.deleted:
+            self._held.pop(key.removeprefix(JOB_PREFIX), None)
+        self._seen = max(self._seen, listing.revision)
+        return [record for record in found if record is not None]
+
+    async def read_one(self, job_id: str) -> JobRecord | None:
+        """Read one record that is not known yet.
+
+        Args:
+            job_id: the job.
+
+        Returns:
+            The record when it is new and of this domain, else None.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """  # noqa: DAR401 raised by the store
+        entry = await self._store.get(job_key(job_id))
+        return self._take(entry) if entry else None
+
+    async def change(self, job_id: str, transition: Transition) -> JobRecord:
+        """Change a record, waiting for the store as long as it takes.
+
+        Args:
+            job_id: a job that is held.
+            transition: see `transitions`; it may be applied more than once.
+
+        Returns:
+            The record as written.
+
+        Raises:
+            NotOwner: another leader has claimed the record.
+            TransitionRefused: the transition refused the record.
+        """  # noqa: DAR401 TransitionRefused is what the change recorded
+        held = self._held.get(job_id)
+        if held is None:
+            raise NotOwner(job_id)
+        change = _Change(transition=transition)
+        held.waiting.append(change)
+        if not held.is_writing:
+            held.is_writing = True
+            await self._tasks.spawn(self._write_changes(held))
+        await change.done.wait()
+        if change.refusal is not None:
+            raise change.refusal
+        return change.result or held.record
+
+    async def wait_until_ended(self, job_id: str, limit_ms: Millis) -> None:
+        """Wait until a job is in a final state.
+
+        Args:
+            job_id: the job.
+            limit_ms: longest wait, in ms.
+        """
+        held = self._held.get(job_id)
+        if held is not None and not held.record.is_final:
+            async with curio.ignore_after(to_seconds(limit_ms)):
+                await held.ended.wait()
+
+    async def delete_ended(self, *, before_ms: Millis) -> None:
+        """Delete records of jobs that ended long ago.
+
+        Args:
+            before_ms: wall clock; jobs accepted earlier are deleted.
+        """
+        for held in tuple(self._held.values()):
+            record = held.record
+            if record.is_final and record.accepted_at_ms < before_ms:
+                await self._store.delete(
+                    job_key(record.job_id), expect_revision=held.revision
+                )
+                self._held.pop(record.job_id, None)
+
+    def _take(self, entry: Entry) -> JobRecord | None:
+        try:
+            record = decode_record(entry.value)
+        except MalformedRecordError as error:
+            eliot.log_message('job:malformed', key=entry.key, error=str(error))
+            return None
+        if record.domain != self._domain or record.job_id in self._held:
+            return None
+        held = _Held(record=record, revision=entry.revision)
+        self._held[record.job_id] = held
+        return record
+
+    async def _write_changes(self, held: _Held) -> None:
+        await curio.sleep(to_seconds(self._flush_ms))
+        while held.waiting:
+            batch = held.waiting
+            held.waiting = []
+            try:
+                await self._write_batch(held, batch)
+            except NotOwner as error:
+                _refuse(batch, error)
+            for change in batch:
+                await change.done.set()
+        held.is_writing = False
+        if held.record.is_final:
+            await held.ended.set()
+
+    async def _write_batch(self, held: _Held, batch: list[_Change]) -> None:
+        write_id = new_write_id()
+        while True:
+            record = _apply(held.record, batch)
+            if record == held.record:
+                return
+            record = dataclasses.replace(record, write_id=write_id)
+            if await self._try_write(held, record):
+                return
+            await self._reload(held)
+            if held.record.write_id == write_id:
+                return
+
+    async def _try_write(self, held: _Held, record: JobRecord) -> bool:
+        """Write once; a record that another leader owns ends in a conflict."""
+        write = Write(
+            key=job_key(record.job_id),
+            value=encode_record(record),
+            expect_revision=held.revision,
+        )
+        try:
+            written = await self._settler.settle_write(
+                write, limit_ms=self._write_limit_ms
+            )
+        except StoreError as error:
+            eliot.log_message(
+                'job:not_written', job=record.job_id, error=str(error)
+            )
+            await curio.sleep(to_seconds(_RETRY_PAUSE_MS))
+            return False
+        if not isinstance(written, Written):
+            return False
+        held.record = record
+        held.revision = written.revision
+        return True
+
+    async def _reload(self, held: _Held) -> None:
+        job_id = held.record.job_id
+        while True:
+            try:
+                entry = await self._store.get(job_key(job_id))
+            except StoreUnavailable:
+                await curio.sleep(to_seconds(_RETRY_PAUSE_MS))
+            else:
+                break
+        if entry is None:
+            self._held.pop(job_id, None)
+            raise NotOwner(f'{job_id}: the record was deleted')
+        record = decode_record(entry.value)
+        if record.epoch > self._epoch:
+            raise NotOwner(f'{job_id}: epoch {record.epoch}')
+        held.record = record
+        held.revision = entry.revision
+
+
+def _apply(record: JobRecord, batch: list[_Change]) -> JobRecord:
+    """Apply a batch in order; what is refused leaves the record as it is."""
+    for change in batch:
+        change.refusal = None
+        try:
+            record = change.transition(record)
+        except TransitionRefused as refusal:
+            change.refusal = refusal
+        change.result = record
+    return record
+
+
+def _refuse(batch: list[_Change], refusal: TransitionRefused) -> None:
+    for change in batch:
+        change.refusal = refusal
--- /dev/null
+++ b/jayshore/jobs/context.py
@@ -0,0 +1,91 @@
+"""What the parts of a leader share."""
+
+import abc
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+from jayshore.clock import Clock, Millis
+from jayshore.config.snapshot import Snapshot
+from jayshore.jobs.record import JobRecord
+from jayshore.placement.decisions import Headroom
+from jayshore.resources import Resources
+
+
+class TeamLedger(Headroom):
+    """What each team uses of the domain's part of its limit."""
+
+    @abc.abstractmethod
+    def take(self, team: str, demand: Resources) -> None:
+        """Count a start that `has_headroom` allowed, or an adopted task.
+
+        Args:
+            team: the team.
+            demand: what it takes.
+        """
+
+    @abc.abstractmethod
+    def give_back(self, team: str, demand: Resources) -> None:
+        """Count an end.
+
+        Args:
+            team: the team.
+            demand: as it was taken.
+        """
+
+
+class JobEvents(abc.ABC):
+    """Who is told of starts and ends, for metrics."""
+
+    @abc.abstractmethod
+    def task_started(self, record: JobRecord, waited_ms: Millis) -> None:
+        """Note a start.
+
+        Args:
+            record: its job.
+            waited_ms: since the job was accepted, in ms.
+        """
+
+    @abc.abstractmethod
+    def task_ended(self, record: JobRecord, how: str) -> None:
+        """Note an end.
+
+        Args:
+            record: its job.
+            how: the state in which the task or its attempt ended.
+        """
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeaderContext:
+    """What the parts of a leader share.
+
+    Attributes:
+        epoch: of this leader.
+        domain: its failure domain.
+        clock: monotonic time of decisions.
+        wall_clock: time of day, in which deadlines are given.
+        source: random numbers.
+        ledger: use of the teams' limits.
+        events: metrics.
+        snapshot: the newest configuration seen.
+        is_store_reachable: whether the last read of the store was answered.
+        confirm: reads the leader key; True when it still shows this epoch.
+        depose: ends this leadership.
+        intent_width: workers named in a record before they are needed.
+        task_lease_ms: how long tasks run without a renewal, in ms.
+    """
+
+    epoch: int
+    domain: str
+    clock: Clock
+    wall_clock: Clock
+    source: random.Random
+    ledger: TeamLedger
+    events: JobEvents
+    snapshot: Callable[[], Snapshot]
+    is_store_reachable: Callable[[], bool]
+    confirm: Callable[[], Awaitable[bool]]
+    depose: Callable[[], Awaitable[None]]
+    intent_width: int
+    task_lease_ms: Millis
--- /dev/null
+++ b/jayshore/jobs/inventory.py
@@ -0,0 +1,247 @@
+"""Compares what workers report with what the leader expects."""
+
+from collections.abc import Iterable
+
+from jayshore.jobs import transitions
+from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.endings import (
+    Ending,
+    EndingRecorder,
+    Reporter,
+    found_on,
+    reported,
+)
+from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.placing import Placer
+from jayshore.jobs.record import WorkerBoot
+from jayshore.leases.session import WorkerObserver
+from jayshore.leases.worker import (
+    AttemptName,
+    OpenedLease,
+    Renewed,
+    TaskReport,
+)
+from jayshore.placement.cell import Cell
+from jayshore.placement.tasks import WorkerState, WorkerView
+
+
+class InventoryReader(WorkerObserver):
+    """Turns the news of workers into phases of attempts and endings."""
+
+    def __init__(
+        self,
+        *,
+        context: LeaderContext,
+        cell: Cell,
+        book: JobBook,
+        attempts: AttemptTable,
+        placer: Placer,
+        endings: EndingRecorder,
+    ) -> None:
+        """Prepare to read.
+
+        Args:
+            context: what the parts of the leader share.
+            cell: the workers and their room.
+            book: the job records.
+            attempts: the newest attempts of all tasks.
+            placer: counts running attempts, queues others.
+            endings: records what has ended.
+        """
+        self._context = context
+        self._cell = cell
+        self._book = book
+        self._attempts = attempts
+        self._placer = placer
+        self._endings = endings
+        self._fleet: WorkerFleet | None = None
+
+    def follow(self, fleet: WorkerFleet) -> None:
+        """Set the sessions, which have this reader as their observer.
+
+        Args:
+            fleet: the sessions.
+        """
+        self._fleet = fleet
+
+    async def lease_opened(self, worker_id: str, opened: OpenedLease) -> None:
+        """Compare the inventory with what was expected.
+
+        Args:
+            worker_id: the worker.
+            opened: the new lease.
+        """
+        self._update_worker(worker_id, opened)
+        reports = {report.task_id: report for report in opened.tasks}
+        for attempt in self._attempts.on_worker(worker_id):
+            if not _is_in(reports, attempt):
+                await self._note_missing(attempt, opened)
+        for inherited in self._attempts.inherited():
+            if _is_in(reports, inherited):
+                self._adopt(inherited, worker_id, opened)
+            else:
+                inherited.note_absent(worker_id, opened.boot_id)
+                await self.resolve(inherited)
+        await self._take_reports(worker_id, opened.tasks)
+        await self._placer.wake()
+
+    async def tasks_reported(self, worker_id: str, renewed: Renewed) -> None:
+        """Take note of ended tasks and of usage.
+
+        Args:
+            worker_id: the worker.
+            renewed: the worker's answer.
+        """
+        if renewed.leaving and worker_id in self._placer.boots:
+            self._cell.set_worker_state(worker_id, WorkerState.LEAVING)
+        await self._take_reports(worker_id, renewed.tasks)
+
+    async def worker_lost(self, worker_id: str) -> None:
+        """Give a worker no new work until its lease is opened again.
+
+        Args:
+            worker_id: the worker.
+        """
+        if worker_id in self._placer.boots:
+            self._cell.set_worker_state(worker_id, WorkerState.QUARANTINED)
+
+    async def epoch_superseded(self) -> None:
+        """Stop to lead."""
+        await self._context.depose()
+
+    async def account_for(self, worker_id: str, reason: str) -> None:
+        """Conclude that whatever ran on a worker is over.
+
+        Args:
+            worker_id: the worker.
+            reason: see `AttemptOver`.
+        """
+        for attempt in self._attempts.on_worker(worker_id):
+            await self._lose(attempt, reason)
+        for inherited in self._attempts.inherited():
+            inherited.note_over(worker_id, reason)
+            await self.resolve(inherited)
+
+    async def resolve(self, attempt: Attempt) -> None:
+        """End an inherited attempt once no worker can have it any more.
+
+        Args:
+            attempt: an inherited attempt.
+        """
+        if attempt.phase is Phase.INHERITED and attempt.is_settled:
+            ending = Ending(outcome=None, proof=attempt.proof)
+            await self._endings.record_later(attempt, ending, None)
+
+    def _update_worker(self, worker_id: str, opened: OpenedLease) -> None:
+        instance = self._fleet.instance(worker_id) if self._fleet else None
+        if worker_id not in self._placer.boots:
+            self._placer.add_worker(
+                WorkerView(
+                    worker_id=worker_id,
+                    rack=instance.rack if instance else '',
+                    failure_domain=self._context.domain,
+                    capacity=opened.capacity,
+                    boot_id=opened.boot_id,
+                )
+            )
+        self._placer.boots[worker_id] = WorkerBoot(
+            worker_id=worker_id, boot_id=opened.boot_id
+        )
+        state = WorkerState.LEAVING if opened.leaving else WorkerState.USABLE
+        self._cell.set_worker_state(worker_id, state)
+
+    def _adopt(
+        self, attempt: Attempt, worker_id: str, opened: OpenedLease
+    ) -> None:
+        record = self._book.find(attempt.job_id)
+        attempt.note_found(
+            WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
+        )
+        if record is not None:
+            self._placer.adopt(record, attempt)
+
+    async def _note_missing(
+        self, attempt: Attempt, opened: OpenedLease
+    ) -> None:
+        """Handle an own attempt that the inventory does not show.
+
+        Under the same boot, a start that is not in the inventory did not run
+        and never will. A restarted worker has forgotten what it ran.
+        """
+        record = self._book.find(attempt.job_id)
+        worker = attempt.worker
+        same_boot = worker is not None and worker.boot_id == opened.boot_id
+        if record is None:
+            return
+        if attempt.phase is Phase.STARTING and same_boot:
+            self._placer.requeue(record, attempt)
+        else:
+            await self._lose(attempt, 'worker_report')
+
+    async def _lose(self, attempt: Attempt, reason: str) -> None:
+        record = self._book.find(attempt.job_id)
+        if record is not None:
+            self._placer.release(record, attempt)
+        over = transitions.AttemptOver(reason=reason)
+        await self._endings.record_later(
+            attempt, Ending(outcome=None, proof=over), None
+        )
+
+    async def _take_reports(
+        self, worker_id: str, reports: Iterable[TaskReport]
+    ) -> None:
+        for report in reports:
+            attempt = self._attempts.find(report.task_id)
+            if attempt is None or not found_on(report, attempt):
+                await self._handle_unexpected(worker_id, report)
+            elif attempt.phase in {Phase.STARTING, Phase.RUNNING}:
+                await self._take_report(worker_id, attempt, report)
+
+    async def _take_report(
+        self, worker_id: str, attempt: Attempt, report: TaskReport
+    ) -> None:
+        record = self._book.find(attempt.job_id)
+        worker = attempt.worker
+        if record is None or worker is None or worker.worker_id != worker_id:
+            return
+        if attempt.phase is Phase.STARTING:
+            self._placer.note_running(record, attempt)
+        if report.outcome is not None:
+            self._placer.release(record, attempt)
+            await self._endings.record_later(
+                attempt, reported(report), self._reporter(worker_id, report)
+            )
+        elif report.usage is not None:
+            self._placer.note_usage(attempt, report.usage)
+
+    async def _handle_unexpected(
+        self, worker_id: str, report: TaskReport
+    ) -> None:
+        """Stop and acknowledge what the records have moved past."""
+        job_id, _, index = report.task_id.rpartition('.')
+        record = self._book.find(job_id)
+        reporter = self._reporter(worker_id, report)
+        if record is None or reporter is None:
+            return
+        task = record.tasks[int(index)]
+        if not task.is_final and task.attempt <= report.attempt:
+            return
+        if report.outcome is None:
+            await reporter.session.stop(report.task_id, checkpoint=False)
+        else:
+            reporter.session.acknowledge(reporter.name)
+
+    def _reporter(self, worker_id: str, report: TaskReport) -> Reporter | None:
+        sessions = self._fleet.sessions if self._fleet else {}
+        session = sessions.get(worker_id)
+        if session is None:
+            return None
+        name = AttemptName(task_id=report.task_id, attempt=report.attempt)
+        return Reporter(session=session, name=name)
+
+
+def _is_in(reports: dict[str, TaskReport], attempt: Attempt) -> bool:
+    report = reports.get(attempt.name)
+    return report is not None and found_on(report, attempt)
--- /dev/null
+++ b/jayshore/jobs/leader.py
@@ -0,0 +1,192 @@
+"""The leader of a failure domain: takes over its jobs and runs them."""
+
+import dataclasses
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis, to_seconds
+from jayshore.jobs.admission import Admission
+from jayshore.jobs.attempts import AttemptTable
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.fleet import FleetObserver, InstanceFollower, WorkerFleet
+from jayshore.jobs.inventory import InventoryReader
+from jayshore.jobs.placing import Placer
+from jayshore.placement.cell import Cell
+from jayshore.placement.tasks import WorkerState
+from jayshore.platform.instances import Instance
+from jayshore.platform.store import StoreError
+
+# A worker's clock may run this much slower than the leader's.
+_CLOCK_RATE_PERCENT = 102
+_LEASE_CHECK_MS = Millis(1000)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeaderParts:
+    """What a leader is made of; see the classes."""
+
+    context: LeaderContext
+    cell: Cell
+    book: JobBook
+    attempts: AttemptTable
+    fleet: WorkerFleet
+    placer: Placer
+    admission: Admission
+    inventory: InventoryReader
+    tasks: BackgroundTasks
+
+
+class DomainLeader(FleetObserver):
+    """Takes over the jobs of a domain and runs them."""
+
+    def __init__(self, *, parts: LeaderParts) -> None:
+        """Use the parts.
+
+        Args:
+            parts: of this leader alone.
+        """
+        self._parts = parts
+        self._placer = parts.placer
+        self._is_ready = False
+
+    @property
+    def parts(self) -> LeaderParts:
+        """What the leader is made of."""
+        return self._parts
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether all records of earlier leaders are claimed."""
+        return self._is_ready
+
+    async def run(
+        self,
+        follower: InstanceFollower,
+        *,
+        round_ms: Millis,
+        reconcile_ms: Millis,
+    ) -> None:
+        """Take over, then lead until cancelled.
+
+        Records are claimed before any lease is opened: as long as an earlier
+        leader may still act on a record, a lease that is opened here would
+        keep tasks alive that the earlier leader believes to have expired.
+
+        Args:
+            follower: of the platform's list, with this leader as observer.
+            round_ms: longest pause between two placement rounds, in ms.
+            reconcile_ms: between two searches for new records, in ms.
+        """
+        await self._parts.admission.take_over()
+        spawn = self._parts.tasks.spawn
+        await spawn(follower.run())
+        await spawn(self._placer.run(round_ms))
+        await spawn(self._watch_leases(follower))
+        self._is_ready = True
+        while True:
+            await curio.sleep(to_seconds(reconcile_ms))
+            await self._reconcile()
+
+    async def notice(self, job_id: str) -> None:
+        """Read a job that was just created.
+
+        Args:
+            job_id: the job.
+        """
+        if not self._is_ready:
+            return
+        try:
+            record = await self._parts.book.read_one(job_id)
+        except StoreError as error:
+            eliot.log_message('job:not_read', error=str(error))
+        else:
+            await self._parts.admission.admit([record] if record else [])
+
+    async def instance_added(self, instance: Instance) -> None:
+        """Open a session with a worker.
+
+        Args:
+            instance: newly listed.
+        """
+        await self._parts.fleet.add(instance)
+
+    async def instance_leaving(self, instance: Instance) -> None:
+        """Give a worker no new work.
+
+        Args:
+            instance: listed as leaving.
+        """
+        if instance.id in self._placer.boots:
+            self._parts.cell.set_worker_state(instance.id, WorkerState.LEAVING)
+
+    async def instance_gone(self, instance: Instance) -> None:
+        """Conclude that nothing runs on a worker any more.
+
+        Args:
+            instance: not listed any more.
+        """
+        self._parts.fleet.remove(instance.id)
+        await self._parts.inventory.account_for(instance.id, 'instance_gone')
+        self._placer.remove_worker(instance.id)
+
+    async def _reconcile(self) -> None:
+        try:
+            found = await self._parts.book.read_changes()
+        except StoreError as error:
+            eliot.log_message('job:not_read', error=str(error))
+        else:
+            await self._parts.admission.admit(found)
+        # Tasks whose start was under way when the job was cancelled.
+        for record in self._parts.book.records:
+            await self._parts.admission.enforce_cancel(record)
+
+    async def _watch_leases(self, follower: InstanceFollower) -> None:
+        """Find workers whose task leases have expired or that are gone."""
+        while True:
+            await curio.sleep(to_seconds(_LEASE_CHECK_MS))
+            await self._note_unlisted(follower)
+            expired = self._expired_workers()
+            if expired and await self._is_confirmed():
+                for worker_id in expired:
+                    await self._parts.inventory.account_for(
+                        worker_id, 'lease_expired'
+                    )
+
+    def _expired_workers(self) -> list[str]:
+        """List workers that certainly have stopped their tasks.
+
+        Only leases that this leader has opened count: what an earlier leader
+        renewed, and until when, is not known.
+        """
+        context = self._parts.context
+        limit = context.task_lease_ms * _CLOCK_RATE_PERCENT // 100
+        oldest = context.clock.now() - limit
+        return [
+            worker_id
+            for worker_id, session in self._parts.fleet.sessions.items()
+            if session.was_opened
+            and not session.is_open
+            and session.renewed_at < oldest
+        ]
+
+    async def _note_unlisted(self, follower: InstanceFollower) -> None:
+        """Account for workers of intents that the list does not show.
+
+        They were listed when an earlier leader named them.
+        """
+        if not follower.was_read:
+            return
+        for attempt in self._parts.attempts.inherited():
+            for worker in attempt.unresolved:
+                if not follower.lists(worker.worker_id):
+                    attempt.note_over(worker.worker_id, 'instance_gone')
+            await self._parts.inventory.resolve(attempt)
+
+    async def _is_confirmed(self) -> bool:
+        try:
+            return await self._parts.context.confirm()
+        except StoreError:
+            return False
--- /dev/null
+++ b/jayshore/jobs/placing.py
@@ -0,0 +1,364 @@
+"""Carries out the decisions of the cell: widens intents, starts, stops."""
+
+import functools
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis, to_seconds
+from jayshore.jobs import transitions
+from jayshore.jobs.attempts import Attempt, AttemptTable, Phase, task_name
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
+from jayshore.leases.worker import StartOrder, StartResult
+from jayshore.placement.cell import Cell
+from jayshore.placement.decisions import (
+    Place,
+    Preempt,
+    Wait,
+)
+from jayshore.placement.tasks import (
+    PendingTask,
+    RunningTask,
+    TaskId,
+    TaskKind,
+    WorkerView,
+)
+from jayshore.resources import Resources
+
+
+class Placer:
+    """Runs placement rounds and carries their decisions out."""
+
+    def __init__(
+        self,
+        *,
+        context: LeaderContext,
+        cell: Cell,
+        book: JobBook,
+        attempts: AttemptTable,
+        fleet: WorkerFleet,
+        tasks: BackgroundTasks,
+    ) -> None:
+        """Prepare the rounds.
+
+        Args:
+            context: what the parts of the leader share.
+            cell: decides.
+            book: the job records.
+            attempts: the newest attempts of all tasks.
+            fleet: the sessions with the workers.
+            tasks: background tasks of the leader.
+        """
+        self._context = context
+        self._cell = cell
+        self._book = book
+        self._attempts = attempts
+        self._fleet = fleet
+        self._tasks = tasks
+        self._boots: dict[str, WorkerBoot] = {}
+        self._views: dict[str, WorkerView] = {}
+        self._wake = curio.Event()
+        self._is_confined = False
+
+    @property
+    def boots(self) -> dict[str, WorkerBoot]:
+        """The present boot of each worker whose lease is open."""
+        return self._boots
+
+    @property
+    def views(self) -> tuple[WorkerView, ...]:
+        """The workers whose lease was opened."""
+        return tuple(self._views.values())
+
+    def add_worker(self, view: WorkerView) -> None:
+        """Use a worker.
+
+        Args:
+            view: the worker, whose lease was opened for the first time.
+        """
+        self._views[view.worker_id] = view
+        self._cell.add_worker(view)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forget a worker that is gone.
+
+        Args:
+            worker_id: the worker, on which nothing runs.
+        """
+        self._boots.pop(worker_id, None)
+        if self._views.pop(worker_id, None) is not None:
+            self._cell.remove_worker(worker_id)
+
+    async def wake(self) -> None:
+        """Run a round soon."""
+        await self._wake.set()
+
+    async def run(self, interval_ms: Millis) -> None:
+        """Run a round after each change, at least at an interval.
+
+        Args:
+            interval_ms: longest pause between two rounds, in ms.
+        """
+        while True:
+            async with curio.ignore_after(to_seconds(interval_ms)):
+                await self._wake.wait()
+            self._wake.clear()
+            self._confine()
+            await self._round()
+
+    def enqueue(self, attempt: Attempt) -> None:
+        """Let an attempt wait for a worker.
+
+        Args:
+            attempt: an attempt that certainly does not run.
+        """
+        record = self._book.find(attempt.job_id)
+        if record is None or record.is_final:
+            self._attempts.forget(attempt)
+            return
+        attempt.phase = Phase.QUEUED
+        attempt.worker = None
+        self._cell.enqueue(self._pending(record, attempt))
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Take an attempt out of the queue.
+
+        Args:
+            attempt: a queued attempt.
+        """
+        self._cell.withdraw(_task_id(attempt))
+
+    def adopt(self, record: JobRecord, attempt: Attempt) -> None:
+        """Count an attempt that runs already.
+
+        Args:
+            record: its job.
+            attempt: with the worker that runs it.
+        """
+        if attempt.worker is None:
+            return
+        attempt.phase = Phase.RUNNING
+        self._context.ledger.take(record.team, record.demand)
+        self._cell.adopt(
+            RunningTask(
+                task=self._pending(record, attempt),
+                worker_id=attempt.worker.worker_id,
+                started_at=self._context.clock.now(),
+            )
+        )
+
+    def release(self, record: JobRecord, attempt: Attempt) -> None:
+        """Free the room of an attempt that has ended or never started.
+
+        Args:
+            record: its job.
+            attempt: a starting or running attempt.
+        """
+        self._cell.finish(_task_id(attempt))
+        self._context.ledger.give_back(record.team, record.demand)
+        attempt.phase = Phase.ENDED
+
+    def note_usage(self, attempt: Attempt, usage: Resources) -> None:
+        """Count what a running attempt really uses.
+
+        Args:
+            attempt: a running attempt.
+            usage: as its worker reported it.
+        """
+        self._cell.update_usage(_task_id(attempt), usage)
+
+    async def stop(self, attempt: Attempt, *, checkpoint: bool) -> None:
+        """Ask the worker of a running attempt to stop it.
+
+        Args:
+            attempt: a running attempt.
+            checkpoint: whether to checkpoint it first.
+        """
+        if attempt.worker is None:
+            return
+        session = self._fleet.sessions.get(attempt.worker.worker_id)
+        if session is not None and session.is_open:
+            await session.stop(attempt.name, checkpoint=checkpoint)
+
+    def note_running(self, record: JobRecord, attempt: Attempt) -> None:
+        """Note that a starting attempt runs.
+
+        Args:
+            record: its job.
+            attempt: a starting attempt.
+        """
+        attempt.phase = Phase.RUNNING
+        waited = self._context.wall_clock.now() - record.accepted_at_ms
+        self._context.events.task_started(record, Millis(waited))
+
+    def requeue(self, record: JobRecord, attempt: Attempt) -> None:
+        """Let a starting attempt that certainly did not start wait again.
+
+        Args:
+            record: its job.
+            attempt: a starting attempt.
+        """
+        self.release(record, attempt)
+        self.enqueue(attempt)
+
+    async def _round(self) -> None:
+        while True:
+            decision = self._cell.decide(self._context.clock.now())
+            match decision:
+                case Wait():
+                    return
+                case Place():
+                    await self._carry_out(decision)
+                case Preempt():
+                    self._cell.preempt(decision)
+                    await self._tasks.spawn(self._preempt(decision))
+
+    async def _carry_out(self, decision: Place) -> None:
+        now = self._context.clock.now()
+        placed = []
+        for chosen in decision.assignments:
+            attempt = self._find(chosen.task_id)
+            record = self._book.find(chosen.task_id.job_id)
+            if attempt is None or record is None:
+                self._cell.withdraw(chosen.task_id)
+                continue
+            self._cell.start(chosen.task_id, chosen.worker_id, now)
+            self._context.ledger.take(record.team, record.demand)
+            attempt.phase = Phase.STARTING
+            attempt.launches += 1
+            attempt.worker = self._boots[chosen.worker_id]
+            placed.append(attempt)
+        if placed:
+            await self._tasks.spawn(self._launch(placed))
+
+    async def _launch(self, placed: list[Attempt]) -> None:
+        job_id = placed[0].job_id
+        wanted = {item.worker for item in placed if item.worker is not None}
+        record = self._book.find(job_id)
+        with eliot.start_action(
+            action_type='placement:launch', job=job_id, tasks=len(placed)
+        ):
+            if record is not None and not wanted.issubset(record.intent):
+                await self._widen(job_id, wanted)
+            starts = curio.TaskGroup(wait=all)
+            async with starts:
+                for attempt in placed:
+                    await starts.spawn(self._start(attempt))
+            if not all(starts.results):
+                await self._stop_partial_gang(placed)
+        await self.wake()
+
+    async def _widen(self, job_id: str, wanted: set[WorkerBoot]) -> None:
+        try:
+            await self._book.change(
+                job_id,
+                functools.partial(
+                    transitions.widen,
+                    epoch=self._context.epoch,
+                    workers=sorted(wanted),
+                ),
+            )
+        except transitions.NotOwner:
+            await self._context.depose()
+
+    async def _start(self, attempt: Attempt) -> bool:
+        record = self._book.find(attempt.job_id)
+        worker = attempt.worker
+        launch = attempt.launches
+        if record is None or worker is None:
+            return False
+        session = self._fleet.sessions.get(worker.worker_id)
+        is_current = worker == self._boots.get(worker.worker_id)
+        result = StartResult.CERTAINLY_NOT
+        may_start = worker in record.intent and not record.is_cancelling
+        if session is not None and is_current and may_start:
+            result = await session.start(_order(record, attempt))
+        if attempt.phase is not Phase.STARTING or attempt.launches != launch:
+            # A lease that was opened meanwhile has settled it.
+            return attempt.phase is Phase.RUNNING
+        if result is StartResult.STARTED:
+            self.note_running(record, attempt)
+        elif result is StartResult.CERTAINLY_NOT:
+            self.requeue(record, attempt)
+        return result is StartResult.STARTED
+
+    async def _stop_partial_gang(self, placed: list[Attempt]) -> None:
+        record = self._book.find(placed[0].job_id)
+        if record is None or record.kind is not JobKind.GANG:
+            return
+        for attempt in placed:
+            if attempt.phase is Phase.RUNNING:
+                await self.stop(attempt, checkpoint=False)
+
+    async def _preempt(self, decision: Preempt) -> None:
+        for task_id in decision.task_ids:
+            attempt = self._find(task_id)
+            if attempt is not None:
+                await self.stop(attempt, checkpoint=decision.checkpoint_first)
+
+    def _find(self, task_id: TaskId) -> Attempt | None:
+        return self._attempts.find(task_name(task_id.job_id, task_id.index))
+
+    def _confine(self) -> None:
+        """Confine waiting tasks to their recorded intents in an outage."""
+        is_confined = not self._context.is_store_reachable()
+        if is_confined == self._is_confined:
+            return
+        self._is_confined = is_confined
+        queued = [item for item in self._attempts if item.phase is Phase.QUEUED]
+        for attempt in queued:
+            self.withdraw(attempt)
+        for waiting in queued:
+            self.enqueue(waiting)
+
+    def _pending(self, record: JobRecord, attempt: Attempt) -> PendingTask:
+        snapshot = self._context.snapshot()
+        queue = snapshot.queue(record.queue)
+        run_ms = Millis(record.run_ms) if record.run_ms else None
+        allowed = None
+        if self._is_confined:
+            allowed = frozenset(item.worker_id for item in record.intent)
+        return PendingTask(
+            task_id=_task_id(attempt),
+            team=record.team,
+            queue=record.queue,
+            kind=TaskKind(record.kind.value),
+            demand=record.demand,
+            enqueued_at=self._on_own_clock(record.accepted_at_ms),
+            urgent=queue is not None and queue.urgent,
+            declared_run_ms=run_ms,
+            estimated_run_ms=run_ms,
+            deadline=(
+                None
+                if record.deadline_ms is None
+                else self._on_own_clock(record.deadline_ms)
+            ),
+            idempotent=record.idempotent,
+            preemptible=record.idempotent and record.kind is JobKind.BATCH,
+            gang_size=record.task_count if record.kind is JobKind.GANG else 1,
+            allowed_workers=allowed,
+            avoided_workers=attempt.avoided,
+        )
+
+    def _on_own_clock(self, wall_ms: int) -> Millis:
+        offset = self._context.clock.now() - self._context.wall_clock.now()
+        return Millis(wall_ms + offset)
+
+
+def _task_id(attempt: Attempt) -> TaskId:
+    return TaskId(job_id=attempt.job_id, index=attempt.index)
+
+
+def _order(record: JobRecord, attempt: Attempt) -> StartOrder:
+    return StartOrder(
+        task_id=attempt.name,
+        attempt=attempt.number,
+        job_id=record.job_id,
+        team=record.team,
+        resources=record.demand,
+        payload=record.payload,
+    )
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -93,6 +93,8 @@
         self._opening = curio.Lock()
         self._lease_id = 0
         self._acknowledged: list[AttemptName] = []
+        self._was_opened = False
+        self._is_ended = False
 
     @property
     def is_open(self) -> bool:
@@ -104,10 +106,20 @@
         """When the last call that may have renewed the tasks was sent."""
         return self._link.renewed_at
 
+    @property
+    def was_opened(self) -> bool:
+        """Whether this leader has ever opened the worker's lease."""
+        return self._was_opened
+
+    def end(self) -> None:
+        """End the session, as the worker is gone."""
+        self._is_ended = True
+        self._lease_id = 0
+
     async def run(self) -> None:
-        """Keep the lease until cancelled or until the epoch is superseded."""
+        """Keep the lease until it ends or the epoch is superseded."""
         failures = 0
-        while True:
+        while not self._is_ended:
             try:
                 await self._keep()
             except EpochSuperseded:
@@ -178,7 +190,10 @@
         """  # noqa: DAR401 raised by the link
         async with self._opening:
             opened = await self._link.open(self._epoch)
+            if self._is_ended:
+                return
             self._lease_id = opened.lease_id
+            self._was_opened = True
             await self._observer.lease_opened(self._worker_id, opened)
 
     async def _keep(self) -> None:
--- a/jayshore/platform/settling.py
+++ b/jayshore/platform/settling.py
@@ -12,7 +12,7 @@
 import curio
 import msgspec
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Clock,
     Millis,
     to_seconds,
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from jayshore.clock import Clock, Millis, to_seconds  # noqa: WPS347
+from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.retry import Backoff
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -102,7 +102,6 @@
         'domain': status.domain,
         'configVersion': status.config_version,
         'evidenceAgeMs': _millis_or_none(status.evidence_age_ms),
-        'promisedVersion': status.promised_version,
         'leaderEpoch': status.leader_epoch,
         'load': [
             {'service': entry.service, 'freeSlots': entry.free_slots}
@@ -118,7 +117,6 @@
         domain=reader.domain,
         config_version=reader.configVersion,
         evidence_age_ms=_optional_millis(reader.evidenceAgeMs),
-        promised_version=reader.promisedVersion,
         leader_epoch=reader.leaderEpoch,
         load=tuple(
             msg.ServiceLoad(service=entry.service, free_slots=entry.freeSlots)
@@ -232,10 +230,7 @@
         ),
         msg.PromiseConfig: (
             'promiseConfig',
-            lambda call: {
-                'version': call.version,
-                'rosterVersion': call.roster_version,
-            },
+            lambda call: {'revision': call.revision},
         ),
         msg.PromiseConfigReply: (
             'promiseConfigReply',
@@ -280,8 +275,7 @@
             attests=reader.attests,
         ),
         'promiseConfig': lambda reader: msg.PromiseConfig(
-            version=reader.version,
-            roster_version=reader.rosterVersion,
+            revision=reader.revision,
         ),
         'promiseConfigReply': lambda reader: msg.PromiseConfigReply(
             promised=reader.promised,
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -20,7 +20,6 @@
     domain='north',
     config_version=2**63 + 1,
     evidence_age_ms=0,
-    promised_version=4,
     leader_epoch=9,
     load=(
         msg.ServiceLoad(service='fill', free_slots=3),
@@ -33,7 +32,6 @@
     domain='south',
     config_version=0,
     evidence_age_ms=None,
-    promised_version=0,
     leader_epoch=0,
     load=(),
     state=msg.DaemonState.STARTING,
@@ -53,7 +51,7 @@
 MESSAGES = (
     msg.Heartbeat(status=STATUS),
     msg.HeartbeatReply(status=IDLE, attests=True),
-    msg.PromiseConfig(version=5, roster_version=2),
+    msg.PromiseConfig(revision=5),
     msg.PromiseConfigReply(promised=True, config_version=4),
     msg.ConfigCommitted(version=5, document=b'{}'),
     msg.ConfigCommittedReply(config_version=5),
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -47,7 +47,6 @@
         evidence_age_ms: age of its evidence, at the time of sending, that this
             version is the newest; None without evidence. The receiver adds the
             time since it sent the call that this answers.
-        promised_version: highest version for which a promise is open, or 0.
         leader_epoch: epoch of its leadership, 0 when it is not the leader.
         load: free slots per service.
         state: whether it takes new calls.
@@ -57,7 +56,6 @@
     domain: str
     config_version: int
     evidence_age_ms: Millis | None
-    promised_version: int
     leader_epoch: int
     load: tuple[ServiceLoad, ...]
     state: DaemonState
@@ -89,12 +87,10 @@
     """A writer asks for a promise before it writes a configuration.
 
     Attributes:
-        version: the version that is going to be written.
-        roster_version: version of the roster that the writer counts by.
+        revision: store revision of the announcement of the write.
     """
 
-    version: int
-    roster_version: int
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/wire/peer_test.py
+++ b/jayshore/wire/peer_test.py
@@ -232,7 +232,7 @@
                 await client.config_committed(echo, timeout_ms=LONG_MS)
             with pytest.raises(PeerFailed):
                 await client.promise_config(
-                    msg.PromiseConfig(version=1, roster_version=1),
+                    msg.PromiseConfig(revision=5),
                     timeout_ms=LONG_MS,
                 )
             assert (await peers.beat()).attests
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -20,10 +20,9 @@
   domain @1 :Text;
   configVersion @2 :UInt64;
   evidenceAgeMs @3 :Int64 = -1;
-  promisedVersion @4 :UInt64;
-  leaderEpoch @5 :UInt64;       # 0: not the leader of its domain
-  load @6 :List(ServiceLoad);
-  state @7 :DaemonState;
+  leaderEpoch @4 :UInt64;       # 0: not the leader of its domain
+  load @5 :List(ServiceLoad);
+  state @6 :DaemonState;
 }
 
 struct HeartbeatReply {
@@ -32,8 +31,7 @@
 }
 
 struct PromiseConfig {
-  version @0 :UInt64;
-  rosterVersion @1 :UInt64;
+  revision @0 :UInt64;
 }
 
 struct PromiseConfigReply {
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -7,7 +7,7 @@
 import curio
 import eliot
 
-from jayshore.clock import Millis, to_seconds  # noqa: WPS347
+from jayshore.clock import Millis, to_seconds
 from jayshore.outcomes import JayshoreError
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
--- a/standins/crossing.py
+++ b/standins/crossing.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from jayshore.clock import Millis, to_seconds  # noqa: WPS347
+from jayshore.clock import Millis, to_seconds
 from jayshore.http.messages import Response
 
 # Without a second request no partner comes; the first answer then goes out
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -8,7 +8,7 @@
 import curio
 import msgspec
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Clock,
     Millis,
     MonotonicClock,
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from jayshore.clock import Millis, to_seconds  # noqa: WPS347
+from jayshore.clock import Millis, to_seconds
 from jayshore.http.messages import Request, Response, error_response
 from jayshore.http.serverconnection import DropConnection
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Clock,
     Millis,
     MonotonicClock,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -8,7 +8,7 @@
 import curio
 import msgspec
 
-from jayshore.clock import (  # noqa: WPS347
+from jayshore.clock import (
     Clock,
     Millis,
     MonotonicClock,
