Add the request path without HTTP

A request must reach a caller as Ran, NotRun or Unknown, where NotRun needs proof for every attempt. The router opens an executor's lease anew after a lost answer, asks for the state of the request and keeps the slot and the team's headroom until the executor's inventory no longer shows it.

A 'never' answer proves nothing after a restart of the executor, so the lease is opened once more after the question and the boot ids compared. An idempotent request is retried only once it is proved that it is not running any more, because no plan may be executing in two places.

The peer server and the router share the tracking of background tasks.

--- /dev/null
+++ b/jayshore/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request from a daemon to a slot of an executor."""
--- /dev/null
+++ b/jayshore/routing/fake_executor_test.py
@@ -0,0 +1,253 @@
+"""A scripted executor and a router on it, for the tests of this package."""
+
+import contextlib
+import random
+
+import curio
+
+from jayshore.clock import ManualClock
+from jayshore.retry import Backoff, RetryRatio
+from jayshore.routing.executor import (
+    ExecutorAnswer,
+    ExecutorFenced,
+    ExecutorLost,
+    ExecutorPort,
+    ExecutorUnreachable,
+    Inventory,
+    OpenedLease,
+    RoutedRequest,
+    RunningRequest,
+    RunState,
+)
+from jayshore.routing.headroom import Headroom, Shares
+from jayshore.routing.health import EjectionPolicy
+from jayshore.routing.policy import RoutingPolicy
+from jayshore.routing.router import Router
+
+LONG_MS = 60_000
+AT_ONCE = Backoff(base_ms=0, max_ms=0)
+POLICY = RoutingPolicy(
+    retry_backoff=AT_ONCE,
+    ejection=EjectionPolicy(failures=1000),
+)
+
+
+class FakeExecutor(ExecutorPort):
+    """Does what the test says; `modes` maps request ids to misbehaviour.
+
+    unreachable, fenced: refused without effect. lost_before: the connection
+    breaks and the request never arrives. lost_after: it runs and ends, and the
+    answer is lost. lost_running: the answer is lost while it runs on until
+    `finish`. All but the last happen once, unless `is_stubborn`. Otherwise a
+    request runs until `finish` or, with `is_instant`, at once.
+    """
+
+    def __init__(self, slots=2, is_instant=True):
+        self.slots = slots
+        self.is_instant = is_instant
+        self.is_stubborn = False
+        self.modes = {}
+        self.answers_as = {}
+        self.boot_id = 'boot'
+        self.lease_id = 0
+        self.epoch = 0
+        self.leaving = False
+        self.running = {}
+        self.finished = set()
+        self.started = []
+        self.peak = 0
+        self._gates = {}
+        self._changed = curio.Event()
+
+    def inventory(self):
+        running = tuple(
+            RunningRequest(request_id=request_id, team=team)
+            for request_id, team in self.running.items()
+        )
+        return Inventory(leaving=self.leaving, running=running)
+
+    async def changed(self):
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
+    async def finish(self, request_id):
+        await self.gate(request_id).set()
+        if self.modes.get(request_id) == 'lost_running':
+            await self.end(request_id)
+
+    async def end(self, request_id):
+        self.running.pop(request_id)
+        self.finished.add(request_id)
+        await self.changed()
+
+    async def reboot(self):
+        self.boot_id += '+'
+        self.lease_id += 1
+        self.running.clear()
+        self.finished.clear()
+        await self.changed()
+
+    def gate(self, request_id):
+        return self._gates.setdefault(request_id, curio.Event())
+
+    async def open(self, epoch):
+        if epoch < self.epoch:
+            raise ExecutorFenced('higher epoch')
+        self.epoch = epoch
+        self.lease_id += 1
+        await self.changed()
+        return OpenedLease(
+            lease_id=self.lease_id,
+            boot_id=self.boot_id,
+            slots=self.slots,
+            connections=64,
+            inventory=self.inventory(),
+        )
+
+    async def renew(self, lease_id):
+        if lease_id == self.lease_id:
+            await self._changed.wait()
+        if lease_id != self.lease_id:
+            raise ExecutorFenced('newer lease')
+        return self.inventory()
+
+    async def run(self, request, *, lease_id, timeout_ms):
+        request_id = request.request_id
+        mode = self.modes.get(request_id)
+        if mode != 'lost_running' and not self.is_stubborn:
+            self.modes.pop(request_id, None)
+        if mode == 'unreachable':
+            raise ExecutorUnreachable('scripted')
+        if mode == 'lost_before':
+            raise ExecutorLost('scripted')
+        if mode == 'fenced' or lease_id != self.lease_id:
+            raise ExecutorFenced('newer lease')
+        self.started.append(request_id)
+        self.running[request_id] = request.team
+        self.peak = max(self.peak, len(self.running))
+        await self.changed()
+        if mode == 'lost_running':
+            raise ExecutorLost('scripted')
+        if not self.is_instant:
+            await self.gate(request_id).wait()
+        await self.end(request_id)
+        if mode == 'lost_after':
+            raise ExecutorLost('scripted')
+        answered = self.answers_as.get(request_id, request_id)
+        return ExecutorAnswer(request_id=answered, body=answered.encode())
+
+    async def state_of(self, request_id):
+        if request_id in self.running:
+            return RunState.RUNNING
+        if request_id in self.finished:
+            return RunState.FINISHED
+        return RunState.NEVER
+
+
+class CountedHeadroom(Headroom):
+    """A limit per team; unlimited where none is set."""
+
+    def __init__(self):
+        self.limits = {}
+        self.taken = {}
+
+    def try_take(self, team, demand):
+        taken = self.taken.get(team, 0) + demand.requests
+        if taken > self.limits.get(team, 10**6):
+            return False
+        self.taken[team] = taken
+        return True
+
+    def give_back(self, team, demand):
+        self.taken[team] -= demand.requests
+        assert self.taken[team] >= 0
+
+
+class FixedShares(Shares):
+    """Share 1 unless set."""
+
+    def __init__(self):
+        self.shares = {}
+
+    def share_of(self, team):
+        return self.shares.get(team, 1)
+
+
+class Rig:
+    """A router, its executors by id, and what it depends on."""
+
+    def __init__(self, policy, seed):
+        self.clock = ManualClock()
+        self.headroom = CountedHeadroom()
+        self.shares = FixedShares()
+        self.executors = {}
+        self.router = Router(
+            epoch=3,
+            headroom=self.headroom,
+            shares=self.shares,
+            clock=self.clock,
+            rng=random.Random(seed),
+            policy=policy,
+        )
+
+    async def add(self, executor_id, executor):
+        self.executors[executor_id] = executor
+        await self.router.add_executor(
+            executor_id,
+            service='fill',
+            port=executor,
+        )
+        await settle()
+
+    async def route(self, request_id, **changes):
+        request = RoutedRequest(
+            **{
+                'request_id': request_id,
+                'service': 'fill',
+                'team': 'team',
+                'idempotent': False,
+                'timeout_ms': LONG_MS,
+                **changes,
+            },
+        )
+        return await self.router.route(request)
+
+    async def start(self, request_id, **changes):
+        task = await curio.spawn(self._route_task, request_id, changes)
+        await settle()
+        return task
+
+    async def _route_task(self, request_id, changes):
+        return await self.route(request_id, **changes)
+
+    @property
+    def free(self):
+        return sum(entry.free_slots for entry in self.router.load())
+
+
+@contextlib.asynccontextmanager
+async def rig(*executors, policy=POLICY, seed=1):
+    made = Rig(policy, seed)
+    for number, executor in enumerate(executors):
+        await made.add(f'e{number}', executor)
+    try:
+        yield made
+    finally:
+        await made.router.close()
+
+
+def run(main):
+    """Run a test body as the daemon runs."""
+    return curio.run(main, taskcls=curio.task.ContextTask)
+
+
+async def settle():
+    """Let every task run until all of them wait."""
+    for _ in range(60):
+        await curio.sleep(0)
+
+
+NO_RETRIES = RoutingPolicy(
+    retry_backoff=AT_ONCE,
+    retry_ratio=RetryRatio(retries_per_request=0, burst=0),
+)
--- /dev/null
+++ b/jayshore/routing/headroom.py
@@ -0,0 +1,60 @@
+"""What routing needs to know of teams: their limits and their shares."""
+
+import abc
+
+from jayshore.resources import Resources
+
+
+class Headroom(abc.ABC):
+    """The part of the teams' limits that this domain may use."""
+
+    @abc.abstractmethod
+    def try_take(self, team: str, demand: Resources) -> bool:
+        """Count a demand against the team's part if it fits.
+
+        Args:
+            team: name of the team.
+            demand: what is about to start.
+
+        Returns:
+            False when it does not fit; nothing was counted then.
+        """
+
+    @abc.abstractmethod
+    def give_back(self, team: str, demand: Resources) -> None:
+        """Count a demand as ended.
+
+        Args:
+            team: name of the team.
+            demand: as it was taken.
+        """
+
+    def has_room(self, team: str, demand: Resources) -> bool:
+        """Tell whether a demand would fit now.
+
+        Args:
+            team: name of the team.
+            demand: what might start.
+
+        Returns:
+            True when it fits; nothing is counted.
+        """
+        if not self.try_take(team, demand):
+            return False
+        self.give_back(team, demand)
+        return True
+
+
+class Shares(abc.ABC):
+    """The shares of the teams, which order them when slots are short."""
+
+    @abc.abstractmethod
+    def share_of(self, team: str) -> float:
+        """Look up a share.
+
+        Args:
+            team: name of the team.
+
+        Returns:
+            A weight above 0.
+        """
--- /dev/null
+++ b/jayshore/routing/overload_test.py
@@ -0,0 +1,205 @@
+"""Tests of queues, early refusals, limits and fairness among teams."""
+
+import random
+
+import pytest
+
+from jayshore.outcomes import NotRun, NotRunReason, Ran
+from jayshore.routing.executor import RoutedRequest
+from jayshore.routing.fake_executor_test import (
+    AT_ONCE,
+    FakeExecutor,
+    FixedShares,
+    rig,
+    run,
+    settle,
+)
+from jayshore.routing.policy import RoutingPolicy
+from jayshore.routing.queues import FairQueue, Waiter
+
+SHORT_QUEUE = RoutingPolicy(max_queued_per_team=2, retry_backoff=AT_ONCE)
+RUN_MS = 100
+
+
+def reason_of(outcome):
+    assert isinstance(outcome, NotRun), outcome
+    return outcome.reason
+
+
+def test_full_queue_refuses_its_own_team_only():
+    """Guards against unbounded queues, and one team filling that of others."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        async with rig(executor, policy=SHORT_QUEUE) as made:
+            for number in range(3):
+                await made.start(f'a{number}', team='a')
+            outcome = await made.route('a3', team='a')
+            assert reason_of(outcome) is NotRunReason.OVERLOADED
+            other = await made.start('b', team='b')
+            assert not other.terminated
+            assert made.router.load()[0].waiting == 3
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ('limit', 'reason'),
+    [
+        (None, NotRunReason.WOULD_MISS_DEADLINE),
+        (0, NotRunReason.OVER_LIMIT),
+    ],
+)
+def test_deadline_in_the_queue_is_a_refusal_with_the_cause(limit, reason):
+    """Guards against `Unknown` for a request that never left the queue."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        async with rig(executor) as made:
+            await made.start('running', team='other')
+            if limit is not None:
+                made.headroom.limits['team'] = limit
+            outcome = await made.route('r', timeout_ms=0)
+            assert reason_of(outcome) is reason
+            assert made.router.load()[0].waiting == 0
+
+    run(main)
+
+
+def test_request_that_would_miss_its_deadline_is_refused_early():
+    """Guards against queueing work whose caller will have given up."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        async with rig(executor) as made:
+            task = await made.start('first')
+            made.clock.advance(RUN_MS)
+            await executor.finish('first')
+            await task.join()
+            for number in range(3):
+                await made.start(f'r{number}')
+            # Two wait; the third would start after three runs of 100 ms.
+            outcome = await made.route('late', timeout_ms=399)
+            assert reason_of(outcome) is NotRunReason.WOULD_MISS_DEADLINE
+            assert outcome.retry_after_ms == 3 * RUN_MS
+            in_time = await made.start('in-time', timeout_ms=400)
+            assert not in_time.terminated
+
+    run(main)
+
+
+def test_raised_limit_starts_waiting_requests():
+    """Guards against requests that wait on although there is headroom."""
+
+    async def main():
+        executor = FakeExecutor(slots=4)
+        async with rig(executor) as made:
+            made.headroom.limits['team'] = 0
+            task = await made.start('r')
+            other = await made.start('other', team='other')
+            assert isinstance(await other.join(), Ran)
+            assert not executor.started.count('r')
+            made.headroom.limits['team'] = 1
+            await made.router.headroom_added()
+            assert isinstance(await task.join(), Ran)
+
+    run(main)
+
+
+async def _waits_of_small_team(flood):
+    """Measure how long a small team waits beside a flood of another one."""
+    executor = FakeExecutor(slots=4, is_instant=False)
+    waits = []
+    async with rig(executor, policy=RoutingPolicy()) as made:
+        for number in range(flood):
+            await made.start(f'flood{number}', team='flood')
+        due = {}
+        for step in range(200):
+            if step % 10 == 5:
+                name = f'small{step}'
+                due[name] = made.clock.now()
+                await made.start(name, team='small')
+            for name in tuple(due):
+                if name in executor.started:
+                    waits.append(made.clock.now() - due.pop(name))
+            # Each run takes 40 ms; one slot becomes free every 10 ms.
+            made.clock.advance(10)
+            if len(executor.running) == 4:
+                await executor.finish(next(iter(executor.running)))
+                await settle()
+    assert len(waits) >= 19
+    return waits
+
+
+def test_flood_of_one_team_leaves_the_waiting_time_of_another():
+    """Guards against waiting behind the queue of a team that floods."""
+
+    async def main():
+        modest = await _waits_of_small_team(flood=20)
+        flooded = await _waits_of_small_team(flood=240)
+        assert max(flooded) <= max(modest) + 10
+        assert max(flooded) <= 20
+
+    run(main)
+
+
+def _waiter(team, number):
+    return Waiter(
+        request=RoutedRequest(
+            request_id=f'{team}{number}',
+            service='fill',
+            team=team,
+            idempotent=False,
+            timeout_ms=1,
+        ),
+    )
+
+
+def test_starts_follow_shares_of_slot_time():
+    """Guards against equal turns for unequal shares and unequal runs."""
+    shares = FixedShares()
+    shares.shares.update({'a': 1, 'b': 3, 'long': 1})
+    queue = FairQueue(shares=shares, max_per_team=1000)
+    for number in range(1000):
+        for team in ('a', 'b', 'long'):
+            queue.push(_waiter(team, number))
+    starts = {'a': 0, 'b': 0, 'long': 0}
+    for _ in range(500):
+        team = queue.pop(lambda _: True).request.team
+        starts[team] += 1
+        queue.charge(team, 10)
+        if team == 'long':
+            queue.charge(team, 30)
+    # Slot time of 1 : 3 : 1, with runs of 10, 10 and 40 ms.
+    assert starts['b'] == pytest.approx(3 * starts['a'], abs=4)
+    assert starts['long'] == pytest.approx(starts['a'] / 4, abs=2)
+
+
+def test_teams_at_their_limit_are_passed_over():
+    """Guards against a head of the line that blocks the other teams."""
+    queue = FairQueue(shares=FixedShares(), max_per_team=10)
+    queue.push(_waiter('a', 0))
+    queue.push(_waiter('b', 0))
+    assert queue.pop(lambda team: team == 'b').request.team == 'b'
+    assert queue.pop(lambda team: team == 'b') is None
+    assert len(queue) == 1
+
+
+def test_estimate_of_starts_is_close_to_the_real_order():
+    """Guards against early refusals out of a wrong estimate."""
+    rng = random.Random(5)
+    for _ in range(100):
+        shares = FixedShares()
+        queue = FairQueue(shares=shares, max_per_team=100)
+        for team in 'abcd':
+            shares.shares[team] = rng.randint(1, 3)
+            for number in range(rng.randint(0, 20)):
+                queue.push(_waiter(team, number))
+        estimate = queue.starts_before('a')
+        mine = _waiter('a', 'new')
+        queue.push(mine)
+        before = 0
+        while (popped := queue.pop(lambda _: True)) is not mine:
+            queue.charge(popped.request.team, 10)
+            before += 1
+        assert abs(estimate - before) <= 4
--- /dev/null
+++ b/jayshore/routing/registry.py
@@ -0,0 +1,139 @@
+"""The executors that a leader owns."""
+
+import dataclasses
+import random
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Clock
+from jayshore.routing.dispatcher import Dispatcher
+from jayshore.routing.executor import ExecutorPort
+from jayshore.routing.health import EjectionPolicy, ExecutorHealth
+from jayshore.routing.session import ExecutorSession
+from jayshore.routing.slots import ExecutorSlots
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceSlots:
+    """Slots and waiting requests of one service."""
+
+    service: str
+    free_slots: int
+    slots: int
+    waiting: int
+
+
+class ExecutorRegistry:
+    """The sessions with all executors; one task keeps each lease."""
+
+    def __init__(
+        self,
+        *,
+        epoch: int,
+        dispatcher: Dispatcher,
+        ejection: EjectionPolicy,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Start without executors.
+
+        Args:
+            epoch: of the leadership under which leases are opened.
+            dispatcher: uses the slots.
+            ejection: when to eject a failing executor.
+            clock: measures ejections.
+            rng: source of jitter.
+        """
+        self._epoch = epoch
+        self._dispatcher = dispatcher
+        self._ejection = ejection
+        self._clock = clock
+        self._rng = rng
+        self._sessions: dict[str, ExecutorSession] = {}
+        self._tasks = BackgroundTasks()
+
+    def find(self, executor_id: str) -> ExecutorSession | None:
+        """Look up an executor.
+
+        Args:
+            executor_id: instance id.
+
+        Returns:
+            Its session, or None when it is gone.
+        """
+        return self._sessions.get(executor_id)
+
+    async def add(
+        self,
+        executor_id: str,
+        *,
+        service: str,
+        port: ExecutorPort,
+    ) -> None:
+        """Open the lease of an executor in the background.
+
+        Args:
+            executor_id: instance id, not in use.
+            service: the service that it runs.
+            port: the calls to it.
+        """
+        slots = ExecutorSlots(
+            executor_id=executor_id,
+            service=service,
+            health=ExecutorHealth(
+                policy=self._ejection,
+                clock=self._clock,
+                rng=self._rng,
+            ),
+        )
+        session = ExecutorSession(
+            port=port,
+            epoch=self._epoch,
+            slots=slots,
+            listener=self._dispatcher,
+            rng=self._rng,
+        )
+        self._sessions[executor_id] = session
+        self._dispatcher.table.add(slots)
+        await self._tasks.spawn(session.maintain())
+
+    async def remove(self, executor_id: str) -> ExecutorSession | None:
+        """Note that an executor is gone, and with it what ran on it.
+
+        Args:
+            executor_id: instance id.
+
+        Returns:
+            Its session, or None when it was not known.
+        """
+        session = self._sessions.pop(executor_id, None)
+        if session is not None:
+            self._dispatcher.table.remove(executor_id)
+            await session.remove()
+        return session
+
+    @property
+    def is_deposed(self) -> bool:
+        """Whether an executor has seen a leader with a higher epoch."""
+        return any(session.is_deposed for session in self._sessions.values())
+
+    def load(self) -> tuple[ServiceSlots, ...]:
+        """Report slots and queues.
+
+        Returns:
+            One entry per service, in order of the names.
+        """
+        services = {entry.slots.service for entry in self._sessions.values()}
+        return tuple(self._load_of(service) for service in sorted(services))
+
+    async def close(self) -> None:
+        """Stop to keep the leases."""
+        await self._tasks.close()
+
+    def _load_of(self, service: str) -> ServiceSlots:
+        executors = self._dispatcher.table.of_service(service)
+        return ServiceSlots(
+            service=service,
+            free_slots=sum(slots.free for slots in executors),
+            slots=sum(slots.slots for slots in executors if slots.is_usable),
+            waiting=len(self._dispatcher.queue_of(service)),
+        )
--- /dev/null
+++ b/jayshore/routing/router_test.py
@@ -0,0 +1,406 @@
+"""Tests of the outcomes of routed requests."""
+
+import random
+
+import curio
+import pytest
+
+from jayshore.outcomes import NotRun, NotRunReason, Ran, Unknown, UnknownReason
+from jayshore.routing.executor import ExecutorLost
+from jayshore.routing.fake_executor_test import (
+    NO_RETRIES,
+    FakeExecutor,
+    rig,
+    run,
+    settle,
+)
+from jayshore.routing.router import DuplicateRequestError
+
+LOST = Unknown(reason=UnknownReason.CONNECTION_LOST)
+TIMED_OUT = Unknown(reason=UnknownReason.TIMEOUT)
+
+
+def is_ran(outcome, request_id):
+    return isinstance(outcome, Ran) and outcome.body == request_id.encode()
+
+
+def refused(outcome):
+    assert isinstance(outcome, NotRun), outcome
+    return outcome.reason
+
+
+@pytest.mark.parametrize(
+    ('mode', 'idempotent', 'expected', 'starts'),
+    [
+        (None, False, 'ran', 1),
+        ('unreachable', False, 'ran', 1),
+        ('fenced', False, 'ran', 1),
+        ('lost_before', False, 'ran', 1),
+        ('lost_before', True, 'ran', 1),
+        ('lost_after', False, LOST, 1),
+        ('lost_after', True, 'ran', 2),
+    ],
+)
+def test_outcome_follows_from_proof(mode, idempotent, expected, starts):
+    """Guards against a second run without proof that the first did not run."""
+
+    async def main():
+        executor = FakeExecutor()
+        executor.modes['r'] = mode
+        async with rig(executor) as made:
+            outcome = await made.route('r', idempotent=idempotent)
+            if expected == 'ran':
+                assert is_ran(outcome, 'r')
+            else:
+                assert outcome == expected
+            assert len(executor.started) == starts
+
+    run(main)
+
+
+def test_retry_goes_to_another_executor():
+    """Guards against retries on the executor that has just failed."""
+
+    async def main():
+        bad, good = FakeExecutor(), FakeExecutor()
+        bad.is_stubborn = True
+        names = [f'r{number}' for number in range(10)]
+        bad.modes = dict.fromkeys(names, 'unreachable')
+        async with rig(bad, good) as made:
+            for name in names:
+                assert is_ran(await made.route(name), name)
+            assert good.started == names
+
+    run(main)
+
+
+@pytest.mark.parametrize('mode', ['unreachable', 'lost_before', 'fenced'])
+def test_not_run_is_answered_when_no_retry_is_allowed(mode):
+    """Guards against `Unknown` where it is proved that nothing ran."""
+
+    async def main():
+        executor = FakeExecutor()
+        executor.modes['r'] = mode
+        async with rig(executor, policy=NO_RETRIES) as made:
+            outcome = await made.route('r')
+            assert refused(outcome) is NotRunReason.NO_EXECUTOR
+            assert not executor.started
+            await settle()
+            assert made.free == 2
+
+    run(main)
+
+
+def test_refusal_after_a_run_is_unknown():
+    """Guards against `NotRun` for a request of which an attempt has run."""
+
+    async def main():
+        executor = FakeExecutor()
+        executor.modes['r'] = 'lost_after'
+        async with rig(executor, policy=NO_RETRIES) as made:
+            assert await made.route('r', idempotent=True) == LOST
+
+    run(main)
+
+
+def test_restarted_executor_proves_nothing():
+    """Guards against taking a forgotten request for one that never ran."""
+
+    class Restarting(FakeExecutor):
+        async def run(self, request, *, lease_id, timeout_ms):
+            self.started.append(request.request_id)
+            await self.reboot()
+            raise ExecutorLost('restarted')
+
+    async def main():
+        executor = Restarting()
+        async with rig(executor) as made:
+            assert await made.route('r') == LOST
+            assert executor.started == ['r']
+            await settle()
+            assert made.free == 2
+
+    run(main)
+
+
+def test_executor_that_restarts_after_the_question_proves_nothing():
+    """Guards against a restart between opening the lease and the question."""
+
+    class RestartingLater(FakeExecutor):
+        async def state_of(self, request_id):
+            await self.reboot()
+            return await super().state_of(request_id)
+
+    async def main():
+        executor = RestartingLater()
+        executor.modes['r'] = 'lost_after'
+        async with rig(executor) as made:
+            assert await made.route('r') == LOST
+            assert executor.started == ['r']
+
+    run(main)
+
+
+def test_slot_stays_taken_until_the_inventory_shows_the_end():
+    """Guards against overload by requests whose callers were told Unknown."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        executor.modes['first'] = 'lost_running'
+        async with rig(executor) as made:
+            made.headroom.limits['team'] = 1
+            assert await made.route('first', timeout_ms=0) == TIMED_OUT
+            second = await made.start('second')
+            await executor.changed()
+            await settle()
+            assert executor.started == ['first']
+            assert made.headroom.taken['team'] == 1
+            with pytest.raises(DuplicateRequestError):
+                await made.route('first')
+            await executor.finish('first')
+            await settle()
+            assert executor.started == ['first', 'second']
+            await executor.finish('second')
+            assert is_ran(await second.join(), 'second')
+            assert executor.peak == 1
+
+    run(main)
+
+
+def test_idempotent_request_is_never_in_two_places():
+    """Guards against a retry while the first attempt is still running."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        executor.modes['r'] = 'lost_running'
+        async with rig(executor) as made:
+            task = await made.start('r', idempotent=True)
+            other = FakeExecutor()
+            await made.add('other', other)
+            assert not other.started
+            await executor.finish('r')
+            assert is_ran(await task.join(), 'r')
+            assert other.started == ['r']
+
+    run(main)
+
+
+def test_crossed_answers_reach_their_requests():
+    """Guards against giving a caller the answer to another request."""
+
+    async def main():
+        executor = FakeExecutor(slots=3, is_instant=False)
+        executor.answers_as.update({'a': 'b', 'b': 'a'})
+        async with rig(executor) as made:
+            first = await made.start('a')
+            second = await made.start('b')
+            await executor.finish('a')
+            assert is_ran(await second.join(), 'b')
+            await settle()
+            assert not first.terminated
+            await executor.finish('b')
+            assert is_ran(await first.join(), 'a')
+            await settle()
+            assert made.free == 3
+            assert executor.started == ['a', 'b']
+
+    run(main)
+
+
+def test_stray_answer_is_dropped():
+    """Guards against a foreign answer without any request that waits for it."""
+
+    async def main():
+        executor = FakeExecutor()
+        executor.answers_as['r'] = 'nobody'
+        async with rig(executor) as made:
+            assert await made.route('r') == LOST
+            await settle()
+            assert made.free == 2
+
+    run(main)
+
+
+def test_requests_of_a_former_leader_are_counted():
+    """Guards against overload and excess over the limit after a failover."""
+
+    async def main():
+        executor = FakeExecutor(slots=2)
+        executor.running['old'] = 'team'
+        async with rig(executor) as made:
+            made.headroom.limits['team'] = 1
+            assert made.free == 1
+            task = await made.start('r')
+            assert not executor.started
+            await executor.end('old')
+            assert is_ran(await task.join(), 'r')
+            assert made.headroom.taken['team'] == 0
+
+    run(main)
+
+
+def test_deposed_router_starts_nothing():
+    """Guards against work by a leader that was replaced."""
+
+    async def main():
+        executor = FakeExecutor()
+        async with rig(executor) as made:
+            executor.epoch = 4
+            executor.lease_id += 1
+            outcome = await made.route('r', timeout_ms=20)
+            assert refused(outcome) is NotRunReason.WOULD_MISS_DEADLINE
+            assert not executor.started
+            assert made.router.is_deposed
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'expected'),
+    [(True, 'ran'), (False, TIMED_OUT)],
+)
+def test_silent_executor_that_is_gone(idempotent, expected):
+    """Guards against waiting for a host that the platform's list lacks."""
+
+    async def main():
+        silent = FakeExecutor(is_instant=False)
+        async with rig(silent) as made:
+            task = await made.start('r', idempotent=idempotent, timeout_ms=50)
+            other = FakeExecutor()
+            await made.add('other', other)
+            await made.router.remove_executor('e0')
+            outcome = await task.join()
+            if expected == 'ran':
+                assert is_ran(outcome, 'r')
+            else:
+                assert outcome == expected
+            assert made.headroom.taken['team'] == 0
+
+    run(main)
+
+
+def test_leaving_executor_gets_nothing_new():
+    """Guards against new work for an upstream that leaves."""
+
+    async def main():
+        by_list = FakeExecutor(is_instant=False)
+        by_lease = FakeExecutor(slots=0)
+        async with rig(by_list, by_lease) as made:
+            task = await made.start('running')
+            made.router.mark_leaving('e0')
+            by_lease.leaving = True
+            by_lease.slots = 2
+            await by_lease.reboot()
+            await settle()
+            outcome = await made.route('new')
+            assert refused(outcome) is NotRunReason.NO_EXECUTOR
+            await by_list.finish('running')
+            assert is_ran(await task.join(), 'running')
+            assert not by_lease.started
+
+    run(main)
+
+
+def test_drain_refuses_new_requests_and_waits_for_the_others():
+    """Guards against a planned stop that interrupts a request."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        async with rig(executor) as made:
+            running = await made.start('running')
+            queued = await made.start('queued')
+            drained = await curio.spawn(made.router.drain)
+            await settle()
+            outcome = await made.route('new')
+            assert refused(outcome) is NotRunReason.SHUTTING_DOWN
+            await executor.finish('running')
+            await settle()
+            assert not drained.terminated
+            await executor.finish('queued')
+            await drained.join()
+            assert is_ran(await running.join(), 'running')
+            assert is_ran(await queued.join(), 'queued')
+
+    run(main)
+
+
+def test_cancelled_callers_leave_neither_queue_entries_nor_free_slots():
+    """Guards against a slot that is lost, or freed while it is in use."""
+
+    async def main():
+        executor = FakeExecutor(slots=1, is_instant=False)
+        async with rig(executor) as made:
+            running = await made.start('running')
+            queued = await made.start('queued')
+            await queued.cancel()
+            await running.cancel()
+            await settle()
+            assert made.router.load()[0].waiting == 0
+            assert made.free == 0
+            await executor.finish('running')
+            await settle()
+            assert made.free == 1
+            assert executor.started == ['running']
+
+    run(main)
+
+
+MODES = (
+    None,
+    None,
+    None,
+    'unreachable',
+    'fenced',
+    'lost_before',
+    'lost_after',
+    'lost_running',
+)
+
+
+async def _end_some(made, rng):
+    """Let some running requests end and some inventories be read."""
+    for executor in made.executors.values():
+        for request_id in tuple(executor.running):
+            if rng.random() < 0.5:
+                await executor.finish(request_id)
+        await executor.changed()
+    await settle()
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_random_failures_break_no_guarantee(seed):
+    """Guards against overload, double runs and wrong outcomes."""
+    rng = random.Random(seed)
+
+    async def main():
+        executors = [FakeExecutor(2, is_instant=False) for _ in range(3)]
+        async with rig(*executors, seed=seed) as made:
+            made.headroom.limits['t0'] = 2
+            tasks = {}
+            for number in range(60):
+                request_id = f'r{number}'
+                for executor in executors:
+                    executor.modes[request_id] = rng.choice(MODES)
+                idempotent = rng.random() < 0.5
+                tasks[request_id, idempotent] = await made.start(
+                    request_id,
+                    team=f't{rng.randrange(3)}',
+                    idempotent=idempotent,
+                )
+                await _end_some(made, rng)
+            for _ in range(40):
+                await _end_some(made, rng)
+            for (request_id, idempotent), task in tasks.items():
+                outcome = await task.join()
+                starts = sum(
+                    executor.started.count(request_id) for executor in executors
+                )
+                assert starts or not isinstance(outcome, Ran)
+                assert not (starts and isinstance(outcome, NotRun))
+                assert starts <= 1 or idempotent
+                assert outcome != TIMED_OUT
+            assert made.free == 6
+            assert not any(made.headroom.taken.values())
+            assert max(executor.peak for executor in executors) == 2
+
+    run(main)
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -7,6 +7,7 @@
 import curio
 import eliot
 
+from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis, to_seconds  # noqa: WPS347
 from jayshore.outcomes import JayshoreError
 from jayshore.wire import messages as msg
@@ -114,7 +115,7 @@
         self._address = address
         self._limits = limits
         self._listener: Any = None
-        self._tasks: set[Any] = set()
+        self._tasks = BackgroundTasks()
         self._calls_running = 0
         self._idle = curio.Condition()
 
@@ -132,7 +133,7 @@
             self._address.port,
         )
         host, port = self._listener.getsockname()[:2]
-        await self._spawn(self._accept())
+        await self._tasks.spawn(self._accept())
         return PeerAddress(host=host, port=port)
 
     async def wait_idle(self) -> None:
@@ -143,21 +144,10 @@
 
     async def close(self) -> None:
         """Stop listening and cancel everything that still runs."""
-        while self._tasks:
-            await self._tasks.pop().cancel()
+        await self._tasks.close()
         if self._listener is not None:
             await self._listener.close()
 
-    async def _spawn(self, coroutine: Any) -> None:
-        task = await curio.spawn(self._forget_when_done, coroutine, daemon=True)
-        self._tasks.add(task)
-
-    async def _forget_when_done(self, coroutine: Any) -> None:
-        try:  # noqa: WPS501
-            await coroutine
-        finally:
-            self._tasks.discard(await curio.current_task())
-
     async def _accept(self) -> None:
         while True:
             try:
@@ -170,7 +160,7 @@
                 sock=sock,
                 max_frame_bytes=self._limits.max_frame_bytes,
             )
-            await self._spawn(self._serve(stream))
+            await self._tasks.spawn(self._serve(stream))
 
     async def _serve(self, stream: FrameStream) -> None:
         slots = curio.Semaphore(self._limits.max_calls)
@@ -179,7 +169,7 @@
                 await slots.acquire()
                 envelope = decode(await stream.read())
                 self._calls_running += 1
-                await self._spawn(self._answer(stream, envelope, slots))
+                await self._tasks.spawn(self._answer(stream, envelope, slots))
         except (FrameTooLargeError, MalformedMessageError) as error:
             # The position of the next frame can no longer be trusted.
             eliot.log_message('wire:peer_rejected', reason=str(error))
