--- a/jayshore/background.py
+++ b/jayshore/background.py
@@ -32,7 +32,7 @@
             await self._tasks.pop().cancel()
 
     async def _track(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        try:  # noqa: WPS501
+        try:
             await coroutine
         finally:
             self._tasks.discard(await curio.current_task())
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -143,7 +143,7 @@
             await self._slots.acquire()
         else:
             await self._wait_for_slot(timeout_ms)
-        try:  # noqa: WPS501
+        try:
             return await self._call_in_slot(request, deadline)
         finally:
             await self._slots.release()
--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -91,7 +91,7 @@
         self._acceptor = await curio.spawn(
             self._accept_connections(), daemon=True
         )
-        try:  # noqa: WPS501
+        try:
             await self._stopped.wait()
         finally:
             await self._stop_accepting()
@@ -167,7 +167,7 @@
         self, sock: Any, connection: ServerConnection
     ) -> None:
         limit = self._bounds.max_connections
-        try:  # noqa: WPS501
+        try:
             await connection.refuse(
                 error_response(
                     _STATUS_UNAVAILABLE,
--- a/jayshore/jobs/acceptance.py
+++ b/jayshore/jobs/acceptance.py
@@ -273,8 +273,7 @@
 def _compare(prepared: PreparedJob, existing: JobRecord) -> SubmitOutcome:
     wanted = prepared.record
     is_same = all(
-        getattr(existing, name) == getattr(wanted, name)
-        for name in _SAME_JOB
+        getattr(existing, name) == getattr(wanted, name) for name in _SAME_JOB
     )
     if not is_same:
         return Refused(
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -64,7 +64,7 @@
         """Send a call and wait for its answer."""
         frame = encode(envelope)
         self._pending[envelope.call_id] = pending
-        try:  # noqa: WPS501
+        try:
             await self._stream.write(frame, on_sent=pending.mark_sent)
             answer: msg.Message = await pending.answer.unwrap()
         finally:
