Check and encode headers once instead of by regular expression

The profile showed h11 checking each header that is sent, parsing attempts before any byte has arrived, and a receive that fails before each wait. Change: headers are checked with cheaper and equally strict rules and handed to h11 in its own type; h11 is asked for events only when there are bytes; a message is joined once; a receive waits at once. Framing headers given by a handler or caller are dropped, since the layer sets them itself.

--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -115,7 +115,7 @@
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[ClientConnection] = []
         self._closed = False
-        self._host = str(address)
+        self._host = str(address).encode('ascii')
 
     @property
     def address(self) -> Address:
--- a/jayshore/http/clientconnection.py
+++ b/jayshore/http/clientconnection.py
@@ -8,6 +8,13 @@
 
 from jayshore.clock import Millis, MonotonicClock
 from jayshore.http import sockets
+from jayshore.http.headers import (
+    Headers,
+    add_content_length,
+    decode_header_pairs,
+    encode_headers,
+    encode_message,
+)
 from jayshore.http.messages import Request, Response
 from jayshore.outcomes import JayshoreError
 
@@ -15,6 +22,7 @@
 """Bound on the body of an answer, so that no upstream can exhaust memory."""
 
 _MAX_HEAD_BYTES = 65_536
+_METHODS_WITH_BODY = frozenset(('POST', 'PUT'))
 _PATH_SAFE = "/-._~!$&'()*+,;=:@"
 
 
@@ -45,7 +53,7 @@
     """
 
     request: Request
-    host: str
+    host: bytes
     deadline: Millis
 
 
@@ -133,6 +141,7 @@
             self._http.start_next_cycle()
 
     async def _read_answer(self, deadline: Millis) -> Response:
+        await self._feed(deadline)
         head = await self._next_event(deadline)
         while isinstance(head, h11.InformationalResponse):
             head = await self._next_event(deadline)
@@ -149,21 +158,21 @@
             event = await self._next_event(deadline)
         return Response(
             status=head.status_code,
-            headers=tuple(
-                (name.decode('ascii'), text.decode('latin-1'))
-                for name, text in head.headers
-            ),
+            headers=decode_header_pairs(head),
             body=chunks[0] if len(chunks) == 1 else b''.join(chunks),
         )
 
     async def _next_event(self, deadline: Millis) -> Any:
         event = self._http.next_event()
         while event is h11.NEED_DATA:
-            chunk = await sockets.receive(self._sock, self._remaining(deadline))
-            self._http.receive_data(chunk)
+            await self._feed(deadline)
             event = self._http.next_event()
         return event
 
+    async def _feed(self, deadline: Millis) -> None:
+        chunk = await sockets.receive(self._sock, self._remaining(deadline))
+        self._http.receive_data(chunk)
+
     def _remaining(self, deadline: Millis) -> Millis:
         return Millis(max(0, deadline - self._clock.now()))
 
@@ -173,13 +182,11 @@
     target = quote(request.path, safe=_PATH_SAFE)
     if request.query:
         target = f'{target}?{urlencode(request.query)}'
-    headers = [('host', outgoing.host)]
-    headers.extend(request.headers.items())
-    if request.body or request.method in {'POST', 'PUT'}:
-        headers.append(('content-length', str(len(request.body))))
-    message = connection.send(
-        h11.Request(method=request.method, target=target, headers=headers)
+    headers = encode_headers(request.headers.items())
+    headers.append((b'host', b'host', outgoing.host))
+    if request.body or request.method in _METHODS_WITH_BODY:
+        add_content_length(headers, len(request.body))
+    head = h11.Request(
+        method=request.method, target=target, headers=Headers(headers)
     )
-    if request.body:
-        message += connection.send(h11.Data(data=request.body))
-    return message + connection.send(h11.EndOfMessage())
+    return encode_message(connection, head, request.body)
--- /dev/null
+++ b/jayshore/http/headers.py
@@ -0,0 +1,142 @@
+"""Conversion between headers as text and those of h11.
+
+h11 checks every name and value that it sends with regular expressions, which
+costs a relay about as much as parsing the messages. The checks here are the
+same or stricter and cheaper: names are checked once and remembered, values
+with two string methods. Checked headers are handed over in h11's own type,
+which h11 does not check again; it is not public, and the version is pinned.
+"""
+
+import functools
+import re
+from collections.abc import Iterable
+from typing import TypeAlias
+
+import h11
+from h11._headers import Headers  # noqa: WPS436
+
+__all__ = (  # noqa: WPS410
+    'CLOSE_HEADER',
+    'Headers',
+    'add_content_length',
+    'decode_header_pairs',
+    'decode_headers',
+    'encode_headers',
+    'encode_message',
+)
+
+RawHeader: TypeAlias = tuple[bytes, bytes, bytes]
+"""Name as sent, lower-case name, value: the items of `Headers`."""
+
+CLOSE_HEADER: RawHeader = (b'connection', b'connection', b'close')
+
+_KNOWN_NAMES = 1024
+_CONTENT_LENGTH = b'content-length'
+_FRAMING = frozenset(('content-length', 'transfer-encoding', 'host'))
+_END = h11.EndOfMessage()
+
+# Token of RFC 9110, section 5.6.2.
+_NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9a-zA-Z]+")
+
+
+def encode_headers(pairs: Iterable[tuple[str, str]]) -> list[RawHeader]:
+    """Check and encode headers.
+
+    Args:
+        pairs: names and values.
+
+    Returns:
+        Headers for h11, without those that frame the message.
+
+    Raises:
+        ValueError: a name or value cannot be sent.
+    """
+    encoded = []
+    for name, text in pairs:
+        if not text.isascii() or not text.isprintable():
+            raise ValueError(f'illegal value of header {name!r}')
+        raw_name = _encode_name(name)
+        if raw_name:
+            encoded.append((raw_name, raw_name, text.strip().encode('ascii')))
+    return encoded
+
+
+def add_content_length(headers: list[RawHeader], length: int) -> None:
+    """Add the header that frames the message.
+
+    Args:
+        headers: headers for h11.
+        length: of the body in bytes.
+    """
+    headers.append((_CONTENT_LENGTH, _CONTENT_LENGTH, b'%d' % length))
+
+
+def decode_header_pairs(
+    head: h11.Request | h11.Response,
+) -> tuple[tuple[str, str], ...]:
+    """Decode received headers.
+
+    Args:
+        head: as parsed by h11.
+
+    Returns:
+        Lower-case names and values in order.
+    """
+    return tuple(
+        [
+            (_decode_name(name), text.decode('latin-1'))
+            for name, text in head.headers.raw_items()
+        ]
+    )
+
+
+def decode_headers(head: h11.Request) -> dict[str, str]:
+    """Decode received headers.
+
+    Args:
+        head: as parsed by h11.
+
+    Returns:
+        Values by lower-case name; repeated ones are joined by commas.
+    """
+    headers: dict[str, str] = {}
+    for raw_name, raw_text in head.headers.raw_items():
+        name = _decode_name(raw_name)
+        text = raw_text.decode('latin-1')
+        headers[name] = f'{headers[name]}, {text}' if name in headers else text
+    return headers
+
+
+def encode_message(
+    connection: h11.Connection, head: h11.Request | h11.Response, body: bytes
+) -> bytes:
+    """Encode a whole message.
+
+    Args:
+        connection: the protocol state.
+        head: request line or status line, with headers.
+        body: whole body.
+
+    Returns:
+        The bytes to send.
+    """
+    parts = connection.send_with_data_passthrough(head) or []
+    if body:
+        parts += (
+            connection.send_with_data_passthrough(h11.Data(data=body)) or []
+        )
+    parts += connection.send_with_data_passthrough(_END) or []
+    return b''.join(parts)
+
+
+@functools.lru_cache(maxsize=_KNOWN_NAMES)
+def _encode_name(name: str) -> bytes:
+    if not _NAME.fullmatch(name):
+        raise ValueError(f'illegal header name {name!r}')
+    lowered = name.lower()
+    return b'' if lowered in _FRAMING else lowered.encode('ascii')
+
+
+@functools.lru_cache(maxsize=_KNOWN_NAMES)
+def _decode_name(name: bytes) -> str:
+    return name.decode('ascii').lower()
--- a/jayshore/http/http_test.py
+++ b/jayshore/http/http_test.py
@@ -14,6 +14,7 @@
     ConnectFailed,
     ConnectionLost,
 )
+from jayshore.http.headers import encode_headers
 from jayshore.http.server import Bounds, Handler, HttpServer
 
 BOUNDS = Bounds(
@@ -35,6 +36,8 @@
     async def handle(self, request):
         if request.path == '/fail':
             raise LookupError('on purpose')
+        if request.path == '/inject':
+            return messages.Response(status=200, headers=(('a', 'b\nc'),))
         if request.path == '/wait':
             await self.entered.set()
             await self.release.wait()
@@ -163,6 +166,30 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    'pair',
+    [
+        ('a', '1\r\nb: 2'),
+        ('a', '1\n'),
+        ('a', '\x00'),
+        ('a', '\N{GREEK SMALL LETTER ALPHA}'),
+        ('a: b', '1'),
+        ('a\r\nb', '1'),
+        ('', '1'),
+    ],
+)
+def test_header_injection_is_refused(pair):
+    """Guards against values that smuggle headers into a message."""
+    with pytest.raises(ValueError, match='illegal'):
+        encode_headers([pair])
+
+
+def test_framing_headers_are_not_forwarded():
+    """Guards against a relayed length that contradicts the body."""
+    pairs = [('Content-Length', '9'), ('transfer-encoding', 'x'), ('b', ' 1 ')]
+    assert encode_headers(pairs) == [(b'b', b'b', b'1')]
+
+
 def test_surplus_connection_is_refused():
     """Guards against unbounded connections and silent refusals."""
 
@@ -180,7 +207,7 @@
 
     async def main(server, _handler):
         client = client_of(server)
-        for path, status in (('/fail', 500), ('/fail', 500), ('/ok', 200)):
+        for path, status in (('/fail', 500), ('/inject', 500), ('/ok', 200)):
             answer = await client.call(post(path), timeout_ms=Millis(1000))
             assert answer.status == status
         assert server.open_connections == 1
--- a/jayshore/http/requestreader.py
+++ b/jayshore/http/requestreader.py
@@ -1,6 +1,7 @@
 """Reads whole requests from a connection within the bounds of the server."""
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
@@ -8,6 +9,7 @@
 
 from jayshore.clock import Millis, MonotonicClock
 from jayshore.http import sockets
+from jayshore.http.headers import decode_headers
 from jayshore.http.messages import ErrorKind, Request, error_response
 from jayshore.outcomes import JayshoreError
 
@@ -97,7 +99,9 @@
         """
         try:
             head = await self._read_head()
-            return _assemble(head, await self._read_body(head))
+            headers = decode_headers(head)
+            body = await self._read_body(headers.get('content-length'))
+            return _assemble(head, headers, body)
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == _STATUS_HEADERS_TOO_LARGE:
                 raise self._headers_too_large() from None
@@ -106,8 +110,9 @@
             ) from None
 
     async def _read_head(self) -> h11.Request:
-        self.idle = False
         self._head_bytes = 0
+        if not self._http.trailing_data[0]:
+            await self._wait_for_first_byte()
         event = self._http.next_event()
         if event is h11.NEED_DATA:
             event = await self._wait_for_head()
@@ -123,10 +128,8 @@
         return event
 
     async def _wait_for_head(self) -> Any:
-        if not self._http.trailing_data[0]:
-            await self._wait_for_first_byte()
         deadline = self._clock.now() + self._bounds.header_timeout_ms
-        event = self._http.next_event()
+        event: Any = h11.NEED_DATA
         while event is h11.NEED_DATA:
             await self._feed(
                 deadline, ErrorKind.HEADER_TIMEOUT, 'the headers are too slow'
@@ -155,9 +158,9 @@
         self._head_bytes += len(chunk)
         self._http.receive_data(chunk)
 
-    async def _read_body(self, head: h11.Request) -> bytes:
+    async def _read_body(self, declared_length: str | None) -> bytes:
         limit = self._bounds.max_body_bytes
-        if _declared_length(head) > limit:
+        if declared_length and int(declared_length) > limit:
             raise self._body_too_large()
         event = self._http.next_event()
         if isinstance(event, h11.EndOfMessage):
@@ -211,19 +214,9 @@
     )
 
 
-def _declared_length(head: h11.Request) -> int:
-    for name, text in head.headers:
-        if name == b'content-length':
-            return int(text)
-    return 0
-
-
-def _assemble(head: h11.Request, body: bytes) -> Request:
-    headers: dict[str, str] = {}
-    for raw_name, raw_text in head.headers:
-        name = raw_name.decode('ascii')
-        text = raw_text.decode('latin-1')
-        headers[name] = f'{headers[name]}, {text}' if name in headers else text
+def _assemble(
+    head: h11.Request, headers: Mapping[str, str], body: bytes
+) -> Request:
     path, mark, query = head.target.decode('ascii').partition('?')
     return Request(
         method=head.method.decode('ascii'),
--- a/jayshore/http/serverconnection.py
+++ b/jayshore/http/serverconnection.py
@@ -10,6 +10,13 @@
 
 from jayshore.clock import Millis, MonotonicClock
 from jayshore.http import sockets
+from jayshore.http.headers import (
+    CLOSE_HEADER,
+    Headers,
+    add_content_length,
+    encode_headers,
+    encode_message,
+)
 from jayshore.http.messages import (
     ErrorKind,
     Request,
@@ -30,7 +37,6 @@
 _LINGER_MS = Millis(500)
 
 _STATUS_INTERNAL = 500
-_CLOSE_HEADER = ('connection', 'close')
 _INTERNAL_ERROR = error_response(
     _STATUS_INTERNAL, ErrorKind.INTERNAL, 'the server failed on this request'
 )
@@ -149,17 +155,16 @@
             eliot.log_message('http:answer_invalid', error=repr(error))
             answer = _INTERNAL_ERROR
             head = self._response_head(answer)
-        message = self._http.send(head)
-        if answer.body and method != 'HEAD':
-            message += self._http.send(h11.Data(data=answer.body))
-        message += self._http.send(h11.EndOfMessage())
+        body = b'' if method == 'HEAD' else answer.body
+        message = encode_message(self._http, head, body)
         await sockets.send(self._sock, message, self._bounds.write_timeout_ms)
 
     def _response_head(self, answer: Response) -> h11.Response:
-        headers = [*answer.headers, ('content-length', str(len(answer.body)))]
+        headers = encode_headers(answer.headers)
+        add_content_length(headers, len(answer.body))
         if self.draining:
-            headers.append(_CLOSE_HEADER)
-        return h11.Response(status_code=answer.status, headers=headers)
+            headers.append(CLOSE_HEADER)
+        return h11.Response(status_code=answer.status, headers=Headers(headers))
 
     async def _linger(self) -> None:
         sockets.end_sending(self._sock)
--- a/jayshore/http/sockets.py
+++ b/jayshore/http/sockets.py
@@ -1,7 +1,8 @@
 """Socket operations shared by the server and the client.
 
-Each operation is tried first and waits only when the kernel says so, because
-a timer for every operation would cost more than most of the operations.
+Sending is tried first and waits, with a timer, only when the kernel says so.
+Receiving waits at once: when the callers of this module receive, the bytes
+are as a rule still on their way.
 """
 
 import contextlib
@@ -29,24 +30,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def receive_ready(sock: Any) -> bytes | None:
-    """Receive what has already arrived, without waiting.
-
-    Args:
-        sock: a curio socket.
-
-    Returns:
-        The bytes, empty at the end of the stream, or None when none arrived.
-
-    Raises:
-        OSError: the connection is broken.
-    """  # noqa: DAR401 raised by the socket
-    try:
-        return bytes(sock._socket.recv(RECEIVE_BYTES))  # noqa: WPS437
-    except BlockingIOError:
-        return None
-
-
 def is_quiet(sock: Any) -> bool:
     """Tell whether a connection is open and nothing has arrived on it.
 
@@ -98,9 +81,6 @@
     Raises:
         WaitExpired: nothing arrived in time.
     """
-    ready = receive_ready(sock)
-    if ready is not None:
-        return ready
     async with curio.ignore_after(to_seconds(limit_ms)):
         return bytes(await sock.recv(RECEIVE_BYTES))
     raise WaitExpired(f'nothing received for {limit_ms} ms')
