--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -137,6 +137,7 @@
             ConnectFailed: nothing was sent.
             ConnectionLost: sent, at least in part, without a whole answer.
             CallTimedOut: sent, without an answer in time.
+            InvalidHeader: a header cannot be sent; nothing was sent.
         """
         deadline = Millis(self._clock.now() + timeout_ms)
         if self._slots.value:
--- a/jayshore/http/headers.py
+++ b/jayshore/http/headers.py
@@ -15,9 +15,12 @@
 import h11
 from h11._headers import Headers  # noqa: WPS436
 
+from jayshore.outcomes import JayshoreError
+
 __all__ = (  # noqa: WPS410
     'CLOSE_HEADER',
     'Headers',
+    'InvalidHeader',
     'add_content_length',
     'decode_header_pairs',
     'decode_headers',
@@ -39,6 +42,10 @@
 _NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9a-zA-Z]+")
 
 
+class InvalidHeader(JayshoreError, ValueError):
+    """A header cannot be sent."""
+
+
 def encode_headers(pairs: Iterable[tuple[str, str]]) -> list[RawHeader]:
     """Check and encode headers.
 
@@ -49,12 +56,12 @@
         Headers for h11, without those that frame the message.
 
     Raises:
-        ValueError: a name or value cannot be sent.
+        InvalidHeader: a name or value cannot be sent.
     """
     encoded = []
     for name, text in pairs:
         if not text.isascii() or not text.isprintable():
-            raise ValueError(f'illegal value of header {name!r}')
+            raise InvalidHeader(f'illegal value of header {name!r}')
         raw_name = _encode_name(name)
         if raw_name:
             encoded.append((raw_name, raw_name, text.strip().encode('ascii')))
@@ -132,7 +139,7 @@
 @functools.lru_cache(maxsize=_KNOWN_NAMES)
 def _encode_name(name: str) -> bytes:
     if not _NAME.fullmatch(name):
-        raise ValueError(f'illegal header name {name!r}')
+        raise InvalidHeader(f'illegal header name {name!r}')
     lowered = name.lower()
     return b'' if lowered in _FRAMING else lowered.encode('ascii')
 
