--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -115,7 +115,7 @@
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[ClientConnection] = []
         self._closed = False
-        self._host = str(address)
+        self._host = str(address).encode('ascii')
 
     @property
     def address(self) -> Address:
@@ -137,6 +137,7 @@
             ConnectFailed: nothing was sent.
             ConnectionLost: sent, at least in part, without a whole answer.
             CallTimedOut: sent, without an answer in time.
+            InvalidHeader: a header cannot be sent; nothing was sent.
         """
         deadline = Millis(self._clock.now() + timeout_ms)
         if self._slots.value:
