Separate the claim of a record from its first attempts (by the lead)

Cause: a new leader must claim every record before it opens a lease, but boot ids for the intent are only known from opened leases. Change: claim writes the epoch alone; permit names workers and first attempts. Measured: not yet tested. Conclusion: keep these signatures.

--- a/jayshore/jobs/transitions.py
+++ b/jayshore/jobs/transitions.py
@@ -65,31 +65,43 @@
 Proof: TypeAlias = NeverStarted | AttemptOver
 
 
-def claim(
-    record: JobRecord, *, epoch: int, intent: Iterable[WorkerBoot]
-) -> JobRecord:
+def claim(record: JobRecord, *, epoch: int) -> JobRecord:
     """Take a record over for a new leader.
 
-    Tasks without an attempt get their first one. Those that an earlier leader
-    may have started keep theirs, and the earlier intent stays named.
+    Attempts and intent stay as they are: an earlier leader may have started
+    any of them.
 
     Args:
         record: an active record.
         epoch: of the new leader.
-        intent: workers on which tasks may start.
 
     Returns:
         The claimed record.
 
     Raises:
-        NotOwner: a leader with this or a higher epoch has claimed it.
+        NotOwner: a leader with a higher epoch has claimed it.
     """
-    if record.epoch >= epoch:
+    if record.epoch > epoch:
         raise NotOwner(f'{record.job_id}: epoch {record.epoch}')
+    return dataclasses.replace(record, epoch=epoch)
+
+
+def permit(
+    record: JobRecord, *, epoch: int, workers: Iterable[WorkerBoot]
+) -> JobRecord:
+    """Permit the first attempt of every task that has none.
+
+    Args:
+        record: a record of this leader.
+        epoch: of this leader.
+        workers: on which the tasks may start, besides those of the intent.
+
+    Returns:
+        The record with the attempts and the wider intent.
+    """
+    widened = widen(record, epoch=epoch, workers=workers)
     return dataclasses.replace(
-        record,
-        epoch=epoch,
-        intent=_union(record.intent, intent),
+        widened,
         tasks=tuple(_first_attempt(task, epoch) for task in record.tasks),
     )
 
