Add the rejection of jobs that can never run (by the lead)

Cause: a job that fits no worker has to end with the short resource named. Change: transition reject, properties may_run and is_cancelling. Measured: not yet tested. Conclusion: keep these signatures.

--- a/jayshore/jobs/record.py
+++ b/jayshore/jobs/record.py
@@ -119,6 +119,11 @@
         """True when the task will not run again."""
         return self.state in FINAL_TASK_STATES
 
+    @property
+    def may_run(self) -> bool:
+        """True when the task has an attempt that has not ended."""
+        return self.state is TaskState.POSSIBLY_STARTED
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobRecord:
@@ -174,6 +179,11 @@
         """True when nothing of the job will run again."""
         return self.state in FINAL_JOB_STATES
 
+    @property
+    def is_cancelling(self) -> bool:
+        """True when no further task of the job may start."""
+        return self.state is JobState.CANCELLING
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobSpec:
--- a/jayshore/jobs/transitions.py
+++ b/jayshore/jobs/transitions.py
@@ -190,6 +190,27 @@
     )
 
 
+def reject(record: JobRecord, *, epoch: int, reason: str) -> JobRecord:
+    """End a job that can never run, before any attempt.
+
+    Args:
+        record: a record of this leader.
+        epoch: of this leader.
+        reason: kept as the result of every task.
+
+    Returns:
+        The record, failed unless a task already has an attempt.
+    """
+    _check_owner(record, epoch)
+    tasks = tuple(
+        dataclasses.replace(task, state=TaskState.FAILED, result=reason)
+        if task.state is TaskState.WAITING
+        else task
+        for task in record.tasks
+    )
+    return conclude(dataclasses.replace(record, tasks=tasks))
+
+
 def cancel(record: JobRecord, *, epoch: int) -> JobRecord:
     """Begin to cancel a job; no further attempt is made.
 
