--- /dev/null
+++ b/jayshore/daemon/answers.py
@@ -0,0 +1,165 @@
+"""Turns outcomes into HTTP answers."""
+
+import dataclasses
+import types
+
+from jayshore.http.messages import Response, json_response
+from jayshore.jobs.record import JobRecord
+from jayshore.outcomes import (
+    Accepted,
+    NotRun,
+    NotRunReason,
+    Ran,
+    RefusalReason,
+    RequestOutcome,
+    SubmitOutcome,
+    Unknown,
+)
+
+_MS_PER_S = 1000
+
+_STATUS_OF_NOT_RUN = types.MappingProxyType(
+    {
+        NotRunReason.UNAUTHORISED: 401,
+        NotRunReason.MALFORMED: 400,
+        NotRunReason.TOO_LARGE: 413,
+        NotRunReason.UNKNOWN_SERVICE: 404,
+        NotRunReason.OVER_LIMIT: 429,
+        NotRunReason.OVERLOADED: 429,
+    }
+)
+_STATUS_OF_REFUSAL = types.MappingProxyType(
+    {
+        RefusalReason.UNAUTHORISED: 401,
+        RefusalReason.MALFORMED: 400,
+        RefusalReason.OVER_LIMIT: 429,
+        RefusalReason.NEVER_FITS: 422,
+        RefusalReason.CONFLICT: 409,
+    }
+)
+_STATUS_UNAVAILABLE = 503
+_STATUS_UNKNOWN = 504
+_STATUS_ACCEPTED = 202
+_STATUS_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class JobView:
+    """A job as its submitter sees it.
+
+    Attributes:
+        job_id: id of the job.
+        team: the team that is charged.
+        queue: the queue it was submitted to.
+        state: state of the job as a whole.
+        is_final: whether the state will not change any more.
+        tasks: states of the tasks, in order.
+        results: results of the tasks, in order, None where there is none.
+        attempts: number of attempts of each task.
+    """
+
+    job_id: str
+    team: str
+    queue: str
+    state: str
+    is_final: bool
+    tasks: tuple[str, ...]
+    results: tuple[str | None, ...]
+    attempts: tuple[int, ...]
+
+
+def job_view(record: JobRecord) -> JobView:
+    """Show a job without what only the scheduler needs.
+
+    Args:
+        record: the job.
+
+    Returns:
+        What its submitter may see.
+    """
+    return JobView(
+        job_id=record.job_id,
+        team=record.team,
+        queue=record.queue,
+        state=record.state.value,
+        is_final=record.is_final,
+        tasks=tuple(task.state.value for task in record.tasks),
+        results=tuple(task.result for task in record.tasks),
+        attempts=tuple(task.attempt for task in record.tasks),
+    )
+
+
+def answer_request(outcome: RequestOutcome) -> Response:
+    """Encode the outcome of a request.
+
+    Args:
+        outcome: what became of it.
+
+    Returns:
+        The answer to the caller.
+    """
+    if isinstance(outcome, Ran):
+        return Response(
+            status=_STATUS_OK,
+            headers=(
+                ('content-type', outcome.content_type),
+                ('jayshore-outcome', 'ran'),
+            ),
+            body=outcome.body,
+        )
+    if isinstance(outcome, Unknown):
+        return json_response(
+            _STATUS_UNKNOWN,
+            {'outcome': 'unknown', 'reason': outcome.reason.value},
+        )
+    return _not_run(outcome)
+
+
+def answer_submission(outcome: SubmitOutcome) -> Response:
+    """Encode the outcome of a submission.
+
+    Args:
+        outcome: what became of it.
+
+    Returns:
+        The answer to the caller.
+    """
+    if isinstance(outcome, Accepted):
+        return json_response(
+            _STATUS_ACCEPTED,
+            {
+                'outcome': 'accepted',
+                'job_id': outcome.job_id,
+                'ticket': outcome.ticket,
+            },
+        )
+    answer = json_response(
+        _STATUS_OF_REFUSAL.get(outcome.reason, _STATUS_UNAVAILABLE),
+        {
+            'outcome': 'refused',
+            'reason': outcome.reason.value,
+            'detail': outcome.detail,
+            'retry_after_ms': outcome.retry_after_ms,
+        },
+    )
+    return _with_retry_after(answer, outcome.retry_after_ms)
+
+
+def _not_run(outcome: NotRun) -> Response:
+    answer = json_response(
+        _STATUS_OF_NOT_RUN.get(outcome.reason, _STATUS_UNAVAILABLE),
+        {
+            'outcome': 'not_run',
+            'reason': outcome.reason.value,
+            'retry_after_ms': outcome.retry_after_ms,
+        },
+    )
+    return _with_retry_after(answer, outcome.retry_after_ms)
+
+
+def _with_retry_after(answer: Response, retry_after_ms: int | None) -> Response:
+    if retry_after_ms is None:
+        return answer
+    seconds = -(-retry_after_ms // _MS_PER_S)
+    header = ('retry-after', str(seconds))
+    return dataclasses.replace(answer, headers=(*answer.headers, header))
--- /dev/null
+++ b/jayshore/daemon/api.py
@@ -0,0 +1,359 @@
+"""The HTTP interface towards callers and operators."""
+
+import dataclasses
+import hashlib
+import hmac
+import re
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import eliot
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.config.document import Document
+from jayshore.config.loading import decode_document
+from jayshore.config.model import DomainState, Service
+from jayshore.daemon.access import (
+    Access,
+    Denied,
+    Granted,
+    NotFresh,
+    bearer_of,
+    check_key,
+    open_access,
+)
+from jayshore.daemon.answers import answer_request, answer_submission
+from jayshore.daemon.configuration import (
+    Applied,
+    ApplyOutcome,
+    ConfigKeeper,
+    NoMajority,
+    VersionConflict,
+)
+from jayshore.daemon.metrics import Metrics
+from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.routes import AdmittedRequest, RequestRoutes
+from jayshore.daemon.settings import Settings
+from jayshore.daemon.status import StatusReporter
+from jayshore.daemon.submissions import JobDesk
+from jayshore.http.messages import (
+    InvalidJson,
+    Request,
+    Response,
+    decode_json,
+    error_response,
+    json_response,
+)
+from jayshore.http.serverconnection import Handler
+from jayshore.jobs.acceptance import Submission
+from jayshore.outcomes import (
+    NotRun,
+    NotRunReason,
+    RefusalReason,
+    Refused,
+    RequestOutcome,
+    SubmitOutcome,
+)
+from jayshore.routing.executor import RoutedRequest
+from jayshore.wire import messages as msg
+
+_RETRY_AFTER_MS = Millis(1000)
+_TEXT = ('content-type', 'text/plain; version=0.0.4')
+_JSON = ('content-type', 'application/json')
+
+_Call: TypeAlias = Callable[..., Awaitable[Response]]
+
+
+class ApplyBody(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """The body of a call that changes the configuration.
+
+    Attributes:
+        expected_version: the version that the operator last saw.
+        document: the whole new configuration.
+    """
+
+    expected_version: int
+    document: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ApiParts:
+    """What the interface uses; see the classes."""
+
+    settings: Settings
+    clock: Clock
+    keeper: ConfigKeeper
+    peers: PeerGroup
+    routes: RequestRoutes
+    desk: JobDesk
+    status: StatusReporter
+    metrics: Metrics
+
+
+class Api(Handler):
+    """Answers callers and operators."""
+
+    def __init__(self, *, parts: ApiParts) -> None:
+        """Build the table of calls.
+
+        Args:
+            parts: what the interface uses.
+        """
+        self._parts = parts
+        self._keeper = parts.keeper
+        self._calls = [
+            ('POST', re.compile('/v1/requests/([^/]+)'), self._run_request),
+            ('POST', re.compile('/v1/jobs'), self._submit),
+            ('GET', re.compile('/v1/jobs/([^/]+)'), self._show_job),
+            ('POST', re.compile('/v1/jobs/([^/]+)/cancel'), self._cancel_job),
+            ('GET', re.compile('/v1/config'), self._show_config),
+            ('PUT', re.compile('/v1/config'), self._apply_config),
+            ('GET', re.compile('/v1/status'), self._show_status),
+            ('GET', re.compile('/metrics'), self._show_metrics),
+            ('GET', re.compile('/healthz'), self._show_health),
+            ('GET', re.compile('/readyz'), self._show_readiness),
+        ]
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            The answer.
+        """
+        for method, path, call in self._calls:
+            match = path.fullmatch(request.path)
+            if match and method == request.method:
+                return await self._answer(call, request, match.groups())
+        return error_response(404, 'no_such_call', 'no call of this name')
+
+    async def _answer(
+        self, call: _Call, request: Request, groups: tuple[str, ...]
+    ) -> Response:
+        try:
+            return await call(request, *groups)
+        except InvalidJson as error:
+            return error_response(400, 'malformed', str(error))
+
+    async def _run_request(self, request: Request, name: str) -> Response:
+        arrived = self._parts.clock.now()
+        service = self._keeper.snapshot.service(name)
+        if service is None:
+            reason = NotRunReason.UNKNOWN_SERVICE
+            if not self._keeper.is_fresh:
+                reason = NotRunReason.NOT_FRESH
+            return answer_request(
+                NotRun(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
+            )
+        request_id = secrets.token_hex(16)
+        with eliot.start_action(
+            action_type='request', request_id=request_id, service=name
+        ) as action:
+            outcome = await self._route(request, service, request_id)
+            action.add_success_fields(outcome=type(outcome).__name__)
+        took = Millis(self._parts.clock.now() - arrived)
+        self._parts.metrics.request_answered(name, outcome, took)
+        return answer_request(outcome)
+
+    async def _route(
+        self, request: Request, service: Service, request_id: str
+    ) -> RequestOutcome:
+        access = self._access(request, service.open, service.team)
+        if isinstance(access, NotFresh):
+            return NotRun(
+                reason=NotRunReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
+            )
+        if isinstance(access, Denied):
+            return NotRun(reason=NotRunReason.UNAUTHORISED)
+        timeout = self._timeout(request, service)
+        if timeout is None:
+            return NotRun(reason=NotRunReason.MALFORMED)
+        routed = RoutedRequest(
+            request_id=request_id,
+            service=service.name,
+            team=access.team.name,
+            idempotent=request.headers.get('jayshore-idempotent') == 'true',
+            timeout_ms=timeout,
+            body=request.body,
+            content_type=request.headers.get(
+                'content-type', 'application/octet-stream'
+            ),
+        )
+        snapshot = self._keeper.snapshot
+        return await self._parts.routes.route(
+            AdmittedRequest(
+                request=routed,
+                key_id=access.key_id,
+                config_version=snapshot.version,
+            ),
+            [
+                domain.name
+                for domain in snapshot.document.domains
+                if domain.state is DomainState.ACTIVE
+            ],
+        )
+
+    def _access(
+        self, request: Request, is_open: bool, team: str | None
+    ) -> Access:
+        if is_open and not bearer_of(request):
+            return open_access(team, self._keeper)
+        return check_key(request, self._keeper)
+
+    def _timeout(self, request: Request, service: Service) -> Millis | None:
+        text = request.headers.get('jayshore-timeout-ms')
+        if text is None:
+            return service.default_timeout_ms
+        longest = self._parts.settings.limits.max_request_ms
+        if not text.isdecimal() or not 0 < int(text) <= longest:
+            return None
+        return Millis(int(text))
+
+    async def _submit(self, request: Request) -> Response:
+        submission = decode_json(request.body, Submission)
+        with eliot.start_action(
+            action_type='job:submit', queue=submission.queue
+        ) as action:
+            queue = self._keeper.snapshot.queue(submission.queue)
+            outcome: SubmitOutcome
+            if queue is not None:
+                access = self._access(request, queue.open, queue.team)
+                outcome = await self._parts.desk.submit(
+                    submission, queue, access
+                )
+            elif self._keeper.is_fresh:
+                outcome = Refused(
+                    reason=RefusalReason.MALFORMED,
+                    detail=f'queue: no queue {submission.queue}',
+                )
+            else:
+                outcome = Refused(
+                    reason=RefusalReason.NOT_FRESH,
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+            reason = 'accepted'
+            if isinstance(outcome, Refused):
+                reason = outcome.reason.value
+            action.add_success_fields(outcome=reason)
+        self._parts.metrics.job_submitted(reason)
+        return answer_submission(outcome)
+
+    async def _show_job(self, request: Request, job_id: str) -> Response:
+        wait_text = request.query.get('wait_ms', '0')
+        longest = self._parts.settings.limits.max_wait_ms
+        if not wait_text.isdecimal():
+            return error_response(400, 'malformed', 'wait_ms is no number')
+        ticket = request.headers.get('jayshore-ticket')
+        access: msg.TicketAccess | msg.TeamAccess
+        if ticket:
+            access = msg.TicketAccess(ticket=ticket)
+        else:
+            granted = check_key(request, self._keeper)
+            if not isinstance(granted, Granted):
+                return _denied(granted)
+            access = msg.TeamAccess(team=granted.team.name)
+        shown = await self._parts.desk.find(
+            job_id, access, min(int(wait_text), longest)
+        )
+        if shown is None:
+            return error_response(404, 'no_such_job', 'no such job is known')
+        return Response(status=200, headers=(_JSON,), body=shown)
+
+    async def _cancel_job(self, request: Request, job_id: str) -> Response:
+        granted = check_key(request, self._keeper)
+        if not isinstance(granted, Granted):
+            return _denied(granted)
+        outcome = await self._parts.desk.cancel(job_id, granted.team.name)
+        if outcome is msg.CancelResult.CANCELLED:
+            return json_response(200, {'outcome': 'cancelled'})
+        return error_response(409, outcome.value, 'the job was not cancelled')
+
+    async def _show_config(self, request: Request) -> Response:
+        if not self._is_operator(request):
+            return error_response(401, 'unauthorised', 'no operator key')
+        await self._keeper.refresh()
+        snapshot = self._keeper.snapshot
+        return json_response(
+            200,
+            {
+                'version': snapshot.version,
+                'is_fresh': self._keeper.is_fresh,
+                'document': snapshot.document,
+            },
+        )
+
+    async def _apply_config(self, request: Request) -> Response:
+        if not self._is_operator(request):
+            return error_response(401, 'unauthorised', 'no operator key')
+        body = decode_json(request.body, ApplyBody)
+        document = decode_document(bytes(body.document))
+        if not isinstance(document, Document):
+            return json_response(
+                400, {'error': 'invalid', 'faults': document.faults}
+            )
+        with eliot.start_action(
+            action_type='config:apply', expected=body.expected_version
+        ) as action:
+            outcome = await self._keeper.apply(
+                document,
+                expected_version=body.expected_version,
+                ask_promises=self._parts.peers.ask_promises,
+            )
+            action.add_success_fields(outcome=type(outcome).__name__)
+        if isinstance(outcome, Applied):
+            await self._parts.peers.announce(self._keeper.announcement())
+        return _answer_apply(outcome)
+
+    async def _show_status(self, _request: Request) -> Response:
+        return json_response(200, self._parts.status.report())
+
+    async def _show_metrics(self, _request: Request) -> Response:
+        self._parts.status.update_metrics()
+        rendered = self._parts.metrics.render()
+        return Response(status=200, headers=(_TEXT,), body=rendered)
+
+    async def _show_health(self, _request: Request) -> Response:
+        return json_response(200, {'status': 'alive'})
+
+    async def _show_readiness(self, _request: Request) -> Response:
+        reasons = self._parts.status.not_ready_because()
+        if reasons:
+            return error_response(503, 'not_ready', ', '.join(reasons))
+        return json_response(200, {'status': 'ready'})
+
+    def _is_operator(self, request: Request) -> bool:
+        digest = hashlib.sha256(bearer_of(request).encode()).hexdigest()
+        return hmac.compare_digest(
+            digest, self._parts.settings.operator_key_sha256
+        )
+
+
+def _denied(access: Access) -> Response:
+    if isinstance(access, NotFresh):
+        return error_response(503, 'not_fresh', 'keys cannot be checked now')
+    return error_response(401, 'unauthorised', 'no valid key')
+
+
+def _answer_apply(outcome: ApplyOutcome) -> Response:
+    match outcome:
+        case Applied():
+            return json_response(
+                200, {'outcome': 'applied', 'version': outcome.version}
+            )
+        case VersionConflict():
+            return json_response(
+                409, {'outcome': 'conflict', 'version': outcome.version}
+            )
+        case NoMajority():
+            return json_response(
+                503, {'outcome': 'no_majority', 'promised': outcome.promised}
+            )
+    return json_response(
+        503, {'outcome': 'unsettled', 'detail': outcome.detail}
+    )
--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -21,6 +21,7 @@
 from jayshore.freshness.tracker import FreshnessTracker
 from jayshore.platform.settling import Write, WriteSettler, new_write_id
 from jayshore.platform.store import Store, StoreError, Written
+from jayshore.wire import messages as msg
 
 CONFIG_KEY = 'config/current'
 """Store key of the configuration."""
@@ -197,6 +198,21 @@
         except StoreError as error:
             return ApplyUnsettled(detail=str(error))
 
+    def announcement(self) -> msg.ConfigCommitted:
+        """Make the message that tells peers of the version held.
+
+        Returns:
+            The whole configuration with its version.
+        """
+        stored = StoredConfig(
+            version=self._snapshot.version,
+            document=self._snapshot.document,
+            write_id=self._snapshot.write_id,
+        )
+        return msg.ConfigCommitted(
+            version=stored.version, document=msgspec.json.encode(stored)
+        )
+
     async def _apply(
         self,
         document: Document,
--- /dev/null
+++ b/jayshore/daemon/leading.py
@@ -0,0 +1,320 @@
+"""Builds and ends the leader's work as this daemon is elected and deposed."""
+
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Clock, Millis
+from jayshore.daemon.configuration import ConfigKeeper
+from jayshore.daemon.settings import Settings
+from jayshore.http.client import Address, HttpClient
+from jayshore.http.messages import Request, Response
+from jayshore.jobs.admission import Admission
+from jayshore.jobs.attempts import AttemptTable
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import JobEvents, LeaderContext
+from jayshore.jobs.endings import EndingRecorder
+from jayshore.jobs.fleet import (
+    FleetObserver,
+    InstanceFollower,
+    SessionTerms,
+    WorkerFleet,
+)
+from jayshore.jobs.inventory import InventoryReader
+from jayshore.jobs.leader import DomainLeader, LeaderParts
+from jayshore.jobs.ledger import EvenLedger
+from jayshore.jobs.placing import Placer
+from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
+from jayshore.leases.leadership import LeadershipObserver
+from jayshore.leases.worker import WorkerLink
+from jayshore.placement.cell import Cell
+from jayshore.platform.instances import Instance, InstanceKind, InstanceList
+from jayshore.platform.settling import WriteSettler
+from jayshore.platform.store import Store
+from jayshore.routing.policy import RoutingPolicy
+from jayshore.routing.router import Router
+
+_WORKER_CONNECTIONS = 8
+_EXECUTOR_CONNECTIONS = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SeatServices:
+    """What a leader needs of its daemon.
+
+    Attributes:
+        settings: of the daemon.
+        clock: monotonic time.
+        wall_clock: time of day.
+        source: random numbers.
+        store: the platform's store.
+        settler: resolves lost answers of writes.
+        instances: the platform's list.
+        keeper: the configuration.
+        events: metrics.
+    """
+
+    settings: Settings
+    clock: Clock
+    wall_clock: Clock
+    source: random.Random
+    store: Store
+    settler: WriteSettler
+    instances: InstanceList
+    keeper: ConfigKeeper
+    events: JobEvents
+
+
+class LeaderSeat(LeadershipObserver):
+    """The work of a leader while this daemon is one."""
+
+    def __init__(
+        self,
+        *,
+        services: SeatServices,
+        confirm: Callable[[], Awaitable[bool]],
+    ) -> None:
+        """Start without leading.
+
+        Args:
+            services: what a leader needs of its daemon.
+            confirm: reads the leader key.
+        """
+        self._services = services
+        self._confirm = confirm
+        self._epoch = 0
+        self._leader: DomainLeader | None = None
+        self._router: Router | None = None
+        self._tasks = BackgroundTasks()
+        self._superseded = curio.Event()
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the leadership, 0 when not leading."""
+        return self._epoch
+
+    @property
+    def leader(self) -> DomainLeader | None:
+        """The leader, None when not leading."""
+        return self._leader
+
+    @property
+    def router(self) -> Router | None:
+        """The router of the domain, None when not leading."""
+        return self._router
+
+    async def elected(self, epoch: int) -> None:
+        """Start to lead.
+
+        Args:
+            epoch: of this leadership.
+        """
+        services = self._services
+        settings = services.settings
+        self._epoch = epoch
+        self._superseded.clear()
+        ledger = EvenLedger(
+            domain=settings.domain, snapshot=lambda: services.keeper.snapshot
+        )
+        self._router = Router(
+            epoch=epoch,
+            headroom=ledger,
+            shares=ledger,
+            clock=services.clock,
+            rng=services.source,
+            policy=RoutingPolicy(),
+        )
+        self._leader = self._assemble(epoch, ledger)
+        follower = InstanceFollower(
+            instances=services.instances,
+            domain=settings.domain,
+            interval_ms=Millis(settings.timing.list_poll_ms),
+            observer=_ListObserver(
+                leader=self._leader, router=self._router, connect=self._port
+            ),
+        )
+        await self._tasks.spawn(
+            self._leader.run(
+                follower,
+                round_ms=Millis(settings.timing.round_ms),
+                reconcile_ms=Millis(settings.timing.reconcile_ms),
+            )
+        )
+
+    async def deposed(self) -> None:
+        """Stop to lead; requests that are running are still answered."""
+        self._epoch = 0
+        self._leader = None
+        router = self._router
+        self._router = None
+        await self._tasks.close()
+        if router is not None:
+            await router.close()
+
+    async def wait_superseded(self) -> None:
+        """Wait until an upstream shows that a later leader was elected."""
+        await self._superseded.wait()
+
+    def _assemble(self, epoch: int, ledger: EvenLedger) -> DomainLeader:
+        services = self._services
+        timing = services.settings.timing
+        context = self._context(epoch, ledger)
+        cell = Cell(headroom=ledger)
+        attempts = AttemptTable()
+        book = JobBook(
+            store=services.store,
+            settler=services.settler,
+            domain=services.settings.domain,
+            epoch=epoch,
+            write_limit_ms=Millis(timing.call_timeout_ms),
+            flush_ms=Millis(timing.flush_ms),
+            tasks=self._tasks,
+        )
+        placer = Placer(
+            context=context,
+            cell=cell,
+            book=book,
+            attempts=attempts,
+            tasks=self._tasks,
+        )
+        endings = EndingRecorder(
+            context=context,
+            book=book,
+            attempts=attempts,
+            placer=placer,
+            tasks=self._tasks,
+        )
+        inventory = InventoryReader(
+            context=context,
+            cell=cell,
+            book=book,
+            attempts=attempts,
+            placer=placer,
+            endings=endings,
+        )
+        fleet = WorkerFleet(
+            terms=SessionTerms(
+                epoch=epoch,
+                renew_wait_ms=Millis(timing.renew_wait_ms),
+                connect=self._link,
+                source=services.source,
+            ),
+            observer=inventory,
+            tasks=self._tasks,
+        )
+        placer.follow(fleet)
+        inventory.follow(fleet)
+        admission = Admission(
+            context=context,
+            book=book,
+            attempts=attempts,
+            placer=placer,
+            endings=endings,
+            tasks=self._tasks,
+        )
+        return DomainLeader(
+            parts=LeaderParts(
+                context=context,
+                cell=cell,
+                book=book,
+                attempts=attempts,
+                fleet=fleet,
+                placer=placer,
+                admission=admission,
+                inventory=inventory,
+                tasks=self._tasks,
+            )
+        )
+
+    def _context(self, epoch: int, ledger: EvenLedger) -> LeaderContext:
+        services = self._services
+        settings = services.settings
+        return LeaderContext(
+            epoch=epoch,
+            domain=settings.domain,
+            clock=services.clock,
+            wall_clock=services.wall_clock,
+            source=services.source,
+            ledger=ledger,
+            events=services.events,
+            snapshot=lambda: services.keeper.snapshot,
+            is_store_reachable=lambda: services.keeper.is_store_reachable,
+            confirm=self._confirm,
+            depose=self._superseded.set,
+            intent_width=settings.limits.intent_width,
+            task_lease_ms=Millis(settings.timing.task_lease_ms),
+        )
+
+    def _link(self, instance: Instance) -> WorkerLink:
+        timing = self._services.settings.timing
+        return WorkerLink(
+            client=HttpClient(
+                address=Address.parse(instance.address),
+                max_connections=_WORKER_CONNECTIONS,
+                connect_timeout_ms=Millis(timing.call_timeout_ms),
+            ),
+            holder=self._services.settings.name,
+            clock=self._services.clock,
+            call_timeout_ms=Millis(timing.call_timeout_ms),
+            task_lease_ms=Millis(timing.task_lease_ms),
+        )
+
+    def _port(self, instance: Instance) -> HttpExecutorPort:
+        timing = self._services.settings.timing
+        return HttpExecutorPort(
+            client=HttpClient(
+                address=Address.parse(instance.address),
+                max_connections=_EXECUTOR_CONNECTIONS,
+                connect_timeout_ms=Millis(timing.call_timeout_ms),
+                keep=_answers_own_request,
+            ),
+            holder=self._services.settings.name,
+            call_timeout_ms=Millis(timing.call_timeout_ms),
+            renew_wait_ms=Millis(timing.renew_wait_ms),
+        )
+
+
+class _ListObserver(FleetObserver):
+    """Passes workers on to the leader and executors to the router."""
+
+    def __init__(
+        self,
+        *,
+        leader: DomainLeader,
+        router: Router,
+        connect: Callable[[Instance], HttpExecutorPort],
+    ) -> None:
+        self._leader = leader
+        self._router = router
+        self._connect = connect
+
+    async def instance_added(self, instance: Instance) -> None:
+        if instance.kind is InstanceKind.WORKER:
+            await self._leader.instance_added(instance)
+            return
+        await self._router.add_executor(
+            instance.id,
+            service=instance.service or '',
+            port=self._connect(instance),
+        )
+
+    async def instance_leaving(self, instance: Instance) -> None:
+        await self._leader.instance_leaving(instance)
+        self._router.mark_leaving(instance.id)
+
+    async def instance_gone(self, instance: Instance) -> None:
+        eliot.log_message('instances:gone', instance=instance.id)
+        if instance.kind is InstanceKind.WORKER:
+            await self._leader.instance_gone(instance)
+        else:
+            await self._router.remove_executor(instance.id)
+
+
+def _answers_own_request(request: Request, response: Response) -> bool:
+    """Keep a connection only while its answers are in step."""
+    wanted = request.headers.get(REQUEST_ID_HEADER)
+    return response.header(REQUEST_ID_HEADER) == wanted
--- /dev/null
+++ b/jayshore/daemon/main.py
@@ -0,0 +1,258 @@
+"""The program `jayshored`: wires the parts together and shuts them down."""
+
+import argparse
+import pathlib
+import random
+import signal
+import sys
+
+import curio
+import eliot
+
+from jayshore.clock import Millis, MonotonicClock, WallClock, to_seconds
+from jayshore.daemon.api import Api, ApiParts
+from jayshore.daemon.configuration import ConfigKeeper
+from jayshore.daemon.leading import LeaderSeat, SeatServices
+from jayshore.daemon.metrics import Metrics
+from jayshore.daemon.peerhandler import DaemonPeerHandler
+from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.routes import RequestRoutes
+from jayshore.daemon.settings import Settings, SettingsError, load_settings
+from jayshore.daemon.status import StatusReporter
+from jayshore.daemon.submissions import JobDesk
+from jayshore.http.client import Address, HttpClient
+from jayshore.http.requestreader import Bounds
+from jayshore.http.server import HttpServer
+from jayshore.leases.leadership import Leadership
+from jayshore.platform.backoff import Backoff
+from jayshore.platform.httpcalls import PlatformCaller
+from jayshore.platform.httpstore import HttpInstanceList, HttpStore
+from jayshore.platform.settling import WriteSettler
+from jayshore.wire import messages as msg
+from jayshore.wire.server import PeerAddress, PeerServer, PeerServerLimits
+
+_PLATFORM_CONNECTIONS = 32
+_EXIT_SETTINGS = 2
+
+
+class Daemon:
+    """One jayshored process."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Wire the parts; nothing is sent or bound yet.
+
+        Args:
+            settings: of this daemon.
+        """
+        timing = settings.timing
+        clock = MonotonicClock()
+        wall_clock = WallClock()
+        source = random.Random()  # noqa: S311 jitter, not a secret
+        store = HttpStore(caller=_caller(settings, settings.store))
+        settler = WriteSettler(
+            store=store, clock=clock, backoff=Backoff(), source=source
+        )
+        self._settings = settings
+        self._metrics = Metrics()
+        self._keeper = ConfigKeeper(
+            name=settings.name,
+            store=store,
+            settler=settler,
+            clock=clock,
+            freshness_ms=Millis(timing.freshness_ms),
+        )
+        self._status = StatusReporter(
+            settings=settings,
+            clock=clock,
+            keeper=self._keeper,
+            metrics=self._metrics,
+        )
+        self._peers = PeerGroup(
+            name=settings.name,
+            clock=clock,
+            source=source,
+            interval_ms=Millis(timing.heartbeat_ms),
+            timeout_ms=Millis(timing.call_timeout_ms),
+            keeper=self._keeper,
+            status=self._status.for_peers,
+        )
+        self._seat = LeaderSeat(
+            services=SeatServices(
+                settings=settings,
+                clock=clock,
+                wall_clock=wall_clock,
+                source=source,
+                store=store,
+                settler=settler,
+                instances=HttpInstanceList(
+                    caller=_caller(settings, settings.instance_list)
+                ),
+                keeper=self._keeper,
+                events=self._metrics,
+            ),
+            confirm=self._confirm,
+        )
+        self._status.follow(self._seat)
+        self._leadership = Leadership(
+            store=store,
+            settler=settler,
+            domain=settings.domain,
+            holder=settings.name,
+            ttl_ms=Millis(timing.leadership_ttl_ms),
+            observer=self._seat,
+        )
+        desk = JobDesk(
+            settings=settings,
+            store=store,
+            settler=settler,
+            keeper=self._keeper,
+            seat=self._seat,
+            peers=self._peers,
+            clock=clock,
+            wall_clock=wall_clock,
+        )
+        self._peer_server = PeerServer(
+            handler=DaemonPeerHandler(
+                keeper=self._keeper,
+                status=self._status,
+                peers=self._peers,
+                seat=self._seat,
+                desk=desk,
+                clock=clock,
+            ),
+            address=_peer_address(settings.peer_listen),
+            limits=PeerServerLimits(),
+        )
+        api = Api(
+            parts=ApiParts(
+                settings=settings,
+                clock=clock,
+                keeper=self._keeper,
+                peers=self._peers,
+                routes=RequestRoutes(
+                    domain=settings.domain,
+                    seat=self._seat,
+                    peers=self._peers,
+                    clock=clock,
+                ),
+                desk=desk,
+                status=self._status,
+                metrics=self._metrics,
+            )
+        )
+        listen = Address.parse(settings.listen)
+        self._server = HttpServer(
+            host=listen.host,
+            port=listen.port,
+            handler=api,
+            bounds=_bounds(settings),
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        timing = self._settings.timing
+        stop = curio.SignalEvent(signal.SIGTERM, signal.SIGINT)
+        self._server.listen()
+        await self._peer_server.start()
+        await self._keeper.refresh()
+        running = [
+            await curio.spawn(self._keeper.poll, Millis(timing.store_poll_ms)),
+            await curio.spawn(self._peers.run),
+            await curio.spawn(self._lead),
+        ]
+        serving = await curio.spawn(self._server.serve)
+        self._status.state = msg.DaemonState.SERVING
+        eliot.log_message('daemon:serving', name=self._settings.name)
+        await stop.wait()
+        await self._shut_down()
+        for task in running:
+            await task.cancel()
+        await serving.cancel()
+        await self._peer_server.close()
+
+    async def _shut_down(self) -> None:
+        """Drain: not ready first, then answer what is in progress."""
+        limit = Millis(self._settings.timing.drain_ms)
+        self._status.state = msg.DaemonState.DRAINING
+        with eliot.start_action(action_type='daemon:drain', limit_ms=limit):
+            await curio.sleep(
+                to_seconds(Millis(self._settings.timing.unready_ms))
+            )
+            await self._server.drain(limit)
+            async with curio.ignore_after(to_seconds(limit)):
+                await self._peer_server.wait_idle()
+
+    async def _lead(self) -> None:
+        """Compete for leadership again after each later leader is seen."""
+        while True:
+            competing = await curio.spawn(self._leadership.run)
+            try:
+                await self._seat.wait_superseded()
+            finally:
+                await competing.cancel()
+                await self._leadership.resign()
+
+    async def _confirm(self) -> bool:
+        return await self._leadership.confirm()
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(
+        prog='jayshored',
+        description='One entry instance of the jayshore cluster scheduler.',
+    )
+    parser.add_argument(
+        'settings', type=pathlib.Path, help='settings file, JSON'
+    )
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(arguments.settings)
+    except SettingsError as error:
+        sys.stderr.write(f'settings: {error}\n')
+        sys.exit(_EXIT_SETTINGS)
+    _open_log(settings)
+    curio.run(Daemon(settings=settings).run, taskcls=curio.task.ContextTask)
+
+
+def _open_log(settings: Settings) -> None:
+    if settings.log_file:
+        path = pathlib.Path(settings.log_file)
+        eliot.to_file(path.open('a', encoding='utf-8'))
+    else:
+        eliot.to_file(sys.stderr)
+
+
+def _caller(settings: Settings, address: str) -> PlatformCaller:
+    client = HttpClient(
+        address=Address.parse(address),
+        max_connections=_PLATFORM_CONNECTIONS,
+        connect_timeout_ms=Millis(settings.timing.call_timeout_ms),
+    )
+    return PlatformCaller(
+        client=client,
+        sender=settings.name,
+        call_timeout_ms=Millis(settings.timing.store_timeout_ms),
+    )
+
+
+def _peer_address(text: str) -> PeerAddress:
+    address = Address.parse(text)
+    return PeerAddress(host=address.host, port=address.port)
+
+
+def _bounds(settings: Settings) -> Bounds:
+    limits = settings.limits
+    return Bounds(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_ms=Millis(limits.header_timeout_ms),
+        body_timeout_ms=Millis(limits.body_timeout_ms),
+        idle_timeout_ms=Millis(limits.idle_timeout_ms),
+        write_timeout_ms=Millis(limits.write_timeout_ms),
+        max_connections=limits.max_connections,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/jayshore/daemon/peerhandler.py
@@ -0,0 +1,133 @@
+"""Answers the other daemons."""
+
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.daemon.configuration import ConfigKeeper, StoredConfig
+from jayshore.daemon.leading import LeaderSeat
+from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.status import StatusReporter
+from jayshore.daemon.submissions import JobDesk
+from jayshore.outcomes import NotRun, NotRunReason
+from jayshore.routing.executor import RoutedRequest
+from jayshore.wire import messages as msg
+from jayshore.wire.server import PeerHandler
+
+_RETRY_AFTER_MS = Millis(500)
+
+
+class DaemonPeerHandler(PeerHandler):
+    """The calls of the inner protocol."""
+
+    def __init__(
+        self,
+        *,
+        keeper: ConfigKeeper,
+        status: StatusReporter,
+        peers: PeerGroup,
+        seat: LeaderSeat,
+        desk: JobDesk,
+        clock: Clock,
+    ) -> None:
+        """Prepare to answer.
+
+        Args:
+            keeper: the configuration.
+            status: what this daemon says about itself.
+            peers: take note of heartbeats.
+            seat: this daemon's own leadership, if any.
+            desk: what can be done with jobs.
+            clock: time of promises.
+        """
+        self._keeper = keeper
+        self._status = status
+        self._peers = peers
+        self._seat = seat
+        self._desk = desk
+        self._clock = clock
+
+    async def heartbeat(self, call: msg.Heartbeat) -> msg.HeartbeatReply:
+        """Note the peer's status and answer with the own one."""
+        self._peers.note(call.status)
+        return msg.HeartbeatReply(
+            status=self._status.for_peers(),
+            attests=self._keeper.tracker.may_attest(
+                version=call.status.config_version
+            ),
+        )
+
+    async def promise_config(
+        self, call: msg.PromiseConfig
+    ) -> msg.PromiseConfigReply:
+        """Promise to attest nothing until the write is settled."""
+        promised = self._keeper.tracker.give_promise(
+            revision=call.revision, now=self._clock.now()
+        )
+        return msg.PromiseConfigReply(
+            promised=promised, config_version=self._keeper.tracker.version
+        )
+
+    async def config_committed(
+        self, call: msg.ConfigCommitted
+    ) -> msg.ConfigCommittedReply:
+        """Adopt a configuration that the peer has written."""
+        self._keeper.adopt(
+            msgspec.json.decode(call.document, type=StoredConfig)
+        )
+        return msg.ConfigCommittedReply(
+            config_version=self._keeper.tracker.version
+        )
+
+    async def route_request(self, call: msg.RouteRequest) -> msg.RouteReply:
+        """Run a request that a peer has admitted.
+
+        The key is checked again: this daemon may know a newer configuration
+        than the peer.
+        """
+        router = self._seat.router
+        if router is None:
+            return _refused(NotRunReason.NO_LEADER)
+        if call.key_id:
+            if not self._keeper.is_fresh:
+                return _refused(NotRunReason.NOT_FRESH)
+            if not self._keeper.snapshot.key_is_valid(call.key_id):
+                return _refused(NotRunReason.UNAUTHORISED)
+        outcome = await router.route(
+            RoutedRequest(
+                request_id=call.request_id,
+                service=call.service,
+                team=call.team,
+                idempotent=call.idempotent,
+                timeout_ms=call.timeout_ms,
+                body=call.body,
+                content_type=call.content_type,
+            )
+        )
+        return msg.RouteReply(outcome=outcome)
+
+    async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
+        """Read a job that was just created."""
+        leader = self._seat.leader
+        if leader is not None:
+            await leader.notice(call.job_id)
+        return msg.JobNoticeReply()
+
+    async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
+        """Answer with the state of a job that this daemon holds."""
+        return msg.JobQueryReply(
+            document=await self._desk.find_held(
+                call.job_id, call.access, call.wait_ms
+            )
+        )
+
+    async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
+        """Cancel a job that this daemon holds."""
+        return msg.CancelJobReply(
+            result=await self._desk.cancel_held(call.job_id, call.team)
+        )
+
+
+def _refused(reason: NotRunReason) -> msg.RouteReply:
+    return msg.RouteReply(
+        outcome=NotRun(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
+    )
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -1,7 +1,8 @@
-"""The other daemons of the roster: heartbeats, promises, and who leads where."""
+"""The other daemons of the roster: heartbeats, promises, leaders."""
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import curio
 import eliot
@@ -74,18 +75,15 @@
 
     async def run(self) -> None:
         """Follow the roster and exchange heartbeats until cancelled."""
-        async with curio.TaskGroup() as tasks:
-            running: dict[str, curio.Task] = {}
+        running: dict[str, Any] = {}
+        try:
             while True:
                 self._follow_roster(self._keeper.snapshot.document)
-                for gone in running.keys() - self._peers.keys():
-                    await running.pop(gone).cancel()
-                for name, peer in self._peers.items():
-                    if name not in running:
-                        running[name] = await tasks.spawn(
-                            self._exchange(peer), daemon=True
-                        )
+                await self._follow_peers(running)
                 await curio.sleep(to_seconds(self._interval_ms))
+        finally:
+            for task in running.values():
+                await task.cancel()
 
     def leader_of(self, domain: str) -> Peer | None:
         """Find the leader of a domain among the peers that were heard.
@@ -135,11 +133,12 @@
         entries.update({entry.name: entry for entry in old.instances})
         entries.pop(self._name, None)
         call = msg.PromiseConfig(revision=revision)
-        async with curio.TaskGroup(wait=all) as tasks:
+        answers = curio.TaskGroup(wait=all)
+        async with answers:
             for name, entry in entries.items():
                 peer = self._peers.get(name) or self._connect(entry)
-                await tasks.spawn(self._ask_promise(peer, call))
-        return {name for name in tasks.results if name}
+                await answers.spawn(self._ask_promise(peer, call))
+        return {promised for promised in answers.results if promised}
 
     async def announce(self, call: msg.ConfigCommitted) -> None:
         """Send an accepted configuration to every peer.
@@ -153,6 +152,15 @@
             for peer in self._peers.values():
                 await tasks.spawn(self._announce_to(peer, call))
 
+    async def _follow_peers(self, running: dict[str, Any]) -> None:
+        for gone in running.keys() - self._peers.keys():
+            await running.pop(gone).cancel()
+        for name, peer in self._peers.items():
+            if name not in running:
+                running[name] = await curio.spawn(
+                    self._exchange, peer, daemon=True
+                )
+
     def _follow_roster(self, document: Document) -> None:
         wanted = {
             entry.name: entry
--- /dev/null
+++ b/jayshore/daemon/routes.py
@@ -0,0 +1,166 @@
+"""Finds the leader that runs a request: here, in this domain, or elsewhere."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import eliot
+
+from jayshore.clock import Clock, Millis
+from jayshore.daemon.leading import LeaderSeat
+from jayshore.daemon.peers import Peer, PeerGroup
+from jayshore.outcomes import (
+    NotRun,
+    NotRunReason,
+    RequestOutcome,
+    Unknown,
+    UnknownReason,
+)
+from jayshore.routing.executor import RoutedRequest
+from jayshore.wire import messages as msg
+from jayshore.wire.errors import (
+    FrameTooLargeError,
+    MalformedMessageError,
+    PeerError,
+    PeerUnreachable,
+)
+
+# Reasons that another failure domain may not share.
+_LOCAL_REASONS = frozenset(
+    (
+        NotRunReason.NO_EXECUTOR,
+        NotRunReason.NO_LEADER,
+        NotRunReason.OVERLOADED,
+        NotRunReason.OVER_LIMIT,
+        NotRunReason.WOULD_MISS_DEADLINE,
+        NotRunReason.SHUTTING_DOWN,
+    )
+)
+_RETRY_AFTER_MS = Millis(500)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdmittedRequest:
+    """A request whose key was checked.
+
+    Attributes:
+        request: what to run.
+        key_id: the key presented, empty for an open service.
+        config_version: version under which the key was accepted.
+    """
+
+    request: RoutedRequest
+    key_id: str
+    config_version: int
+
+
+class RequestRoutes:
+    """Routes requests of this daemon's callers to leaders."""
+
+    def __init__(
+        self,
+        *,
+        domain: str,
+        seat: LeaderSeat,
+        peers: PeerGroup,
+        clock: Clock,
+    ) -> None:
+        """Prepare to route.
+
+        Args:
+            domain: failure domain of this daemon.
+            seat: this daemon's own leadership, if any.
+            peers: the other daemons.
+            clock: measures timeouts.
+        """
+        self._domain = domain
+        self._seat = seat
+        self._peers = peers
+        self._clock = clock
+
+    async def route(
+        self, admitted: AdmittedRequest, domains: list[str]
+    ) -> RequestOutcome:
+        """Run a request in this domain, else in another one.
+
+        Another domain is tried only when it is certain that nothing ran.
+
+        Args:
+            admitted: the request.
+            domains: names of all active failure domains.
+
+        Returns:
+            The outcome.
+        """
+        deadline = self._clock.now() + admitted.request.timeout_ms
+        outcome: RequestOutcome = NotRun(
+            reason=NotRunReason.NO_LEADER, retry_after_ms=_RETRY_AFTER_MS
+        )
+        for domain in self._in_order(domains):
+            remaining = Millis(deadline - self._clock.now())
+            if remaining <= 0:
+                return outcome
+            tried = await self._run_in(domain, admitted, remaining)
+            if tried is None:
+                continue
+            outcome = tried
+            if not isinstance(tried, NotRun):
+                return outcome
+            if tried.reason not in _LOCAL_REASONS:
+                return outcome
+        return outcome
+
+    def _in_order(self, domains: list[str]) -> Iterator[str]:
+        """Put the own domain first, and the others by free slots."""
+        yield self._domain
+        others = [name for name in domains if name != self._domain]
+        yield from sorted(others, key=self._free_slots, reverse=True)
+
+    def _free_slots(self, domain: str) -> int:
+        peer = self._peers.leader_of(domain)
+        if peer is None or peer.status is None:
+            return -1
+        return sum(load.free_slots for load in peer.status.load)
+
+    async def _run_in(
+        self, domain: str, admitted: AdmittedRequest, remaining: Millis
+    ) -> RequestOutcome | None:
+        """Run in one domain; None when its leader is not known or reached."""
+        router = self._seat.router
+        if domain == self._domain and router is not None:
+            return await router.route(
+                dataclasses.replace(admitted.request, timeout_ms=remaining)
+            )
+        peer = self._peers.leader_of(domain)
+        if peer is None:
+            return None
+        return await _forward(peer, admitted, remaining)
+
+
+async def _forward(
+    peer: Peer, admitted: AdmittedRequest, remaining: Millis
+) -> RequestOutcome | None:
+    request = admitted.request
+    call = msg.RouteRequest(
+        request_id=request.request_id,
+        service=request.service,
+        team=request.team,
+        key_id=admitted.key_id,
+        config_version=admitted.config_version,
+        idempotent=request.idempotent,
+        timeout_ms=remaining,
+        hops=1,
+        body=request.body,
+        content_type=request.content_type,
+    )
+    try:
+        reply = await peer.client.route_request(call, timeout_ms=remaining)
+    except PeerUnreachable:
+        return None
+    except (FrameTooLargeError, MalformedMessageError):
+        return NotRun(reason=NotRunReason.TOO_LARGE)
+    except PeerError as error:
+        eliot.log_message(
+            'request:peer_lost', peer=peer.entry.name, error=str(error)
+        )
+        return Unknown(reason=UnknownReason.PEER_LOST)
+    return reply.outcome
--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -33,6 +33,9 @@
         reconcile_ms: interval of the search for job records missed so far.
         flush_ms: how long changes to one job record are gathered.
         call_timeout_ms: timeout of a call to the store or an upstream.
+        store_timeout_ms: timeout of a call to the store.
+        unready_ms: how long a daemon that stops serves on while it reports
+            that it is not ready, so that the load balancer turns away first.
         drain_ms: bound on a graceful shutdown.
         job_retention_ms: how long the record of an ended job is kept.
     """
@@ -48,6 +51,8 @@
     reconcile_ms: int = 1000
     flush_ms: int = 20
     call_timeout_ms: int = 2000
+    store_timeout_ms: int = 1000
+    unready_ms: int = 1000
     drain_ms: int = 15_000
     job_retention_ms: int = 86_400_000
 
--- /dev/null
+++ b/jayshore/daemon/status.py
@@ -0,0 +1,157 @@
+"""What a daemon reports about itself to peers, operators and metrics."""
+
+import dataclasses
+
+from jayshore.clock import Clock
+from jayshore.daemon.configuration import ConfigKeeper
+from jayshore.daemon.leading import LeaderSeat
+from jayshore.daemon.metrics import Metrics
+from jayshore.daemon.settings import Settings
+from jayshore.wire import messages as msg
+
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StatusReport:
+    """The answer to `GET /v1/status`.
+
+    Attributes:
+        name: of the daemon.
+        domain: its failure domain.
+        state: starting, serving or draining.
+        config_version: version of the configuration held.
+        evidence_age_ms: age of the evidence that it is the newest.
+        is_fresh: whether keyed work is accepted.
+        is_store_reachable: whether the last read of the store was answered.
+        leader_epoch: epoch of the leadership, 0 when not leading.
+        workers: workers whose lease was opened by this leader.
+        jobs: jobs held by this leader that have not ended.
+        waiting: of these, jobs of which a task waits for a worker.
+        services: free slots per service.
+    """
+
+    name: str
+    domain: str
+    state: str
+    config_version: int
+    evidence_age_ms: int | None
+    is_fresh: bool
+    is_store_reachable: bool
+    leader_epoch: int
+    workers: int
+    jobs: int
+    waiting: int
+    services: dict[str, int]
+
+
+class StatusReporter:
+    """Collects the status of a daemon."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        keeper: ConfigKeeper,
+        metrics: Metrics,
+    ) -> None:
+        """Start in the state `starting`.
+
+        Args:
+            settings: of the daemon.
+            clock: age of the evidence.
+            keeper: the configuration.
+            metrics: gauges that follow the status.
+        """
+        self.state = msg.DaemonState.STARTING
+        self._settings = settings
+        self._clock = clock
+        self._keeper = keeper
+        self._metrics = metrics
+        self._seat: LeaderSeat | None = None
+
+    def follow(self, seat: LeaderSeat) -> None:
+        """Set this daemon's leadership.
+
+        Args:
+            seat: the work of a leader while this daemon is one.
+        """
+        self._seat = seat
+
+    def for_peers(self) -> msg.DaemonStatus:
+        """Describe this daemon to its peers.
+
+        Returns:
+            The content of a heartbeat.
+        """
+        seat = self._seat
+        is_leading = seat is not None and seat.router is not None
+        return msg.DaemonStatus(
+            sender=self._settings.name,
+            domain=self._settings.domain,
+            config_version=self._keeper.tracker.version,
+            evidence_age_ms=self._keeper.tracker.age(self._clock.now()),
+            leader_epoch=seat.epoch if seat is not None and is_leading else 0,
+            load=tuple(
+                msg.ServiceLoad(service=name, free_slots=free)
+                for name, free in self._services().items()
+            ),
+            state=self.state,
+        )
+
+    def report(self) -> StatusReport:
+        """Describe this daemon to operators.
+
+        Returns:
+            The report.
+        """
+        leader = self._seat.leader if self._seat else None
+        records = leader.parts.book.records if leader else ()
+        waiting = leader.parts.attempts.waiting_jobs() if leader else set()
+        return StatusReport(
+            name=self._settings.name,
+            domain=self._settings.domain,
+            state=self.state.value,
+            config_version=self._keeper.snapshot.version,
+            evidence_age_ms=self._keeper.tracker.age(self._clock.now()),
+            is_fresh=self._keeper.is_fresh,
+            is_store_reachable=self._keeper.is_store_reachable,
+            leader_epoch=self._seat.epoch if self._seat else 0,
+            workers=len(leader.parts.placer.views) if leader else 0,
+            jobs=sum(not record.is_final for record in records),
+            waiting=len(waiting),
+            services=self._services(),
+        )
+
+    def update_metrics(self) -> None:
+        """Set the gauges."""
+        report = self.report()
+        age = report.evidence_age_ms
+        metrics = self._metrics
+        metrics.leader_epoch.set(report.leader_epoch)
+        metrics.config_version.set(report.config_version)
+        metrics.evidence_age_seconds.set(-1 if age is None else age / _MS_PER_S)
+        metrics.store_reachable.set(report.is_store_reachable)
+        metrics.workers_open.set(report.workers)
+
+    def not_ready_because(self) -> list[str]:
+        """List why the load balancer should send nothing here.
+
+        A daemon that is not fresh is ready: it serves what is open to all, and
+        answers the rest without running it.
+
+        Returns:
+            Reasons, empty when ready.
+        """
+        reasons = []
+        if self.state is msg.DaemonState.DRAINING:
+            reasons.append('draining')
+        if not self._keeper.snapshot.version:
+            reasons.append('no configuration')
+        return reasons
+
+    def _services(self) -> dict[str, int]:
+        router = self._seat.router if self._seat else None
+        loads = router.load() if router else ()
+        return {load.service: load.free_slots for load in loads}
--- /dev/null
+++ b/jayshore/daemon/submissions.py
@@ -0,0 +1,309 @@
+"""Accepts, shows and cancels jobs for the callers of this daemon."""
+
+import curio
+import eliot
+
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.config.model import Queue
+from jayshore.daemon.access import Access, Granted, NotFresh
+from jayshore.daemon.answers import job_view
+from jayshore.daemon.configuration import ConfigKeeper
+from jayshore.daemon.leading import LeaderSeat
+from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.settings import Settings
+from jayshore.http.messages import encode_json
+from jayshore.jobs.acceptance import (
+    Submission,
+    Submitter,
+    hash_ticket,
+    prepare,
+    record_job,
+)
+from jayshore.jobs.admission import impossible_reason
+from jayshore.jobs.record import JobRecord, decode_record, job_key
+from jayshore.jobs.transitions import NotOwner
+from jayshore.outcomes import (
+    Accepted,
+    RefusalReason,
+    Refused,
+    SubmitOutcome,
+)
+from jayshore.platform.settling import WriteSettler
+from jayshore.platform.store import Store, StoreError
+from jayshore.wire import messages as msg
+from jayshore.wire.errors import WireError
+
+_POLL_MS = Millis(250)
+_RETRY_AFTER_MS = Millis(1000)
+
+
+class JobDesk:
+    """What callers and peers can do with jobs."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        store: Store,
+        settler: WriteSettler,
+        keeper: ConfigKeeper,
+        seat: LeaderSeat,
+        peers: PeerGroup,
+        clock: Clock,
+        wall_clock: Clock,
+    ) -> None:
+        """Prepare to accept jobs.
+
+        Args:
+            settings: of the daemon.
+            store: the platform's store.
+            settler: resolves lost answers of writes.
+            keeper: the configuration.
+            seat: this daemon's own leadership, if any.
+            peers: the other daemons.
+            clock: monotonic time.
+            wall_clock: time of day.
+        """
+        self._settings = settings
+        self._store = store
+        self._settler = settler
+        self._keeper = keeper
+        self._seat = seat
+        self._peers = peers
+        self._clock = clock
+        self._wall_clock = wall_clock
+
+    async def submit(
+        self, submission: Submission, queue: Queue, access: Access
+    ) -> SubmitOutcome:
+        """Accept a job.
+
+        Args:
+            submission: what was submitted.
+            queue: the queue that it names.
+            access: for which team.
+
+        Returns:
+            Accepted when it is recorded in the store.
+        """
+        if isinstance(access, NotFresh):
+            return Refused(
+                reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
+            )
+        if not isinstance(access, Granted):
+            return Refused(reason=RefusalReason.UNAUTHORISED)
+        prepared = prepare(
+            submission,
+            Submitter(
+                team=access.team, key_id=access.key_id, secret=access.secret
+            ),
+            queue=queue,
+            domain=self._settings.domain,
+            max_tasks=self._settings.limits.max_tasks,
+            wall_clock=self._wall_clock,
+        )
+        if isinstance(prepared, Refused):
+            return prepared
+        refusal = self._refuse(prepared.record, queue, access)
+        if refusal is not None:
+            return refusal
+        outcome = await record_job(
+            prepared,
+            store=self._store,
+            settler=self._settler,
+            limit_ms=Millis(self._settings.timing.call_timeout_ms),
+        )
+        if isinstance(outcome, Accepted):
+            await self.notify_leader(outcome.job_id)
+        return outcome
+
+    async def notify_leader(self, job_id: str) -> None:
+        """Tell the leader of this domain about a job.
+
+        A notice that is lost only delays the job: leaders search for records
+        that they have missed.
+
+        Args:
+            job_id: the job.
+        """
+        leader = self._seat.leader
+        if leader is not None:
+            await leader.notice(job_id)
+            return
+        peer = self._peers.leader_of(self._settings.domain)
+        if peer is None:
+            return
+        try:
+            await peer.client.job_notice(
+                msg.JobNotice(job_id=job_id),
+                timeout_ms=Millis(self._settings.timing.call_timeout_ms),
+            )
+        except WireError as error:
+            eliot.log_message('job:no_notice', job=job_id, error=str(error))
+
+    async def find(
+        self, job_id: str, access: msg.TicketAccess | msg.TeamAccess, wait: int
+    ) -> bytes | None:
+        """Read the state of a job, waiting for its end.
+
+        Args:
+            job_id: the job.
+            access: what entitles the caller.
+            wait: longest wait, in ms.
+
+        Returns:
+            JSON of a `JobView`, or None when no such job can be shown.
+        """
+        deadline = self._clock.now() + wait
+        while True:
+            remaining = Millis(max(0, deadline - self._clock.now()))
+            record = await self._look_up(job_id, remaining)
+            if record is None:
+                return await self._ask_peers(job_id, access, remaining)
+            if not _may_see(record, access):
+                return None
+            if record.is_final or not remaining:
+                return encode_json(job_view(record))
+            await curio.sleep(to_seconds(min(_POLL_MS, remaining)))
+
+    async def find_held(
+        self, job_id: str, access: msg.TicketAccess | msg.TeamAccess, wait: int
+    ) -> bytes | None:
+        """Read the state of a job that this daemon holds as leader.
+
+        Args:
+            job_id: the job.
+            access: what entitles the caller.
+            wait: longest wait, in ms.
+
+        Returns:
+            JSON of a `JobView`, or None when it is not held or not to be shown.
+        """
+        leader = self._seat.leader
+        if leader is None:
+            return None
+        book = leader.parts.book
+        await book.wait_until_ended(job_id, Millis(wait))
+        record = book.find(job_id)
+        if record is None or not _may_see(record, access):
+            return None
+        return encode_json(job_view(record))
+
+    async def cancel(self, job_id: str, team: str) -> msg.CancelResult:
+        """Cancel a job through its leader.
+
+        Args:
+            job_id: the job.
+            team: on whose behalf.
+
+        Returns:
+            What became of it; unknown when no leader holds such a job.
+        """
+        outcome = await self.cancel_held(job_id, team)
+        for domain in self._keeper.snapshot.document.domains:
+            if outcome is not msg.CancelResult.UNKNOWN:
+                break
+            peer = self._peers.leader_of(domain.name)
+            if peer is None:
+                continue
+            try:
+                reply = await peer.client.cancel_job(
+                    msg.CancelJob(job_id=job_id, team=team),
+                    timeout_ms=Millis(self._settings.timing.call_timeout_ms),
+                )
+            except WireError as error:
+                eliot.log_message('job:no_cancel', job=job_id, why=str(error))
+            else:
+                outcome = reply.result
+        return outcome
+
+    async def cancel_held(self, job_id: str, team: str) -> msg.CancelResult:
+        """Cancel a job that this daemon holds as leader.
+
+        Args:
+            job_id: the job.
+            team: on whose behalf.
+
+        Returns:
+            What became of it.
+        """
+        leader = self._seat.leader
+        record = leader.parts.book.find(job_id) if leader else None
+        if leader is None or record is None or record.team != team:
+            return msg.CancelResult.UNKNOWN
+        if record.is_final:
+            return msg.CancelResult.FINISHED
+        try:
+            record = await leader.parts.admission.cancel(job_id)
+        except NotOwner:
+            return msg.CancelResult.UNKNOWN
+        if record.is_cancelling:
+            return msg.CancelResult.CANCELLED
+        return msg.CancelResult.FINISHED
+
+    def _refuse(
+        self, record: JobRecord, queue: Queue, access: Granted
+    ) -> Refused | None:
+        """Refuse what can never run and what waits in too great numbers."""
+        leader = self._seat.leader
+        if leader is None:
+            return None
+        views = leader.parts.placer.views
+        reason = impossible_reason(record, views) if views else ''
+        if reason:
+            return Refused(reason=RefusalReason.NEVER_FITS, detail=reason)
+        names = leader.parts.attempts.waiting_jobs()
+        waiting = [
+            held for held in leader.parts.book.records if held.job_id in names
+        ]
+        of_team = sum(held.team == record.team for held in waiting)
+        in_queue = sum(held.queue == queue.name for held in waiting)
+        if of_team >= access.team.max_waiting or in_queue >= queue.max_waiting:
+            return Refused(
+                reason=RefusalReason.OVER_LIMIT,
+                detail=f'{of_team} jobs of the team wait, {in_queue} in queue',
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        return None
+
+    async def _look_up(self, job_id: str, wait: Millis) -> JobRecord | None:
+        """Find a record here or in the store; None when neither can tell."""
+        leader = self._seat.leader
+        if leader is not None:
+            await leader.parts.book.wait_until_ended(job_id, wait)
+            record = leader.parts.book.find(job_id)
+            if record is not None:
+                return record
+        try:
+            entry = await self._store.get(job_key(job_id))
+        except StoreError:
+            return None
+        return decode_record(entry.value) if entry else None
+
+    async def _ask_peers(
+        self,
+        job_id: str,
+        access: msg.TicketAccess | msg.TeamAccess,
+        wait: Millis,
+    ) -> bytes | None:
+        call = msg.JobQuery(job_id=job_id, access=access, wait_ms=wait)
+        timeout = Millis(wait + self._settings.timing.call_timeout_ms)
+        for domain in self._keeper.snapshot.document.domains:
+            peer = self._peers.leader_of(domain.name)
+            if peer is None:
+                continue
+            try:
+                reply = await peer.client.job_query(call, timeout_ms=timeout)
+            except WireError:
+                continue
+            if reply.document is not None:
+                return reply.document
+        return None
+
+
+def _may_see(
+    record: JobRecord, access: msg.TicketAccess | msg.TeamAccess
+) -> bool:
+    if isinstance(access, msg.TicketAccess):
+        return hash_ticket(access.ticket) == record.ticket_hash
+    return access.team == record.team
--- a/jayshore/jobs/attempts.py
+++ b/jayshore/jobs/attempts.py
@@ -232,6 +232,14 @@
             and attempt.phase in {Phase.STARTING, Phase.RUNNING}
         ]
 
+    def waiting_jobs(self) -> set[str]:
+        """List the jobs of which a task waits for a worker.
+
+        Returns:
+            Their ids.
+        """
+        return {item.job_id for item in self if item.phase is Phase.QUEUED}
+
     def inherited(self) -> list[Attempt]:
         """List the attempts whose fate is not known.
 
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -131,6 +131,9 @@
             attempt: an inherited attempt.
         """
         if attempt.phase is Phase.INHERITED and attempt.is_settled:
+            record = self._book.find(attempt.job_id)
+            if record is not None:
+                self._context.ledger.give_back(record.team, record.demand)
             ending = Ending(outcome=None, proof=attempt.proof)
             await self._endings.record_later(attempt, ending, None)
 
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -13,6 +13,7 @@
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
+from jayshore.leases.session import WorkerSession
 from jayshore.leases.worker import StartOrder, StartResult
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
@@ -40,7 +41,6 @@
         cell: Cell,
         book: JobBook,
         attempts: AttemptTable,
-        fleet: WorkerFleet,
         tasks: BackgroundTasks,
     ) -> None:
         """Prepare the rounds.
@@ -50,14 +50,13 @@
             cell: decides.
             book: the job records.
             attempts: the newest attempts of all tasks.
-            fleet: the sessions with the workers.
             tasks: background tasks of the leader.
         """
         self._context = context
         self._cell = cell
         self._book = book
         self._attempts = attempts
-        self._fleet = fleet
+        self._fleet: WorkerFleet | None = None
         self._tasks = tasks
         self._boots: dict[str, WorkerBoot] = {}
         self._views: dict[str, WorkerView] = {}
@@ -93,6 +92,14 @@
         if self._views.pop(worker_id, None) is not None:
             self._cell.remove_worker(worker_id)
 
+    def follow(self, fleet: WorkerFleet) -> None:
+        """Set the sessions, whose observer needs this placer.
+
+        Args:
+            fleet: the sessions with the workers.
+        """
+        self._fleet = fleet
+
     async def wake(self) -> None:
         """Run a round soon."""
         await self._wake.set()
@@ -133,7 +140,7 @@
         self._cell.withdraw(_task_id(attempt))
 
     def adopt(self, record: JobRecord, attempt: Attempt) -> None:
-        """Count an attempt that runs already.
+        """Count the room of an inherited attempt that was found.
 
         Args:
             record: its job.
@@ -142,7 +149,6 @@
         if attempt.worker is None:
             return
         attempt.phase = Phase.RUNNING
-        self._context.ledger.take(record.team, record.demand)
         self._cell.adopt(
             RunningTask(
                 task=self._pending(record, attempt),
@@ -180,7 +186,7 @@
         """
         if attempt.worker is None:
             return
-        session = self._fleet.sessions.get(attempt.worker.worker_id)
+        session = self._session(attempt.worker)
         if session is not None and session.is_open:
             await session.stop(attempt.name, checkpoint=checkpoint)
 
@@ -271,7 +277,7 @@
         launch = attempt.launches
         if record is None or worker is None:
             return False
-        session = self._fleet.sessions.get(worker.worker_id)
+        session = self._session(worker)
         is_current = worker == self._boots.get(worker.worker_id)
         result = StartResult.CERTAINLY_NOT
         may_start = worker in record.intent and not record.is_cancelling
@@ -300,6 +306,10 @@
             if attempt is not None:
                 await self.stop(attempt, checkpoint=decision.checkpoint_first)
 
+    def _session(self, worker: WorkerBoot) -> WorkerSession | None:
+        sessions = self._fleet.sessions if self._fleet else {}
+        return sessions.get(worker.worker_id)
+
     def _find(self, task_id: TaskId) -> Attempt | None:
         return self._attempts.find(task_name(task_id.job_id, task_id.index))
 
