Test that a drain answers connections not yet accepted

Cause: removing that step from the drain left all tests green (trial). Measured: the new test fails without the step and passes with it; python -m pytest jayshore/http, 42 tests pass.

--- a/jayshore/http/server_test.py
+++ b/jayshore/http/server_test.py
@@ -1,6 +1,7 @@
 """Tests of the server over loopback."""
 
 import random
+import socket
 from collections import Counter
 
 import curio
@@ -209,6 +210,21 @@
     run(main, Bounds())
 
 
+def test_drain_answers_connections_not_yet_accepted():
+    """Guards against resetting connections that wait to be accepted."""
+
+    async def main(server, _handler):
+        address = ('127.0.0.1', server.bound_port)
+        # All this ends in the kernel, before the server's task can run.
+        with socket.create_connection(address) as caller:
+            caller.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            caller.shutdown(socket.SHUT_WR)
+            await server.drain(Millis(5000))
+            assert caller.recv(65536).startswith(b'HTTP/1.1 200')
+
+    run(main)
+
+
 def test_caller_that_takes_no_answer_is_bounded():
     """Guards against connections that are held by slow callers."""
 
