--- a/jayshore/http/client_test.py
+++ b/jayshore/http/client_test.py
@@ -4,7 +4,13 @@
 import pytest
 
 from jayshore.clock import Millis
-from jayshore.http.client import CallTimedOut, ConnectFailed
+from jayshore.http.client import (
+    Address,
+    CallTimedOut,
+    ConnectFailed,
+    ConnectionLost,
+    HttpClient,
+)
 from jayshore.http.loopback_test import client_of, post, run
 from jayshore.http.server import Bounds
 
@@ -66,3 +72,67 @@
         await client.close()
 
     run(main)
+
+
+def test_early_refusal_of_a_large_request_is_read():
+    """Guards against an unknown outcome where the server said no."""
+
+    async def main(server, _handler):
+        client = client_of(server, max_connections=1)
+        body = bytes(5_000_000)
+        answer = await client.call(post('/', body), timeout_ms=Millis(5000))
+        assert answer.status == 413
+        answer = await client.call(post('/', b'4'), timeout_ms=Millis(5000))
+        assert answer.body == b'4'
+        await client.close()
+
+    run(main)
+
+
+def test_cancelled_call_frees_its_connection():
+    """Guards against a pool that shrinks with every cancelled call."""
+
+    async def main(server, handler):
+        client = client_of(server, max_connections=1)
+        call = client.call(post('/wait'), timeout_ms=Millis(5000))
+        waiting = await curio.spawn(call)
+        await handler.entered.wait()
+        await waiting.cancel()
+        answer = await client.call(post('/', b'5'), timeout_ms=Millis(5000))
+        assert answer.body == b'5'
+        await client.close()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'',
+        b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n123',
+        b'nonsense\r\n\r\n',
+    ],
+)
+def test_incomplete_answer_is_lost(answer):
+    """Guards against half an answer, or none, taken for a whole one."""
+
+    async def serve_once(listener):
+        sock, _ = await listener.accept()
+        async with sock:
+            await sock.recv(65536)
+            await sock.sendall(answer)
+
+    async def main():
+        listener = curio.tcp_server_socket('127.0.0.1', 0)
+        serving = await curio.spawn(serve_once(listener))
+        client = HttpClient(
+            address=Address(host='127.0.0.1', port=listener.getsockname()[1]),
+            max_connections=1,
+            connect_timeout_ms=Millis(1000),
+        )
+        with pytest.raises(ConnectionLost):
+            await client.call(post('/'), timeout_ms=Millis(5000))
+        await serving.join()
+        await listener.close()
+
+    curio.run(main, taskcls=curio.task.ContextTask)
