Add the demonstration and the checker of histories

Cause: the whole path had not run yet, and nothing compared what the daemons say with what the upstreams did. Change: a cluster of stand-ins and daemons as separate processes, a checker that reads the histories of the upstreams, and a demonstration with previews, batch, a gang and a service of six teams. curio 1.6 has no signal event, so signals are awaited through a socket pair.

--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,298 @@
+"""Starts daemons and stand-ins as separate processes, and ends them."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404 the demonstration starts its own programs
+import sys
+import time
+from collections.abc import Callable, Iterator
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+HOST = '127.0.0.1'
+_READY_S = 8
+_END_S = 10
+_POLL_S = 0.02
+
+
+class NotReached(Exception):
+    """A condition was not met in time."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """An HTTP answer.
+
+    Attributes:
+        status: status code.
+        headers: values by lower-case name.
+        body: the whole body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def content(self) -> Any:
+        """The decoded JSON body."""
+        return json.loads(self.body)
+
+
+class Process:
+    """One started process with the address that it serves."""
+
+    def __init__(
+        self, *, name: str, popen: 'subprocess.Popen[str]', address: str
+    ) -> None:
+        """Take note of a started process.
+
+        Args:
+            name: for messages.
+            popen: the process.
+            address: `host:port`.
+        """
+        self.name = name
+        self.popen = popen
+        self.address = address
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Stop the process from running until it is resumed."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to shut down."""
+        self.popen.send_signal(signal.SIGTERM)
+
+    def wait(self, limit_s: float) -> int:
+        """Wait for the end of the process.
+
+        Args:
+            limit_s: longest wait, in seconds.
+
+        Returns:
+            Its exit code.
+        """
+        return self.popen.wait(limit_s)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        content: object = None,
+        *,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 10,
+    ) -> Answer:
+        """Send one HTTP call on a connection of its own.
+
+        Args:
+            method: HTTP method.
+            path: path with query.
+            content: bytes are sent as they are, anything else as JSON.
+            headers: further headers.
+            timeout_s: timeout in seconds.
+
+        Returns:
+            The answer.
+        """
+        return call(
+            self.address,
+            method,
+            path,
+            content,
+            headers=headers,
+            timeout_s=timeout_s,
+        )
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    content: object = None,
+    *,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10,
+) -> Answer:
+    """Send one HTTP call on a connection of its own.
+
+    Args:
+        address: `host:port`.
+        method: HTTP method.
+        path: path with query.
+        content: bytes are sent as they are, anything else as JSON.
+        headers: further headers.
+        timeout_s: timeout in seconds.
+
+    Returns:
+        The answer.
+    """
+    connection = HTTPConnection(address, timeout=timeout_s)
+    body = content if isinstance(content, bytes) else _encode(content)
+    with contextlib.closing(connection):
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Answer(
+            status=response.status,
+            headers={
+                name.lower(): text for name, text in response.getheaders()
+            },
+            body=response.read(),
+        )
+
+
+def free_ports(count: int) -> list[int]:
+    """Find free ports.
+
+    Args:
+        count: how many.
+
+    Returns:
+        Distinct ports that were free a moment ago.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind((HOST, 0))
+    ports = [unused.getsockname()[1] for unused in sockets]
+    for bound in sockets:
+        bound.close()
+    return ports
+
+
+def start_stand_in(kind: str, settings: dict[str, Any]) -> Process:
+    """Start a stand-in and wait until it listens.
+
+    Args:
+        kind: `store`, `worker` or `executor`.
+        settings: of the stand-in.
+
+    Returns:
+        The process.
+
+    Raises:
+        NotReached: it did not listen.
+    """
+    popen = subprocess.Popen(  # noqa: S603 our own program
+        [
+            sys.executable,
+            '-m',
+            f'standins.{kind}',
+            '--settings',
+            json.dumps(settings),
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+        env=_environment(),
+    )
+    line = popen.stdout.readline() if popen.stdout else ''
+    if not line.startswith('ready '):
+        popen.kill()
+        raise NotReached(f'{kind} did not start: {line}')
+    return Process(name=kind, popen=popen, address=line.split()[1])
+
+
+def start_daemon(settings: dict[str, Any], directory: pathlib.Path) -> Process:
+    """Start a daemon; it may not serve yet.
+
+    Args:
+        settings: of the daemon.
+        directory: for its settings and log.
+
+    Returns:
+        The process.
+    """
+    name = settings['name']
+    path = directory / f'{name}.json'
+    path.write_text(json.dumps(settings))
+    with (directory / f'{name}.err').open('a') as errors:
+        popen = subprocess.Popen(  # noqa: S603 our own program
+            [sys.executable, '-m', 'jayshore.daemon.main', str(path)],
+            stderr=errors,
+            text=True,
+            env=_environment(),
+        )
+    return Process(name=name, popen=popen, address=settings['listen'])
+
+
+def wait_until(
+    condition: Callable[[], bool], limit_s: float, what: str
+) -> float:
+    """Wait for a condition.
+
+    Args:
+        condition: asked until it holds; a refused connection counts as no.
+        limit_s: longest wait, in seconds.
+        what: named in the error.
+
+    Returns:
+        How long it took, in seconds.
+
+    Raises:
+        NotReached: it did not hold in time.
+    """
+    start = time.monotonic()
+    while True:
+        try:
+            if condition():
+                return time.monotonic() - start
+        except (OSError, HTTPException):
+            pass  # noqa: WPS420 not there yet
+        if time.monotonic() - start > limit_s:
+            raise NotReached(f'not within {limit_s} s: {what}')
+        time.sleep(_POLL_S)
+
+
+def wait_ready(process: Process) -> None:
+    """Wait until a daemon answers.
+
+    Args:
+        process: the daemon.
+    """
+    wait_until(
+        lambda: process.call('GET', '/healthz').status == 200,
+        _READY_S,
+        f'{process.name} serves',
+    )
+
+
+def end_all(processes: Iterator[Process] | list[Process]) -> None:
+    """End processes; those that do not shut down in time are killed.
+
+    Args:
+        processes: started by this program.
+    """
+    running = [process for process in processes if process.is_running]
+    for process in running:
+        process.resume()
+        process.kill()
+    for ended in running:
+        if ended.popen.stdout:
+            ended.popen.stdout.close()
+
+
+def _encode(content: object) -> bytes:
+    return b'' if content is None else json.dumps(content).encode()
+
+
+def _environment() -> dict[str, str]:
+    return {**os.environ, 'PYTHONUNBUFFERED': '1'}
--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -64,6 +64,7 @@
 _JSON = ('content-type', 'application/json')
 
 _Call: TypeAlias = Callable[..., Awaitable[Response]]
+_Entry: TypeAlias = tuple[str, re.Pattern[str], _Call]
 
 
 class ApplyBody(
@@ -105,7 +106,7 @@
         """
         self._parts = parts
         self._keeper = parts.keeper
-        self._calls = [
+        self._calls: list[_Entry] = [
             ('POST', re.compile('/v1/requests/([^/]+)'), self._run_request),
             ('POST', re.compile('/v1/jobs'), self._submit),
             ('GET', re.compile('/v1/jobs/([^/]+)'), self._show_job),
@@ -211,9 +212,9 @@
         if text is None:
             return service.default_timeout_ms
         longest = self._parts.settings.limits.max_request_ms
-        if not text.isdecimal() or not 0 < int(text) <= longest:
-            return None
-        return Millis(int(text))
+        if text.isdecimal() and 0 < int(text) <= longest:
+            return Millis(int(text))
+        return None
 
     async def _submit(self, request: Request) -> Response:
         submission = decode_json(request.body, Submission)
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -18,6 +18,7 @@
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.routes import RequestRoutes
 from jayshore.daemon.settings import Settings, SettingsError, load_settings
+from jayshore.daemon.signals import wait_for_signal
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.http.client import Address, HttpClient
@@ -92,7 +93,7 @@
             ),
             confirm=self._confirm,
         )
-        self._status.follow(self._seat)
+        self._status.follow(self._seat, self._peers)
         self._leadership = Leadership(
             store=store,
             settler=settler,
@@ -151,7 +152,6 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         timing = self._settings.timing
-        stop = curio.SignalEvent(signal.SIGTERM, signal.SIGINT)
         self._server.listen()
         await self._peer_server.start()
         await self._keeper.refresh()
@@ -163,7 +163,7 @@
         serving = await curio.spawn(self._server.serve)
         self._status.state = msg.DaemonState.SERVING
         eliot.log_message('daemon:serving', name=self._settings.name)
-        await stop.wait()
+        await wait_for_signal((signal.SIGTERM, signal.SIGINT))
         await self._shut_down()
         for task in running:
             await task.cancel()
--- a/jayshore/daemon/status.py
+++ b/jayshore/daemon/status.py
@@ -6,6 +6,7 @@
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.metrics import Metrics
+from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.settings import Settings
 from jayshore.wire import messages as msg
 
@@ -29,6 +30,7 @@
         jobs: jobs held by this leader that have not ended.
         waiting: of these, jobs of which a task waits for a worker.
         services: free slots per service.
+        leaders: the leader of each domain, as far as it was heard.
     """
 
     name: str
@@ -43,6 +45,7 @@
     jobs: int
     waiting: int
     services: dict[str, int]
+    leaders: dict[str, str]
 
 
 class StatusReporter:
@@ -70,14 +73,17 @@
         self._keeper = keeper
         self._metrics = metrics
         self._seat: LeaderSeat | None = None
+        self._peers: PeerGroup | None = None
 
-    def follow(self, seat: LeaderSeat) -> None:
-        """Set this daemon's leadership.
+    def follow(self, seat: LeaderSeat, peers: PeerGroup) -> None:
+        """Set what was made after this reporter.
 
         Args:
             seat: the work of a leader while this daemon is one.
+            peers: the other daemons.
         """
         self._seat = seat
+        self._peers = peers
 
     def for_peers(self) -> msg.DaemonStatus:
         """Describe this daemon to its peers.
@@ -122,6 +128,7 @@
             jobs=sum(not record.is_final for record in records),
             waiting=len(waiting),
             services=self._services(),
+            leaders=self._leaders(),
         )
 
     def update_metrics(self) -> None:
@@ -151,6 +158,16 @@
             reasons.append('no configuration')
         return reasons
 
+    def _leaders(self) -> dict[str, str]:
+        leaders = {}
+        for domain in self._keeper.snapshot.document.domains:
+            peer = self._peers.leader_of(domain.name) if self._peers else None
+            if peer is not None:
+                leaders[domain.name] = peer.entry.name
+        if self._seat is not None and self._seat.router is not None:
+            leaders[self._settings.domain] = self._settings.name
+        return leaders
+
     def _services(self) -> dict[str, int]:
         router = self._seat.router if self._seat else None
         loads = router.load() if router else ()
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -159,10 +159,12 @@
         """List workers that certainly have stopped their tasks.
 
         Only leases that this leader has opened count: what an earlier leader
-        renewed, and until when, is not known.
+        renewed, and until when, is not known. A renewal that was delayed on its
+        way counts at the worker from its arrival, which is before the end of
+        the lease that it renews, so twice the task lease has to pass.
         """
         context = self._parts.context
-        limit = context.task_lease_ms * _CLOCK_RATE_PERCENT // 100
+        limit = 2 * context.task_lease_ms * _CLOCK_RATE_PERCENT // 100
         oldest = context.clock.now() - limit
         return [
             worker_id
--- a/standins/fencing.py
+++ b/standins/fencing.py
@@ -142,7 +142,10 @@
         Raises:
             LeaseNotCurrent: it is not the newest.
         """
-        if not lease_id or lease_id != self.lease_id:
+        # A lease that has lapsed is void: a renewal that arrives later must not
+        # bring back tasks that its sender may believe to have ended.
+        lapsed = self.is_task_lease_over()
+        if lapsed or not lease_id or lease_id != self.lease_id:
             raise LeaseNotCurrent(lease_id=self.lease_id)
 
     def renew(self, lease_id: int) -> None:
