--- /dev/null
+++ b/jayshore/report/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn: how fast teams use up their error budgets."""
