--- a/jayshore/freshness/machine_test.py
+++ b/jayshore/freshness/machine_test.py
@@ -229,8 +229,14 @@
     def read(self, index, late):
         self.world.read(self.name(index), late)
 
-    @rule(index=INDEX, late=RARELY, request=RARELY)
-    def ask(self, index, late, request):
+    @rule(
+        index=INDEX,
+        late=RARELY,
+        request=RARELY,
+        waited=st.sampled_from([0, BOUND + 1]),
+    )
+    def ask(self, index, late, request, waited):
+        self.world.clock.advance(waited)
         for peer in self.names:
             self.world.ask(self.name(index), peer, late, request)
 
@@ -238,9 +244,11 @@
     def relay(self, index, peer, late):
         self.world.relay(self.name(index), self.name(peer), late)
 
-    @rule(index=INDEX)
-    def restart(self, index):
+    @rule(index=INDEX, reads=st.booleans())
+    def restart(self, index, reads):
         self.world.restart(self.name(index))
+        if reads:
+            self.world.read(self.name(index))
 
     @rule(writer=INDEX, asked=st.sets(INDEX, min_size=1), roster=INDEX)
     def announce(self, writer, asked, roster):
