Have the leader accept jobs, and check queues and capacity there

Cause: only the leader knows what waits and what fits, so a submission through another daemon was not checked against queue limits. Change: SubmitJob in the inner protocol; the entry daemon still records the job itself when no leader answers, which is safe because the id is the same.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -220,7 +220,7 @@
             domain = status['domain']
             if epoch and epoch > found.get(domain, (0, ''))[0]:
                 found[domain] = (epoch, name)
-        return {domain: name for domain, (_, name) in found.items()}
+        return {domain: leader for domain, (_, leader) in found.items()}
 
     def restart_daemon(self, name: str) -> None:
         """Start a daemon anew with the same settings.
--- a/demo/main.py
+++ b/demo/main.py
@@ -5,6 +5,7 @@
 exactly once.
 """
 
+import itertools
 import sys
 import threading
 import time
@@ -59,8 +60,9 @@
             'idempotent': True,
         },
     )
-    for name, answer in jobs.items():
-        problems += _finish(cluster, name, answer)
+    problems += itertools.chain.from_iterable(
+        _finish(cluster, name, answer) for name, answer in jobs.items()
+    )
     problems += _end_service(cluster, service)
     previews.join()
     problems += _check_once(cluster, jobs)
--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -221,23 +221,7 @@
         with eliot.start_action(
             action_type='job:submit', queue=submission.queue
         ) as action:
-            queue = self._keeper.snapshot.queue(submission.queue)
-            outcome: SubmitOutcome
-            if queue is not None:
-                access = self._access(request, queue.open, queue.team)
-                outcome = await self._parts.desk.submit(
-                    submission, queue, access
-                )
-            elif self._keeper.is_fresh:
-                outcome = Refused(
-                    reason=RefusalReason.MALFORMED,
-                    detail=f'queue: no queue {submission.queue}',
-                )
-            else:
-                outcome = Refused(
-                    reason=RefusalReason.NOT_FRESH,
-                    retry_after_ms=_RETRY_AFTER_MS,
-                )
+            outcome = await self._accept(request, submission)
             reason = 'accepted'
             if isinstance(outcome, Refused):
                 reason = outcome.reason.value
@@ -245,6 +229,22 @@
         self._parts.metrics.job_submitted(reason)
         return answer_submission(outcome)
 
+    async def _accept(
+        self, request: Request, submission: Submission
+    ) -> SubmitOutcome:
+        queue = self._keeper.snapshot.queue(submission.queue)
+        if queue is not None:
+            access = self._access(request, queue.open, queue.team)
+            return await self._parts.desk.submit(submission, queue, access)
+        if self._keeper.is_fresh:
+            return Refused(
+                reason=RefusalReason.MALFORMED,
+                detail=f'queue: no queue {submission.queue}',
+            )
+        return Refused(
+            reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
+        )
+
     async def _show_job(self, request: Request, job_id: str) -> Response:
         wait_text = request.query.get('wait_ms', '0')
         longest = self._parts.settings.limits.max_wait_ms
--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -8,7 +8,14 @@
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
-from jayshore.outcomes import NotRun, NotRunReason
+from jayshore.jobs.acceptance import PreparedJob
+from jayshore.jobs.record import decode_record
+from jayshore.outcomes import (
+    NotRun,
+    NotRunReason,
+    RefusalReason,
+    Refused,
+)
 from jayshore.routing.executor import RoutedRequest
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerHandler
@@ -105,6 +112,22 @@
         )
         return msg.RouteReply(outcome=outcome)
 
+    async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
+        """Accept a job that a peer has admitted.
+
+        The key is checked again: this daemon may know a newer configuration
+        than the peer.
+        """
+        record = decode_record(call.record)
+        keeper = self._keeper
+        if record.key_id:
+            if not keeper.is_fresh:
+                return _not_accepted(RefusalReason.NOT_FRESH)
+            if not keeper.snapshot.key_is_valid(record.key_id):
+                return _not_accepted(RefusalReason.UNAUTHORISED)
+        prepared = PreparedJob(record=record, ticket=call.ticket)
+        return msg.SubmitJobReply(outcome=await self._desk.accept(prepared))
+
     async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
         """Read a job that was just created."""
         leader = self._seat.leader
@@ -131,3 +154,9 @@
     return msg.RouteReply(
         outcome=NotRun(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
     )
+
+
+def _not_accepted(reason: RefusalReason) -> msg.SubmitJobReply:
+    return msg.SubmitJobReply(
+        outcome=Refused(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
+    )
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -9,10 +9,11 @@
 from jayshore.daemon.answers import job_view
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
-from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.peers import Peer, PeerGroup
 from jayshore.daemon.settings import Settings
 from jayshore.http.messages import encode_json
 from jayshore.jobs.acceptance import (
+    PreparedJob,
     Submission,
     Submitter,
     hash_ticket,
@@ -20,7 +21,12 @@
     record_job,
 )
 from jayshore.jobs.admission import impossible_reason
-from jayshore.jobs.record import JobRecord, decode_record, job_key
+from jayshore.jobs.record import (
+    JobRecord,
+    decode_record,
+    encode_record,
+    job_key,
+)
 from jayshore.jobs.transitions import NotOwner
 from jayshore.outcomes import (
     Accepted,
@@ -104,7 +110,26 @@
         )
         if isinstance(prepared, Refused):
             return prepared
-        refusal = self._refuse(prepared.record, queue, access)
+        peer = self._peers.leader_of(self._settings.domain)
+        if self._seat.leader is None and peer is not None:
+            outcome = await self._submit_to(peer, prepared)
+            if outcome is not None:
+                return outcome
+        return await self.accept(prepared)
+
+    async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
+        """Record a job whose key was checked, here or by a peer.
+
+        Without a leader in sight, the job is recorded unchecked against the
+        queues; the leader finds it when it searches for new records.
+
+        Args:
+            prepared: the job.
+
+        Returns:
+            Accepted when it is recorded in the store.
+        """
+        refusal = self._refuse(prepared.record)
         if refusal is not None:
             return refusal
         outcome = await record_job(
@@ -113,33 +138,10 @@
             settler=self._settler,
             limit_ms=Millis(self._settings.timing.call_timeout_ms),
         )
-        if isinstance(outcome, Accepted):
-            await self.notify_leader(outcome.job_id)
-        return outcome
-
-    async def notify_leader(self, job_id: str) -> None:
-        """Tell the leader of this domain about a job.
-
-        A notice that is lost only delays the job: leaders search for records
-        that they have missed.
-
-        Args:
-            job_id: the job.
-        """
         leader = self._seat.leader
-        if leader is not None:
-            await leader.notice(job_id)
-            return
-        peer = self._peers.leader_of(self._settings.domain)
-        if peer is None:
-            return
-        try:
-            await peer.client.job_notice(
-                msg.JobNotice(job_id=job_id),
-                timeout_ms=Millis(self._settings.timing.call_timeout_ms),
-            )
-        except WireError as error:
-            eliot.log_message('job:no_notice', job=job_id, error=str(error))
+        if isinstance(outcome, Accepted) and leader is not None:
+            await leader.notice(outcome.job_id)
+        return outcome
 
     async def find(
         self, job_id: str, access: msg.TicketAccess | msg.TeamAccess, wait: int
@@ -241,12 +243,35 @@
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
-    def _refuse(
-        self, record: JobRecord, queue: Queue, access: Granted
-    ) -> Refused | None:
+    async def _submit_to(
+        self, peer: Peer, prepared: PreparedJob
+    ) -> SubmitOutcome | None:
+        """Have the leader accept a job; None when it may not have.
+
+        Recording the job here as well is then safe, since its id is the same.
+        """
+        call = msg.SubmitJob(
+            record=encode_record(prepared.record).encode(),
+            ticket=prepared.ticket,
+        )
+        timing = self._settings.timing
+        try:
+            reply = await peer.client.submit_job(
+                call, timeout_ms=Millis(2 * timing.call_timeout_ms)
+            )
+        except WireError as error:
+            eliot.log_message('job:leader_lost', error=str(error))
+            return None
+        return reply.outcome
+
+    def _refuse(self, record: JobRecord) -> Refused | None:
         """Refuse what can never run and what waits in too great numbers."""
         leader = self._seat.leader
-        if leader is None:
+        team = self._keeper.snapshot.team(record.team)
+        queue = self._keeper.snapshot.queue(record.queue)
+        if leader is None or team is None or queue is None:
+            return None
+        if leader.parts.book.find(record.job_id) is not None:
             return None
         views = leader.parts.placer.views
         reason = impossible_reason(record, views) if views else ''
@@ -258,7 +283,7 @@
         ]
         of_team = sum(held.team == record.team for held in waiting)
         in_queue = sum(held.queue == queue.name for held in waiting)
-        if of_team >= access.team.max_waiting or in_queue >= queue.max_waiting:
+        if of_team >= team.max_waiting or in_queue >= queue.max_waiting:
             return Refused(
                 reason=RefusalReason.OVER_LIMIT,
                 detail=f'{of_team} jobs of the team wait, {in_queue} in queue',
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -173,6 +173,15 @@
         """Have a request run; see `call` for the errors."""
         return await self.call(call, msg.RouteReply, timeout_ms=timeout_ms)
 
+    async def submit_job(
+        self,
+        call: msg.SubmitJob,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.SubmitJobReply:
+        """Have a job accepted; see `call` for the errors."""
+        return await self.call(call, msg.SubmitJobReply, timeout_ms=timeout_ms)
+
     async def job_notice(
         self,
         call: msg.JobNotice,
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -14,6 +14,9 @@
 
 from jayshore.clock import Millis
 from jayshore.outcomes import (
+    Accepted,
+    RefusalReason,
+    Refused,
     NotRun,
     NotRunReason,
     Ran,
@@ -218,6 +221,35 @@
     return msg.JobQueryReply(document=reader.document if known else None)
 
 
+def _encode_submitted(reply: msg.SubmitJobReply) -> _Fields:
+    outcome = reply.outcome
+    if isinstance(outcome, Accepted):
+        return {'accepted': {'jobId': outcome.job_id, 'ticket': outcome.ticket}}
+    return {
+        'refused': {
+            'reason': outcome.reason.value,
+            'detail': outcome.detail,
+            'retryAfterMs': _millis_or_none(outcome.retry_after_ms),
+        }
+    }
+
+
+def _decode_submitted(reader: Any) -> msg.SubmitJobReply:
+    if str(reader.which()) == 'accepted':
+        accepted = reader.accepted
+        return msg.SubmitJobReply(
+            outcome=Accepted(job_id=accepted.jobId, ticket=accepted.ticket)
+        )
+    refused = reader.refused
+    return msg.SubmitJobReply(
+        outcome=Refused(
+            reason=RefusalReason(refused.reason),
+            detail=refused.detail,
+            retry_after_ms=_optional_millis(refused.retryAfterMs),
+        )
+    )
+
+
 _ENCODERS: Final[_Encoders] = types.MappingProxyType(
     {
         msg.Heartbeat: ('heartbeat', lambda call: _encode_status(call.status)),
@@ -249,6 +281,11 @@
         ),
         msg.RouteRequest: ('routeRequest', _encode_route),
         msg.RouteReply: ('routeReply', _encode_outcome),
+        msg.SubmitJob: (
+            'submitJob',
+            lambda call: {'record': call.record, 'ticket': call.ticket},
+        ),
+        msg.SubmitJobReply: ('submitJobReply', _encode_submitted),
         msg.JobNotice: ('jobNotice', lambda call: {'jobId': call.job_id}),
         msg.JobNoticeReply: ('jobNoticeReply', lambda _: None),
         msg.JobQuery: ('jobQuery', _encode_query),
@@ -290,6 +327,10 @@
         ),
         'routeRequest': _decode_route,
         'routeReply': _decode_outcome,
+        'submitJob': lambda reader: msg.SubmitJob(
+            record=reader.record, ticket=reader.ticket
+        ),
+        'submitJobReply': _decode_submitted,
         'jobNotice': lambda reader: msg.JobNotice(job_id=reader.jobId),
         'jobNoticeReply': lambda _: msg.JobNoticeReply(),
         'jobQuery': _decode_query,
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -5,6 +5,9 @@
 from hypothesis import strategies as st
 
 from jayshore.outcomes import (
+    Accepted,
+    RefusalReason,
+    Refused,
     NotRun,
     NotRunReason,
     Ran,
@@ -52,6 +55,11 @@
     msg.Heartbeat(status=STATUS),
     msg.HeartbeatReply(status=IDLE, attests=True),
     msg.PromiseConfig(revision=5),
+    msg.SubmitJob(record=b'{}', ticket='t'),
+    msg.SubmitJobReply(outcome=Accepted(job_id='j', ticket='t')),
+    msg.SubmitJobReply(
+        outcome=Refused(reason=RefusalReason.NEVER_FITS, detail='memory_mb')
+    ),
     msg.PromiseConfigReply(promised=True, config_version=4),
     msg.ConfigCommitted(version=5, document=b'{}'),
     msg.ConfigCommittedReply(config_version=5),
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -9,7 +9,7 @@
 from typing import TypeAlias
 
 from jayshore.clock import Millis
-from jayshore.outcomes import RequestOutcome
+from jayshore.outcomes import RequestOutcome, SubmitOutcome
 
 
 class DaemonState(enum.StrEnum):
@@ -152,6 +152,26 @@
     outcome: RequestOutcome
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitJob:
+    """A job whose key was checked and that the leader is asked to accept.
+
+    Attributes:
+        record: JSON of the job record.
+        ticket: returned to the submitter.
+    """
+
+    record: bytes
+    ticket: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitJobReply:
+    """What became of a submitted job."""
+
+    outcome: SubmitOutcome
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobNotice:
     """A job record was created or changed; the leader should read it."""
@@ -227,6 +247,7 @@
     | PromiseConfig
     | ConfigCommitted
     | RouteRequest
+    | SubmitJob
     | JobNotice
     | JobQuery
     | CancelJob
@@ -236,6 +257,7 @@
     | PromiseConfigReply
     | ConfigCommittedReply
     | RouteReply
+    | SubmitJobReply
     | JobNoticeReply
     | JobQueryReply
     | CancelJobReply
--- a/jayshore/wire/peer_test.py
+++ b/jayshore/wire/peer_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from jayshore.clock import ManualClock
-from jayshore.outcomes import Ran
+from jayshore.outcomes import Ran, RefusalReason, Refused
 from jayshore.wire import messages as msg
 from jayshore.wire.client import RECONNECT_BACKOFF, PeerClient
 from jayshore.wire.codec_test import STATUS
@@ -53,6 +53,11 @@
     async def route_request(self, call):
         return msg.RouteReply(outcome=Ran(body=call.body * 2))
 
+    async def submit_job(self, call):
+        return msg.SubmitJobReply(
+            outcome=Refused(reason=RefusalReason.CONFLICT)
+        )
+
     async def job_notice(self, call):
         return msg.JobNoticeReply()
 
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -77,6 +77,25 @@
   }
 }
 
+struct SubmitJob {
+  record @0 :Data;              # JSON of the job record
+  ticket @1 :Text;
+}
+
+struct SubmitJobReply {
+  union {
+    accepted :group {
+      jobId @0 :Text;
+      ticket @1 :Text;
+    }
+    refused :group {
+      reason @2 :Text;
+      detail @3 :Text;
+      retryAfterMs @4 :Int64 = -1;
+    }
+  }
+}
+
 struct JobNotice {
   jobId @0 :Text;
 }
@@ -134,5 +153,7 @@
     cancelJob @13 :CancelJob;
     cancelJobReply @14 :CancelJobReply;
     callFailed @15 :CallFailed;
+    submitJob @16 :SubmitJob;
+    submitJobReply @17 :SubmitJobReply;
   }
 }
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -65,6 +65,10 @@
     async def route_request(self, call: msg.RouteRequest) -> msg.RouteReply:
         """Run a request."""
 
+    @abc.abstractmethod
+    async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
+        """Accept a job."""
+
     @abc.abstractmethod
     async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
         """Note that a job record was created or changed."""
@@ -250,6 +254,8 @@
             return await handler.config_committed(call)
         case msg.RouteRequest():
             return await handler.route_request(call)
+        case msg.SubmitJob():
+            return await handler.submit_job(call)
         case msg.JobNotice():
             return await handler.job_notice(call)
         case msg.JobQuery():
