Add the jayshore command with its client interface

Change: jayshore.cli with check and new-key, which need no daemon, and apply, status, submit, wait, cancel and report burn, written against the abstract DaemonClient. jayshore/cli/connection.py raises DaemonUnreachableError until the HTTP client exists.

Ruled out: an `apply` that reads the version at the time of the call, because it would replace what another operator applied since this one last looked; keys as arguments, because other users of the host can list them.

--- /dev/null
+++ b/jayshore/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `jayshore` command."""
--- /dev/null
+++ b/jayshore/cli/apply.py
@@ -0,0 +1,106 @@
+"""`jayshore apply`: put a configuration directory in force as a whole."""
+
+import argparse
+import pathlib
+
+from jayshore.cli.arguments import Commands, add_command, add_daemon
+from jayshore.cli.check import load_checked
+from jayshore.cli.client import (
+    AnswerLostError,
+    Applied,
+    ApplyOutcome,
+    ConfigView,
+    Conflict,
+    DaemonClient,
+)
+from jayshore.cli.console import Console, ExitCode
+from jayshore.config.document import Document
+
+_EXAMPLES = """  jayshore status
+  jayshore apply --expect-version 41 ./cell
+"""
+
+
+def add_parser(commands: Commands) -> None:
+    """Add the command.
+
+    Args:
+        commands: where to add it.
+    """
+    parser = add_command(
+        commands,
+        'apply',
+        summary='put a configuration directory in force, as a whole',
+        examples=_EXAMPLES,
+    )
+    add_daemon(parser)
+    parser.add_argument('directory', metavar='DIR', type=pathlib.Path)
+    # Required, because a version read at the time of the call would replace
+    # what another operator applied since this one last looked.
+    parser.add_argument(
+        '--expect-version',
+        metavar='N',
+        type=int,
+        required=True,
+        help='the version that you last saw, 0 for none; see jayshore status',
+    )
+    parser.set_defaults(run_remote=run)
+
+
+async def run(
+    arguments: argparse.Namespace, client: DaemonClient, console: Console
+) -> ExitCode:
+    """Apply a directory.
+
+    Args:
+        arguments: the parsed arguments.
+        client: the daemon.
+        console: where to write.
+
+    Returns:
+        The exit code.
+    """
+    document = load_checked(arguments.directory, console)
+    if isinstance(document, ExitCode):
+        return document
+    outcome = await _apply(client, document, arguments.expect_version)
+    if isinstance(outcome, Applied):
+        console.show(
+            text=f'applied as version {outcome.version}', value=outcome
+        )
+        return ExitCode.OK
+    if isinstance(outcome, Conflict):
+        return console.fail(
+            ExitCode.CONFLICT,
+            'conflict',
+            f'version {outcome.version} is in force, nothing was applied',
+        )
+    return console.refuse(outcome)
+
+
+async def _apply(
+    client: DaemonClient, document: Document, expect_version: int
+) -> ApplyOutcome:
+    """Apply, and after a lost answer look whether it took effect.
+
+    Args:
+        client: the daemon.
+        document: the configuration.
+        expect_version: the version that it replaces.
+
+    Returns:
+        The outcome.
+
+    Raises:
+        AnswerLostError: the document is not in force, but may still become so.
+    """
+    try:
+        return await client.apply_config(
+            document=document, expect_version=expect_version
+        )
+    except AnswerLostError:
+        found = await client.read_config()
+        if isinstance(found, ConfigView) and found.version > expect_version:
+            if found.document == document:
+                return Applied(version=found.version)
+        raise
--- /dev/null
+++ b/jayshore/cli/check.py
@@ -0,0 +1,95 @@
+"""`jayshore check`: list every fault of a configuration directory."""
+
+import argparse
+import dataclasses
+import pathlib
+
+from jayshore.cli.arguments import Commands, add_command
+from jayshore.cli.console import Console, ExitCode
+from jayshore.config.document import Document
+from jayshore.config.loading import load_directory
+from jayshore.decoding import Fault, Faults
+
+_EXAMPLES = """  jayshore check ./cell
+  jayshore check --json ./cell
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckResult:
+    """The result as JSON.
+
+    Attributes:
+        is_valid: whether the directory could be applied.
+        digest: SHA-256 of the document, None when it is invalid.
+        bytes: size of the document, None when it is invalid.
+        faults: every fault found.
+    """
+
+    is_valid: bool
+    digest: str | None = None
+    bytes: int | None = None
+    faults: tuple[Fault, ...] = ()
+
+
+def add_parser(commands: Commands) -> None:
+    """Add the command.
+
+    Args:
+        commands: where to add it.
+    """
+    parser = add_command(
+        commands,
+        'check',
+        summary='check a configuration directory without applying it',
+        examples=_EXAMPLES,
+    )
+    parser.add_argument('directory', metavar='DIR', type=pathlib.Path)
+    parser.set_defaults(run_local=run)
+
+
+def run(arguments: argparse.Namespace, console: Console) -> ExitCode:
+    """Check a directory.
+
+    Args:
+        arguments: the parsed arguments.
+        console: where to write.
+
+    Returns:
+        The exit code.
+    """
+    loaded = load_checked(arguments.directory, console)
+    if isinstance(loaded, ExitCode):
+        return loaded
+    size = len(loaded.to_bytes())
+    console.show(
+        text=f'valid: {size} bytes, digest {loaded.digest}',
+        value=CheckResult(is_valid=True, digest=loaded.digest, bytes=size),
+    )
+    return ExitCode.OK
+
+
+def load_checked(
+    directory: pathlib.Path, console: Console
+) -> Document | ExitCode:
+    """Load a directory and show its faults.
+
+    Args:
+        directory: the directory.
+        console: where to write.
+
+    Returns:
+        The document, or the exit code when there are faults.
+    """
+    loaded = load_directory(directory)
+    if not isinstance(loaded, Faults):
+        return loaded
+    console.show(
+        text='\n'.join(map(str, loaded.faults)),
+        value=CheckResult(is_valid=False, faults=loaded.faults),
+    )
+    return console.fail(
+        ExitCode.INVALID,
+        'invalid_configuration',
+        f'{len(loaded.faults)} faults in {directory}',
+    )
--- /dev/null
+++ b/jayshore/cli/console.py
@@ -0,0 +1,122 @@
+"""Output of the commands: results on stdout, one typed error line on stderr."""
+
+import dataclasses
+import enum
+from typing import TextIO
+
+import msgspec
+
+from jayshore.outcomes import RefusalReason, Refused
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of every command; `EXIT_CODES` documents them."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    REFUSED = 5
+    UNAVAILABLE = 6
+    UNKNOWN = 7
+    TIMED_OUT = 8
+    INTERRUPTED = 130
+
+
+EXIT_CODES = """exit codes:
+  0  done
+  1  the job failed, was cancelled, or had ended before it could be cancelled
+  2  wrong usage, or a file or key that cannot be read
+  3  the configuration has faults
+  4  conflict: another version of the configuration is in force
+  5  refused: trying again without a change is useless
+  6  unavailable: nothing was done, try again later
+  7  unknown: no answer was received, or the job may have run
+  8  the time given with --timeout-ms is over
+  130  interrupted from the keyboard
+"""
+
+_RETRYABLE = frozenset(
+    (
+        RefusalReason.OVER_LIMIT,
+        RefusalReason.NOT_FRESH,
+        RefusalReason.STORE_UNAVAILABLE,
+        RefusalReason.SHUTTING_DOWN,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Console:
+    """Where and how a command writes.
+
+    Attributes:
+        stdout: for results.
+        stderr: for errors and progress.
+        as_json: whether results and errors are JSON, one value per line.
+    """
+
+    stdout: TextIO
+    stderr: TextIO
+    as_json: bool = False
+
+    def show(self, *, text: str, value: object) -> None:
+        """Write a result.
+
+        Args:
+            text: the form for people.
+            value: the form for programs, encodable by msgspec.
+        """
+        shown = msgspec.json.encode(value).decode() if self.as_json else text
+        if shown:
+            self.stdout.write(f'{shown}\n')
+
+    def fail(self, code: ExitCode, kind: str, detail: str) -> ExitCode:
+        """Write an error as one line.
+
+        Args:
+            code: the exit code.
+            kind: type of the error, one word.
+            detail: what is wrong.
+
+        Returns:
+            The exit code.
+        """
+        detail = ' '.join(detail.split())
+        line = f'error: {kind}: {detail}'
+        if self.as_json:
+            line = msgspec.json.encode(
+                {'error': kind, 'detail': detail, 'exit_code': code.value}
+            ).decode()
+        self.stderr.write(f'{line}\n')
+        return code
+
+    def refuse(self, refused: Refused) -> ExitCode:
+        """Write a refusal by the daemon.
+
+        Args:
+            refused: what the daemon answered.
+
+        Returns:
+            The exit code, which tells whether trying again is of use.
+        """
+        detail = refused.detail or 'refused by the daemon'
+        if refused.retry_after_ms is not None:
+            detail = f'{detail}; try again after {refused.retry_after_ms} ms'
+        code = ExitCode.REFUSED
+        if refused.reason == RefusalReason.CONFLICT:
+            code = ExitCode.CONFLICT
+        elif refused.reason in _RETRYABLE:
+            code = ExitCode.UNAVAILABLE
+        return self.fail(code, refused.reason.value, detail)
+
+    def progress(self, text: str) -> None:
+        """Replace the progress line, on a terminal only.
+
+        Args:
+            text: the new line, empty to erase it.
+        """
+        if self.stderr.isatty():
+            self.stderr.write(f'\r\x1b[K{text}')
+            self.stderr.flush()
--- /dev/null
+++ b/jayshore/cli/main.py
@@ -0,0 +1,128 @@
+"""Entry point of the `jayshore` command."""
+
+import argparse
+import contextlib
+import sys
+from collections.abc import Callable, Sequence
+from typing import TypeAlias
+
+import curio
+
+from jayshore.cli import (
+    apply,
+    cancel,
+    check,
+    new_key,
+    report,
+    status,
+    submit,
+    wait,
+)
+from jayshore.cli.arguments import (
+    KEY_VARIABLE,
+    Parser,
+    RemoteCommand,
+    UsageError,
+    read_secret,
+)
+from jayshore.cli.client import (
+    DaemonCallError,
+    DaemonClient,
+    DaemonUnreachableError,
+)
+from jayshore.cli.connection import ConnectionSettings, connect
+from jayshore.cli.console import EXIT_CODES, Console, ExitCode
+
+Connect: TypeAlias = Callable[[ConnectionSettings], DaemonClient]
+
+_MODULES = (check, apply, status, submit, wait, cancel, report, new_key)
+
+
+def main() -> None:
+    """Run the command with the arguments of the process."""
+    console = Console(stdout=sys.stdout, stderr=sys.stderr)
+    try:
+        code = execute(sys.argv[1:], console=console, connect_to=connect)
+    except KeyboardInterrupt:
+        code = console.fail(ExitCode.INTERRUPTED, 'interrupted', 'by a signal')
+    sys.exit(code.value)
+
+
+def execute(
+    argv: Sequence[str], *, console: Console, connect_to: Connect
+) -> ExitCode:
+    """Run a command and turn every failure into one line and an exit code.
+
+    Args:
+        argv: arguments without the name of the program.
+        console: where to write.
+        connect_to: makes the client.
+
+    Returns:
+        The exit code.
+    """
+    console = Console(
+        stdout=console.stdout,
+        stderr=console.stderr,
+        as_json='--json' in argv,
+    )
+    try:
+        return _run(build_parser().parse_args(argv), console, connect_to)
+    except UsageError as error:
+        return console.fail(ExitCode.USAGE, 'usage', str(error))
+    except DaemonUnreachableError as error:
+        return console.fail(ExitCode.UNAVAILABLE, error.kind, str(error))
+    except DaemonCallError as error:
+        return console.fail(ExitCode.UNKNOWN, error.kind, str(error))
+
+
+def build_parser() -> Parser:
+    """Build the parser with all commands.
+
+    Returns:
+        The parser.
+    """
+    parser = Parser(
+        prog='jayshore',
+        description='Operate a jayshore cell.',
+        epilog=f'{EXIT_CODES}\nEach command has its own --help.',
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(
+        metavar='COMMAND', required=True, parser_class=Parser
+    )
+    for module in _MODULES:
+        module.add_parser(commands)
+    return parser
+
+
+def _run(
+    arguments: argparse.Namespace, console: Console, connect_to: Connect
+) -> ExitCode:
+    if hasattr(arguments, 'run_local'):
+        return ExitCode(arguments.run_local(arguments, console))
+    settings = ConnectionSettings(
+        url=arguments.daemon,
+        bearer=read_secret(arguments.key_file, KEY_VARIABLE),
+    )
+    return ExitCode(
+        curio.run(
+            _run_remote,
+            arguments.run_remote,
+            arguments,
+            connect_to(settings),
+            console,
+            taskcls=curio.task.ContextTask,
+        )
+    )
+
+
+async def _run_remote(
+    command: RemoteCommand,
+    arguments: argparse.Namespace,
+    client: DaemonClient,
+    console: Console,
+) -> ExitCode:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(client.close)
+        return await command(arguments, client, console)
