--- a/jayshore/cli/check.py
+++ b/jayshore/cli/check.py
@@ -91,5 +91,5 @@
     return console.fail(
         ExitCode.INVALID,
         'invalid_configuration',
-        f'{len(loaded.faults)} faults in {directory}',
+        f'faults in {directory}: {len(loaded.faults)}',
     )
--- a/jayshore/config/checks.py
+++ b/jayshore/config/checks.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from jayshore.config.model import (
+    MAX_NUMBER,
     Domain,
     Instance,
     Key,
@@ -117,9 +118,11 @@
     for entry in teams.entries:
         limit = entry.value.limit
         for field in dataclasses.fields(limit):
-            if getattr(limit, field.name) < 0:
+            if not 0 <= getattr(limit, field.name) <= MAX_NUMBER:
                 yield teams.fault(
-                    entry.index, f'limit.{field.name}', 'Expected `int` >= 0'
+                    entry.index,
+                    f'limit.{field.name}',
+                    f'Expected `int` from 0 to {MAX_NUMBER}',
                 )
         seen = set()
         for place, target in enumerate(entry.value.targets):
--- a/jayshore/config/model.py
+++ b/jayshore/config/model.py
@@ -19,10 +19,13 @@
     str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9_-]{0,62}\Z')
 ]
 Sha256Hex: TypeAlias = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f]{64}\Z')]
-Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
-PositiveMillis: TypeAlias = Annotated[Millis, msgspec.Meta(gt=0)]
-Positive: TypeAlias = Annotated[float, msgspec.Meta(gt=0)]
-NotNegative: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
+# Numbers stay below 2**31, so that they fit into the fields of the inner
+# protocol, also after a few of them are added up.
+MAX_NUMBER = 2**31 - 1
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+PositiveMillis: TypeAlias = Annotated[Millis, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+Positive: TypeAlias = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+NotNegative: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 # An objective of 1 leaves no error budget, so a burn rate has no meaning.
 Objective: TypeAlias = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 
@@ -187,7 +190,7 @@
 
     ratio: NotNegative = 0.1
     min_per_s: NotNegative = 1.0
-    max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 3
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/freshness/roster.py
+++ b/jayshore/freshness/roster.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Set as AbstractSet
 
+from jayshore.config.document import Document
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Roster:
@@ -27,7 +29,23 @@
         return len(self.members & names) >= self.majority
 
 
-def may_write(*, promised: AbstractSet[str], old: Roster, new: Roster) -> bool:
+def roster_of(document: Document) -> Roster:
+    """Take the roster from a configuration.
+
+    Args:
+        document: a configuration.
+
+    Returns:
+        The names of its instances.
+    """
+    return Roster(
+        members=frozenset(daemon.name for daemon in document.instances)
+    )
+
+
+def may_write(
+    *, promised: AbstractSet[str], old: Roster | None, new: Roster
+) -> bool:
     """Tell whether enough daemons promised for a configuration write.
 
     Every daemon that still holds the old version asks a majority of the old
@@ -36,10 +54,14 @@
 
     Args:
         promised: the daemons that promised, the writer included.
-        old: the roster of the version in the store.
+        old: the roster of the version in the store; None when there is no
+            version yet, in which case there is nothing to supersede and no
+            promise is needed.
         new: the roster of the version to be written.
 
     Returns:
         True when the write may be sent.
     """
+    if old is None:
+        return True
     return old.has_majority(promised) and new.has_majority(promised)
--- a/jayshore/freshness/tracker_test.py
+++ b/jayshore/freshness/tracker_test.py
@@ -157,11 +157,12 @@
         ('abc', 'abc', 'bcd', True),
         ('cd', 'abc', 'bcd', False),
         ('a', '', 'a', False),
+        ('', None, 'abc', True),
     ],
 )
 def test_write_needs_both_majorities(promised, old, new, expected):
     """Guards against a write that a daemon of the old roster can miss."""
-    assert (
-        may_write(promised=set(promised), old=roster(old), new=roster(new))
-        == expected
+    before = None if old is None else roster(old)
+    assert expected == may_write(
+        promised=set(promised), old=before, new=roster(new)
     )
