Add exhaustive models of jobs, freshness and grants

The guarantees rest on the interplay of compare-and-swap, leases and fencing, which tests only sample. Each mechanism can be switched off, and the tests show that a property then fails.

--- /dev/null
+++ b/spec/main.py
@@ -0,0 +1,209 @@
+"""Check the models exhaustively and print state counts and times."""
+
+import argparse
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from minicheck import Protocol, check_safety
+
+from jayshore.clock import Millis, MonotonicClock
+from spec import freshness_model, quota_model, task_model
+
+MAX_STATES = 4_000_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """One model with its parameters.
+
+    Attributes:
+        model: builds the protocol.
+        rules: the parameters.
+        violates: the property that has to fail, empty when all have to hold.
+        slow: left out unless the full set is asked for.
+    """
+
+    model: Callable[[Any], Protocol]
+    rules: Any
+    violates: str = ''
+    slow: bool = False
+
+    @property
+    def name(self) -> str:
+        """The model and the parameters that differ from the defaults."""
+        changed = [
+            f'{field.name}={getattr(self.rules, field.name)}'
+            for field in dataclasses.fields(self.rules)
+            if getattr(self.rules, field.name) != field.default
+        ]
+        return ' '.join([self.model.__name__, *changed])
+
+
+def _task(violates: str = '', *, slow: bool = False, **changes: Any) -> Case:
+    return Case(
+        model=task_model.task_model,
+        rules=task_model.Rules(**changes),
+        violates=violates,
+        slow=slow,
+    )
+
+
+def _fresh(violates: str = '', *, slow: bool = False, **changes: Any) -> Case:
+    return Case(
+        model=freshness_model.freshness_model,
+        rules=freshness_model.Rules(**changes),
+        violates=violates,
+        slow=slow,
+    )
+
+
+def _quota(violates: str = '', **changes: Any) -> Case:
+    return Case(
+        model=quota_model.quota_model,
+        rules=quota_model.Rules(**changes),
+        violates=violates,
+    )
+
+
+_NO_FAULTS: tuple[str, ...] = ()
+
+SOUND = (
+    _task(worker_faults=_NO_FAULTS),
+    _task(last_epoch=1),
+    _task(idempotent=False, worker_faults=_NO_FAULTS),
+    _task(idempotent=False, last_epoch=1),
+    _fresh(),
+    _quota(),
+    _task(slow=True),
+    _task(idempotent=False, slow=True),
+    _task(worker_faults=_NO_FAULTS, last_epoch=3, slow=True),
+    _fresh(last_revision=3, slow=True),
+)
+
+_TWO = 'two places'
+_AGAIN = 'finished task started'
+_SECOND = 'second start'
+_LATE_KEY = 'withdrawn key accepted late'
+_BACK = 'version went back'
+_OVER_PART = 'use exceeds the part'
+
+BROKEN = (
+    _task(_TWO, starts_carry_lease=False, last_epoch=1),
+    _task(_AGAIN, starts_carry_lease=False, last_epoch=1),
+    _task(_TWO, lease_ids_unique_over_boots=False, last_epoch=1),
+    _task(_TWO, lapsed_lease_is_void=False, last_epoch=1),
+    _task(_TWO, renewal_counts_from_sending=False, last_epoch=1),
+    _task(_TWO, expiry_needs_own_lease=False, worker_faults=_NO_FAULTS),
+    _task(_TWO, expiry_reads_leader_key=False, worker_faults=_NO_FAULTS),
+    _task(_TWO, proof_from_whole_intent=False, last_epoch=1),
+    _task(_TWO, starts_within_intent=False, last_epoch=1),
+    _task(_TWO, uncertain_write_is_repeated=False, worker_faults=_NO_FAULTS),
+    _task(_TWO, claim_writes_epoch=False, worker_faults=_NO_FAULTS),
+    _task(
+        'epoch went back', claim_checks_epoch=False, worker_faults=_NO_FAULTS
+    ),
+    _task(_SECOND, ack_after_record=False, idempotent=False, last_epoch=1),
+    _task(
+        _SECOND, only_never_started_again=False, idempotent=False, last_epoch=1
+    ),
+    _fresh(_LATE_KEY, attesters_needed=1, last_revision=1),
+    _fresh(_LATE_KEY, promises_needed=1, last_revision=1),
+    _fresh(_LATE_KEY, promise_lasts_to_newer_revision=False, last_revision=1),
+    _fresh(_LATE_KEY, restart_counts_as_promise=False, last_revision=1),
+    _fresh(_LATE_KEY, attests_only_after_own_read=False, last_revision=1),
+    _fresh(_LATE_KEY, age_includes_transit=False, last_revision=1),
+    _fresh(_BACK, evidence_is_younger_than_process=False, last_revision=1),
+    _fresh(_BACK, keeps_newer_version=False, last_revision=1),
+    _quota(_OVER_PART, compare_and_swap=False),
+    _quota('raised under an older limit', raise_reads_newest_limit=False),
+    _quota('sum exceeds the limit', raise_from_remainder=False),
+    _quota(_OVER_PART, lower_after_use_fell=False),
+    _quota(_OVER_PART, lower_counts_when_sent=False),
+    _quota(_OVER_PART, uncertain_write_is_repeated=False),
+    _quota(_OVER_PART, successor_claims_part=False),
+    _quota(_OVER_PART, successor_opens_upstreams=False),
+)
+
+
+def check(case: Case) -> dict[str, Any]:
+    """Enumerate every reachable state.
+
+    Args:
+        case: a model whose properties have to hold.
+
+    Returns:
+        The result of `minicheck.check_safety`.
+    """
+    protocol = case.model(case.rules)
+    result: dict[str, Any] = check_safety(protocol, max_states=MAX_STATES)
+    return result
+
+
+def counterexample(case: Case) -> list[str]:
+    """Find a shortest trace to the violation; the search stops there.
+
+    Args:
+        case: a model that violates a property.
+
+    Returns:
+        The labels of the steps, empty when the property holds.
+    """
+    protocol = case.model(case.rules)
+    holds = protocol.invariants[case.violates]
+    violated: list[bool] = []
+
+    def watched(state: dict[str, Any]) -> bool:  # noqa: WPS430
+        if not holds(state):
+            violated.append(True)
+        return not violated
+
+    def transitions(state: tuple[Any, ...]) -> Iterator[Any]:  # noqa: WPS430
+        return iter(()) if violated else iter(protocol.transitions(state))
+
+    searched = dataclasses.replace(
+        protocol,
+        transitions=transitions,
+        invariants={case.violates: watched},
+    )
+    found = check_safety(searched, max_states=MAX_STATES)
+    trace = found['properties'][case.violates]['counterexample']
+    return [step['label'] for step in trace[1:]] if trace else []
+
+
+def _print_sound(case: Case) -> None:
+    clock = MonotonicClock()
+    begun = clock.now()
+    result = check(case)
+    holds = {prop['holds'] for prop in result['properties'].values()}
+    elapsed = Millis(clock.now() - begun)
+    print(  # noqa: WPS421
+        f'{case.name}: {result["reachable_states"]} states, '
+        f'{elapsed} ms, holds: {holds == {True}}',
+    )
+
+
+def _print_broken(case: Case, *, with_trace: bool) -> None:
+    trace = counterexample(case)
+    print(  # noqa: WPS421
+        f'{case.name}: "{case.violates}" after {len(trace)} steps',
+    )
+    if with_trace:
+        print(''.join(f'    {step}\n' for step in trace))  # noqa: WPS421
+
+
+def main() -> None:
+    """Print one line for each model."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--full', action='store_true', help='slow ones too')
+    parser.add_argument('--traces', action='store_true', help='print steps')
+    given = parser.parse_args()
+    for case in SOUND:
+        if given.full or not case.slow:
+            _print_sound(case)
+    for broken in BROKEN:
+        _print_broken(broken, with_trace=given.traces)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/spec/task_model.py
@@ -0,0 +1,324 @@
+"""Model of job records, worker leases and fencing (design 4.1 and 4.2).
+
+One task, two daemons, two workers. A pause, a partition or an unreachable
+store is a step that does not happen; time is the order of steps. The task
+lease of a worker may lapse at any time. A leader that waited for the task
+lease without a renewal knows that the lease it opened itself has lapsed,
+unless a later leader opened the worker in between.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from operator import itemgetter
+from types import MappingProxyType
+from typing import Any, NamedTuple, TypeAlias
+
+from minicheck import Protocol
+
+WORKERS = (0, 1)
+LAST_ATTEMPT = 2
+GONE = -1
+UNOPENED = ('unopened', 'unopened')
+NEVER = ('never', 'never')
+SHOWN = MappingProxyType(
+    {
+        'running': 'sent',
+        'finished': 'finished',
+        'ended': 'over',
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rules:
+    """Mechanisms of the protocol; each False switches one off."""
+
+    last_epoch: int = 2
+    worker_faults: tuple[str, ...] = ('reboots', 'dies')
+    idempotent: bool = True
+    starts_carry_lease: bool = True
+    lease_ids_unique_over_boots: bool = True
+    lapsed_lease_is_void: bool = True
+    renewal_counts_from_sending: bool = True
+    expiry_needs_own_lease: bool = True
+    expiry_reads_leader_key: bool = True
+    proof_from_whole_intent: bool = True
+    starts_within_intent: bool = True
+    uncertain_write_is_repeated: bool = True
+    claim_writes_epoch: bool = True
+    claim_checks_epoch: bool = True
+    ack_after_record: bool = True
+    only_never_started_again: bool = True
+
+
+class Record(NamedTuple):
+    """The job record; `intent` holds boot number + 1 of each named worker."""
+
+    epoch: int = 0
+    attempt: int = 0
+    intent: tuple[int, ...] = (0, 0)
+    done: bool = False
+
+
+class Daemon(NamedTuple):
+    """A daemon: its epoch, its copy, its proofs, a write under way."""
+
+    epoch: int = 0
+    known: Record | None = None
+    proof: tuple[str, ...] = UNOPENED
+    late: Record | None = None
+
+
+class Worker(NamedTuple):
+    """A worker; `coming` is the attempt of a start still under way."""
+
+    boot: int = 0
+    top_epoch: int = 0
+    live: bool = False
+    task: str = ''
+    attempt: int = 0
+    coming: int = 0
+
+
+class State(NamedTuple):
+    """The whole system; `fault` names the property that was violated."""
+
+    leader_key: int = 0
+    record: Record = Record()
+    daemons: tuple[Daemon, ...] = (Daemon(), Daemon())
+    workers: tuple[Worker, ...] = (Worker(), Worker())
+    started: bool = False
+    fault: str = ''
+
+
+Steps: TypeAlias = Iterator[tuple[str, State]]
+
+
+def _put(items: tuple[Any, ...], index: int, item: Any) -> tuple[Any, ...]:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _daemon(state: State, me: int, daemon: Daemon) -> State:
+    # Daemons are symmetric, so states that only swap them are one state.
+    daemons = sorted(_put(state.daemons, me, daemon), key=itemgetter(0))
+    return state._replace(daemons=tuple(daemons))
+
+
+def _worker(state: State, at: int, **changes: Any) -> State:
+    worker = state.workers[at]._replace(**changes)
+    return state._replace(workers=_put(state.workers, at, worker))
+
+
+def _write(state: State, me: int, new: Record, proof: tuple[str, ...]) -> Steps:
+    epoch = state.daemons[me].epoch
+    known = None if new.done else new
+    after = _land(state, new)
+    yield 'writes', _daemon(after, me, Daemon(epoch, known, proof))
+    uncertain = Daemon(epoch, late=new)
+    yield 'writes without an answer', _daemon(state, me, uncertain)
+
+
+def _land(state: State, new: Record) -> State:
+    # The new revision makes every other write that is under way fail.
+    daemons = tuple(one._replace(late=None) for one in state.daemons)
+    fault = 'epoch went back' if new.epoch < state.record.epoch else ''
+    return state._replace(record=new, daemons=daemons, fault=fault)
+
+
+def _store_steps(rules: Rules, state: State, me: int) -> Steps:
+    daemon, record = state.daemons[me], state.record
+    if daemon.epoch == 0:
+        epoch = state.leader_key + 1
+        if epoch <= rules.last_epoch:
+            leads = _daemon(state, me, Daemon(epoch))
+            yield 'becomes leader', leads._replace(leader_key=epoch)
+        return
+    yield 'restarts', _daemon(state, me, Daemon(late=daemon.late))
+    if daemon.known is None:
+        yield from _claim(rules, state, me)
+    elif daemon.known == record:
+        yield from _change(rules, state, me)
+
+
+def _claim(rules: Rules, state: State, me: int) -> Steps:
+    epoch, record = state.daemons[me].epoch, state.record
+    if not record.attempt:
+        first = Record(epoch, 1, (state.workers[0].boot + 1, 0))
+        yield from _write(state, me, first, NEVER)
+        return
+    proof = tuple('unopened' if boot else 'never' for boot in record.intent)
+    read = record.epoch == epoch and not rules.uncertain_write_is_repeated
+    if read or not rules.claim_writes_epoch:
+        copy = Daemon(epoch, record, proof, state.daemons[me].late)
+        yield 'reads', _daemon(state, me, copy)
+    elif record.epoch <= epoch or not rules.claim_checks_epoch:
+        claimed = record._replace(epoch=epoch)
+        yield from _write(state, me, claimed, proof)
+
+
+def _change(rules: Rules, state: State, me: int) -> Steps:
+    proof, record = state.daemons[me].proof, state.record
+    if 'finished' in proof:
+        yield from _write(state, me, record._replace(done=True), proof)
+        return
+    over = {'never', 'over'}
+    if not rules.idempotent and rules.only_never_started_again:
+        over = {'never'}
+    named = [proof[at] in over for at in WORKERS if record.intent[at]]
+    enough = all if rules.proof_from_whole_intent else any
+    if enough(named) and record.attempt < LAST_ATTEMPT:
+        further = record._replace(attempt=record.attempt + 1)
+        yield from _write(state, me, further, NEVER)
+    for at, worker in enumerate(state.workers):
+        if worker.boot != GONE and not record.intent[at]:
+            intent = _put(record.intent, at, worker.boot + 1)
+            widened = record._replace(intent=intent)
+            yield from _write(state, me, widened, proof)
+
+
+def _seen(worker: Worker, known: Record, at: int) -> str:
+    if known.intent[at] not in {0, worker.boot + 1}:
+        return 'over'
+    if not worker.task or worker.attempt != known.attempt:
+        return 'never'
+    return SHOWN[worker.task]
+
+
+def _prove(rules: Rules, state: State, me: int, at: int) -> Steps:
+    daemon, worker = state.daemons[me], state.workers[at]
+    if daemon.known != state.record or not daemon.known.intent[at]:
+        return
+    proved = daemon._replace(proof=_put(daemon.proof, at, 'over'))
+    if worker.boot == GONE:
+        yield 'sees on the list the loss of worker', _daemon(state, me, proved)
+    opened = daemon.proof[at] == 'sent'
+    if not opened and rules.expiry_needs_own_lease:
+        return
+    if state.leader_key != daemon.epoch and rules.expiry_reads_leader_key:
+        return
+    own = worker.top_epoch == daemon.epoch
+    if not (own and worker.live and rules.renewal_counts_from_sending):
+        yield (
+            'has waited for the task lease of worker',
+            _daemon(state, me, proved),
+        )
+
+
+def _lease_steps(rules: Rules, state: State, me: int, at: int) -> Steps:
+    daemon, worker = state.daemons[me], state.workers[at]
+    known = daemon.known
+    if worker.boot != GONE and worker.top_epoch <= daemon.epoch:
+        fenced = rules.starts_carry_lease and (
+            rules.lease_ids_unique_over_boots or worker.top_epoch
+        )
+        coming = 0 if fenced else worker.coming
+        after = _worker(
+            state, at, top_epoch=daemon.epoch, live=True, coming=coming
+        )
+        if known is not None:
+            proof = _put(daemon.proof, at, _seen(worker, known, at))
+            after = _daemon(after, me, daemon._replace(proof=proof))
+        yield 'opens the lease of worker', after
+    if known is None or worker.top_epoch != daemon.epoch or not worker.live:
+        return
+    if worker.task == 'finished' and not rules.ack_after_record:
+        yield (
+            'acknowledges the result of worker',
+            _worker(state, at, task='', attempt=0),
+        )
+    inside = known.intent[at] == worker.boot + 1
+    if daemon.proof == NEVER and (inside or not rules.starts_within_intent):
+        sent = daemon._replace(proof=_put(NEVER, at, 'sent'))
+        after = _worker(state, at, coming=known.attempt)
+        yield 'sends the start to worker', _daemon(after, me, sent)
+
+
+def _arrive(rules: Rules, state: State, at: int) -> State:
+    fault = ''
+    if any(worker.task == 'running' for worker in state.workers):
+        fault = 'two places'
+    elif state.record.done:
+        fault = 'finished task started'
+    elif state.started:
+        fault = 'second start'
+    attempt = state.workers[at].coming
+    after = _worker(state, at, task='running', attempt=attempt, coming=0)
+    return after._replace(started=not rules.idempotent, fault=fault)
+
+
+def _worker_steps(rules: Rules, state: State, at: int) -> Steps:
+    worker = state.workers[at]
+    if worker.coming and (worker.live or not rules.lapsed_lease_is_void):
+        yield 'accepts the start', _arrive(rules, state, at)
+    if worker.task == 'running':
+        yield 'finishes', _worker(state, at, task='finished')
+        yield 'fails', _worker(state, at, task='ended')
+    if worker.live:
+        task = worker.task.replace('running', 'ended')
+        late = 0 if rules.lapsed_lease_is_void else worker.coming
+        lapsed = _worker(state, at, live=False, task=task, coming=late)
+        yield 'sees its lease lapse', lapsed
+    if any(one.boot for one in state.workers):
+        return
+    for label in rules.worker_faults:
+        old = 0 if rules.lease_ids_unique_over_boots else worker.coming
+        again = Worker(boot=1, coming=old)
+        new = again if label == 'reboots' else Worker(boot=GONE)
+        workers = _put(state.workers, at, new)
+        yield label, state._replace(workers=workers)
+
+
+def _leader_steps(rules: Rules, state: State, me: int) -> Steps:
+    daemon = state.daemons[me]
+    if daemon.late is not None:
+        yield 'late write lands', _land(state, daemon.late)
+    if state.record.done and daemon.known is None:
+        return
+    yield from _store_steps(rules, state, me)
+    for at in WORKERS if daemon.epoch else ():
+        for label, after in _lease_steps(rules, state, me, at):
+            yield f'{label} {at}', after
+        for label, after in _prove(rules, state, me, at):
+            yield f'{label} {at}', after
+
+
+def _steps(rules: Rules, state: State) -> Steps:
+    if state.fault:
+        return
+    for me, daemon in enumerate(state.daemons):
+        for label, after in _leader_steps(rules, state, me):
+            yield f'leader {daemon.epoch}: {label}', after
+    for at in WORKERS:
+        for label, after in _worker_steps(rules, state, at):
+            yield f'worker {at} {label}', after
+
+
+FAULTS = (
+    'two places',
+    'second start',
+    'finished task started',
+    'epoch went back',
+)
+
+
+def _lacks(fault: str) -> Callable[[dict[str, Any]], bool]:
+    return lambda state: state['fault'] != fault
+
+
+def task_model(rules: Rules) -> Protocol:
+    """Build the model.
+
+    Args:
+        rules: the mechanisms in force.
+
+    Returns:
+        A protocol with one invariant for each fault.
+    """
+    return Protocol(
+        name='tasks',
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: _steps(rules, state),
+        invariants={fault: _lacks(fault) for fault in FAULTS},
+    )
