--- /dev/null
+++ b/jayshore/quota/keeper_test.py
@@ -0,0 +1,306 @@
+"""Differential test of the grants against a single copy of the truth."""
+
+import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from jayshore.clock import Millis
+from jayshore.quota.grants import NO_GRANTS, Limit, Owner
+from jayshore.quota.keeper import (
+    Conflict,
+    GrantKeeper,
+    GrantStore,
+    GrantStoreError,
+    StoredGrants,
+    Uncertain,
+    Written,
+)
+from jayshore.quota.ledger import DomainLedger
+from jayshore.resources import NOTHING, Resources, total
+
+TEAM = 'team'
+DOMAINS = ('east', 'north', 'south')
+RETURN_AFTER = Millis(100)
+IDLE = Millis(101)
+FATES = ('prompt', 'answer lost', 'delayed', 'dropped', 'store down')
+BOUNDED_ROUNDS = 12
+
+in_domain = strategies.sampled_from(range(len(DOMAINS)))
+
+
+def _amount(count):
+    return Resources(requests=count)
+
+
+def _run(coroutine):
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError('the stand-in never suspends')
+
+
+class LateStore(GrantStore):
+    """A store whose writes can be delayed and whose answers can be lost."""
+
+    def __init__(self):
+        self.record = NO_GRANTS
+        self.revision = 0
+        self.fate = 'prompt'
+        self.late = []
+        self.limits = [Limit(version=1, amount=_amount(4))]
+
+    async def read(self, team):
+        if self.fate == 'store down':
+            raise GrantStoreError('down')
+        return StoredGrants(record=self.record, revision=self.revision)
+
+    async def write(self, team, record, *, expect_revision):
+        newest = self.limits[-1].amount
+        if record.assigned.requests > self.record.assigned.requests:
+            assert expect_revision != self.revision or record.assigned.fits_in(
+                newest
+            )
+        if self.fate in {'dropped', 'store down'}:
+            return Uncertain()
+        if self.fate == 'delayed':
+            self.late.append((record, expect_revision))
+            return Uncertain()
+        confirmed = self.land(record, expect_revision)
+        if self.fate == 'answer lost':
+            return Uncertain()
+        return Written(revision=self.revision) if confirmed else Conflict()
+
+    def land(self, record, expect_revision):
+        if expect_revision != self.revision:
+            return False
+        before, after = self.record.assigned, record.assigned
+        if not after.fits_in(before):
+            assert after.fits_in(record.limit.amount)
+        assert record.limit.version >= self.record.limit.version
+        self.record = record
+        self.revision += 1
+        return True
+
+    def part(self, at):
+        part = self.record.part_of(DOMAINS[at])
+        return NOTHING if part is None else part.amount
+
+
+class Leader:
+    """One leader's ledger and keeper."""
+
+    def __init__(self, store, at, epoch):
+        self.ledger = DomainLedger(
+            domain=DOMAINS[at], return_after_ms=RETURN_AFTER
+        )
+        self.owner = Owner(domain=DOMAINS[at], epoch=epoch)
+        self.keeper = GrantKeeper(
+            store=store, ledger=self.ledger, owner=self.owner
+        )
+
+    def has_room(self):
+        return self.ledger.has_headroom(TEAM, _amount(1))
+
+
+class Grants(RuleBasedStateMachine):
+    """Three domains; `use` is the single copy of what really runs."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = LateStore()
+        self.now = Millis(0)
+        self.use = [0, 0, 0]
+        self.leaders = [Leader(self.store, at, 1) for at in range(3)]
+        self.former = [None, None, None]
+        for at, leader in enumerate(self.leaders):
+            self._open_upstreams(at)
+            leader.ledger.set_waiting(TEAM, _amount(2))
+            self._round(leader, fate='prompt', fresh=True)
+
+    def _open_upstreams(self, at):
+        ledger = self.leaders[at].ledger
+        ledger.adopt(TEAM, _amount(self.use[at]))
+        ledger.complete_inventory()
+        self.former[at] = None
+
+    def _round(self, leader, *, fate, fresh):
+        self.store.fate = fate
+        limits = {TEAM: self.store.limits[-1]} if fresh else {}
+        try:
+            _run(leader.keeper.claim(TEAM))
+            return _run(leader.keeper.run_round(self.now, limits=limits))
+        except GrantStoreError:
+            return ()
+
+    @rule(
+        at=in_domain,
+        fate=strategies.sampled_from(FATES),
+        fresh=strategies.booleans(),
+    )
+    def round(self, at, fate, fresh):
+        self._round(self.leaders[at], fate=fate, fresh=fresh)
+
+    @rule(at=in_domain, fate=strategies.sampled_from(FATES))
+    def round_of_former_leader(self, at, fate):
+        if self.former[at] is not None:
+            self._round(self.former[at], fate=fate, fresh=True)
+
+    @rule(at=in_domain)
+    def start_all_that_fits(self, at):
+        self._fill(self.leaders[at], at)
+
+    @rule(at=in_domain)
+    def start_by_former_leader(self, at):
+        if self.former[at] is not None:
+            self._fill(self.former[at], at)
+
+    def _fill(self, leader, at):
+        while leader.has_room():
+            leader.ledger.take(TEAM, _amount(1))
+            self.use[at] += 1
+
+    @rule(at=in_domain, count=strategies.integers(1, 4))
+    def end(self, at, count):
+        # Before its upstreams are opened the leader hears of no end.
+        if self.former[at] is None:
+            ended = min(count, self.use[at])
+            self.leaders[at].ledger.give_back(TEAM, _amount(ended))
+            self.use[at] -= ended
+
+    @rule(at=in_domain, count=strategies.integers(1, 4))
+    def demand_arrives(self, at, count):
+        self.leaders[at].ledger.set_waiting(TEAM, _amount(count))
+        self._round(self.leaders[at], fate='prompt', fresh=True)
+        self._fill(self.leaders[at], at)
+
+    @rule(at=in_domain, fate=strategies.sampled_from(FATES))
+    def surplus_is_returned(self, at, fate):
+        self.leaders[at].ledger.set_waiting(TEAM, NOTHING)
+        for wanted in ('prompt', fate):
+            self._round(self.leaders[at], fate=wanted, fresh=True)
+            self.now = Millis(self.now + IDLE)
+
+    @rule(at=in_domain, count=strategies.integers(0, 5))
+    def wait(self, at, count):
+        self.leaders[at].ledger.set_waiting(TEAM, _amount(count))
+
+    @rule(count=strategies.integers(0, 6))
+    def change_limit(self, count):
+        version = len(self.store.limits) + 1
+        self.store.limits.append(Limit(version=version, amount=_amount(count)))
+
+    @rule(at=in_domain)
+    def replace_leader(self, at):
+        if self.former[at] is None:
+            old = self.leaders[at]
+            self.former[at] = old
+            epoch = old.owner.epoch + 1
+            self.leaders[at] = Leader(self.store, at, epoch)
+
+    @rule(at=in_domain)
+    def open_upstreams(self, at):
+        if self.former[at] is not None:
+            self._open_upstreams(at)
+
+    @precondition(lambda self: self.store.late)
+    @rule(data=strategies.data())
+    def late_write_lands(self, data):
+        index = data.draw(strategies.integers(0, len(self.store.late) - 1))
+        self.store.land(*self.store.late.pop(index))
+
+    @rule()
+    def time_passes(self):
+        self.now = Millis(self.now + IDLE)
+
+    @invariant()
+    def use_is_within_the_part(self):
+        for at, use in enumerate(self.use):
+            assert _amount(use).fits_in(self.store.part(at))
+
+    @invariant()
+    def leader_counts_on_no_more_than_the_part(self):
+        for at, leader in enumerate(self.leaders):
+            held = leader.ledger.account(TEAM).part
+            assert held.fits_in(self.store.part(at))
+
+    def teardown(self):
+        """Guards against surplus that never reaches the demand."""
+        for at in range(3):
+            if self.former[at] is not None:
+                self._open_upstreams(at)
+            self.leaders[at].ledger.set_waiting(TEAM, NOTHING)
+        wanted = max(0, self.store.limits[-1].amount.requests)
+        self.leaders[0].ledger.set_waiting(TEAM, _amount(wanted))
+        for _ in range(BOUNDED_ROUNDS):
+            self.now = Millis(self.now + IDLE)
+            for at in range(3):
+                self._clean_round(at)
+        others = total(self.store.part(at) for at in (1, 2))
+        reached = (self.store.part(0) + others).requests
+        assert reached == wanted
+        assert others == _amount(self.use[1] + self.use[2])
+
+    def _clean_round(self, at):
+        leader = self.leaders[at]
+        planned = self._round(leader, fate='prompt', fresh=True)
+        for change in planned:
+            leader.ledger.give_back(TEAM, change.excess)
+            self.use[at] -= change.excess.requests
+
+
+TestGrants = Grants.TestCase
+TestGrants.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+)
+
+
+@pytest.mark.parametrize('fate', ['delayed', 'dropped', 'answer lost'])
+def test_uncertain_return_is_not_counted_on(fate):
+    """Guards against use of a part that a late write takes away."""
+    store = LateStore()
+    leader = Leader(store, 0, 1)
+    leader.ledger.complete_inventory()
+    limits = {TEAM: store.limits[0]}
+    leader.ledger.set_waiting(TEAM, _amount(4))
+    assert _run(leader.keeper.claim(TEAM))
+    _run(leader.keeper.run_round(Millis(0), limits=limits))
+    assert leader.has_room()
+    leader.ledger.set_waiting(TEAM, NOTHING)
+    _run(leader.keeper.run_round(Millis(1), limits=limits))
+    store.fate = fate
+    _run(leader.keeper.run_round(Millis(200), limits=limits))
+    assert not leader.has_room()
+
+
+def test_late_return_fails_once_demand_is_back():
+    """Guards against trusting a read while a write is still under way."""
+    store = LateStore()
+    leader = Leader(store, 0, 1)
+    leader.ledger.complete_inventory()
+    limits = {TEAM: store.limits[0]}
+    assert _run(leader.keeper.claim(TEAM))
+    for now, waiting, fate in (
+        (0, 4, 'prompt'),
+        (1, 0, 'prompt'),
+        (200, 0, 'delayed'),
+        (201, 4, 'prompt'),
+    ):
+        store.fate = fate
+        leader.ledger.set_waiting(TEAM, _amount(waiting))
+        _run(leader.keeper.run_round(Millis(now), limits=limits))
+    while leader.has_room():
+        leader.ledger.take(TEAM, _amount(1))
+    assert leader.ledger.account(TEAM).use == _amount(4)
+    for record, revision in store.late:
+        store.land(record, revision)
+    assert store.late
+    assert store.part(0) == _amount(4)
--- /dev/null
+++ b/jayshore/quota/ledger.py
@@ -0,0 +1,324 @@
+"""What one leader holds and uses of every team's limit in its own domain."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from jayshore.clock import Millis
+from jayshore.outcomes import JayshoreError
+from jayshore.quota.amounts import larger, smaller, surplus
+from jayshore.quota.grants import (
+    NO_GRANTS,
+    GrantRecord,
+    Limit,
+    adopt_limit,
+    proportional_part,
+)
+from jayshore.resources import NOTHING, Resources
+
+RETURN_AFTER_MS = Millis(5000)
+"""How long a surplus lies idle before it is returned.
+
+Several times the interval between rounds, so that a short lull between two
+starts does not cost two writes.
+"""
+
+_NO_DOMAINS: frozenset[str] = frozenset()
+
+
+class OverPartError(JayshoreError):
+    """Something was taken for which the domain's part has no room."""
+
+
+class NotTakenError(JayshoreError):
+    """More was given back than was in use."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PartChange:
+    """A change of the domain's part that the ledger asks for.
+
+    Attributes:
+        team: whose part.
+        to: the wanted part.
+        excess: what has to be preempted before the part can go down to the
+            proportional part of a lowered limit.
+    """
+
+    team: str
+    to: Resources
+    excess: Resources = NOTHING
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Account:
+    """One team in one domain.
+
+    Attributes:
+        record: the grants as last read or written.
+        held: the part that the leader counts on, None before the part was
+            claimed. Never more than the part in the store.
+        use: what runs or may run.
+        waiting: what waits for room.
+        peak: largest need since `idle_since`.
+        ceiling: what a lowered limit leaves, or None. Nothing is started above
+            it, so that the part can go down as work ends.
+        idle_since: when the current surplus began, or None without a surplus.
+    """
+
+    record: GrantRecord = NO_GRANTS
+    held: Resources | None = None
+    use: Resources = NOTHING
+    waiting: Resources = NOTHING
+    peak: Resources = NOTHING
+    ceiling: Resources | None = None
+    idle_since: Millis | None = None
+
+    @property
+    def part(self) -> Resources:
+        """What the team may use in this domain."""
+        return NOTHING if self.held is None else self.held
+
+    @property
+    def free(self) -> Resources:
+        """What can still be started; use above the part counts as none."""
+        usable = self.part
+        if self.ceiling is not None:
+            usable = smaller(usable, self.ceiling)
+        return surplus(usable, self.use)
+
+    @property
+    def need(self) -> Resources:
+        """What runs and what waits."""
+        return self.use + self.waiting
+
+
+_EMPTY = Account()
+
+
+class DomainLedger:
+    """Held parts, use and demand of all teams in one domain.
+
+    A new leader adopts everything that may be running before it counts on
+    `has_headroom`: each task that may have started according to the job
+    records, and each request in an executor's inventory. Until every upstream
+    is opened or gone, its predecessor may still start requests, so that no
+    part is lowered and no request is admitted.
+    """
+
+    def __init__(
+        self,
+        *,
+        domain: str,
+        return_after_ms: Millis = RETURN_AFTER_MS,
+    ) -> None:
+        """Start without any part and with an incomplete inventory.
+
+        Args:
+            domain: the failure domain.
+            return_after_ms: how long a surplus lies idle, in ms.
+        """
+        self._domain = domain
+        self._return_after_ms = return_after_ms
+        self._accounts: dict[str, Account] = {}
+        self._is_inventory_complete = False
+
+    def account(self, team: str) -> Account:
+        """Look up a team.
+
+        Args:
+            team: any team.
+
+        Returns:
+            Its account, empty when nothing is known of it.
+        """
+        return self._accounts.get(team, _EMPTY)
+
+    def complete_inventory(self) -> None:
+        """Note that every upstream of the domain is opened or gone."""
+        self._is_inventory_complete = True
+
+    def adopt(self, team: str, demand: Resources) -> None:
+        """Count what runs already, whether or not the part has room for it.
+
+        Args:
+            team: whose work.
+            demand: what it uses.
+        """
+        account = self.account(team)
+        self._update(team, use=account.use + demand)
+
+    def has_headroom(self, team: str, demand: Resources) -> bool:
+        """Tell whether a demand can be taken now.
+
+        Args:
+            team: whose work.
+            demand: what it needs.
+
+        Returns:
+            True when the demand and all use fit in the domain's part.
+        """
+        if demand.requests and not self._is_inventory_complete:
+            return False
+        return demand.fits_in(self.account(team).free)
+
+    def take(self, team: str, demand: Resources) -> None:
+        """Count a start.
+
+        Args:
+            team: whose work.
+            demand: what it needs.
+
+        Raises:
+            OverPartError: there is no headroom.
+        """
+        if not self.has_headroom(team, demand):
+            raise OverPartError(f'{team} has no room for {demand}')
+        self.adopt(team, demand)
+
+    def give_back(self, team: str, demand: Resources) -> None:
+        """Count an end.
+
+        Args:
+            team: whose work.
+            demand: what it had taken.
+
+        Raises:
+            NotTakenError: that much was not in use.
+        """
+        account = self.account(team)
+        if not demand.fits_in(account.use):
+            raise NotTakenError(f'{team} gives back more than it uses')
+        self._update(team, use=account.use - demand)
+
+    def set_waiting(self, team: str, demand: Resources) -> None:
+        """Note the whole demand that waits for room.
+
+        Args:
+            team: whose demand.
+            demand: the sum over its waiting work.
+        """
+        self._update(team, waiting=demand)
+
+    def set_grants(
+        self,
+        team: str,
+        record: GrantRecord,
+        *,
+        held: Resources | None,
+    ) -> None:
+        """Note what the store says and what may be counted on.
+
+        Args:
+            team: whose grants.
+            record: the grants as read or written.
+            held: the part, less what a write that is still uncertain would
+                take away; None when the part is not claimed.
+        """
+        self._update(team, record=record, held=held)
+
+    def outdated(self, limits: Mapping[str, Limit]) -> tuple[str, ...]:
+        """List the teams whose grants have to be read before planning.
+
+        Args:
+            limits: the newest limits.
+
+        Returns:
+            Teams that need more than their part, for which the unassigned
+            remainder matters, and teams whose limit has changed.
+        """
+        return tuple(
+            team
+            for team, account in sorted(self._accounts.items())
+            if not account.need.fits_in(account.part)
+            or team in limits
+            and limits[team].version > account.record.limit.version
+        )
+
+    def plan_changes(
+        self,
+        now: Millis,
+        *,
+        limits: Mapping[str, Limit],
+        cut_off: frozenset[str] = _NO_DOMAINS,
+    ) -> tuple[PartChange, ...]:
+        """Compute the changes wanted, at most one for each team.
+
+        Args:
+            now: the time, in ms.
+            limits: the newest limits; a team without fresh configuration is
+                absent and its part is not raised.
+            cut_off: the domains that cannot be reached.
+
+        Returns:
+            Raises, returns of idle surplus, and reductions to the
+            proportional part.
+        """
+        planned = (
+            self._plan(team, now, limits.get(team), cut_off)
+            for team in sorted(self._accounts)
+        )
+        return tuple(change for change in planned if change is not None)
+
+    def _plan(
+        self,
+        team: str,
+        now: Millis,
+        limit: Limit | None,
+        cut_off: frozenset[str],
+    ) -> PartChange | None:
+        account = self.account(team)
+        if account.held is None:
+            return None
+        record = account.record
+        if limit is not None:
+            record = adopt_limit(record, limit)
+        bound = proportional_part(record, domain=self._domain, cut_off=cut_off)
+        if not account.held.fits_in(bound):
+            self._update(team, ceiling=bound)
+            can_lower = self._is_inventory_complete
+            return _reduction(team, account, bound, can_lower=can_lower)
+        self._update(team, ceiling=None)
+        wanted = larger(account.held, account.need)
+        if wanted != account.held and limit is not None:
+            remainder = surplus(record.limit.amount, record.assigned)
+            raised = account.held + smaller(wanted - account.held, remainder)
+            if raised != account.held:
+                return PartChange(team=team, to=raised)
+        return self._plan_return(team, now)
+
+    def _plan_return(self, team: str, now: Millis) -> PartChange | None:
+        account = self.account(team)
+        if surplus(account.part, account.need) == NOTHING:
+            self._update(team, idle_since=None, peak=NOTHING)
+            return None
+        peak = larger(account.peak, account.need)
+        since = now if account.idle_since is None else account.idle_since
+        if now - since < self._return_after_ms:
+            self._update(team, idle_since=since, peak=peak)
+            return None
+        self._update(team, idle_since=None, peak=NOTHING)
+        kept = smaller(account.part, peak)
+        if kept == account.part or not self._is_inventory_complete:
+            return None
+        return PartChange(team=team, to=kept)
+
+    def _update(self, team: str, **changes: Any) -> None:
+        account = self.account(team)
+        self._accounts[team] = dataclasses.replace(account, **changes)
+
+
+def _reduction(
+    team: str,
+    account: Account,
+    bound: Resources,
+    *,
+    can_lower: bool,
+) -> PartChange | None:
+    lowered = account.part
+    if can_lower:
+        lowered = smaller(account.part, larger(bound, account.use))
+    excess = surplus(account.use, bound)
+    if lowered == account.part and excess == NOTHING:
+        return None
+    return PartChange(team=team, to=lowered, excess=excess)
