Grant team limits to domains out of the store

Cause: an even split of each limit over the domains left parts unused and refused gangs larger than a part, and a lowered limit was not respected while a domain was cut off. Change: the leader wraps DomainLedger and GrantKeeper; one read of all changed grants per round whatever the number of teams; requests are asked for in batches; requests of a former leader count whether they fit or not; the inventory counts as complete when every listed upstream was opened. Ruled out: one read per short team and round, which at 280 teams and a full cell would be 5,600 reads/s.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -8,7 +8,8 @@
 import eliot
 
 from jayshore.background import BackgroundTasks
-from jayshore.clock import Clock, Millis
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.config.snapshot import Snapshot
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.settings import Settings
 from jayshore.http.client import Address, HttpClient
@@ -24,9 +25,13 @@
     SessionTerms,
     WorkerFleet,
 )
+from jayshore.jobs.grants import (
+    GrantedLedger,
+    GrantRounds,
+    StoredGrantBook,
+)
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
-from jayshore.jobs.ledger import EvenLedger
 from jayshore.jobs.placing import Placer
 from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
 from jayshore.leases.leadership import LeadershipObserver
@@ -35,6 +40,9 @@
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store
+from jayshore.quota.grants import Owner
+from jayshore.quota.keeper import GrantKeeper
+from jayshore.quota.ledger import DomainLedger
 from jayshore.routing.policy import RoutingPolicy
 from jayshore.routing.router import Router
 
@@ -56,6 +64,7 @@
         instances: the platform's list.
         keeper: the configuration.
         events: metrics.
+        cut_off: names of the domains of which no leader is heard.
     """
 
     settings: Settings
@@ -67,6 +76,7 @@
     instances: InstanceList
     keeper: ConfigKeeper
     events: JobEvents
+    cut_off: Callable[[], frozenset[str]]
 
 
 class LeaderSeat(LeadershipObserver):
@@ -117,33 +127,37 @@
         settings = services.settings
         self._epoch = epoch
         self._superseded.clear()
-        ledger = EvenLedger(
-            domain=settings.domain, snapshot=lambda: services.keeper.snapshot
+        grants = DomainLedger(domain=settings.domain)
+        granted = GrantedLedger(
+            ledger=grants, snapshot=lambda: services.keeper.snapshot
         )
         self._router = Router(
             epoch=epoch,
-            headroom=ledger,
-            shares=ledger,
+            headroom=granted,
+            shares=granted,
             clock=services.clock,
             rng=services.source,
             policy=RoutingPolicy(),
         )
-        self._leader = self._assemble(epoch, ledger)
+        leader = self._assemble(epoch, granted)
+        self._leader = leader
         follower = InstanceFollower(
             instances=services.instances,
             domain=settings.domain,
             interval_ms=Millis(settings.timing.list_poll_ms),
             observer=_ListObserver(
-                leader=self._leader, router=self._router, connect=self._port
+                leader=leader, router=self._router, connect=self._port
             ),
         )
         await self._tasks.spawn(
-            self._leader.run(
+            leader.run(
                 follower,
                 round_ms=Millis(settings.timing.round_ms),
                 reconcile_ms=Millis(settings.timing.reconcile_ms),
             )
         )
+        await self._tasks.spawn(self._run_grants(epoch, grants, granted))
+        await self._tasks.spawn(self._watch_upstreams(follower, grants))
 
     async def deposed(self) -> None:
         """Stop to lead; requests that are running are still answered."""
@@ -159,7 +173,71 @@
         """Wait until an upstream shows that a later leader was elected."""
         await self._superseded.wait()
 
-    def _assemble(self, epoch: int, ledger: EvenLedger) -> DomainLeader:
+    async def _run_grants(
+        self, epoch: int, grants: DomainLedger, granted: GrantedLedger
+    ) -> None:
+        services = self._services
+        leader = self._leader
+        if leader is None:
+            return
+        domain = services.settings.domain
+        stored = StoredGrantBook(store=services.store)
+        rounds = GrantRounds(
+            stored=stored,
+            keeper=GrantKeeper(
+                store=stored,
+                ledger=grants,
+                owner=Owner(domain=domain, epoch=epoch),
+            ),
+            ledger=grants,
+            granted=granted,
+            book=leader.parts.book,
+            attempts=leader.parts.attempts,
+            placer=leader.parts.placer,
+            domain=domain,
+        )
+        await leader.wait_ready()
+        await rounds.run(
+            interval_ms=Millis(services.settings.timing.grant_ms),
+            now=services.clock.now,
+            fresh_snapshot=self._fresh_snapshot,
+            cut_off=services.cut_off,
+            added=self._note_raised,
+        )
+
+    async def _watch_upstreams(
+        self, follower: InstanceFollower, grants: DomainLedger
+    ) -> None:
+        """Complete the inventory, and notice a later leader."""
+        interval = to_seconds(Millis(self._services.settings.timing.round_ms))
+        while True:
+            await curio.sleep(interval)
+            router = self._router
+            leader = self._leader
+            if router is None or leader is None or not follower.was_read:
+                continue
+            sessions = leader.parts.fleet.sessions.values()
+            if router.is_inventory_complete and all(
+                session.was_opened for session in sessions
+            ):
+                grants.complete_inventory()
+            if router.is_deposed:
+                await self._superseded.set()
+
+    def _fresh_snapshot(self) -> Snapshot | None:
+        keeper = self._services.keeper
+        return keeper.snapshot if keeper.is_fresh else None
+
+    async def _note_raised(self, teams: set[str]) -> None:
+        leader = self._leader
+        if leader is None or self._router is None or not teams:
+            return
+        for team in teams:
+            leader.parts.cell.headroom_changed(team)
+        await self._router.headroom_added()
+        await leader.parts.placer.wake()
+
+    def _assemble(self, epoch: int, ledger: GrantedLedger) -> DomainLeader:
         services = self._services
         timing = services.settings.timing
         context = self._context(epoch, ledger)
@@ -230,7 +308,7 @@
             )
         )
 
-    def _context(self, epoch: int, ledger: EvenLedger) -> LeaderContext:
+    def _context(self, epoch: int, ledger: GrantedLedger) -> LeaderContext:
         services = self._services
         settings = services.settings
         return LeaderContext(
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -90,6 +90,7 @@
                 ),
                 keeper=self._keeper,
                 events=self._metrics,
+                cut_off=self._cut_off,
             ),
             confirm=self._confirm,
         )
@@ -192,6 +193,15 @@
                 await competing.cancel()
                 await self._leadership.resign()
 
+    def _cut_off(self) -> frozenset[str]:
+        """List the other domains of which no leader is heard."""
+        return frozenset(
+            domain.name
+            for domain in self._keeper.snapshot.document.domains
+            if domain.name != self._settings.domain
+            and self._peers.leader_of(domain.name) is None
+        )
+
     async def _confirm(self) -> bool:
         return await self._leadership.confirm()
 
--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -31,6 +31,7 @@
         renew_wait_ms: how long a renewal waits for news at an upstream.
         round_ms: longest pause between two placement rounds.
         reconcile_ms: interval of the search for job records missed so far.
+        grant_ms: interval of changes to the grants while a team is short.
         flush_ms: how long changes to one job record are gathered.
         call_timeout_ms: timeout of a call to the store or an upstream.
         store_timeout_ms: timeout of a call to the store.
@@ -41,14 +42,15 @@
     """
 
     freshness_ms: int = 2000
-    store_poll_ms: int = 500
-    heartbeat_ms: int = 500
+    store_poll_ms: int = 1000
+    heartbeat_ms: int = 1000
     list_poll_ms: int = 1000
     leadership_ttl_ms: int = 3000
     task_lease_ms: int = 300_000
     renew_wait_ms: int = 2000
     round_ms: int = 50
     reconcile_ms: int = 1000
+    grant_ms: int = 100
     flush_ms: int = 20
     call_timeout_ms: int = 2000
     store_timeout_ms: int = 1000
--- /dev/null
+++ b/jayshore/jobs/grants.py
@@ -0,0 +1,382 @@
+"""Keeps a leader's parts of the team limits in step with use and demand."""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Mapping
+
+import curio
+import eliot
+
+from jayshore.clock import Millis, to_seconds
+from jayshore.config.model import DomainState
+from jayshore.config.snapshot import Snapshot
+from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import TeamLedger
+from jayshore.jobs.placing import Placer
+from jayshore.platform.store import (
+    Entry,
+    Store,
+    StoreError,
+)
+from jayshore.platform.store import Written as StoreWritten
+from jayshore.quota.amounts import larger, surplus
+from jayshore.quota.grants import (
+    GrantRecord,
+    Limit,
+    decode_grants,
+    encode_grants,
+)
+from jayshore.quota.keeper import (
+    Conflict,
+    GrantKeeper,
+    GrantStore,
+    GrantStoreError,
+    StoredGrants,
+    Uncertain,
+    WriteOutcome,
+    Written,
+)
+from jayshore.quota.ledger import DomainLedger, PartChange
+from jayshore.resources import NOTHING, Resources
+from jayshore.routing.headroom import Headroom, Shares
+
+GRANT_PREFIX = 'grants/'
+
+# While nothing is short of room, grants are only read for lowered limits.
+_QUIET_ROUNDS = 10
+
+
+class StoredGrantBook(GrantStore):
+    """All grants, kept up to date by reading what has changed."""
+
+    def __init__(self, *, store: Store) -> None:
+        """Start without grants.
+
+        Args:
+            store: the platform's store.
+        """
+        self._store = store
+        self._known: dict[str, StoredGrants] = {}
+        self._seen = 0
+
+    @property
+    def records(self) -> Mapping[str, GrantRecord]:
+        """The grants by team."""
+        return {team: held.record for team, held in self._known.items()}
+
+    async def sync(self) -> None:
+        """Read what has changed; one call whatever the number of teams.
+
+        Raises:
+            GrantStoreError: the store gave no answer.
+        """
+        try:
+            listing = await self._store.list(GRANT_PREFIX, since=self._seen)
+        except StoreError as error:
+            raise GrantStoreError(str(error)) from None
+        for entry in listing.entries:
+            self._note(entry)
+        self._seen = max(self._seen, listing.revision)
+
+    async def read(self, team: str) -> StoredGrants:
+        """Look up a team's grants as of the last call of `sync`.
+
+        Args:
+            team: any team.
+
+        Returns:
+            The record and its revision.
+        """
+        return self._known.get(team, StoredGrants())
+
+    async def write(
+        self, team: str, record: GrantRecord, *, expect_revision: int
+    ) -> WriteOutcome:
+        """Replace a team's grants if the revision is the expected one.
+
+        Args:
+            team: whose grants.
+            record: the new grants.
+            expect_revision: 0 when there must be none.
+
+        Returns:
+            What is known of the write.
+        """
+        key = f'{GRANT_PREFIX}{team}'
+        try:
+            result = await self._store.put(
+                key, encode_grants(record), expect_revision=expect_revision
+            )
+            if isinstance(result, StoreWritten):
+                self._known[team] = StoredGrants(
+                    record=record, revision=result.revision
+                )
+                return Written(revision=result.revision)
+            entry = await self._store.get(key)
+        except StoreError:
+            return Uncertain()
+        if entry is not None:
+            self._note(entry)
+        return Conflict()
+
+    def _note(self, entry: Entry) -> None:
+        team = entry.key.removeprefix(GRANT_PREFIX)
+        known = self._known.get(team, StoredGrants())
+        if entry.revision > known.revision:
+            self._known[team] = StoredGrants(
+                record=decode_grants(entry.value), revision=entry.revision
+            )
+
+
+class GrantedLedger(TeamLedger, Headroom, Shares):
+    """Use of the domain's parts, as placement and routing see it."""
+
+    def __init__(
+        self, *, ledger: DomainLedger, snapshot: Callable[[], Snapshot]
+    ) -> None:
+        """Wrap a ledger.
+
+        Args:
+            ledger: parts, use and demand of the domain.
+            snapshot: the newest configuration seen.
+        """
+        self._ledger = ledger
+        self._snapshot = snapshot
+        self._short: dict[str, Resources] = defaultdict(lambda: NOTHING)
+
+    @property
+    def is_short(self) -> bool:
+        """Whether a demand was turned away since the last round."""
+        return bool(self._short)
+
+    def has_headroom(self, team: str, demand: Resources) -> bool:
+        """Tell whether a team may take this much more.
+
+        Args:
+            team: the team.
+            demand: what it would take.
+
+        Returns:
+            True when the domain's part has room for it.
+        """
+        if self._ledger.has_headroom(team, demand):
+            return True
+        self._short[team] = larger(self._short[team], demand)
+        return False
+
+    def try_take(self, team: str, demand: Resources) -> bool:
+        """Count a demand if it fits.
+
+        Args:
+            team: the team.
+            demand: what is about to start.
+
+        Returns:
+            False when it does not fit.
+        """
+        if not self.has_headroom(team, demand):
+            return False
+        self.take(team, demand)
+        return True
+
+    def take(self, team: str, demand: Resources) -> None:
+        """Count a start that was found to fit, or work that runs already.
+
+        Args:
+            team: the team.
+            demand: what it takes.
+        """
+        self._ledger.adopt(team, demand)
+
+    def give_back(self, team: str, demand: Resources) -> None:
+        """Count an end.
+
+        Args:
+            team: the team.
+            demand: as it was taken.
+        """
+        self._ledger.give_back(team, demand)
+
+    def share_of(self, team: str) -> float:
+        """Look up the share of a team.
+
+        Args:
+            team: the team.
+
+        Returns:
+            Its share, 1 when it is not configured any more.
+        """
+        entry = self._snapshot().team(team)
+        return entry.share if entry else 1
+
+    def collect_shortages(self) -> dict[str, Resources]:
+        """Take the demands that were turned away since the last call.
+
+        Returns:
+            The largest one of each team.
+        """
+        short = dict(self._short)
+        self._short.clear()
+        return short
+
+
+class GrantRounds:
+    """Asks the store for what the domain needs, and returns what it does not.
+
+    A round is one read of all changes, and a write for each team whose part
+    changes.
+    """
+
+    def __init__(
+        self,
+        *,
+        stored: StoredGrantBook,
+        keeper: GrantKeeper,
+        ledger: DomainLedger,
+        granted: GrantedLedger,
+        book: JobBook,
+        attempts: AttemptTable,
+        placer: Placer,
+        domain: str,
+    ) -> None:
+        """Prepare the rounds.
+
+        Args:
+            stored: all grants.
+            keeper: writes the domain's parts.
+            ledger: parts, use and demand of the domain.
+            granted: what was turned away.
+            book: the job records.
+            attempts: the newest attempts of all tasks.
+            placer: stops attempts that exceed a lowered limit.
+            domain: the failure domain.
+        """
+        self._stored = stored
+        self._keeper = keeper
+        self._ledger = ledger
+        self._granted = granted
+        self._book = book
+        self._attempts = attempts
+        self._placer = placer
+        self._domain = domain
+        self._claimed: set[str] = set()
+
+    async def run(
+        self,
+        *,
+        interval_ms: Millis,
+        now: Callable[[], Millis],
+        fresh_snapshot: Callable[[], Snapshot | None],
+        cut_off: Callable[[], frozenset[str]],
+        added: Callable[[set[str]], Awaitable[None]],
+    ) -> None:
+        """Run rounds until cancelled.
+
+        Args:
+            interval_ms: between two rounds while something is short, in ms.
+            now: monotonic time.
+            fresh_snapshot: the configuration while it is fresh, else None.
+            cut_off: names of the domains that cannot be reached.
+            added: told of the teams whose part was raised.
+        """
+        quiet = 0
+        while True:
+            await curio.sleep(to_seconds(interval_ms))
+            quiet += 1
+            if not self._granted.is_short and quiet < _QUIET_ROUNDS:
+                continue
+            quiet = 0
+            try:
+                changes = await self._round(now(), fresh_snapshot(), cut_off())
+            except GrantStoreError as error:
+                eliot.log_message('grants:store_error', error=str(error))
+            else:
+                await self._preempt(changes)
+                await added({change.team for change in changes})
+
+    async def _round(
+        self,
+        now: Millis,
+        snapshot: Snapshot | None,
+        cut_off: frozenset[str],
+    ) -> tuple[PartChange, ...]:
+        await self._stored.sync()
+        short = self._granted.collect_shortages()
+        for team in short.keys() | self._teams_with_part():
+            if team not in self._claimed and await self._keeper.claim(team):
+                self._claimed.add(team)
+        limits = {} if snapshot is None else _limits_of(snapshot)
+        waiting = self._waiting()
+        for team in short.keys() | waiting.keys() | self._claimed:
+            wanted = larger(
+                waiting.get(team, NOTHING),
+                _batch(short.get(team, NOTHING), limits.get(team)),
+            )
+            self._ledger.set_waiting(team, wanted)
+        if snapshot is not None:
+            await self._reclaim_lost(snapshot)
+        return await self._keeper.run_round(now, limits=limits, cut_off=cut_off)
+
+    def _teams_with_part(self) -> set[str]:
+        return {
+            team
+            for team, record in self._stored.records.items()
+            if record.part_of(self._domain) is not None
+        }
+
+    def _waiting(self) -> dict[str, Resources]:
+        """Sum what waits in the queue, for each team."""
+        sums: dict[str, Resources] = defaultdict(lambda: NOTHING)
+        for attempt in self._attempts:
+            record = self._book.find(attempt.job_id)
+            if record is not None and attempt.phase is Phase.QUEUED:
+                sums[record.team] += record.demand
+        return sums
+
+    async def _reclaim_lost(self, snapshot: Snapshot) -> None:
+        lost = frozenset(
+            domain.name
+            for domain in snapshot.document.domains
+            if domain.state is DomainState.LOST
+        )
+        for domain in lost:
+            for team, record in self._stored.records.items():
+                if record.part_of(domain) is not None:
+                    await self._keeper.reclaim(team, domain, lost=lost)
+
+    async def _preempt(self, changes: tuple[PartChange, ...]) -> None:
+        """Stop what exceeds a lowered limit, never a non-idempotent run."""
+        for change in changes:
+            excess = change.excess
+            for attempt in self._running_of(change.team):
+                record = self._book.find(attempt.job_id)
+                if excess == NOTHING or record is None:
+                    break
+                excess = surplus(excess, record.demand)
+                await self._placer.stop(attempt, checkpoint=True)
+
+    def _running_of(self, team: str) -> list[Attempt]:
+        found = []
+        for attempt in self._attempts:
+            record = self._book.find(attempt.job_id)
+            is_running = attempt.phase is Phase.RUNNING
+            if record is None or not is_running or not record.idempotent:
+                continue
+            if record.team == team:
+                found.append(attempt)
+        return found
+
+
+def _limits_of(snapshot: Snapshot) -> dict[str, Limit]:
+    return {
+        team.name: Limit(version=snapshot.version, amount=team.limit)
+        for team in snapshot.document.teams
+    }
+
+
+def _batch(short: Resources, limit: Limit | None) -> Resources:
+    """Ask for requests in batches, as they are short one at a time."""
+    if not short.requests or limit is None:
+        return short
+    batch = max(short.requests, limit.amount.requests // 4)
+    return short + Resources(requests=batch - short.requests)
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -50,7 +50,7 @@
         """
         self._parts = parts
         self._placer = parts.placer
-        self._is_ready = False
+        self._is_ready = curio.Event()
 
     @property
     def parts(self) -> LeaderParts:
@@ -60,7 +60,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether all records of earlier leaders are claimed."""
-        return self._is_ready
+        return bool(self._is_ready.is_set())
 
     async def run(
         self,
@@ -85,18 +85,22 @@
         await spawn(follower.run())
         await spawn(self._placer.run(round_ms))
         await spawn(self._watch_leases(follower))
-        self._is_ready = True
+        await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
             await self._reconcile()
 
+    async def wait_ready(self) -> None:
+        """Wait until all records of earlier leaders are claimed."""
+        await self._is_ready.wait()
+
     async def notice(self, job_id: str) -> None:
         """Read a job that was just created.
 
         Args:
             job_id: the job.
         """
-        if not self._is_ready:
+        if not self.is_ready:
             return
         try:
             record = await self._parts.book.read_one(job_id)
--- a/jayshore/routing/dispatcher.py
+++ b/jayshore/routing/dispatcher.py
@@ -136,11 +136,9 @@
             self._settle(executor, occupant)
         for occupant in executor.occupants:
             if not occupant.is_charged:
-                # Sent by a former leader; counted as soon as there is headroom.
-                occupant.is_charged = self._headroom.try_take(
-                    occupant.team,
-                    ONE_REQUEST,
-                )
+                # Sent by a former leader, so it counts whether it fits or not.
+                self._headroom.take(occupant.team, ONE_REQUEST)
+                occupant.is_charged = True
         await self.pump()
 
     async def pump(self) -> None:
--- a/jayshore/routing/fake_executor_test.py
+++ b/jayshore/routing/fake_executor_test.py
@@ -160,6 +160,9 @@
         self.taken[team] = taken
         return True
 
+    def take(self, team, demand):
+        self.taken[team] = self.taken.get(team, 0) + demand.requests
+
     def give_back(self, team, demand):
         self.taken[team] -= demand.requests
         assert self.taken[team] >= 0
--- a/jayshore/routing/headroom.py
+++ b/jayshore/routing/headroom.py
@@ -20,6 +20,15 @@
             False when it does not fit; nothing was counted then.
         """
 
+    @abc.abstractmethod
+    def take(self, team: str, demand: Resources) -> None:
+        """Count a demand that runs already, whether or not it fits.
+
+        Args:
+            team: name of the team.
+            demand: what a former leader has started.
+        """
+
     @abc.abstractmethod
     def give_back(self, team: str, demand: Resources) -> None:
         """Count a demand as ended.
--- a/jayshore/routing/registry.py
+++ b/jayshore/routing/registry.py
@@ -116,6 +116,11 @@
         """Whether an executor has seen a leader with a higher epoch."""
         return any(session.is_deposed for session in self._sessions.values())
 
+    @property
+    def is_inventory_complete(self) -> bool:
+        """Whether the lease of every executor was opened at least once."""
+        return all(session.generation for session in self._sessions.values())
+
     def load(self) -> tuple[ServiceSlots, ...]:
         """Report slots and queues.
 
--- a/jayshore/routing/router.py
+++ b/jayshore/routing/router.py
@@ -88,6 +88,11 @@
         """
         return self._executors.is_deposed
 
+    @property
+    def is_inventory_complete(self) -> bool:
+        """Whether the lease of every executor was opened at least once."""
+        return self._executors.is_inventory_complete
+
     async def add_executor(
         self,
         executor_id: str,
