Keep the slot of a request whose answer came on another connection

The answer is delivered as before; the slot is now freed by the request's own answer or by the inventory of a later lease only. A fault of the scripted executor was ruled out as the sole cause, since a real one may answer before it frees its slot, too.

--- a/jayshore/routing/attempts.py
+++ b/jayshore/routing/attempts.py
@@ -179,7 +179,7 @@
 
     async def _settle(self, attempt: Attempt, end: AttemptEnd | None) -> None:
         """Free the slot as soon as that is proved, and report the end."""
-        if end is None and not attempt.occupant.is_answered:
+        if end is None:
             attempt.occupant.is_suspect = True
             end = await attempt.session.resolve(attempt.occupant)
         if end is not AttemptEnd.UNRESOLVED:
@@ -189,8 +189,7 @@
             )
         if end is AttemptEnd.FINISHED and not attempt.request.idempotent:
             await self._wait_for_late_answer(attempt)
-        if end is not None:
-            await self._report(attempt, end)
+        await self._report(attempt, end)
         if end is AttemptEnd.FENCED:
             await _reopen(attempt)
 
@@ -218,7 +217,7 @@
         attempt: Attempt,
         timeout_ms: Millis,
     ) -> AttemptEnd | None:
-        """Send and wait; None when the end is not known or was an answer."""
+        """Send and wait; None when the end is not known."""
         session = attempt.session
         lease = session.lease
         if lease is None or not session.slots.is_open:
@@ -242,8 +241,7 @@
             # A fault in the port, too, says nothing about what was sent.
             self._note_lost(attempt, error, started)
             return None
-        await self._deliver(session, answer)
-        return None
+        return await self._deliver(attempt, answer)
 
     def _note_lost(
         self,
@@ -262,15 +260,28 @@
 
     async def _deliver(
         self,
-        session: ExecutorSession,
+        attempt: Attempt,
         answer: ExecutorAnswer,
-    ) -> None:
+    ) -> AttemptEnd | None:
         """Hand an answer to the request whose id it carries."""
-        for attempt in self._attempts_on(session):
-            if attempt.request.request_id == answer.request_id:
-                attempt.occupant.is_answered = True
-                session.slots.health.note_success(session.slots.slots)
-                await self._dispatcher.release(session.slots, attempt.occupant)
+        is_own = answer.request_id == attempt.request.request_id
+        slots = attempt.session.slots
+        if is_own:
+            attempt.occupant.is_answered = True
+            slots.health.note_success(slots.slots)
+        await self._put_answer(answer)
+        if is_own:
+            return AttemptEnd.ANSWERED
+        for other in self._attempts_on(attempt.session):
+            if other.request.request_id == answer.request_id:
+                # An executor that confuses connections is not trusted on
+                # whether this request has ended; its inventory shows that.
+                other.occupant.is_answered = True
+                other.occupant.is_suspect = True
+                await _reopen(other)
+        return None
+
+    async def _put_answer(self, answer: ExecutorAnswer) -> None:
         mailbox = self.mailboxes.get(answer.request_id)
         if mailbox is None:
             eliot.log_message(
--- a/jayshore/routing/fake_executor_test.py
+++ b/jayshore/routing/fake_executor_test.py
@@ -84,8 +84,11 @@
     async def reboot(self):
         self.boot_id += '+'
         self.lease_id += 1
+        interrupted = tuple(self.running)
         self.running.clear()
         self.finished.clear()
+        for request_id in interrupted:
+            await self.gate(request_id).set()
         await self.changed()
 
     def gate(self, request_id):
@@ -132,6 +135,8 @@
             raise ExecutorLost('scripted')
         if not self.is_instant:
             await self.gate(request_id).wait()
+        if request_id not in self.running:
+            raise ExecutorLost('the executor has restarted')
         await self.end(request_id)
         if mode == 'lost_after':
             raise ExecutorLost('scripted')
@@ -224,6 +229,11 @@
     async def _route_task(self, request_id, changes):
         return await self.route(request_id, **changes)
 
+    @property
+    def used(self):
+        executors = self.router._dispatcher.table.of_service('fill')
+        return sum(slots.used for slots in executors)
+
     @property
     def free(self):
         return sum(entry.free_slots for entry in self.router.load())
--- a/jayshore/routing/router_test.py
+++ b/jayshore/routing/router_test.py
@@ -233,9 +233,20 @@
 
 
 async def _end_some(made, rng):
-    """Let some running requests end and some inventories be read."""
+    """Let requests end, answers cross and executors restart, at random."""
+    running = [
+        request_id
+        for executor in made.executors.values()
+        for request_id in executor.running
+    ]
+    assert len(running) == len(set(running)), 'running in two places'
     for executor in made.executors.values():
-        for request_id in tuple(executor.running):
+        if rng.random() < 0.02:
+            await executor.reboot()
+        here = tuple(executor.running)
+        if len(here) == 2 and rng.random() < 0.2:
+            executor.answers_as.update(zip(here, reversed(here), strict=True))
+        for request_id in here:
             if rng.random() < 0.5:
                 await executor.finish(request_id)
         await executor.changed()
@@ -271,10 +282,11 @@
                     executor.started.count(request_id) for executor in executors
                 )
                 assert starts or not isinstance(outcome, Ran)
+                assert is_ran(outcome, request_id) or outcome.reason
                 assert not (starts and isinstance(outcome, NotRun))
                 assert starts <= 1 or idempotent
                 assert outcome != TIMED_OUT
-            assert made.free == 6
+            assert made.used == 0
             assert not any(made.headroom.taken.values())
             assert max(executor.peak for executor in executors) == 2
 
--- a/jayshore/routing/session.py
+++ b/jayshore/routing/session.py
@@ -26,11 +26,13 @@
 
 
 class AttemptEnd(enum.Enum):
-    """How an attempt ended that brought no answer.
+    """How an attempt ended.
 
-    The first three prove that the request did not run and will not.
+    ANSWERED means by the answer to its own request on its own connection. The
+    next three prove that the request did not run and will not.
     """
 
+    ANSWERED = enum.auto()
     NOT_SENT = enum.auto()
     FENCED = enum.auto()
     NEVER_RAN = enum.auto()
@@ -179,8 +181,6 @@
         """
         failures = 0
         while not self.is_gone and not self.is_deposed:
-            if occupant.is_answered:
-                return AttemptEnd.FINISHED
             try:
                 return await self._ask(occupant)
             except ExecutorError:
