Connect the command line to the daemon, and report burn of all daemons

Cause: the commands had no transport, and service-level samples stayed in each daemon. Change: HttpDaemonClient; GET /v1/slo collects the samples of the peers; status shows the peers; a job is shown as waiting or running.

--- a/jayshore/cli/connection.py
+++ b/jayshore/cli/connection.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from jayshore.cli.client import DaemonClient, DaemonUnreachableError
+from jayshore.cli.client import DaemonClient
+from jayshore.cli.http_client import HttpDaemonClient
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,9 +25,7 @@
     Args:
         settings: which daemon to call and with which key.
 
-    Raises:
-        DaemonUnreachableError: always, as the HTTP client is not written yet.
+    Returns:
+        The client.
     """
-    raise DaemonUnreachableError(
-        f'cannot call {settings.url}: the HTTP client is not written yet'
-    )
+    return HttpDaemonClient(url=settings.url, bearer=settings.bearer)
--- a/jayshore/daemon/answers.py
+++ b/jayshore/daemon/answers.py
@@ -51,7 +51,7 @@
         job_id: id of the job.
         team: the team that is charged.
         queue: the queue it was submitted to.
-        state: state of the job as a whole.
+        state: waiting, running, or the final state of the job.
         is_final: whether the state will not change any more.
         tasks: states of the tasks, in order.
         results: results of the tasks, in order, None where there is none.
@@ -68,11 +68,12 @@
     attempts: tuple[int, ...]
 
 
-def job_view(record: JobRecord) -> JobView:
+def job_view(record: JobRecord, *, is_running: bool) -> JobView:
     """Show a job without what only the scheduler needs.
 
     Args:
         record: the job.
+        is_running: whether a task of it is known to run.
 
     Returns:
         What its submitter may see.
@@ -81,7 +82,7 @@
         job_id=record.job_id,
         team=record.team,
         queue=record.queue,
-        state=record.state.value,
+        state=_shown_state(record, is_running=is_running),
         is_final=record.is_final,
         tasks=tuple(task.state.value for task in record.tasks),
         results=tuple(task.result for task in record.tasks),
@@ -89,6 +90,13 @@
     )
 
 
+def _shown_state(record: JobRecord, *, is_running: bool) -> str:
+    if record.is_final:
+        return record.state.value
+    has_begun = any(task.is_final for task in record.tasks)
+    return 'running' if is_running or has_begun else 'waiting'
+
+
 def answer_request(outcome: RequestOutcome) -> Response:
     """Encode the outcome of a request.
 
--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -36,6 +36,7 @@
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.routes import AdmittedRequest, RequestRoutes
 from jayshore.daemon.settings import Settings
+from jayshore.daemon.slo import SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.http.messages import (
@@ -93,6 +94,7 @@
     desk: JobDesk
     status: StatusReporter
     metrics: Metrics
+    slo: SloCounts
 
 
 class Api(Handler):
@@ -114,6 +116,7 @@
             ('GET', re.compile('/v1/config'), self._show_config),
             ('PUT', re.compile('/v1/config'), self._apply_config),
             ('GET', re.compile('/v1/status'), self._show_status),
+            ('GET', re.compile('/v1/slo'), self._show_slo),
             ('GET', re.compile('/metrics'), self._show_metrics),
             ('GET', re.compile('/healthz'), self._show_health),
             ('GET', re.compile('/readyz'), self._show_readiness),
@@ -187,7 +190,8 @@
             ),
         )
         snapshot = self._keeper.snapshot
-        return await self._parts.routes.route(
+        arrived = self._parts.clock.now()
+        outcome = await self._parts.routes.route(
             AdmittedRequest(
                 request=routed,
                 key_id=access.key_id,
@@ -199,6 +203,9 @@
                 if domain.state is DomainState.ACTIVE
             ],
         )
+        took = Millis(self._parts.clock.now() - arrived)
+        self._parts.slo.request_answered(routed.team, outcome, took)
+        return outcome
 
     def _access(
         self, request: Request, is_open: bool, team: str | None
@@ -314,6 +321,12 @@
     async def _show_status(self, _request: Request) -> Response:
         return json_response(200, self._parts.status.report())
 
+    async def _show_slo(self, request: Request) -> Response:
+        if not self._is_operator(request):
+            return error_response(401, 'unauthorised', 'no operator key')
+        collected = await self._parts.peers.collect_samples()
+        return json_response(200, self._parts.slo.view(collected))
+
     async def _show_metrics(self, _request: Request) -> Response:
         self._parts.status.update_metrics()
         rendered = self._parts.metrics.render()
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -19,6 +19,7 @@
 from jayshore.daemon.routes import RequestRoutes
 from jayshore.daemon.settings import Settings, SettingsError, load_settings
 from jayshore.daemon.signals import wait_for_signal
+from jayshore.daemon.slo import EventFanout, SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.http.client import Address, HttpClient
@@ -62,6 +63,9 @@
             clock=clock,
             freshness_ms=Millis(timing.freshness_ms),
         )
+        slo = SloCounts(
+            wall_clock=wall_clock, snapshot=lambda: self._keeper.snapshot
+        )
         self._status = StatusReporter(
             settings=settings,
             clock=clock,
@@ -89,7 +93,7 @@
                     caller=_caller(settings, settings.instance_list)
                 ),
                 keeper=self._keeper,
-                events=self._metrics,
+                events=EventFanout(observers=(self._metrics, slo)),
                 cut_off=self._cut_off,
             ),
             confirm=self._confirm,
@@ -121,6 +125,7 @@
                 seat=self._seat,
                 desk=desk,
                 clock=clock,
+                slo=slo,
             ),
             address=_peer_address(settings.peer_listen),
             limits=PeerServerLimits(),
@@ -140,6 +145,7 @@
                 desk=desk,
                 status=self._status,
                 metrics=self._metrics,
+                slo=slo,
             )
         )
         listen = Address.parse(settings.listen)
--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -6,6 +6,7 @@
 from jayshore.daemon.configuration import ConfigKeeper, StoredConfig
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.slo import SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.jobs.acceptance import PreparedJob
@@ -35,6 +36,7 @@
         seat: LeaderSeat,
         desk: JobDesk,
         clock: Clock,
+        slo: SloCounts,
     ) -> None:
         """Prepare to answer.
 
@@ -45,6 +47,7 @@
             seat: this daemon's own leadership, if any.
             desk: what can be done with jobs.
             clock: time of promises.
+            slo: service-level samples of this daemon.
         """
         self._keeper = keeper
         self._status = status
@@ -52,6 +55,7 @@
         self._seat = seat
         self._desk = desk
         self._clock = clock
+        self._slo = slo
 
     async def heartbeat(self, call: msg.Heartbeat) -> msg.HeartbeatReply:
         """Note the peer's status and answer with the own one."""
@@ -143,6 +147,10 @@
             )
         )
 
+    async def slo_query(self, call: msg.SloQuery) -> msg.SloReply:
+        """Answer with the service-level samples of this daemon."""
+        return msg.SloReply(document=msgspec.json.encode(self._slo.snapshot()))
+
     async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
         """Cancel a job that this daemon holds."""
         return msg.CancelJobReply(
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -1,11 +1,13 @@
 """The other daemons of the roster: heartbeats, promises, leaders."""
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any
 
 import curio
 import eliot
+import msgspec
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.document import Document
@@ -13,6 +15,7 @@
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
+from jayshore.report.samples import SloSnapshot
 from jayshore.wire import messages as msg
 from jayshore.wire.client import PeerClient
 from jayshore.wire.errors import WireError
@@ -39,6 +42,25 @@
         self.heard_at = Millis(0)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerView:
+    """A peer as this daemon last heard it.
+
+    Attributes:
+        name: its name in the roster.
+        domain: its failure domain.
+        is_reachable: whether it was heard within the last few heartbeats.
+        config_version: the version that it held.
+        evidence_age_ms: age of its evidence when it answered.
+    """
+
+    name: str
+    domain: str
+    is_reachable: bool
+    config_version: int
+    evidence_age_ms: int | None
+
+
 class PeerGroup:
     """All other daemons of the roster, with one heartbeat task for each."""
 
@@ -105,6 +127,27 @@
         ]
         return max(leaders, key=_epoch_of, default=None)
 
+    def views(self) -> tuple[PeerView, ...]:
+        """Describe the peers to operators.
+
+        Returns:
+            One entry for each peer of the roster, by name.
+        """
+        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
+        return tuple(
+            PeerView(
+                name=name,
+                domain=peer.entry.domain,
+                is_reachable=peer.status is not None
+                and peer.heard_at >= oldest,
+                config_version=peer.status.config_version if peer.status else 0,
+                evidence_age_ms=(
+                    peer.status.evidence_age_ms if peer.status else None
+                ),
+            )
+            for name, peer in sorted(self._peers.items())
+        )
+
     def note(self, status: msg.DaemonStatus) -> None:
         """Take note of the status in a peer's own heartbeat.
 
@@ -140,6 +183,18 @@
                 await answers.spawn(self._ask_promise(peer, call))
         return {promised for promised in answers.results if promised}
 
+    async def collect_samples(self) -> list[SloSnapshot]:
+        """Collect the service-level samples of all peers.
+
+        Returns:
+            One snapshot for each peer that answered.
+        """
+        answers = curio.TaskGroup(wait=all)
+        async with answers:
+            for peer in self._peers.values():
+                await answers.spawn(self._ask_samples(peer))
+        return [found for found in answers.results if found is not None]
+
     async def announce(self, call: msg.ConfigCommitted) -> None:
         """Send an accepted configuration to every peer.
 
@@ -232,6 +287,18 @@
             return ''
         return peer.entry.name if reply.promised else ''
 
+    async def _ask_samples(self, peer: Peer) -> SloSnapshot | None:
+        try:
+            reply = await peer.client.slo_query(
+                msg.SloQuery(), timeout_ms=self._timeout_ms
+            )
+        except WireError as error:
+            eliot.log_message(
+                'slo:no_answer', peer=peer.entry.name, error=str(error)
+            )
+            return None
+        return msgspec.json.decode(reply.document, type=SloSnapshot)
+
     async def _announce_to(self, peer: Peer, call: msg.ConfigCommitted) -> None:
         try:
             await peer.client.config_committed(
--- a/jayshore/daemon/status.py
+++ b/jayshore/daemon/status.py
@@ -6,7 +6,7 @@
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.metrics import Metrics
-from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.peers import PeerGroup, PeerView
 from jayshore.daemon.settings import Settings
 from jayshore.wire import messages as msg
 
@@ -31,6 +31,7 @@
         waiting: of these, jobs of which a task waits for a worker.
         services: free slots per service.
         leaders: the leader of each domain, as far as it was heard.
+        peers: the other daemons of the roster.
     """
 
     name: str
@@ -46,6 +47,7 @@
     waiting: int
     services: dict[str, int]
     leaders: dict[str, str]
+    peers: tuple[PeerView, ...]
 
 
 class StatusReporter:
@@ -129,6 +131,7 @@
             waiting=len(waiting),
             services=self._services(),
             leaders=self._leaders(),
+            peers=self._peers.views() if self._peers else (),
         )
 
     def update_metrics(self) -> None:
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -6,7 +6,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.model import Queue
 from jayshore.daemon.access import Access, Granted, NotFresh
-from jayshore.daemon.answers import job_view
+from jayshore.daemon.answers import JobView, job_view
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import Peer, PeerGroup
@@ -165,7 +165,7 @@
             if not _may_see(record, access):
                 return None
             if record.is_final or not remaining:
-                return encode_json(job_view(record))
+                return encode_json(self._view(record))
             await curio.sleep(to_seconds(min(_POLL_MS, remaining)))
 
     async def find_held(
@@ -189,7 +189,7 @@
         record = book.find(job_id)
         if record is None or not _may_see(record, access):
             return None
-        return encode_json(job_view(record))
+        return encode_json(self._view(record))
 
     async def cancel(self, job_id: str, team: str) -> msg.CancelResult:
         """Cancel a job through its leader.
@@ -264,6 +264,13 @@
             return None
         return reply.outcome
 
+    def _view(self, record: JobRecord) -> JobView:
+        leader = self._seat.leader
+        is_running = leader is not None and leader.parts.attempts.is_running(
+            record
+        )
+        return job_view(record, is_running=is_running)
+
     def _refuse(self, record: JobRecord) -> Refused | None:
         """Refuse what can never run and what waits in too great numbers."""
         leader = self._seat.leader
--- a/jayshore/jobs/attempts.py
+++ b/jayshore/jobs/attempts.py
@@ -232,6 +232,17 @@
             and attempt.phase in {Phase.STARTING, Phase.RUNNING}
         ]
 
+    def is_running(self, record: JobRecord) -> bool:
+        """Tell whether a task of a job is known to run.
+
+        Args:
+            record: the job.
+
+        Returns:
+            True when one runs.
+        """
+        return any(item.phase is Phase.RUNNING for item in self.of_job(record))
+
     def waiting_jobs(self) -> set[str]:
         """List the jobs of which a task waits for a worker.
 
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -200,6 +200,15 @@
         """Ask for the state of a job; see `call` for the errors."""
         return await self.call(call, msg.JobQueryReply, timeout_ms=timeout_ms)
 
+    async def slo_query(
+        self,
+        call: msg.SloQuery,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.SloReply:
+        """Ask for service-level samples; see `call` for the errors."""
+        return await self.call(call, msg.SloReply, timeout_ms=timeout_ms)
+
     async def cancel_job(
         self,
         call: msg.CancelJob,
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -298,6 +298,11 @@
             'cancelJobReply',
             lambda reply: {'result': reply.result.value},
         ),
+        msg.SloQuery: ('sloQuery', lambda _: None),
+        msg.SloReply: (
+            'sloReply',
+            lambda reply: {'document': reply.document},
+        ),
         msg.CallFailed: ('callFailed', lambda reply: {'detail': reply.detail}),
     }
 )
@@ -342,6 +347,8 @@
         'cancelJobReply': lambda reader: msg.CancelJobReply(
             result=msg.CancelResult(str(reader.result)),
         ),
+        'sloQuery': lambda _: msg.SloQuery(),
+        'sloReply': lambda reader: msg.SloReply(document=reader.document),
         'callFailed': lambda reader: msg.CallFailed(detail=reader.detail),
     }
 )
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -55,6 +55,8 @@
     msg.Heartbeat(status=STATUS),
     msg.HeartbeatReply(status=IDLE, attests=True),
     msg.PromiseConfig(revision=5),
+    msg.SloQuery(),
+    msg.SloReply(document=b'{}'),
     msg.SubmitJob(record=b'{}', ticket='t'),
     msg.SubmitJobReply(outcome=Accepted(job_id='j', ticket='t')),
     msg.SubmitJobReply(
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -235,6 +235,18 @@
     result: CancelResult
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloQuery:
+    """Ask for the service-level samples that the peer has recorded."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloReply:
+    """Samples as JSON of a `SloSnapshot`."""
+
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallFailed:
     """The peer's handler failed; what it did before is not known."""
@@ -251,6 +263,7 @@
     | JobNotice
     | JobQuery
     | CancelJob
+    | SloQuery
 )
 Reply: TypeAlias = (
     HeartbeatReply
@@ -261,6 +274,7 @@
     | JobNoticeReply
     | JobQueryReply
     | CancelJobReply
+    | SloReply
     | CallFailed
 )
 Message: TypeAlias = Call | Reply
--- a/jayshore/wire/peer_test.py
+++ b/jayshore/wire/peer_test.py
@@ -53,6 +53,9 @@
     async def route_request(self, call):
         return msg.RouteReply(outcome=Ran(body=call.body * 2))
 
+    async def slo_query(self, call):
+        return msg.SloReply(document=b'{}')
+
     async def submit_job(self, call):
         return msg.SubmitJobReply(
             outcome=Refused(reason=RefusalReason.CONFLICT)
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -131,6 +131,10 @@
   result @0 :CancelResult;
 }
 
+struct SloReply {
+  document @0 :Data;            # JSON
+}
+
 struct CallFailed {
   detail @0 :Text;
 }
@@ -155,5 +159,7 @@
     callFailed @15 :CallFailed;
     submitJob @16 :SubmitJob;
     submitJobReply @17 :SubmitJobReply;
+    sloQuery @18 :Void;
+    sloReply @19 :SloReply;
   }
 }
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -77,6 +77,10 @@
     async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
         """Answer with the state of a job."""
 
+    @abc.abstractmethod
+    async def slo_query(self, call: msg.SloQuery) -> msg.SloReply:
+        """Answer with the service-level samples of this daemon."""
+
     @abc.abstractmethod
     async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
         """Cancel a job."""
@@ -260,6 +264,8 @@
             return await handler.job_notice(call)
         case msg.JobQuery():
             return await handler.job_query(call)
+        case msg.SloQuery():
+            return await handler.slo_query(call)
         case msg.CancelJob():
             return await handler.cancel_job(call)
     raise UnexpectedMessageError(f'{type(call).__name__} is no call')
