Treat the end of a reservation as a gain on its workers

Only the workers that it named can have room now, so only those are looked at, and the separate set is gone.

--- a/jayshore/placement/prospects.py
+++ b/jayshore/placement/prospects.py
@@ -27,7 +27,6 @@
         self._table = table
         self._members = members
         self._failed = 0
-        self._constrained = 0
         self._tried: dict[str, int] = {}
         self._lacking: dict[int, int] = {}
         self._hopeless = 0
@@ -51,20 +50,15 @@
                 self._tried.pop(worker_id)
         return mask
 
-    def fail(self, bit: int, *, constrained: bool, lacking: int) -> None:
+    def fail(self, bit: int, *, lacking: int) -> None:
         """Take note that a shape fits nowhere.
 
         Args:
             bit: the shape.
-            constrained: whether a reservation played a part.
             lacking: how many of its tasks found no room. A gang that lacks
                 several is not tried again before workers gained that many.
         """
         self._failed |= bit
-        if constrained:
-            self._constrained |= bit
-        else:
-            self._constrained &= ~bit
         for worker_id in self._tried:
             self._tried[worker_id] |= bit
         if lacking > 1:
@@ -78,18 +72,16 @@
             mask: the shapes, such as ones whose number is used anew.
         """
         self._failed &= ~mask
-        self._constrained &= ~mask
         self._hopeless &= ~mask
 
-    def forget_constrained(self) -> None:
-        """Forget the failures in which a reservation played a part."""
-        self.forget(self._constrained)
-
     def gain(self, worker_id: str) -> None:
         """Take note that a worker may have gained room.
 
+        The end of a reservation is such a gain too, but only on the workers
+        that it named.
+
         Args:
-            worker_id: a usable worker.
+            worker_id: the worker.
         """
         self._tried[worker_id] = 0
         self._fitting.pop(worker_id, None)
--- a/jayshore/placement/walk.py
+++ b/jayshore/placement/walk.py
@@ -96,10 +96,12 @@
         Args:
             reservation: the new one, or None.
         """
+        former = self._reservation
         self._reservation = reservation
         self._held_pending = True
         self._projected.clear()
-        self._backlog.prospects.forget_constrained()
+        for worker_id in () if former is None else former.rooms:
+            self._backlog.prospects.gain(worker_id)
 
     def decide(self, now: Millis) -> Decision:
         """Choose the next thing to do.
@@ -168,17 +170,11 @@
         return first
 
     def _set_aside(self, waiting: Waiting, lacking: int) -> None:
-        reservation = self._reservation
-        if _holds(reservation, waiting.entry):
+        if _holds(self._reservation, waiting.entry):
             self._held_pending = False
         if self._skipping is not None:
             self._skipping |= waiting.bit
-        constrained = reservation is not None and (
-            waiting.shape.tier >= reservation.tier
-        )
-        self._backlog.prospects.fail(
-            waiting.bit, constrained=constrained, lacking=lacking
-        )
+        self._backlog.prospects.fail(waiting.bit, lacking=lacking)
 
     def _drop_reservation(self) -> None:
         reservation = self._reservation
