--- a/jayshore/placement/entries.py
+++ b/jayshore/placement/entries.py
@@ -11,8 +11,8 @@
 from jayshore.placement.tasks import PendingTask, TaskId, TaskKind
 from jayshore.resources import Resources
 
-LONGEST_FIRST_MS = 60_000
-"""Bounds how long a later, longer task can go before an earlier one."""
+LARGEST_FIRST_MS = 60_000
+"""Bounds by how much a later, larger task can go before an earlier one."""
 ENDLESS_MS = 1 << 62
 
 
@@ -90,8 +90,8 @@
 def order_of(entry: Entry, urgency: Urgency | None, tier: Tier) -> Order:
     """Place an entry among those of its team and tier.
 
-    Ordinary entries of one minute go longest first, which keeps the last of
-    many runs from ending late (Graham, "Bounds on Multiprocessing Timing
+    Ordinary entries of one minute go by run time times processors, the largest
+    first, which keeps the last of many runs from ending late (after Graham, "Bounds on Multiprocessing Timing
     Anomalies", SIAM J. Appl. Math. 17(2), 1969). Raised entries go by least
     slack, and those of the lane by arrival.
 
@@ -110,8 +110,9 @@
     if tier is Tier.RAISED and urgency is not None:
         key = urgency.latest_start
     elif tier is Tier.ORDINARY:
-        key = key // LONGEST_FIRST_MS * LONGEST_FIRST_MS
-        second = -(first.estimated_run_ms or ENDLESS_MS)
+        key = key // LARGEST_FIRST_MS * LARGEST_FIRST_MS
+        run_ms = first.estimated_run_ms or ENDLESS_MS
+        second = -run_ms * max(1, first.demand.cpu_millis)
     return (key, second, task_id.job_id, task_id.index)
 
 
