--- a/jayshore/jobs/transitions.py
+++ b/jayshore/jobs/transitions.py
@@ -1,15 +1,24 @@
-"""The changes of a job record that are allowed, as pure functions.
+"""The changes that a job record allows, each a pure function.
 
-Each takes a record and returns the changed one, or raises why the change is
-forbidden. The caller writes the result by compare-and-swap.
+The caller writes the result by compare-and-swap on the revision of the record
+it passed in. `spec/task_model.py` checks these rules.
 """
 
 import dataclasses
 from collections.abc import Iterable
-from typing import TypeAlias
-
+from typing import Any
+
+from jayshore.jobs.proofs import (
+    NEVER_STARTED,
+    OVER,
+    InstanceGone,
+    LeaseExpired,
+    Proof,
+    Verdict,
+    unproved_workers,
+    verdict_of,
+)
 from jayshore.jobs.record import (
-    FINAL_TASK_STATES,
     JobRecord,
     JobState,
     TaskRecord,
@@ -19,260 +28,348 @@
 from jayshore.outcomes import JayshoreError
 
 
-class TransitionRefused(JayshoreError):
-    """The change is forbidden."""
+class TransitionError(JayshoreError):
+    """The record does not allow the change."""
 
 
-class NotOwner(TransitionRefused):
-    """The record belongs to a leader with another epoch."""
+class NotOwnerError(TransitionError):
+    """The record has another epoch than the writer."""
 
 
-class StaleAttempt(TransitionRefused):
-    """The task has moved on to another attempt, or has ended."""
+class JobOverError(TransitionError):
+    """The job has ended; nothing of it changes any more."""
 
 
-class NoProof(TransitionRefused):
-    """It is not proved that the earlier attempt is over."""
+class TaskStateError(TransitionError):
+    """The task or its attempt is not in the state that the change needs."""
 
 
-class OutsideIntent(TransitionRefused):
-    """The worker is not named in the record's intent."""
+class WorkerNotNamedError(TransitionError):
+    """The worker is not in the intent."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NeverStarted:
-    """No worker of the intent has started the attempt, and none will.
+class MissingProofError(TransitionError):
+    """The attempt may still be running, or may have run.
 
     Attributes:
-        workers: those that said so, with the boot ids of the intent, under a
-            lease opened after the last start was sent.
+        workers: for which a proof is missing.
     """
 
-    workers: frozenset[WorkerBoot]
+    def __init__(self, workers: tuple[WorkerBoot, ...]) -> None:
+        """Name the workers.
+
+        Args:
+            workers: for which a proof is missing.
+        """
+        super().__init__(f'no sufficient proof for {workers}')
+        self.workers = workers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AttemptOver:
-    """The attempt may have run, and certainly does not run any more.
+class Writer:
+    """Who makes a change.
 
     Attributes:
-        reason: `worker_report`, `instance_gone` or `lease_expired`.
+        epoch: of the writing leader.
+        write_id: random id of this write.
     """
 
-    reason: str
-
-
-Proof: TypeAlias = NeverStarted | AttemptOver
-
+    epoch: int
+    write_id: str
 
-def claim(record: JobRecord, *, epoch: int) -> JobRecord:
-    """Take a record over for a new leader.
 
-    Attempts and intent stay as they are: an earlier leader may have started
-    any of them.
+def claim(record: JobRecord, writer: Writer) -> JobRecord:
+    """Make a leader the owner of a record.
 
     Args:
-        record: an active record.
-        epoch: of the new leader.
+        record: the record as read.
+        writer: the new owner.
 
     Returns:
-        The claimed record.
+        The record under the writer's epoch.
 
     Raises:
-        NotOwner: a leader with a higher epoch has claimed it.
+        NotOwnerError: a later leader owns the record.
+        JobOverError: the job has ended.
     """
-    if record.epoch > epoch:
-        raise NotOwner(f'{record.job_id}: epoch {record.epoch}')
-    return dataclasses.replace(record, epoch=epoch)
+    if record.epoch > writer.epoch:
+        raise NotOwnerError(f'{record.job_id} is owned by {record.epoch}')
+    if record.is_final:
+        raise JobOverError(record.job_id)
+    return dataclasses.replace(
+        record, epoch=writer.epoch, write_id=writer.write_id
+    )
 
 
-def permit(
-    record: JobRecord, *, epoch: int, workers: Iterable[WorkerBoot]
+def widen_intent(
+    record: JobRecord,
+    writer: Writer,
+    *,
+    workers: Iterable[WorkerBoot],
+    begin: Iterable[int] = (),
 ) -> JobRecord:
-    """Permit the first attempt of every task that has none.
+    """Name workers on which tasks may start, and permit first attempts.
 
     Args:
-        record: a record of this leader.
-        epoch: of this leader.
-        workers: on which the tasks may start, besides those of the intent.
+        record: the record as last written.
+        writer: its owner.
+        workers: added to the intent.
+        begin: indexes of waiting tasks that get their first attempt.
 
     Returns:
-        The record with the attempts and the wider intent.
-    """
-    widened = widen(record, epoch=epoch, workers=workers)
-    return dataclasses.replace(
-        widened,
-        tasks=tuple(_first_attempt(task, epoch) for task in record.tasks),
-    )
-
+        The record with the wider intent.
 
-def widen(
-    record: JobRecord, *, epoch: int, workers: Iterable[WorkerBoot]
+    Raises:
+        TaskStateError: a task to begin is not waiting, or the job is being
+            cancelled.
+    """
+    _check_owner(record, writer)
+    if record.state != JobState.ACTIVE:
+        raise TaskStateError(f'{record.job_id} is {record.state}')
+    added = [one for one in workers if one not in record.intent]
+    widened = _written(record, writer, intent=(*record.intent, *added))
+    for index in begin:
+        task = _task(record, index, TaskState.WAITING)
+        widened = _with_task(widened, _next_attempt(task, writer))
+    return widened
+
+
+def narrow_intent(
+    record: JobRecord,
+    writer: Writer,
+    *,
+    proofs: Iterable[InstanceGone | LeaseExpired],
 ) -> JobRecord:
-    """Name further workers on which tasks may start.
+    """Drop workers on which nothing of an idempotent job can be running.
 
     Args:
-        record: a record of this leader.
-        epoch: of this leader.
-        workers: the further workers.
+        record: the record as last written.
+        writer: its owner.
+        proofs: one for each worker to drop.
 
     Returns:
-        The record with the wider intent.
+        The record without these workers.
+
+    Raises:
+        MissingProofError: the job is not idempotent, so that it matters
+            whether it has run there, or a proof does not suffice.
     """
-    _check_owner(record, epoch)
-    return dataclasses.replace(record, intent=_union(record.intent, workers))
+    _check_owner(record, writer)
+    named = tuple(proofs)
+    weak = tuple(
+        proof.worker
+        for proof in named
+        if not record.idempotent
+        or verdict_of(record, record.tasks[0], proof) != Verdict.ENDED
+    )
+    if weak:
+        raise MissingProofError(weak)
+    dropped = {proof.worker for proof in named}
+    kept = tuple(one for one in record.intent if one not in dropped)
+    return _written(record, writer, intent=kept)
 
 
-def settle(record: JobRecord, *, epoch: int, ended: TaskRecord) -> JobRecord:
-    """Note how a task ended; the job ends with its last task.
+def settle_task(
+    record: JobRecord,
+    writer: Writer,
+    *,
+    ended: TaskRecord,
+) -> JobRecord:
+    """Record the end of a task that a worker reported.
 
     Args:
-        record: a record of this leader.
-        epoch: of this leader.
-        ended: the task in its final state.
+        record: the record as last written.
+        writer: its owner.
+        ended: index, attempt, worker, result and `FINISHED` or `FAILED`.
 
     Returns:
-        The changed record.
+        The record with the result; the report may be acknowledged once it is
+        stored.
 
     Raises:
-        StaleAttempt: the record names another attempt, or the task has ended.
-        OutsideIntent: the worker is not named in the intent.
+        TaskStateError: the attempt is not the newest one, the task has ended
+            already, or the new state is not one that a worker reports.
+        WorkerNotNamedError: the worker is not in the intent.
     """
-    _check_owner(record, epoch)
-    current = record.tasks[ended.index]
-    if current.is_final or current.attempt != ended.attempt:
-        raise StaleAttempt(f'{record.job_id}.{ended.index}: {current.state}')
-    if ended.worker is not None and ended.worker not in record.intent:
-        raise OutsideIntent(f'{ended.worker.worker_id}')
-    return conclude(_replace_task(record, ended))
+    _check_owner(record, writer)
+    task = _task(record, ended.index, TaskState.POSSIBLY_STARTED)
+    if ended.state not in {TaskState.FINISHED, TaskState.FAILED}:
+        raise TaskStateError(f'no worker reports {ended.state}')
+    if ended.attempt != task.attempt:
+        raise TaskStateError(f'attempt {ended.attempt}, not {task.attempt}')
+    if ended.worker not in record.intent:
+        raise WorkerNotNamedError(str(ended.worker))
+    settled = dataclasses.replace(ended, attempt_epoch=task.attempt_epoch)
+    return _with_task(_written(record, writer), settled)
 
 
 def further_attempt(
     record: JobRecord,
+    writer: Writer,
     *,
-    epoch: int,
     index: int,
-    proof: Proof,
-    is_retry: bool,
+    proofs: Iterable[Proof],
+    counts_as_retry: bool = True,
 ) -> JobRecord:
     """Permit another attempt of a task.
 
     Args:
-        record: a record of this leader.
-        epoch: of this leader.
-        index: of the task.
-        proof: that the earlier attempt is over.
-        is_retry: whether it counts against the job's retries.
+        record: the record as last written.
+        writer: its owner.
+        index: the task.
+        proofs: at least one sufficient proof for every worker of the intent.
+        counts_as_retry: False when the attempt failed through no fault of the
+            job, such as a worker that fails everything.
 
     Returns:
-        The record with the next attempt.
+        The record with the next attempt, written under the writer's epoch.
 
     Raises:
-        StaleAttempt: the task has ended.
-        NoProof: the proof does not suffice; a non-idempotent task needs the
-            word of every worker of the intent that it never started.
+        MissingProofError: the attempt may be running or, for a job that is
+            not idempotent, may have run.
+        TaskStateError: the task is not possibly started, or the job is being
+            cancelled.
     """
-    _check_owner(record, epoch)
-    task = record.tasks[index]
-    if task.is_final:
-        raise StaleAttempt(f'{record.job_id}.{index}: {task.state}')
-    if isinstance(proof, NeverStarted):
-        if not proof.workers.issuperset(record.intent):
-            raise NoProof(f'{record.job_id}.{index}: not every worker answered')
-    elif not record.idempotent:
-        raise NoProof(f'{record.job_id}.{index}: it may have run')
-    following = dataclasses.replace(
-        task, attempt=task.attempt + 1, attempt_epoch=epoch
-    )
-    changed = _replace_task(record, following)
-    return dataclasses.replace(
-        changed, retries_used=changed.retries_used + int(is_retry)
-    )
+    _check_owner(record, writer)
+    if record.state != JobState.ACTIVE:
+        raise TaskStateError(f'{record.job_id} is {record.state}')
+    task = _task(record, index, TaskState.POSSIBLY_STARTED)
+    accepted = OVER if record.idempotent else NEVER_STARTED
+    _check_proofs(record, task, proofs, accepted)
+    used = record.retries_used + int(counts_as_retry)
+    written = _written(record, writer, retries_used=used)
+    return _with_task(written, _next_attempt(task, writer))
+
+
+def close_task(
+    record: JobRecord,
+    writer: Writer,
+    *,
+    index: int,
+    proofs: Iterable[Proof],
+    state: TaskState,
+) -> JobRecord:
+    """End a task without a result.
 
+    Args:
+        record: the record as last written.
+        writer: its owner.
+        index: a task that may have started.
+        proofs: at least one for every worker of the intent.
+        state: `UNKNOWN` when it may have run, `FAILED` when its retries are
+            used up, or `CANCELLED` when the job is being cancelled.
 
-def reject(record: JobRecord, *, epoch: int, reason: str) -> JobRecord:
-    """End a job that can never run, before any attempt.
+    Returns:
+        The record with the task ended.
+
+    Raises:
+        MissingProofError: the task may be running.
+        TaskStateError: the task or the job is not in a state for this.
+    """
+    _check_owner(record, writer)
+    task = _task(record, index, TaskState.POSSIBLY_STARTED)
+    is_cancelling = record.state == JobState.CANCELLING
+    allowed = {TaskState.UNKNOWN, TaskState.FAILED}
+    if is_cancelling:
+        allowed.add(TaskState.CANCELLED)
+    if state not in allowed:
+        raise TaskStateError(f'{record.job_id} does not close as {state}')
+    _check_proofs(record, task, proofs, OVER)
+    closed = dataclasses.replace(task, state=state)
+    return _with_task(_written(record, writer), closed)
+
+
+def cancel(record: JobRecord, writer: Writer) -> JobRecord:
+    """Stop a job from starting anything more.
 
     Args:
-        record: a record of this leader.
-        epoch: of this leader.
-        reason: kept as the result of every task.
+        record: the record as last written.
+        writer: its owner.
 
     Returns:
-        The record, failed unless a task already has an attempt.
+        The record in `CANCELLING`, its waiting tasks cancelled.
     """
-    _check_owner(record, epoch)
+    _check_owner(record, writer)
     tasks = tuple(
-        dataclasses.replace(task, state=TaskState.FAILED, result=reason)
-        if task.state is TaskState.WAITING
+        dataclasses.replace(task, state=TaskState.CANCELLED)
+        if task.state == TaskState.WAITING
         else task
         for task in record.tasks
     )
-    return conclude(dataclasses.replace(record, tasks=tasks))
-
+    return _written(record, writer, state=JobState.CANCELLING, tasks=tasks)
 
-def cancel(record: JobRecord, *, epoch: int) -> JobRecord:
-    """Begin to cancel a job; no further attempt is made.
 
-    Args:
-        record: a record of this leader.
-        epoch: of this leader.
-
-    Returns:
-        The changed record, unchanged when the job has ended.
-    """
-    _check_owner(record, epoch)
-    if record.is_final:
-        return record
-    return dataclasses.replace(record, state=JobState.CANCELLING)
+_WORST_FIRST = (
+    (TaskState.UNKNOWN, JobState.UNKNOWN),
+    (TaskState.FAILED, JobState.FAILED),
+    (TaskState.CANCELLED, JobState.CANCELLED),
+    (TaskState.FINISHED, JobState.FINISHED),
+)
 
 
-def conclude(record: JobRecord) -> JobRecord:
-    """Derive the state of the job when all its tasks have ended.
+def finish(record: JobRecord, writer: Writer) -> JobRecord:
+    """End a job whose tasks have all ended.
 
     Args:
-        record: any record.
+        record: the record as last written.
+        writer: its owner.
 
     Returns:
-        The record, in a final state when every task is.
+        The record in the state of its worst task: unknown, failed, cancelled,
+        finished.
+
+    Raises:
+        TaskStateError: a task has not ended.
     """
-    states = {task.state for task in record.tasks}
-    if not states <= FINAL_TASK_STATES:
-        return record
-    worst_first = (
-        (TaskState.UNKNOWN, JobState.UNKNOWN),
-        (TaskState.FAILED, JobState.FAILED),
-        (TaskState.CANCELLED, JobState.CANCELLED),
-    )
-    for task_state, job_state in worst_first:
-        if task_state in states:
-            return dataclasses.replace(record, state=job_state)
-    return dataclasses.replace(record, state=JobState.FINISHED)
+    _check_owner(record, writer)
+    if not all(task.is_final for task in record.tasks):
+        raise TaskStateError(f'{record.job_id} has tasks that have not ended')
+    found = {task.state for task in record.tasks}
+    state = next(job for task, job in _WORST_FIRST if task in found)
+    return _written(record, writer, state=state)
 
 
-def _check_owner(record: JobRecord, epoch: int) -> None:
-    if record.epoch != epoch:
-        raise NotOwner(f'{record.job_id}: epoch {record.epoch}, not {epoch}')
+def _check_owner(record: JobRecord, writer: Writer) -> None:
+    if record.epoch != writer.epoch:
+        raise NotOwnerError(f'{record.job_id} is owned by {record.epoch}')
+    if record.is_final:
+        raise JobOverError(record.job_id)
+
+
+def _check_proofs(
+    record: JobRecord,
+    task: TaskRecord,
+    proofs: Iterable[Proof],
+    accepted: frozenset[Verdict],
+) -> None:
+    missing = unproved_workers(record, task, proofs, accepted=accepted)
+    if missing:
+        raise MissingProofError(missing)
+
+
+def _task(record: JobRecord, index: int, state: TaskState) -> TaskRecord:
+    if not 0 <= index < record.task_count:
+        raise TaskStateError(f'{record.job_id} has no task {index}')
+    task = record.tasks[index]
+    if task.state != state:
+        raise TaskStateError(f'task {index} is {task.state}, not {state}')
+    return task
 
 
-def _first_attempt(task: TaskRecord, epoch: int) -> TaskRecord:
-    if task.state is not TaskState.WAITING:
-        return task
+def _next_attempt(task: TaskRecord, writer: Writer) -> TaskRecord:
     return dataclasses.replace(
         task,
-        attempt=1,
-        attempt_epoch=epoch,
+        attempt=task.attempt + 1,
+        attempt_epoch=writer.epoch,
         state=TaskState.POSSIBLY_STARTED,
     )
 
 
-def _replace_task(record: JobRecord, task: TaskRecord) -> JobRecord:
+def _with_task(record: JobRecord, task: TaskRecord) -> JobRecord:
     tasks = list(record.tasks)
     tasks[task.index] = task
     return dataclasses.replace(record, tasks=tuple(tasks))
 
 
-def _union(
-    known: tuple[WorkerBoot, ...], further: Iterable[WorkerBoot]
-) -> tuple[WorkerBoot, ...]:
-    return tuple(dict.fromkeys((*known, *further)))
+def _written(record: JobRecord, writer: Writer, **changes: Any) -> JobRecord:
+    return dataclasses.replace(record, write_id=writer.write_id, **changes)
