Build the leader on the proved transitions with one proof per worker

Cause: the transitions of the job record now demand a proof for every worker of the intent, and come with a state machine that drives them through lost answers, late starts, pauses and restarts; the leader still used looser ones. Ruled out: keeping both; two rules for one record would drift apart. Change: attempts collect proofs by worker; an ending that lacks one waits for the worker to be opened or gone; a rejected job ends through the same rules.

--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -23,11 +23,12 @@
 from jayshore.jobs.admission import impossible_reason
 from jayshore.jobs.record import (
     JobRecord,
+    JobState,
     decode_record,
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import NotOwner
+from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
@@ -237,9 +238,11 @@
             return msg.CancelResult.FINISHED
         try:
             record = await leader.parts.admission.cancel(job_id)
-        except NotOwner:
+        except JobOverError:
+            return msg.CancelResult.FINISHED
+        except TransitionError:
             return msg.CancelResult.UNKNOWN
-        if record.is_cancelling:
+        if record.is_cancelling or record.state is JobState.CANCELLED:
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
--- a/jayshore/jobs/admission.py
+++ b/jayshore/jobs/admission.py
@@ -95,11 +95,11 @@
             Its record after the cancellation was recorded.
 
         Raises:
-            NotOwner: another leader has claimed the job.
+            TransitionError: the job has ended, or another leader owns it.
         """  # noqa: DAR401 raised by the book
         record = await self._book.change(
             job_id,
-            functools.partial(transitions.cancel, epoch=self._context.epoch),
+            functools.partial(_cancel_record, writer=self._context.writer),
         )
         await self.enforce_cancel(record)
         return record
@@ -115,9 +115,8 @@
         for attempt in self._attempts.of_job(record):
             if attempt.phase is Phase.QUEUED:
                 self._placer.withdraw(attempt)
-                never = transitions.NeverStarted(workers=frozenset())
                 await self._endings.record_later(
-                    attempt, Ending(outcome=None, proof=never), None
+                    attempt, Ending(outcome=None), None
                 )
             elif attempt.phase is Phase.RUNNING:
                 await self._placer.stop(attempt, checkpoint=False)
@@ -135,9 +134,11 @@
         try:
             claimed = await self._book.change(
                 record.job_id,
-                functools.partial(transitions.claim, epoch=epoch),
+                functools.partial(
+                    transitions.claim, writer=self._context.writer
+                ),
             )
-        except transitions.NotOwner:
+        except transitions.TransitionError:
             return
         # Until it is known that an inherited attempt does not run, it counts
         # against the team's limit.
@@ -157,12 +158,12 @@
                 record.job_id,
                 functools.partial(
                     _admit_record,
-                    epoch=epoch,
+                    writer=self._context.writer,
                     workers=[self._placer.boots[name] for name in chosen],
                     reason=impossible_reason(record, views),
                 ),
             )
-        except transitions.TransitionRefused as refusal:
+        except transitions.TransitionError as refusal:
             eliot.log_message(
                 'job:not_admitted', job=record.job_id, why=str(refusal)
             )
@@ -231,9 +232,28 @@
 
 
 def _admit_record(
-    record: JobRecord, *, epoch: int, workers: list[WorkerBoot], reason: str
+    record: JobRecord,
+    *,
+    writer: transitions.Writer,
+    workers: list[WorkerBoot],
+    reason: str,
 ) -> JobRecord:
-    claimed = transitions.claim(record, epoch=epoch)
+    claimed = transitions.claim(record, writer)
+    if claimed.is_cancelling:
+        return claimed
     if reason:
-        return transitions.reject(claimed, epoch=epoch, reason=reason)
-    return transitions.permit(claimed, epoch=epoch, workers=workers)
+        rejected = transitions.reject(claimed, writer, reason=reason)
+        return transitions.finish_if_over(rejected, writer)
+    waiting = [
+        task.index for task in claimed.tasks if task.state is TaskState.WAITING
+    ]
+    return transitions.widen_intent(
+        claimed, writer, workers=workers, begin=waiting
+    )
+
+
+def _cancel_record(
+    record: JobRecord, *, writer: transitions.Writer
+) -> JobRecord:
+    cancelled = transitions.cancel(record, writer)
+    return transitions.finish_if_over(cancelled, writer)
--- a/jayshore/jobs/attempts.py
+++ b/jayshore/jobs/attempts.py
@@ -5,10 +5,10 @@
 """
 
 import enum
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterator
 
+from jayshore.jobs.proofs import NeverSent, Proof, WorkerReport
 from jayshore.jobs.record import JobRecord, WorkerBoot
-from jayshore.jobs.transitions import AttemptOver, NeverStarted, Proof
 
 
 class Phase(enum.Enum):
@@ -39,7 +39,17 @@
 
 
 class Attempt:
-    """The newest attempt of one task."""
+    """The newest attempt of one task.
+
+    Attributes:
+        job_id: the job.
+        index: of the task.
+        number: of the attempt.
+        phase: how far it has come.
+        worker: where it is starting or running.
+        avoided: workers on which an earlier attempt failed.
+        launches: number of starts sent, to tell their results apart.
+    """
 
     def __init__(
         self, *, job_id: str, index: int, number: int, phase: Phase
@@ -59,80 +69,67 @@
         self.worker: WorkerBoot | None = None
         self.avoided: frozenset[str] = frozenset()
         self.launches = 0
-        self._unresolved: set[WorkerBoot] = set()
-        self._never_on: set[WorkerBoot] = set()
-        self._over: str = ''
+        self._is_own = phase is not Phase.INHERITED
+        self._proofs: dict[WorkerBoot, Proof] = {}
 
     @property
     def name(self) -> str:
         """Name of the task towards workers."""
         return task_name(self.job_id, self.index)
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether every worker that may run it has been accounted for."""
-        return not self._unresolved
-
-    @property
-    def unresolved(self) -> frozenset[WorkerBoot]:
-        """The workers that have not been accounted for."""
-        return frozenset(self._unresolved)
-
-    @property
-    def proof(self) -> Proof:
-        """What the workers' answers prove, once all have answered."""
-        if self._over:
-            return AttemptOver(reason=self._over)
-        return NeverStarted(workers=frozenset(self._never_on))
+    def proofs(self, record: JobRecord) -> tuple[Proof, ...]:
+        """List what is proved about the workers of the intent.
 
-    def await_answers(self, workers: Iterable[WorkerBoot]) -> None:
-        """Wait for the word of every worker that may have it.
+        Of an attempt that this leader wrote itself, it knows where it has sent
+        a start; a start that certainly had no effect counts as not sent.
 
         Args:
-            workers: the intent of the record.
-        """
-        self._unresolved = set(workers)
-        self._never_on = set()
-        self._over = ''
+            record: the job.
 
-    def note_absent(self, worker_id: str, boot_id: str) -> None:
-        """Take note that a newly opened lease shows no sign of it.
+        Returns:
+            At most one proof for each worker of the intent.
+        """
+        found = []
+        for worker in record.intent:
+            proof = self._proofs.get(worker)
+            if proof is None and self._is_own and worker != self.worker:
+                proof = NeverSent(worker=worker)
+            if proof is not None:
+                found.append(proof)
+        return tuple(found)
+
+    def unproved(self, record: JobRecord) -> list[WorkerBoot]:
+        """List the workers of the intent that are not accounted for.
 
         Args:
-            worker_id: the worker.
-            boot_id: its present boot.
+            record: the job.
+
+        Returns:
+            Those for which there is no proof.
         """
-        for known in self._of_worker(worker_id):
-            self._unresolved.discard(known)
-            if known.boot_id == boot_id:
-                self._never_on.add(known)
-            else:
-                self._over = 'worker_report'
+        proved = {proof.worker for proof in self.proofs(record)}
+        return [worker for worker in record.intent if worker not in proved]
 
-    def note_over(self, worker_id: str, reason: str) -> None:
-        """Take note that whatever ran on a worker is over.
+    def note(self, proof: Proof) -> None:
+        """Take note of a proof about one worker.
 
         Args:
-            worker_id: the worker.
-            reason: see `AttemptOver`.
+            proof: it replaces an earlier one, unless that one is as strong.
         """
-        for known in self._of_worker(worker_id):
-            self._unresolved.discard(known)
-            self._over = reason
+        known = self._proofs.get(proof.worker)
+        if not isinstance(known, WorkerReport):
+            self._proofs[proof.worker] = proof
 
-    def note_found(self, worker: WorkerBoot) -> None:
-        """Take note that a worker has it, which rules all others out.
+    def begin(self, number: int) -> None:
+        """Go on to the next attempt, which this leader has just written.
 
         Args:
-            worker: the worker.
+            number: of the new attempt.
         """
-        self.worker = worker
-        self._unresolved.clear()
-
-    def _of_worker(self, worker_id: str) -> list[WorkerBoot]:
-        return [
-            known for known in self._unresolved if known.worker_id == worker_id
-        ]
+        self.number = number
+        self.worker = None
+        self._is_own = True
+        self._proofs.clear()
 
 
 class AttemptTable:
@@ -200,8 +197,6 @@
                 number=task.attempt,
                 phase=Phase.QUEUED if is_own else Phase.INHERITED,
             )
-            if not is_own:
-                attempt.await_answers(record.intent)
             self._attempts[attempt.name] = attempt
             adopted.append(attempt)
         return adopted
@@ -251,10 +246,20 @@
         """
         return {item.job_id for item in self if item.phase is Phase.QUEUED}
 
-    def inherited(self) -> list[Attempt]:
-        """List the attempts whose fate is not known.
+    def unsettled(self, worker_id: str = '') -> list[Attempt]:
+        """List the attempts about which a worker's word may be needed.
+
+        Args:
+            worker_id: attempts that this worker runs are left out.
 
         Returns:
-            The attempts.
+            Inherited, running and ended attempts; the end of an inherited one
+            needs the word of every worker of the intent.
         """
-        return [item for item in self if item.phase is Phase.INHERITED]
+        phases = {Phase.INHERITED, Phase.RUNNING, Phase.ENDED}
+        return [
+            item
+            for item in self
+            if item.phase in phases
+            and (item.worker is None or item.worker.worker_id != worker_id)
+        ]
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -22,7 +22,7 @@
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import NotOwner, TransitionRefused
+from jayshore.jobs.transitions import NotOwnerError, TransitionError
 from jayshore.platform.settling import Write, WriteSettler, new_write_id
 from jayshore.platform.store import (
     Entry,
@@ -43,7 +43,7 @@
     def __init__(self, *, transition: Transition) -> None:
         self.transition = transition
         self.done = curio.Event()
-        self.refusal: TransitionRefused | None = None
+        self.refusal: TransitionError | None = None
         self.result: JobRecord | None = None
 
 
@@ -152,12 +152,12 @@
             The record as written.
 
         Raises:
-            NotOwner: another leader has claimed the record.
-            TransitionRefused: the transition refused the record.
-        """  # noqa: DAR401 TransitionRefused is what the change recorded
+            NotOwnerError: another leader has claimed the record.
+            TransitionError: the transition refused the record.
+        """  # noqa: DAR401 TransitionError is what the change recorded
         held = self._held.get(job_id)
         if held is None:
-            raise NotOwner(job_id)
+            raise NotOwnerError(job_id)
         change = _Change(transition=transition)
         held.waiting.append(change)
         if not held.is_writing:
@@ -213,7 +213,7 @@
             held.waiting = []
             try:
                 await self._write_batch(held, batch)
-            except NotOwner as error:
+            except NotOwnerError as error:
                 _refuse(batch, error)
             for change in batch:
                 await change.done.set()
@@ -225,7 +225,7 @@
         write_id = new_write_id()
         while True:
             record = _apply(held.record, batch)
-            if record == held.record:
+            if _is_unchanged(record, held.record):
                 return
             record = dataclasses.replace(record, write_id=write_id)
             if await self._try_write(held, record):
@@ -268,10 +268,10 @@
                 break
         if entry is None:
             self._held.pop(job_id, None)
-            raise NotOwner(f'{job_id}: the record was deleted')
+            raise NotOwnerError(f'{job_id}: the record was deleted')
         record = decode_record(entry.value)
         if record.epoch > self._epoch:
-            raise NotOwner(f'{job_id}: epoch {record.epoch}')
+            raise NotOwnerError(f'{job_id}: epoch {record.epoch}')
         held.record = record
         held.revision = entry.revision
 
@@ -282,12 +282,16 @@
         change.refusal = None
         try:
             record = change.transition(record)
-        except TransitionRefused as refusal:
+        except TransitionError as refusal:
             change.refusal = refusal
         change.result = record
     return record
 
 
-def _refuse(batch: list[_Change], refusal: TransitionRefused) -> None:
+def _is_unchanged(record: JobRecord, before: JobRecord) -> bool:
+    return record == dataclasses.replace(before, write_id=record.write_id)
+
+
+def _refuse(batch: list[_Change], refusal: TransitionError) -> None:
     for change in batch:
         change.refusal = refusal
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -8,7 +8,9 @@
 from jayshore.clock import Clock, Millis
 from jayshore.config.snapshot import Snapshot
 from jayshore.jobs.record import JobRecord
+from jayshore.jobs.transitions import Writer
 from jayshore.placement.decisions import Headroom
+from jayshore.platform.settling import new_write_id
 from jayshore.resources import Resources
 
 
@@ -89,3 +91,8 @@
     depose: Callable[[], Awaitable[None]]
     intent_width: int
     task_lease_ms: Millis
+
+    @property
+    def writer(self) -> Writer:
+        """This leader as the writer of a change, with a new write id."""
+        return Writer(epoch=self.epoch, write_id=new_write_id())
--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -13,6 +13,7 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.proofs import NEVER_STARTED, unproved_workers
 from jayshore.jobs.record import (
     JobKind,
     JobRecord,
@@ -31,14 +32,11 @@
     """How an attempt ended, as far as it is known.
 
     Attributes:
-        outcome: the worker's word, None when the attempt is only known to be
-            over.
-        proof: that it does not run any more.
+        outcome: the worker's word, None when there is none.
         output: its result.
     """
 
     outcome: TaskOutcome | None
-    proof: transitions.Proof
     output: str = ''
 
 
@@ -59,11 +57,7 @@
     Returns:
         The ending.
     """
-    return Ending(
-        outcome=report.outcome,
-        proof=transitions.AttemptOver(reason='worker_report'),
-        output=report.output,
-    )
+    return Ending(outcome=report.outcome, output=report.output)
 
 
 class EndingRecorder:
@@ -92,6 +86,7 @@
         self._attempts = attempts
         self._placer = placer
         self._tasks = tasks
+        self._unproved: dict[str, tuple[Ending, Reporter | None]] = {}
 
     async def record(self, attempt: Attempt, ending: Ending) -> None:
         """Record an ending; returns when the store holds it.
@@ -101,7 +96,8 @@
             ending: how it ended.
 
         Raises:
-            NotOwner: another leader has claimed the job.
+            TransitionError: another leader owns the job, or a proof is
+                missing.
         """  # noqa: DAR401 raised by the book
         attempt.phase = Phase.ENDED
         record = self._book.find(attempt.job_id)
@@ -113,7 +109,7 @@
             attempt=attempt.number,
             outcome=ending.outcome.value if ending.outcome else 'lost',
         ):
-            state = self._final_state(record, ending)
+            state = self._final_state(record, attempt, ending)
             if state is None:
                 await self._try_again(record, attempt, ending)
             else:
@@ -136,12 +132,26 @@
         attempt.phase = Phase.ENDED
         await self._tasks.spawn(self._record(attempt, ending, reporter))
 
+    async def resume(self, attempt: Attempt) -> None:
+        """Try again to record an ending for which a proof was missing.
+
+        Args:
+            attempt: an ended attempt about which a proof has come in.
+        """
+        waiting = self._unproved.pop(attempt.name, None)
+        if waiting is not None:
+            await self.record_later(attempt, *waiting)
+
     async def _record(
         self, attempt: Attempt, ending: Ending, reporter: Reporter | None
     ) -> None:
         try:
             await self.record(attempt, ending)
-        except transitions.TransitionRefused as refusal:
+        except transitions.MissingProofError:
+            # Workers that are not accounted for yet may still have it.
+            self._unproved[attempt.name] = (ending, reporter)
+            return
+        except transitions.TransitionError as refusal:
             eliot.log_message(
                 'task:not_recorded', task=attempt.name, why=str(refusal)
             )
@@ -150,25 +160,30 @@
             reporter.session.acknowledge(reporter.name)
 
     def _final_state(
-        self, record: JobRecord, ending: Ending
+        self, record: JobRecord, attempt: Attempt, ending: Ending
     ) -> TaskState | None:
         """Decide whether the task has ended for good.
 
         Returns:
             Its final state, or None when another attempt follows.
         """
-        never_started = isinstance(ending.proof, transitions.NeverStarted)
+        if ending.outcome is TaskOutcome.SUCCEEDED:
+            is_service = record.kind is JobKind.SERVICE
+            if not is_service or record.is_cancelling:
+                return TaskState.FINISHED
+        never_started = not unproved_workers(
+            record,
+            record.tasks[attempt.index],
+            attempt.proofs(record),
+            accepted=NEVER_STARTED,
+        )
+        is_known = never_started or ending.outcome is not None
+        if record.is_cancelling and (is_known or record.idempotent):
+            return TaskState.CANCELLED
         if record.is_cancelling:
-            is_certain = never_started or ending.outcome is not None
-            if is_certain or record.idempotent:
-                return TaskState.CANCELLED
             return TaskState.UNKNOWN
-        if never_started:
+        if never_started or record.kind is JobKind.SERVICE:
             return None
-        if record.kind is JobKind.SERVICE:
-            return None
-        if ending.outcome is TaskOutcome.SUCCEEDED:
-            return TaskState.FINISHED
         if ending.outcome is TaskOutcome.FAILED:
             return None if self._may_retry(record) else TaskState.FAILED
         return None if record.idempotent else TaskState.UNKNOWN
@@ -181,18 +196,19 @@
     async def _settle(
         self, attempt: Attempt, ending: Ending, state: TaskState
     ) -> None:
-        ended = TaskRecord(
-            index=attempt.index,
-            attempt=attempt.number,
-            attempt_epoch=self._context.epoch,
-            state=state,
-            worker=attempt.worker,
-            result=ending.output or None,
-        )
         await self._book.change(
             attempt.job_id,
             functools.partial(
-                transitions.settle, epoch=self._context.epoch, ended=ended
+                _settle_record,
+                writer=self._context.writer,
+                attempt=attempt,
+                ended=TaskRecord(
+                    index=attempt.index,
+                    attempt=attempt.number,
+                    state=state,
+                    worker=attempt.worker,
+                    result=ending.output or None,
+                ),
             ),
         )
         self._attempts.forget(attempt)
@@ -201,26 +217,23 @@
         self, record: JobRecord, attempt: Attempt, ending: Ending
     ) -> None:
         failed = ending.outcome is TaskOutcome.FAILED
+        failed_on = attempt.worker
         changed = await self._book.change(
             attempt.job_id,
             functools.partial(
-                transitions.further_attempt,
-                epoch=self._context.epoch,
-                index=attempt.index,
-                proof=ending.proof,
+                _attempt_again,
+                writer=self._context.writer,
+                attempt=attempt,
                 is_retry=failed,
             ),
         )
-        attempt.number = changed.tasks[attempt.index].attempt
-        if failed and attempt.worker is not None:
-            attempt.avoided |= {attempt.worker.worker_id}
+        attempt.begin(changed.tasks[attempt.index].attempt)
+        if failed and failed_on is not None:
+            attempt.avoided |= {failed_on.worker_id}
         if record.kind is JobKind.SERVICE and ending.outcome is not None:
             await curio.sleep(to_seconds(_SERVICE_RESTART_PAUSE_MS))
         await self._stop_siblings(record, attempt)
-        if changed.is_cancelling:
-            await self.record(attempt, ending)
-        else:
-            self._placer.enqueue(attempt)
+        self._placer.enqueue(attempt)
 
     async def _stop_siblings(self, record: JobRecord, attempt: Attempt) -> None:
         """Stop the rest of a gang, so that it starts again as a whole."""
@@ -242,3 +255,39 @@
         True when the numbers agree.
     """
     return report.task_id == attempt.name and report.attempt == attempt.number
+
+
+def _settle_record(
+    record: JobRecord,
+    *,
+    writer: transitions.Writer,
+    attempt: Attempt,
+    ended: TaskRecord,
+) -> JobRecord:
+    if ended.state in {TaskState.FINISHED, TaskState.FAILED}:
+        settled = transitions.settle_task(record, writer, ended=ended)
+    else:
+        settled = transitions.close_task(
+            record,
+            writer,
+            index=ended.index,
+            proofs=attempt.proofs(record),
+            state=ended.state,
+        )
+    return transitions.finish_if_over(settled, writer)
+
+
+def _attempt_again(
+    record: JobRecord,
+    *,
+    writer: transitions.Writer,
+    attempt: Attempt,
+    is_retry: bool,
+) -> JobRecord:
+    return transitions.further_attempt(
+        record,
+        writer,
+        index=attempt.index,
+        proofs=attempt.proofs(record),
+        counts_as_retry=is_retry,
+    )
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -1,8 +1,9 @@
 """Compares what workers report with what the leader expects."""
 
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
 
-from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
@@ -15,6 +16,7 @@
 )
 from jayshore.jobs.fleet import WorkerFleet
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.proofs import Proof, Verdict, WorkerReport
 from jayshore.jobs.record import WorkerBoot
 from jayshore.leases.session import WorkerObserver
 from jayshore.leases.worker import (
@@ -26,6 +28,8 @@
 from jayshore.placement.cell import Cell
 from jayshore.placement.tasks import WorkerState, WorkerView
 
+ProofMaker: TypeAlias = Callable[[WorkerBoot], Proof]
+
 
 class InventoryReader(WorkerObserver):
     """Turns the news of workers into phases of attempts and endings."""
@@ -78,12 +82,13 @@
         for attempt in self._attempts.on_worker(worker_id):
             if not _is_in(reports, attempt):
                 await self._note_missing(attempt, opened)
-        for inherited in self._attempts.inherited():
-            if _is_in(reports, inherited):
-                self._adopt(inherited, worker_id, opened)
-            else:
-                inherited.note_absent(worker_id, opened.boot_id)
-                await self.resolve(inherited)
+        for unsettled in self._attempts.unsettled(worker_id):
+            is_inherited = unsettled.phase is Phase.INHERITED
+            if is_inherited and _is_in(reports, unsettled):
+                self._adopt(unsettled, worker_id, opened)
+            elif not _is_in(reports, unsettled):
+                self._note_absent(unsettled, worker_id, opened.boot_id)
+                await self.resolve(unsettled)
         await self._take_reports(worker_id, opened.tasks)
         await self._placer.wake()
 
@@ -111,31 +116,62 @@
         """Stop to lead."""
         await self._context.depose()
 
-    async def account_for(self, worker_id: str, reason: str) -> None:
+    async def account_for(self, worker_id: str, make_proof: ProofMaker) -> None:
         """Conclude that whatever ran on a worker is over.
 
         Args:
             worker_id: the worker.
-            reason: see `AttemptOver`.
+            make_proof: makes the proof about one boot of the worker.
         """
         for attempt in self._attempts.on_worker(worker_id):
-            await self._lose(attempt, reason)
-        for inherited in self._attempts.inherited():
-            inherited.note_over(worker_id, reason)
-            await self.resolve(inherited)
+            if attempt.worker is not None:
+                await self._lose(attempt, make_proof(attempt.worker))
+        for unsettled in self._attempts.unsettled(worker_id):
+            record = self._book.find(unsettled.job_id)
+            for worker in record.intent if record else ():
+                if worker.worker_id == worker_id:
+                    unsettled.note(make_proof(worker))
+            await self.resolve(unsettled)
 
     async def resolve(self, attempt: Attempt) -> None:
-        """End an inherited attempt once no worker can have it any more.
+        """End an attempt once no worker can have it any more.
 
         Args:
-            attempt: an inherited attempt.
+            attempt: an attempt that waits for proofs.
         """
-        if attempt.phase is Phase.INHERITED and attempt.is_settled:
-            record = self._book.find(attempt.job_id)
-            if record is not None:
-                self._context.ledger.give_back(record.team, record.demand)
-            ending = Ending(outcome=None, proof=attempt.proof)
-            await self._endings.record_later(attempt, ending, None)
+        record = self._book.find(attempt.job_id)
+        if record is None or attempt.unproved(record):
+            return
+        if attempt.phase is Phase.INHERITED:
+            self._context.ledger.give_back(record.team, record.demand)
+            await self._endings.record_later(
+                attempt, Ending(outcome=None), None
+            )
+        elif attempt.phase is Phase.ENDED:
+            await self._endings.resume(attempt)
+
+    def _note_absent(
+        self, attempt: Attempt, worker_id: str, boot_id: str
+    ) -> None:
+        """Note that a newly opened lease shows no sign of an attempt."""
+        record = self._book.find(attempt.job_id)
+        for worker in record.intent if record else ():
+            if worker.worker_id == worker_id:
+                report = self._report(attempt, worker, Verdict.NEVER_STARTED)
+                attempt.note(
+                    dataclasses.replace(report, reporting_boot_id=boot_id)
+                )
+
+    def _report(
+        self, attempt: Attempt, worker: WorkerBoot, verdict: Verdict
+    ) -> WorkerReport:
+        return WorkerReport(
+            worker=worker,
+            reporting_boot_id=worker.boot_id,
+            lease_epoch=self._context.epoch,
+            attempt=attempt.number,
+            verdict=verdict,
+        )
 
     def _update_worker(self, worker_id: str, opened: OpenedLease) -> None:
         instance = self._fleet.instance(worker_id) if self._fleet else None
@@ -159,9 +195,7 @@
         self, attempt: Attempt, worker_id: str, opened: OpenedLease
     ) -> None:
         record = self._book.find(attempt.job_id)
-        attempt.note_found(
-            WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
-        )
+        attempt.worker = WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
         if record is not None:
             self._placer.adopt(record, attempt)
 
@@ -180,17 +214,16 @@
             return
         if attempt.phase is Phase.STARTING and same_boot:
             self._placer.requeue(record, attempt)
-        else:
-            await self._lose(attempt, 'worker_report')
+        elif worker is not None:
+            report = self._report(attempt, worker, Verdict.ENDED)
+            await self._lose(attempt, report)
 
-    async def _lose(self, attempt: Attempt, reason: str) -> None:
+    async def _lose(self, attempt: Attempt, proof: Proof) -> None:
         record = self._book.find(attempt.job_id)
         if record is not None:
             self._placer.release(record, attempt)
-        over = transitions.AttemptOver(reason=reason)
-        await self._endings.record_later(
-            attempt, Ending(outcome=None, proof=over), None
-        )
+        attempt.note(proof)
+        await self._endings.record_later(attempt, Ending(outcome=None), None)
 
     async def _take_reports(
         self, worker_id: str, reports: Iterable[TaskReport]
@@ -213,6 +246,7 @@
             self._placer.note_running(record, attempt)
         if report.outcome is not None:
             self._placer.release(record, attempt)
+            attempt.note(self._report(attempt, worker, Verdict.ENDED))
             await self._endings.record_later(
                 attempt, reported(report), self._reporter(worker_id, report)
             )
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -14,6 +14,8 @@
 from jayshore.jobs.fleet import FleetObserver, InstanceFollower, WorkerFleet
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.proofs import InstanceGone, LeaseExpired, Proof
+from jayshore.jobs.record import WorkerBoot
 from jayshore.placement.cell import Cell
 from jayshore.placement.tasks import WorkerState
 from jayshore.platform.instances import Instance
@@ -133,7 +135,7 @@
             instance: not listed any more.
         """
         self._parts.fleet.remove(instance.id)
-        await self._parts.inventory.account_for(instance.id, 'instance_gone')
+        await self._parts.inventory.account_for(instance.id, _gone)
         self._placer.remove_worker(instance.id)
 
     async def _reconcile(self) -> None:
@@ -156,7 +158,7 @@
             if expired and await self._is_confirmed():
                 for worker_id in expired:
                     await self._parts.inventory.account_for(
-                        worker_id, 'lease_expired'
+                        worker_id, self._expired
                     )
 
     def _expired_workers(self) -> list[str]:
@@ -185,14 +187,25 @@
         """
         if not follower.was_read:
             return
-        for attempt in self._parts.attempts.inherited():
-            for worker in attempt.unresolved:
+        for attempt in self._parts.attempts.unsettled():
+            record = self._parts.book.find(attempt.job_id)
+            for worker in attempt.unproved(record) if record else ():
                 if not follower.lists(worker.worker_id):
-                    attempt.note_over(worker.worker_id, 'instance_gone')
+                    attempt.note(_gone(worker))
             await self._parts.inventory.resolve(attempt)
 
+    def _expired(self, worker: WorkerBoot) -> Proof:
+        epoch = self._parts.context.epoch
+        return LeaseExpired(
+            worker=worker, lease_epoch=epoch, confirmed_epoch=epoch
+        )
+
     async def _is_confirmed(self) -> bool:
         try:
             return await self._parts.context.confirm()
         except StoreError:
             return False
+
+
+def _gone(worker: WorkerBoot) -> Proof:
+    return InstanceGone(worker=worker)
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -263,13 +263,15 @@
             await self._book.change(
                 job_id,
                 functools.partial(
-                    transitions.widen,
-                    epoch=self._context.epoch,
+                    transitions.widen_intent,
+                    writer=self._context.writer,
                     workers=sorted(wanted),
                 ),
             )
-        except transitions.NotOwner:
+        except transitions.NotOwnerError:
             await self._context.depose()
+        except transitions.TransitionError as refusal:
+            eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
     async def _start(self, attempt: Attempt) -> bool:
         record = self._book.find(attempt.job_id)
--- a/jayshore/jobs/transitions.py
+++ b/jayshore/jobs/transitions.py
@@ -279,6 +279,27 @@
     return _with_task(_written(record, writer), closed)
 
 
+def reject(record: JobRecord, writer: Writer, *, reason: str) -> JobRecord:
+    """End the tasks of a job that can never run, before any attempt.
+
+    Args:
+        record: the record as last written.
+        writer: its owner.
+        reason: kept as the result of every task.
+
+    Returns:
+        The record with its waiting tasks failed.
+    """
+    _check_owner(record, writer)
+    tasks = tuple(
+        dataclasses.replace(task, state=TaskState.FAILED, result=reason)
+        if task.state == TaskState.WAITING
+        else task
+        for task in record.tasks
+    )
+    return _written(record, writer, tasks=tasks)
+
+
 def cancel(record: JobRecord, writer: Writer) -> JobRecord:
     """Stop a job from starting anything more.
 
@@ -307,6 +328,21 @@
 )
 
 
+def finish_if_over(record: JobRecord, writer: Writer) -> JobRecord:
+    """End a job if all its tasks have ended.
+
+    Args:
+        record: the record as last written.
+        writer: its owner.
+
+    Returns:
+        The record, in a final state when nothing of it is left to run.
+    """
+    if all(task.is_final for task in record.tasks):
+        return finish(record, writer)
+    return record
+
+
 def finish(record: JobRecord, writer: Writer) -> JobRecord:
     """End a job whose tasks have all ended.
 
