Tell placement when a new leader has claimed a team's part

Cause: after a takeover, tasks of a team were asked for headroom before the part was claimed and never again; 64 of 160 tasks waited for ever. Ruled out: a lost give-back; use in the ledger was 0. Change: newly claimed teams are announced like raised ones. A writer that meets an announcement of another writer waits until it is settled.

--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -29,6 +29,7 @@
 # A writer needs two writes and one round of promises; an announcement that is
 # older than this was left by a writer that died.
 _ABANDONED_AFTER_MS = Millis(3000)
+_SETTLE_PAUSE_MS = Millis(50)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -219,7 +220,7 @@
         expected_version: int,
         ask_promises: AskPromises,
     ) -> ApplyOutcome:
-        current, revision = await self._read()
+        current, revision = await self._read_settled()
         if current.version != expected_version:
             return VersionConflict(version=current.version)
         following = StoredConfig(
@@ -247,6 +248,18 @@
         await self.refresh()
         return Applied(version=following.version)
 
+    async def _read_settled(self) -> tuple[StoredConfig, int]:
+        """Wait until the write that another daemon announced is settled.
+
+        Replacing its announcement would make it fail although no new version
+        exists. An announcement of a writer that died is withdrawn in time.
+        """
+        current, revision = await self._read()
+        while current.is_announced:
+            await curio.sleep(to_seconds(_SETTLE_PAUSE_MS))
+            current, revision = await self._read()
+        return current, revision
+
     async def _gather(
         self,
         old: Document,
--- a/jayshore/jobs/grants.py
+++ b/jayshore/jobs/grants.py
@@ -260,6 +260,7 @@
         self._placer = placer
         self._domain = domain
         self._claimed: set[str] = set()
+        self._newly_claimed: set[str] = set()
 
     async def run(
         self,
@@ -277,7 +278,7 @@
             now: monotonic time.
             fresh_snapshot: the configuration while it is fresh, else None.
             cut_off: names of the domains that cannot be reached.
-            added: told of the teams whose part was raised.
+            added: told of the teams whose part was raised or claimed.
         """
         quiet = 0
         while True:
@@ -292,7 +293,8 @@
                 eliot.log_message('grants:store_error', error=str(error))
             else:
                 await self._preempt(changes)
-                await added({change.team for change in changes})
+                teams = {change.team for change in changes}
+                await added(teams | self._collect_claimed())
 
     async def _round(
         self,
@@ -305,6 +307,7 @@
         for team in short.keys() | self._teams_with_part():
             if team not in self._claimed and await self._keeper.claim(team):
                 self._claimed.add(team)
+                self._newly_claimed.add(team)
         limits = {} if snapshot is None else _limits_of(snapshot)
         waiting = self._waiting()
         for team in short.keys() | waiting.keys() | self._claimed:
@@ -317,6 +320,11 @@
             await self._reclaim_lost(snapshot)
         return await self._keeper.run_round(now, limits=limits, cut_off=cut_off)
 
+    def _collect_claimed(self) -> set[str]:
+        claimed = self._newly_claimed
+        self._newly_claimed = set()
+        return claimed
+
     def _teams_with_part(self) -> set[str]:
         return {
             team
