Show that a roster change needs a majority of the old roster

Cause: no test failed when only the new roster's majority had promised.

Change: a scripted run in which the change is seen by no majority of the old roster; a daemon of the old one then calls a superseded version fresh.

--- a/jayshore/freshness/machine_test.py
+++ b/jayshore/freshness/machine_test.py
@@ -72,6 +72,7 @@
         self.clock = ManualClock()
         self.tracker_type = tracker_type
         self.announces = announces
+        self.may_write = may_write
         self.cut_off = set()
         self.version, self.revision, self.is_announced = 1, 1, False
         self.roster = ROSTERS[0]
@@ -168,7 +169,7 @@
                 revision=revision, now=self.clock.now()
             )
         }
-        if may_write(promised=promised, old=self.roster, new=roster):
+        if self.may_write(promised=promised, old=self.roster, new=roster):
             self.commits.append((revision, roster))
 
     def land(self, index=0):
@@ -346,6 +347,22 @@
     assert follow(script, {}) == []
 
 
+@pytest.mark.parametrize(
+    ('rule_of_old', 'violating'), [(True, []), (False, ['a'])]
+)
+def test_roster_change_needs_a_majority_of_the_old_one(rule_of_old, violating):
+    """Guards against a change that the rest of the old roster cannot see."""
+    world = World()
+    if not rule_of_old:
+        world.may_write = lambda promised, old, new: new.has_majority(promised)
+    world.announce('d', 'c', ROSTERS[1])
+    while world.commits:
+        world.land()
+    world.clock.advance(BOUND + 1)
+    world.ask('a', 'b')
+    assert world.violations() == violating
+
+
 @pytest.mark.parametrize('variant', VARIANTS)
 def test_machine_finds_each_broken_variant(variant):
     """Guards against a machine that is too weak to find a violation."""
