Remove the notice of new jobs from the inner protocol

Cause: jobs are handed to the leader with SubmitJob, so no daemon sent JobNotice. Change: the message and its handler are removed. Measured: pytest jayshore/wire jayshore/cli jayshore/config passes. Conclusion: the leader's search for missed records covers what is left.

--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -132,13 +132,6 @@
         prepared = PreparedJob(record=record, ticket=call.ticket)
         return msg.SubmitJobReply(outcome=await self._desk.accept(prepared))
 
-    async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
-        """Read a job that was just created."""
-        leader = self._seat.leader
-        if leader is not None:
-            await leader.notice(call.job_id)
-        return msg.JobNoticeReply()
-
     async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
         """Answer with the state of a job that this daemon holds."""
         return msg.JobQueryReply(
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -182,15 +182,6 @@
         """Have a job accepted; see `call` for the errors."""
         return await self.call(call, msg.SubmitJobReply, timeout_ms=timeout_ms)
 
-    async def job_notice(
-        self,
-        call: msg.JobNotice,
-        *,
-        timeout_ms: Millis,
-    ) -> msg.JobNoticeReply:
-        """Announce a changed job record; see `call` for the errors."""
-        return await self.call(call, msg.JobNoticeReply, timeout_ms=timeout_ms)
-
     async def job_query(
         self,
         call: msg.JobQuery,
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -286,8 +286,6 @@
             lambda call: {'record': call.record, 'ticket': call.ticket},
         ),
         msg.SubmitJobReply: ('submitJobReply', _encode_submitted),
-        msg.JobNotice: ('jobNotice', lambda call: {'jobId': call.job_id}),
-        msg.JobNoticeReply: ('jobNoticeReply', lambda _: None),
         msg.JobQuery: ('jobQuery', _encode_query),
         msg.JobQueryReply: ('jobQueryReply', _encode_query_reply),
         msg.CancelJob: (
@@ -336,8 +334,6 @@
             record=reader.record, ticket=reader.ticket
         ),
         'submitJobReply': _decode_submitted,
-        'jobNotice': lambda reader: msg.JobNotice(job_id=reader.jobId),
-        'jobNoticeReply': lambda _: msg.JobNoticeReply(),
         'jobQuery': _decode_query,
         'jobQueryReply': _decode_query_reply,
         'cancelJob': lambda reader: msg.CancelJob(
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -72,8 +72,6 @@
         outcome=NotRun(reason=NotRunReason.NOT_FRESH, retry_after_ms=0),
     ),
     msg.RouteReply(outcome=Unknown(reason=UnknownReason.TIMEOUT)),
-    msg.JobNotice(job_id='j'),
-    msg.JobNoticeReply(),
     msg.JobQuery(job_id='j', access=msg.TicketAccess(ticket='t'), wait_ms=9),
     msg.JobQuery(job_id='j', access=msg.TeamAccess(team='t'), wait_ms=0),
     msg.JobQueryReply(document=None),
@@ -96,8 +94,8 @@
     [
         msg.ConfigCommittedReply(config_version=-1),
         msg.ConfigCommittedReply(config_version=2**64),
-        msg.JobNotice(job_id=None),
-        msg.JobNotice(job_id='\ud800'),
+        msg.CancelJob(job_id=None, team='t'),
+        msg.CancelJob(job_id='\ud800', team='t'),
     ],
 )
 def test_value_that_does_not_fit_is_refused(message):
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -172,18 +172,6 @@
     outcome: SubmitOutcome
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobNotice:
-    """A job record was created or changed; the leader should read it."""
-
-    job_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobNoticeReply:
-    """The notice was received."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TicketAccess:
     """The caller presented the ticket of the job."""
@@ -260,7 +248,6 @@
     | ConfigCommitted
     | RouteRequest
     | SubmitJob
-    | JobNotice
     | JobQuery
     | CancelJob
     | SloQuery
@@ -271,7 +258,6 @@
     | ConfigCommittedReply
     | RouteReply
     | SubmitJobReply
-    | JobNoticeReply
     | JobQueryReply
     | CancelJobReply
     | SloReply
--- a/jayshore/wire/peer_test.py
+++ b/jayshore/wire/peer_test.py
@@ -61,9 +61,6 @@
             outcome=Refused(reason=RefusalReason.CONFLICT)
         )
 
-    async def job_notice(self, call):
-        return msg.JobNoticeReply()
-
     async def job_query(self, call):
         await self.entered.put(call.job_id)
         await self.release(call.job_id).wait()
@@ -228,8 +225,8 @@
         async with rig(max_frame_bytes=1024) as peers:
             client = peers.client
             with pytest.raises(MalformedMessageError):
-                await client.job_notice(
-                    msg.JobNotice(job_id='\ud800'),
+                await client.cancel_job(
+                    msg.CancelJob(job_id='\ud800', team='t'),
                     timeout_ms=LONG_MS,
                 )
             large = msg.ConfigCommitted(version=1, document=bytes(9 << 20))
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -96,10 +96,6 @@
   }
 }
 
-struct JobNotice {
-  jobId @0 :Text;
-}
-
 struct JobQuery {
   jobId @0 :Text;
   waitMs @1 :UInt32;
@@ -150,16 +146,14 @@
     configCommittedReply @6 :ConfigCommittedReply;
     routeRequest @7 :RouteRequest;
     routeReply @8 :RouteReply;
-    jobNotice @9 :JobNotice;
-    jobNoticeReply @10 :Void;
-    jobQuery @11 :JobQuery;
-    jobQueryReply @12 :JobQueryReply;
-    cancelJob @13 :CancelJob;
-    cancelJobReply @14 :CancelJobReply;
-    callFailed @15 :CallFailed;
-    submitJob @16 :SubmitJob;
-    submitJobReply @17 :SubmitJobReply;
-    sloQuery @18 :Void;
-    sloReply @19 :SloReply;
+    jobQuery @9 :JobQuery;
+    jobQueryReply @10 :JobQueryReply;
+    cancelJob @11 :CancelJob;
+    cancelJobReply @12 :CancelJobReply;
+    callFailed @13 :CallFailed;
+    submitJob @14 :SubmitJob;
+    submitJobReply @15 :SubmitJobReply;
+    sloQuery @16 :Void;
+    sloReply @17 :SloReply;
   }
 }
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -69,10 +69,6 @@
     async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
         """Accept a job."""
 
-    @abc.abstractmethod
-    async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
-        """Note that a job record was created or changed."""
-
     @abc.abstractmethod
     async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
         """Answer with the state of a job."""
@@ -260,8 +256,6 @@
             return await handler.route_request(call)
         case msg.SubmitJob():
             return await handler.submit_job(call)
-        case msg.JobNotice():
-            return await handler.job_notice(call)
         case msg.JobQuery():
             return await handler.job_query(call)
         case msg.SloQuery():
