Look at reserved workers only for shapes that may use them

A gain on a worker with reserved room put shapes up for a test that the reservation then refused, about ten per decision while a gang held the reservation. The bound of the reservation now applies before the test as well.

--- a/jayshore/placement/backlog.py
+++ b/jayshore/placement/backlog.py
@@ -18,6 +18,7 @@
     tier_of,
 )
 from jayshore.placement.prospects import Prospects
+from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import Member
 from jayshore.placement.shape_table import ShapeTable
 from jayshore.placement.tasks import TaskId
@@ -49,16 +50,20 @@
         *,
         share: Callable[[str], float],
         members: Mapping[str, Member],
+        reserved: ReservedRooms,
     ) -> None:
         """Start empty.
 
         Args:
             share: gives the weighted dominant share of a team.
             members: the workers of the cell.
+            reserved: the reservation.
         """
         self.waiting: dict[TaskId, Waiting] = {}
         self._table = ShapeTable()
-        self.prospects = Prospects(table=self._table, members=members)
+        self.prospects = Prospects(
+            table=self._table, members=members, reserved=reserved
+        )
         self._tiers = {tier: TierQueue(tier=tier, share=share) for tier in Tier}
         self._to_raise: SortedList = SortedList()
 
--- a/jayshore/placement/cell.py
+++ b/jayshore/placement/cell.py
@@ -18,6 +18,7 @@
     UnknownTaskError,
 )
 from jayshore.placement.gangs import GangAssembly
+from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import Roster
 from jayshore.placement.rounds import preemption_reservation
 from jayshore.placement.tasks import (
@@ -45,14 +46,18 @@
         self._usage = TeamUsage()
         self._gangs = GangAssembly()
         self._gang_entry: dict[TaskId, TaskId] = {}
+        reserved = ReservedRooms()
         self._backlog = Backlog(
-            share=self._usage.share, members=self._roster.members
+            reserved=reserved,
+            share=self._usage.share,
+            members=self._roster.members,
         )
         self._walk = Walk(
             headroom=headroom,
             roster=self._roster,
             usage=self._usage,
             backlog=self._backlog,
+            reserved=reserved,
         )
 
     def apply_shares(self, shares: Mapping[str, int]) -> None:
--- a/jayshore/placement/entries.py
+++ b/jayshore/placement/entries.py
@@ -91,9 +91,9 @@
     """Place an entry among those of its team and tier.
 
     Ordinary entries of one minute go by run time times processors, the largest
-    first, which keeps the last of many runs from ending late (after Graham, "Bounds on Multiprocessing Timing
-    Anomalies", SIAM J. Appl. Math. 17(2), 1969). Raised entries go by least
-    slack, and those of the lane by arrival.
+    first, which keeps the last of many runs from ending late (after Graham,
+    "Bounds on Multiprocessing Timing Anomalies", SIAM J. Appl. Math. 17(2),
+    1969). Raised entries go by least slack, those of the lane by arrival.
 
     Args:
         entry: the entry.
--- a/jayshore/placement/prospects.py
+++ b/jayshore/placement/prospects.py
@@ -4,10 +4,11 @@
 could let it fit: some worker gained room, and a task of it fits there now.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from jayshore.placement.feasible import slots
 from jayshore.placement.loads import Load
+from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import Member
 from jayshore.placement.shape_table import ShapeTable, single_bits
 
@@ -16,16 +17,22 @@
     """Shapes that failed, and workers that gained room since."""
 
     def __init__(
-        self, *, table: ShapeTable, members: Mapping[str, Member]
+        self,
+        *,
+        table: ShapeTable,
+        members: Mapping[str, Member],
+        reserved: ReservedRooms,
     ) -> None:
         """Start without failures.
 
         Args:
             table: the shapes.
             members: the workers of the cell.
+            reserved: the reservation.
         """
         self._table = table
         self._members = members
+        self._reserved = reserved
         self._failed = 0
         self._tried: dict[str, int] = {}
         self._lacking: dict[int, int] = {}
@@ -92,6 +99,16 @@
             if self._lacking[bit] <= 0:
                 self._hopeless ^= bit
 
+    def reservation_changed(self, former: Iterable[str]) -> None:
+        """Take note of a new reservation or the end of one.
+
+        Args:
+            former: the workers that the former one named.
+        """
+        self._fitting.clear()
+        for worker_id in former:
+            self.gain(worker_id)
+
     def _fits(self, worker_id: str) -> int:
         member = self._members.get(worker_id)
         if member is None or not member.is_usable:
@@ -100,5 +117,14 @@
         if known is not None and known[0] is member.load:
             return known[1]
         mask = self._table.fitting(member)
+        if self._reserved.limits(member):
+            mask = self._limited(member, mask)
         self._fitting[worker_id] = (member.load, mask)
         return mask
+
+    def _limited(self, member: Member, mask: int) -> int:
+        for bit in single_bits(mask):
+            shape = self._table.shape(bit)
+            if not shape.demand.fits_in(self._reserved.room(member, shape)):
+                mask ^= bit
+        return mask
--- /dev/null
+++ b/jayshore/placement/reserved_rooms.py
@@ -0,0 +1,105 @@
+"""The only reservation, and what it leaves to other work."""
+
+from jayshore.clock import Millis
+from jayshore.placement.backfill import (
+    BackfillCase,
+    EasyBackfill,
+    Reservation,
+)
+from jayshore.placement.entries import Entry, Shape
+from jayshore.placement.loads import Load
+from jayshore.placement.roster import Member, projected_room
+from jayshore.resources import Resources
+
+
+class ReservedRooms:
+    """Answers how much of a worker is open to a shape."""
+
+    def __init__(self) -> None:
+        """Start without reservation."""
+        self.reservation: Reservation | None = None
+        self.now = Millis(0)
+        self._policy = EasyBackfill()
+        self._projected: dict[tuple[str, bool], tuple[Load, Resources]] = {}
+
+    def replace(self, reservation: Reservation | None) -> tuple[str, ...]:
+        """Replace the reservation.
+
+        Args:
+            reservation: the new one, or None.
+
+        Returns:
+            The workers that the former one named.
+        """
+        former = self.reservation
+        self.reservation = reservation
+        self._projected.clear()
+        return () if former is None else tuple(former.rooms)
+
+    def is_for(self, entry: Entry) -> bool:
+        """Tell whether the reservation belongs to an entry.
+
+        Args:
+            entry: a waiting entry.
+
+        Returns:
+            True when it does.
+        """
+        reservation = self.reservation
+        return reservation is not None and (
+            reservation.entry_id == entry.entry_id
+        )
+
+    def limits(self, member: Member) -> bool:
+        """Tell whether room on a worker is reserved.
+
+        Args:
+            member: the worker.
+
+        Returns:
+            True when the reservation names it.
+        """
+        reservation = self.reservation
+        return reservation is not None and (
+            member.view.worker_id in reservation.rooms
+        )
+
+    def room(self, member: Member, shape: Shape) -> Resources:
+        """Bound what entries of a shape may use, but for the reserved one.
+
+        Args:
+            member: the worker.
+            shape: the shape.
+
+        Returns:
+            The room that is open to them.
+        """
+        room = member.load.room_of(in_lane=shape.in_lane)
+        reservation = self.reservation
+        if reservation is None or shape.tier < reservation.tier:
+            return room
+        reserved = reservation.rooms.get(member.view.worker_id)
+        if reserved is None:
+            return room
+        return self._policy.evaluate(
+            BackfillCase(
+                room=room,
+                projected=self._projection(member, shape, reservation),
+                reserved=reserved,
+                run_ms=shape.run_ms,
+                start_in_ms=Millis(reservation.start_at - self.now),
+            )
+        )
+
+    def _projection(
+        self, member: Member, shape: Shape, reservation: Reservation
+    ) -> Resources:
+        key = (member.view.worker_id, shape.in_lane)
+        known = self._projected.get(key)
+        if known is None or known[0] is not member.load:
+            room = projected_room(
+                member, in_lane=shape.in_lane, at=reservation.start_at
+            )
+            known = (member.load, room)
+            self._projected[key] = known
+        return known[1]
--- a/jayshore/placement/roster.py
+++ b/jayshore/placement/roster.py
@@ -292,12 +292,12 @@
     }
 
 
-def projected_room(member: Member, task: PendingTask, at: int) -> Resources:
-    """Predict the room for a task once others have ended.
+def projected_room(member: Member, *, in_lane: bool, at: int) -> Resources:
+    """Predict the room of a worker once tasks have ended.
 
     Args:
         member: the worker.
-        task: the waiting task.
+        in_lane: whether the work may use the reserved lane.
         at: the instant in ms.
 
     Returns:
@@ -309,7 +309,7 @@
         ends_at = running.ends_at
         if running.stopping or (ends_at is not None and ends_at <= at):
             load = load.without_charge(running.task, running.charge)
-    return load.room_for(task)
+    return load.room_of(in_lane=in_lane)
 
 
 def _end_key(running: RunningTask) -> tuple[int, str, int]:
--- a/jayshore/placement/walk.py
+++ b/jayshore/placement/walk.py
@@ -6,16 +6,13 @@
 
 from jayshore.clock import Millis
 from jayshore.placement.backfill import (
-    BackfillCase,
     EarliestStart,
-    EasyBackfill,
     Reservation,
     ReservationCase,
 )
 from jayshore.placement.backlog import Backlog, Waiting
 from jayshore.placement.decisions import Decision, Headroom, Preempt, Wait
 from jayshore.placement.entries import Entry, Shape, fit_key
-from jayshore.placement.loads import Load
 from jayshore.placement.packing import (
     BestFit,
     FillInOrder,
@@ -29,12 +26,11 @@
     PreemptionCase,
     patience_ms,
 )
+from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import (
-    Member,
     Roster,
     is_usable,
     open_loads,
-    projected_room,
 )
 from jayshore.placement.rounds import (
     ATTEMPT_INTERVAL_MS,
@@ -46,7 +42,6 @@
 from jayshore.placement.spreading import RackSpread
 from jayshore.placement.tasks import PendingTask, RunningTask, TaskKind
 from jayshore.placement.usage import TeamUsage
-from jayshore.resources import Resources
 
 _Chooser: TypeAlias = Policy[PlacementCase, tuple[str, ...]]
 _POLICIES: Mapping[TaskKind, _Chooser] = types.MappingProxyType(
@@ -69,6 +64,7 @@
         roster: Roster,
         usage: TeamUsage,
         backlog: Backlog,
+        reserved: ReservedRooms,
     ) -> None:
         """Start without reservation.
 
@@ -77,6 +73,7 @@
             roster: the workers.
             usage: the usage of the teams.
             backlog: the waiting entries.
+            reserved: the reservation.
         """
         self.now = Millis(0)
         self.stopping = 0
@@ -84,11 +81,10 @@
         self._roster = roster
         self._usage = usage
         self._backlog = backlog
-        self._reservation: Reservation | None = None
+        self._reserved = reserved
         self._held_pending = False
         self._next_attempt = Millis(0)
         self._skipping: int | None = None
-        self._projected: dict[tuple[str, bool], tuple[Load, Resources]] = {}
 
     def reserve(self, reservation: Reservation | None) -> None:
         """Replace the only reservation.
@@ -96,12 +92,9 @@
         Args:
             reservation: the new one, or None.
         """
-        former = self._reservation
-        self._reservation = reservation
         self._held_pending = True
-        self._projected.clear()
-        for worker_id in () if former is None else former.rooms:
-            self._backlog.prospects.gain(worker_id)
+        former = self._reserved.replace(reservation)
+        self._backlog.prospects.reservation_changed(former)
 
     def decide(self, now: Millis) -> Decision:
         """Choose the next thing to do.
@@ -137,6 +130,7 @@
     def _prepare(self, now: Millis) -> int:
         """Take in what changed; return how many blocked shapes to unblock."""
         self.now = now
+        self._reserved.now = now
         for worker_id in self._roster.drain_gained():
             if is_usable(self._roster.members, worker_id):
                 self._backlog.prospects.gain(worker_id)
@@ -161,8 +155,10 @@
     def _candidate(self) -> Waiting | None:
         """Choose the entry to try: in its tier, the reserved one is first."""
         first = self._backlog.first(self._skipping)
-        if self._held_pending and self._reservation is not None:
-            held = self._backlog.waiting.get(self._reservation.entry_id)
+        if self._held_pending and self._reserved.reservation is not None:
+            held = self._backlog.waiting.get(
+                self._reserved.reservation.entry_id
+            )
             if held is not None and (
                 first is None or held.shape.tier <= first.shape.tier
             ):
@@ -170,14 +166,14 @@
         return first
 
     def _set_aside(self, waiting: Waiting, lacking: int) -> None:
-        if _holds(self._reservation, waiting.entry):
+        if self._reserved.is_for(waiting.entry):
             self._held_pending = False
         if self._skipping is not None:
             self._skipping |= waiting.bit
         self._backlog.prospects.fail(waiting.bit, lacking=lacking)
 
     def _drop_reservation(self) -> None:
-        reservation = self._reservation
+        reservation = self._reserved.reservation
         if reservation is None:
             return
         members = self._roster.members
@@ -201,19 +197,14 @@
         )
 
     def _offers(self, entry: Entry, shape: Shape) -> Iterator[Offer]:
-        first = entry.first
-        reservation = self._reservation
-        if reservation is not None and (
-            shape.tier < reservation.tier or _holds(reservation, entry)
-        ):
-            reservation = None
-        for worker_id in self._candidates(first, shape):
+        is_held = self._reserved.is_for(entry)
+        for worker_id in self._candidates(entry.first, shape):
             member = self._roster.members[worker_id]
             if worker_id in shape.avoided:
                 continue
-            room = member.load.room_for(first)
-            if reservation is not None and worker_id in reservation.rooms:
-                room = self._backfill_room(member, first, shape, reservation)
+            room = member.load.room_of(in_lane=shape.in_lane)
+            if not is_held and self._reserved.limits(member):
+                room = self._reserved.room(member, shape)
             if shape.demand.fits_in(room):
                 yield Offer(worker=member.view, room=room)
 
@@ -228,32 +219,9 @@
             key=lambda name: fit_key(members[name].load.room_for(task), name),
         )
 
-    def _backfill_room(
-        self,
-        member: Member,
-        task: PendingTask,
-        shape: Shape,
-        reservation: Reservation,
-    ) -> Resources:
-        worker_id = member.view.worker_id
-        known = self._projected.get((worker_id, shape.in_lane))
-        if known is None or known[0] is not member.load:
-            room = projected_room(member, task, reservation.start_at)
-            known = (member.load, room)
-            self._projected[worker_id, shape.in_lane] = known
-        return EasyBackfill().evaluate(
-            BackfillCase(
-                room=member.load.room_for(task),
-                projected=known[1],
-                reserved=reservation.rooms[worker_id],
-                run_ms=shape.run_ms,
-                start_in_ms=Millis(reservation.start_at - self.now),
-            )
-        )
-
     def _unblock(self, waiting: Waiting) -> Preempt | None:
         entry, tier = waiting.entry, waiting.shape.tier
-        if may_preempt(self._reservation, entry, tier):
+        if may_preempt(self._reserved.reservation, entry, tier):
             victims = self._victims(entry)
             if victims:
                 return Preempt(
@@ -261,7 +229,7 @@
                     worker_id=victims[0].worker_id,
                     beneficiary=entry.entry_id,
                 )
-        if may_reserve(self._reservation, tier):
+        if may_reserve(self._reserved.reservation, tier):
             reservation = EarliestStart().evaluate(
                 ReservationCase(
                     entry=entry,
@@ -299,7 +267,3 @@
 
 def _allows(headroom: Headroom, entry: Entry) -> bool:
     return headroom.has_headroom(entry.first.team, entry.demand)
-
-
-def _holds(reservation: Reservation | None, entry: Entry) -> bool:
-    return reservation is not None and reservation.entry_id == entry.entry_id
