--- a/spec/main.py
+++ b/spec/main.py
@@ -8,7 +8,7 @@
 from minicheck import Protocol, check_safety
 
 from jayshore.clock import Millis, MonotonicClock
-from spec import freshness_model, quota_model, task_model
+from spec import freshness_model, quota_model, roster_model, task_model
 
 MAX_STATES = 4_000_000
 
@@ -58,6 +58,14 @@
     )
 
 
+def _roster(violates: str = '', **changes: Any) -> Case:
+    return Case(
+        model=roster_model.roster_model,
+        rules=roster_model.Rules(**changes),
+        violates=violates,
+    )
+
+
 def _quota(violates: str = '', **changes: Any) -> Case:
     return Case(
         model=quota_model.quota_model,
@@ -74,6 +82,8 @@
     _task(idempotent=False, worker_faults=_NO_FAULTS),
     _task(idempotent=False, last_epoch=1),
     _fresh(),
+    _roster(),
+    _roster(new_roster_promises=False),
     _quota(),
     _task(slow=True),
     _task(idempotent=False, slow=True),
@@ -115,6 +125,7 @@
     _fresh(_LATE_KEY, age_includes_transit=False, last_revision=1),
     _fresh(_BACK, evidence_is_younger_than_process=False, last_revision=1),
     _fresh(_BACK, keeps_newer_version=False, last_revision=1),
+    _roster('old version attested', old_roster_promises=False),
     _quota(_OVER_PART, compare_and_swap=False),
     _quota('raised under an older limit', raise_reads_newest_limit=False),
     _quota('sum exceeds the limit', raise_from_remainder=False),
