Let a superseded leader compete again

Cause: the event that an upstream has seen a later leader was cleared only at the next election, but while it was set every competition was cancelled at once, so the daemon never led again and repeated its resignation without pause. It happens when a leader alone is cut off from the store: the upstream's refusal then arrives before the store's. Ruled out: a leader that was merely paused, which learns from its store lease first (tests/takeover_test.py passed before).

Change: waiting for the event consumes it.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -158,6 +158,7 @@
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
         await self._superseded.wait()
+        self._superseded.clear()
 
     def _assemble(self, epoch: int, ledger: EvenLedger) -> DomainLeader:
         services = self._services
