Send no start that a newer lease has settled

Cause: a decision to start that waited for a wider intent read worker and launch number only when it was about to send. If the lease of the worker was opened anew meanwhile, the attempt was queued again, and the old decision still sent its start, beside the new one. Ruled out: fencing at the worker, since both starts carried the newest lease; and a wrong inventory.

Change: a launch keeps the number and the worker of its decision, and is sent only while it is the newest one of an attempt that is starting.

--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -1,5 +1,6 @@
 """Carries out the decisions of the cell: widens intents, starts, stops."""
 
+import dataclasses
 import functools
 
 import curio
@@ -31,6 +32,24 @@
 from jayshore.resources import Resources
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Launch:
+    """One decision to start an attempt.
+
+    While it waits for the store, a newly opened lease may queue the attempt
+    again; the start must then not be sent any more.
+    """
+
+    attempt: Attempt
+    number: int
+    worker: WorkerBoot
+
+    @property
+    def is_current(self) -> bool:
+        is_newest = self.attempt.launches == self.number
+        return is_newest and self.attempt.phase is Phase.STARTING
+
+
 class Placer:
     """Runs placement rounds and carries their decisions out."""
 
@@ -236,14 +255,17 @@
             self._context.ledger.take(record.team, record.demand)
             attempt.phase = Phase.STARTING
             attempt.launches += 1
-            attempt.worker = self._boots[chosen.worker_id]
-            placed.append(attempt)
+            worker = self._boots[chosen.worker_id]
+            attempt.worker = worker
+            placed.append(
+                _Launch(attempt=attempt, number=attempt.launches, worker=worker)
+            )
         if placed:
             await self._tasks.spawn(self._launch(placed))
 
-    async def _launch(self, placed: list[Attempt]) -> None:
-        job_id = placed[0].job_id
-        wanted = {item.worker for item in placed if item.worker is not None}
+    async def _launch(self, placed: list[_Launch]) -> None:
+        job_id = placed[0].attempt.job_id
+        wanted = {launch.worker for launch in placed}
         record = self._book.find(job_id)
         with eliot.start_action(
             action_type='placement:launch', job=job_id, tasks=len(placed)
@@ -252,8 +274,8 @@
                 await self._widen(job_id, wanted)
             starts = curio.TaskGroup(wait=all)
             async with starts:
-                for attempt in placed:
-                    await starts.spawn(self._start(attempt))
+                for launch in placed:
+                    await starts.spawn(self._start(launch))
             if not all(starts.results):
                 await self._stop_partial_gang(placed)
         await self.wake()
@@ -271,19 +293,19 @@
         except transitions.NotOwner:
             await self._context.depose()
 
-    async def _start(self, attempt: Attempt) -> bool:
+    async def _start(self, launch: _Launch) -> bool:
+        attempt = launch.attempt
+        worker = launch.worker
         record = self._book.find(attempt.job_id)
-        worker = attempt.worker
-        launch = attempt.launches
-        if record is None or worker is None:
+        if record is None:
             return False
         session = self._session(worker)
-        is_current = worker == self._boots.get(worker.worker_id)
-        result = StartResult.CERTAINLY_NOT
+        is_known = worker == self._boots.get(worker.worker_id)
         may_start = worker in record.intent and not record.is_cancelling
-        if session is not None and is_current and may_start:
+        result = StartResult.CERTAINLY_NOT
+        if launch.is_current and session and is_known and may_start:
             result = await session.start(_order(record, attempt))
-        if attempt.phase is not Phase.STARTING or attempt.launches != launch:
+        if not launch.is_current:
             # A lease that was opened meanwhile has settled it.
             return attempt.phase is Phase.RUNNING
         if result is StartResult.STARTED:
@@ -292,13 +314,13 @@
             self.requeue(record, attempt)
         return result is StartResult.STARTED
 
-    async def _stop_partial_gang(self, placed: list[Attempt]) -> None:
-        record = self._book.find(placed[0].job_id)
+    async def _stop_partial_gang(self, placed: list[_Launch]) -> None:
+        record = self._book.find(placed[0].attempt.job_id)
         if record is None or record.kind is not JobKind.GANG:
             return
-        for attempt in placed:
-            if attempt.phase is Phase.RUNNING:
-                await self.stop(attempt, checkpoint=False)
+        for launch in placed:
+            if launch.attempt.phase is Phase.RUNNING:
+                await self.stop(launch.attempt, checkpoint=False)
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
