Let a lost gang member wait only for members that have not ended

Cause: a gang task always waited for as many tasks as the job has. When a member was lost after others had finished, its further attempt waited for tasks that never run again, and the job stayed active for ever. Ruled out: placement, which never got a complete gang.

Change: the size of a gang is the number of its tasks that have not ended, and waiting members are counted again whenever one ends.

--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -189,13 +189,14 @@
             worker=attempt.worker,
             result=ending.output or None,
         )
-        await self._book.change(
+        changed = await self._book.change(
             attempt.job_id,
             functools.partial(
                 transitions.settle, epoch=self._context.epoch, ended=ended
             ),
         )
         self._attempts.forget(attempt)
+        self._placer.regroup(changed)
 
     async def _try_again(
         self, record: JobRecord, attempt: Attempt, ending: Ending
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+from collections.abc import Iterable
 
 import curio
 import eliot
@@ -13,6 +14,7 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.pending import id_of, pending_task
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerSession
 from jayshore.leases.worker import StartOrder, StartResult
@@ -23,10 +25,8 @@
     Wait,
 )
 from jayshore.placement.tasks import (
-    PendingTask,
     RunningTask,
     TaskId,
-    TaskKind,
     WorkerView,
 )
 from jayshore.resources import Resources
@@ -148,7 +148,23 @@
             return
         attempt.phase = Phase.QUEUED
         attempt.worker = None
-        self._cell.enqueue(self._pending(record, attempt))
+        self._cell.enqueue(
+            pending_task(
+                record,
+                attempt,
+                context=self._context,
+                is_confined=self._is_confined,
+            )
+        )
+
+    def regroup(self, record: JobRecord) -> None:
+        """Let the waiting tasks of a gang wait only for those that are left.
+
+        Args:
+            record: a job of which a task has just ended for good.
+        """
+        if record.kind is JobKind.GANG:
+            self._enqueue_again(self._attempts.of_job(record))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Take an attempt out of the queue.
@@ -156,7 +172,7 @@
         Args:
             attempt: a queued attempt.
         """
-        self._cell.withdraw(_task_id(attempt))
+        self._cell.withdraw(id_of(attempt))
 
     def adopt(self, record: JobRecord, attempt: Attempt) -> None:
         """Count the room of an inherited attempt that was found.
@@ -170,7 +186,12 @@
         attempt.phase = Phase.RUNNING
         self._cell.adopt(
             RunningTask(
-                task=self._pending(record, attempt),
+                task=pending_task(
+                    record,
+                    attempt,
+                    context=self._context,
+                    is_confined=False,
+                ),
                 worker_id=attempt.worker.worker_id,
                 started_at=self._context.clock.now(),
             )
@@ -183,7 +204,7 @@
             record: its job.
             attempt: a starting or running attempt.
         """
-        self._cell.finish(_task_id(attempt))
+        self._cell.finish(id_of(attempt))
         self._context.ledger.give_back(record.team, record.demand)
         attempt.phase = Phase.ENDED
 
@@ -194,7 +215,7 @@
             attempt: a running attempt.
             usage: as its worker reported it.
         """
-        self._cell.update_usage(_task_id(attempt), usage)
+        self._cell.update_usage(id_of(attempt), usage)
 
     async def stop(self, attempt: Attempt, *, checkpoint: bool) -> None:
         """Ask the worker of a running attempt to stop it.
@@ -341,49 +362,15 @@
         if is_confined == self._is_confined:
             return
         self._is_confined = is_confined
-        queued = [item for item in self._attempts if item.phase is Phase.QUEUED]
+        self._enqueue_again(self._attempts)
+
+    def _enqueue_again(self, attempts: Iterable[Attempt]) -> None:
+        queued = [item for item in attempts if item.phase is Phase.QUEUED]
         for attempt in queued:
             self.withdraw(attempt)
         for waiting in queued:
             self.enqueue(waiting)
 
-    def _pending(self, record: JobRecord, attempt: Attempt) -> PendingTask:
-        snapshot = self._context.snapshot()
-        queue = snapshot.queue(record.queue)
-        run_ms = Millis(record.run_ms) if record.run_ms else None
-        allowed = None
-        if self._is_confined:
-            allowed = frozenset(item.worker_id for item in record.intent)
-        return PendingTask(
-            task_id=_task_id(attempt),
-            team=record.team,
-            queue=record.queue,
-            kind=TaskKind(record.kind.value),
-            demand=record.demand,
-            enqueued_at=self._on_own_clock(record.accepted_at_ms),
-            urgent=queue is not None and queue.urgent,
-            declared_run_ms=run_ms,
-            estimated_run_ms=run_ms,
-            deadline=(
-                None
-                if record.deadline_ms is None
-                else self._on_own_clock(record.deadline_ms)
-            ),
-            idempotent=record.idempotent,
-            preemptible=record.idempotent and record.kind is JobKind.BATCH,
-            gang_size=record.task_count if record.kind is JobKind.GANG else 1,
-            allowed_workers=allowed,
-            avoided_workers=attempt.avoided,
-        )
-
-    def _on_own_clock(self, wall_ms: int) -> Millis:
-        offset = self._context.clock.now() - self._context.wall_clock.now()
-        return Millis(wall_ms + offset)
-
-
-def _task_id(attempt: Attempt) -> TaskId:
-    return TaskId(job_id=attempt.job_id, index=attempt.index)
-
 
 def _order(record: JobRecord, attempt: Attempt) -> StartOrder:
     return StartOrder(
