Report a task that succeeded as finished while its job is cancelled

Cause: every end of a task of a job that was being cancelled counted as cancelled, so that a dispatch that ran to its end was reported as not done, with its result beside it. Ruled out: a stop that the worker did not carry out.

Replicas of services are excepted, as they end only by being stopped.

--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -158,6 +158,9 @@
             Its final state, or None when another attempt follows.
         """
         never_started = isinstance(ending.proof, transitions.NeverStarted)
+        is_success = ending.outcome is TaskOutcome.SUCCEEDED
+        if is_success and record.kind is not JobKind.SERVICE:
+            return TaskState.FINISHED
         if record.is_cancelling:
             is_certain = never_started or ending.outcome is not None
             if is_certain or record.idempotent:
@@ -167,8 +170,6 @@
             return None
         if record.kind is JobKind.SERVICE:
             return None
-        if ending.outcome is TaskOutcome.SUCCEEDED:
-            return TaskState.FINISHED
         if ending.outcome is TaskOutcome.FAILED:
             return None if self._may_retry(record) else TaskState.FAILED
         return None if record.idempotent else TaskState.UNKNOWN
