Refuse a job only when it certainly is not recorded

Cause: a submission whose write was not confirmed within the limit was answered as refused with store_unavailable, though the store could still apply the write; the refused job then ran. Ruled out: withdrawing the record afterwards, since the daemon may end before the store returns, and a leader may claim it first.

Change: such a submission is answered as unknown (504), with the job id and the ticket with which it can be looked up.

--- a/jayshore/daemon/answers.py
+++ b/jayshore/daemon/answers.py
@@ -13,6 +13,7 @@
     RefusalReason,
     RequestOutcome,
     SubmitOutcome,
+    Unconfirmed,
     Unknown,
 )
 
@@ -133,6 +134,17 @@
                 'ticket': outcome.ticket,
             },
         )
+    if isinstance(outcome, Unconfirmed):
+        unconfirmed = json_response(
+            _STATUS_UNKNOWN,
+            {
+                'outcome': 'unknown',
+                'job_id': outcome.job_id,
+                'ticket': outcome.ticket,
+                'retry_after_ms': outcome.retry_after_ms,
+            },
+        )
+        return _with_retry_after(unconfirmed, outcome.retry_after_ms)
     answer = json_response(
         _STATUS_OF_REFUSAL.get(outcome.reason, _STATUS_UNAVAILABLE),
         {
--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -55,6 +55,7 @@
     Refused,
     RequestOutcome,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.routing.executor import RoutedRequest
 from jayshore.wire import messages as msg
@@ -223,28 +224,32 @@
         ) as action:
             queue = self._keeper.snapshot.queue(submission.queue)
             outcome: SubmitOutcome
-            if queue is not None:
+            if queue is None:
+                outcome = self._refuse_queue(submission.queue)
+            else:
                 access = self._access(request, queue.open, queue.team)
                 outcome = await self._parts.desk.submit(
                     submission, queue, access
                 )
-            elif self._keeper.is_fresh:
-                outcome = Refused(
-                    reason=RefusalReason.MALFORMED,
-                    detail=f'queue: no queue {submission.queue}',
-                )
-            else:
-                outcome = Refused(
-                    reason=RefusalReason.NOT_FRESH,
-                    retry_after_ms=_RETRY_AFTER_MS,
-                )
             reason = 'accepted'
             if isinstance(outcome, Refused):
                 reason = outcome.reason.value
+            elif isinstance(outcome, Unconfirmed):
+                reason = 'unknown'
             action.add_success_fields(outcome=reason)
         self._parts.metrics.job_submitted(reason)
         return answer_submission(outcome)
 
+    def _refuse_queue(self, name: str) -> Refused:
+        if self._keeper.is_fresh:
+            return Refused(
+                reason=RefusalReason.MALFORMED,
+                detail=f'queue: no queue {name}',
+            )
+        return Refused(
+            reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
+        )
+
     async def _show_job(self, request: Request, job_id: str) -> Response:
         wait_text = request.query.get('wait_ms', '0')
         longest = self._parts.settings.limits.max_wait_ms
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -18,6 +18,7 @@
     hash_ticket,
     prepare,
     record_job,
+    store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
 from jayshore.jobs.record import JobRecord, decode_record, job_key
@@ -86,6 +87,10 @@
         Returns:
             Accepted when it is recorded in the store.
         """
+        if not self._keeper.is_store_reachable and isinstance(access, Granted):
+            # A write whose answer fails to come may still be applied, so a
+            # refusal is certain only when nothing is sent.
+            return store_unavailable('the last read of the store failed')
         if isinstance(access, NotFresh):
             return Refused(
                 reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
--- a/jayshore/jobs/acceptance.py
+++ b/jayshore/jobs/acceptance.py
@@ -24,6 +24,7 @@
     RefusalReason,
     Refused,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.platform.settling import Write, WriteSettler, new_write_id
 from jayshore.platform.store import (
@@ -31,6 +32,7 @@
     Store,
     StoreError,
     StoreRejected,
+    StoreUnavailable,
     Written,
 )
 from jayshore.resources import Resources
@@ -191,30 +193,29 @@
         limit_ms: longest time to settle the write, in ms.
 
     Returns:
-        Accepted when the record, or an equal one, is in the store.
+        Accepted when the record, or an equal one, is in the store; refused only
+        when it certainly is not.
     """
     record = prepared.record
-    key = job_key(record.job_id)
+    write = Write(
+        key=job_key(record.job_id),
+        value=encode_record(record),
+        expect_revision=MUST_NOT_EXIST,
+    )
     try:
-        written = await settler.settle_write(
-            Write(
-                key=key,
-                value=encode_record(record),
-                expect_revision=MUST_NOT_EXIST,
-            ),
-            limit_ms=limit_ms,
-        )
-        if isinstance(written, Written):
-            return Accepted(job_id=record.job_id, ticket=prepared.ticket)
-        entry = await store.get(key)
-    except StoreRejected as error:
-        return Refused(reason=RefusalReason.MALFORMED, detail=str(error))
-    except StoreError as error:
-        return Refused(
-            reason=RefusalReason.STORE_UNAVAILABLE,
-            detail=str(error),
-            retry_after_ms=_RETRY_AFTER_MS,
-        )
+        written = await settler.settle_write(write, limit_ms=limit_ms)
+    except StoreRejected as rejected:
+        return Refused(reason=RefusalReason.MALFORMED, detail=str(rejected))
+    except StoreUnavailable as error:
+        return store_unavailable(str(error))
+    except StoreError:
+        return _unconfirmed(prepared)
+    if isinstance(written, Written):
+        return Accepted(job_id=record.job_id, ticket=prepared.ticket)
+    try:
+        entry = await store.get(write.key)
+    except StoreError:
+        return _unconfirmed(prepared)
     if entry is not None:
         return _compare(prepared, decode_record(entry.value))
     return Refused(
@@ -222,6 +223,22 @@
     )
 
 
+def store_unavailable(detail: str) -> Refused:
+    """Refuse a job of which nothing was recorded.
+
+    Args:
+        detail: what the store did.
+
+    Returns:
+        The refusal.
+    """
+    return Refused(
+        reason=RefusalReason.STORE_UNAVAILABLE,
+        detail=detail,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def hash_ticket(ticket: str) -> str:
     """Hash a ticket as it is kept in the record.
 
@@ -255,6 +272,14 @@
     return None
 
 
+def _unconfirmed(prepared: PreparedJob) -> Unconfirmed:
+    return Unconfirmed(
+        job_id=prepared.record.job_id,
+        ticket=prepared.ticket,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def _malformed(detail: str) -> Refused:
     return Refused(reason=RefusalReason.MALFORMED, detail=detail)
 
--- a/jayshore/outcomes.py
+++ b/jayshore/outcomes.py
@@ -111,4 +111,20 @@
     retry_after_ms: Millis | None = None
 
 
-SubmitOutcome: TypeAlias = Accepted | Refused
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unconfirmed:
+    """The store did not say whether it recorded the job.
+
+    Attributes:
+        job_id: the id under which it may be recorded.
+        ticket: shows later whether it is.
+        retry_after_ms: when to look, or to submit again with the same
+            idempotency key.
+    """
+
+    job_id: str
+    ticket: str
+    retry_after_ms: Millis
+
+
+SubmitOutcome: TypeAlias = Accepted | Refused | Unconfirmed
