--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -27,6 +27,7 @@
 SERVICE = 'plans'
 _CONFIG_S = 15
 _LEADER_S = 15
+_NS_PER_MS = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,6 +44,7 @@
         service_ms: run time of a request whose body does not say it.
         list_lag_ms: lag of the instance list.
         timing: settings of the daemons that differ from the defaults.
+        limits: bounds of the daemons that differ from the defaults.
     """
 
     domains: tuple[str, ...] = ('north', 'south', 'east')
@@ -56,6 +58,7 @@
     service_ms: int = 20
     list_lag_ms: int = 500
     timing: dict[str, int] = dataclasses.field(default_factory=dict)
+    limits: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Cluster:
@@ -78,6 +81,7 @@
         self.executors: dict[str, Process] = {}
         self.domain_of: dict[str, str] = {}
         self.version = 0
+        self.ended_histories: dict[str, dict[str, Any]] = {}
         self._directory = tempfile.TemporaryDirectory(prefix='jayshore-')
         self._settings: dict[str, dict[str, Any]] = {}
         self._instances: list[dict[str, Any]] = []
@@ -231,6 +235,24 @@
         self.daemons[name] = start_daemon(self._settings[name], self.directory)
         wait_ready(self.daemons[name])
 
+    def kill_worker(self, name: str) -> None:
+        """Kill a worker and keep what it did for the checker.
+
+        It is cut off first, so that nothing starts after its history is read.
+
+        Args:
+            name: a running worker.
+        """
+        worker = self.workers[name]
+        worker.call('POST', '/admin/faults', {'mode': 'down'})
+        history = worker.call('GET', '/admin/history').content
+        worker.kill()
+        now_ms = time.monotonic_ns() // _NS_PER_MS
+        for task in history['tasks']:
+            if task['end_ms'] is None:
+                task['end_ms'] = now_ms
+        self.ended_histories[name] = history
+
     def list_instances(self, changes: dict[str, dict[str, Any] | None]) -> None:
         """Change the platform's list.
 
@@ -370,6 +392,7 @@
                 'operator_key_sha256': digest,
                 'log_file': str(self.directory / f'{name}.log'),
                 'timing': shape.timing,
+                'limits': shape.limits,
             }
             self.domain_of[name] = domain
 
--- a/demo/history.py
+++ b/demo/history.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, TypeAlias
 
 from demo.cluster import Cluster
@@ -58,16 +58,16 @@
     """Collect every start of a task on any worker.
 
     Args:
-        cluster: with all its workers reachable.
+        cluster: with all its workers reachable, or ended by `kill_worker`.
 
     Returns:
         All runs.
     """
     runs = []
     for name, worker in cluster.workers.items():
-        if not worker.is_running:
-            continue
-        history = worker.call('GET', '/admin/history').content
+        history = cluster.ended_histories.get(name)
+        if history is None:
+            history = worker.call('GET', '/admin/history').content
         runs += [_task_run(name, record) for record in history['tasks']]
     return runs
 
@@ -172,6 +172,64 @@
     ]
 
 
+def check_started_once(
+    runs: Iterable[Run], job_ids: Collection[str]
+) -> list[Violation]:
+    """Check that no task of a non-idempotent job was started twice.
+
+    Args:
+        runs: runs of tasks.
+        job_ids: the non-idempotent jobs.
+
+    Returns:
+        Tasks that were.
+    """
+    counts = Counter(run.name for run in runs if run.job_id in job_ids)
+    return [
+        Violation(rule='starts once', detail=f'{name}: {count} times')
+        for name, count in counts.items()
+        if count > 1
+    ]
+
+
+def check_not_run(
+    runs: Iterable[Run], accepted: Collection[str]
+) -> list[Violation]:
+    """Check that nothing ran for which the caller was told a refusal.
+
+    Args:
+        runs: runs of tasks.
+        accepted: ids of all jobs that may run.
+
+    Returns:
+        Tasks of other jobs.
+    """
+    return [
+        Violation(rule='not run', detail=f'{run.name} on {run.upstream}')
+        for run in runs
+        if run.job_id not in accepted
+    ]
+
+
+def check_quiet_after(
+    runs: Iterable[Run], ended_ms: Mapping[str, float]
+) -> list[Violation]:
+    """Check that nothing of a job ran after its end was reported.
+
+    Args:
+        runs: runs of tasks.
+        ended_ms: by job id, when its end was reported, in monotonic ms.
+
+    Returns:
+        Tasks that ran later.
+    """
+    return [
+        Violation(rule='quiet after end', detail=f'{run.name}: {run.end_ms}')
+        for run in runs
+        if run.job_id in ended_ms and run.end_ms > ended_ms[run.job_id]
+    ]
+
+
 def check_capacity(cluster: Cluster, runs: list[Run]) -> list[Violation]:
     """Check that no worker ran more than its capacity.
 
