--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -36,6 +36,7 @@
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.routes import AdmittedRequest, RequestRoutes
 from jayshore.daemon.settings import Settings
+from jayshore.daemon.slo import SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.http.messages import (
@@ -94,6 +95,7 @@
     desk: JobDesk
     status: StatusReporter
     metrics: Metrics
+    slo: SloCounts
 
 
 class Api(Handler):
@@ -115,6 +117,7 @@
             ('GET', re.compile('/v1/config'), self._show_config),
             ('PUT', re.compile('/v1/config'), self._apply_config),
             ('GET', re.compile('/v1/status'), self._show_status),
+            ('GET', re.compile('/v1/slo'), self._show_slo),
             ('GET', re.compile('/metrics'), self._show_metrics),
             ('GET', re.compile('/healthz'), self._show_health),
             ('GET', re.compile('/readyz'), self._show_readiness),
@@ -188,7 +191,8 @@
             ),
         )
         snapshot = self._keeper.snapshot
-        return await self._parts.routes.route(
+        arrived = self._parts.clock.now()
+        outcome = await self._parts.routes.route(
             AdmittedRequest(
                 request=routed,
                 key_id=access.key_id,
@@ -200,6 +204,9 @@
                 if domain.state is DomainState.ACTIVE
             ],
         )
+        took = Millis(self._parts.clock.now() - arrived)
+        self._parts.slo.request_answered(routed.team, outcome, took)
+        return outcome
 
     def _access(
         self, request: Request, is_open: bool, team: str | None
@@ -222,15 +229,7 @@
         with eliot.start_action(
             action_type='job:submit', queue=submission.queue
         ) as action:
-            queue = self._keeper.snapshot.queue(submission.queue)
-            outcome: SubmitOutcome
-            if queue is None:
-                outcome = self._refuse_queue(submission.queue)
-            else:
-                access = self._access(request, queue.open, queue.team)
-                outcome = await self._parts.desk.submit(
-                    submission, queue, access
-                )
+            outcome = await self._accept(request, submission)
             reason = 'accepted'
             if isinstance(outcome, Refused):
                 reason = outcome.reason.value
@@ -240,11 +239,17 @@
         self._parts.metrics.job_submitted(reason)
         return answer_submission(outcome)
 
-    def _refuse_queue(self, name: str) -> Refused:
+    async def _accept(
+        self, request: Request, submission: Submission
+    ) -> SubmitOutcome:
+        queue = self._keeper.snapshot.queue(submission.queue)
+        if queue is not None:
+            access = self._access(request, queue.open, queue.team)
+            return await self._parts.desk.submit(submission, queue, access)
         if self._keeper.is_fresh:
             return Refused(
                 reason=RefusalReason.MALFORMED,
-                detail=f'queue: no queue {name}',
+                detail=f'queue: no queue {submission.queue}',
             )
         return Refused(
             reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
@@ -319,6 +324,12 @@
     async def _show_status(self, _request: Request) -> Response:
         return json_response(200, self._parts.status.report())
 
+    async def _show_slo(self, request: Request) -> Response:
+        if not self._is_operator(request):
+            return error_response(401, 'unauthorised', 'no operator key')
+        collected = await self._parts.peers.collect_samples()
+        return json_response(200, self._parts.slo.view(collected))
+
     async def _show_metrics(self, _request: Request) -> Response:
         self._parts.status.update_metrics()
         rendered = self._parts.metrics.render()
--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -6,9 +6,17 @@
 from jayshore.daemon.configuration import ConfigKeeper, StoredConfig
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.slo import SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
-from jayshore.outcomes import NotRun, NotRunReason
+from jayshore.jobs.acceptance import PreparedJob
+from jayshore.jobs.record import decode_record
+from jayshore.outcomes import (
+    NotRun,
+    NotRunReason,
+    RefusalReason,
+    Refused,
+)
 from jayshore.routing.executor import RoutedRequest
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerHandler
@@ -28,6 +36,7 @@
         seat: LeaderSeat,
         desk: JobDesk,
         clock: Clock,
+        slo: SloCounts,
     ) -> None:
         """Prepare to answer.
 
@@ -38,6 +47,7 @@
             seat: this daemon's own leadership, if any.
             desk: what can be done with jobs.
             clock: time of promises.
+            slo: service-level samples of this daemon.
         """
         self._keeper = keeper
         self._status = status
@@ -45,6 +55,7 @@
         self._seat = seat
         self._desk = desk
         self._clock = clock
+        self._slo = slo
 
     async def heartbeat(self, call: msg.Heartbeat) -> msg.HeartbeatReply:
         """Note the peer's status and answer with the own one."""
@@ -105,6 +116,22 @@
         )
         return msg.RouteReply(outcome=outcome)
 
+    async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
+        """Accept a job that a peer has admitted.
+
+        The key is checked again: this daemon may know a newer configuration
+        than the peer.
+        """
+        record = decode_record(call.record)
+        keeper = self._keeper
+        if record.key_id:
+            if not keeper.is_fresh:
+                return _not_accepted(RefusalReason.NOT_FRESH)
+            if not keeper.snapshot.key_is_valid(record.key_id):
+                return _not_accepted(RefusalReason.UNAUTHORISED)
+        prepared = PreparedJob(record=record, ticket=call.ticket)
+        return msg.SubmitJobReply(outcome=await self._desk.accept(prepared))
+
     async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
         """Read a job that was just created."""
         leader = self._seat.leader
@@ -120,6 +147,10 @@
             )
         )
 
+    async def slo_query(self, call: msg.SloQuery) -> msg.SloReply:
+        """Answer with the service-level samples of this daemon."""
+        return msg.SloReply(document=msgspec.json.encode(self._slo.snapshot()))
+
     async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
         """Cancel a job that this daemon holds."""
         return msg.CancelJobReply(
@@ -131,3 +162,9 @@
     return msg.RouteReply(
         outcome=NotRun(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
     )
+
+
+def _not_accepted(reason: RefusalReason) -> msg.SubmitJobReply:
+    return msg.SubmitJobReply(
+        outcome=Refused(reason=reason, retry_after_ms=_RETRY_AFTER_MS)
+    )
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -6,13 +6,14 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.model import Queue
 from jayshore.daemon.access import Access, Granted, NotFresh
-from jayshore.daemon.answers import job_view
+from jayshore.daemon.answers import JobView, job_view
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
-from jayshore.daemon.peers import PeerGroup
+from jayshore.daemon.peers import Peer, PeerGroup
 from jayshore.daemon.settings import Settings
 from jayshore.http.messages import encode_json
 from jayshore.jobs.acceptance import (
+    PreparedJob,
     Submission,
     Submitter,
     hash_ticket,
@@ -21,8 +22,14 @@
     store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
-from jayshore.jobs.record import JobRecord, decode_record, job_key
-from jayshore.jobs.transitions import NotOwner
+from jayshore.jobs.record import (
+    JobRecord,
+    JobState,
+    decode_record,
+    encode_record,
+    job_key,
+)
+from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
@@ -109,7 +116,26 @@
         )
         if isinstance(prepared, Refused):
             return prepared
-        refusal = self._refuse(prepared.record, queue, access)
+        peer = self._peers.leader_of(self._settings.domain)
+        if self._seat.leader is None and peer is not None:
+            outcome = await self._submit_to(peer, prepared)
+            if outcome is not None:
+                return outcome
+        return await self.accept(prepared)
+
+    async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
+        """Record a job whose key was checked, here or by a peer.
+
+        Without a leader in sight, the job is recorded unchecked against the
+        queues; the leader finds it when it searches for new records.
+
+        Args:
+            prepared: the job.
+
+        Returns:
+            Accepted when it is recorded in the store.
+        """
+        refusal = self._refuse(prepared.record)
         if refusal is not None:
             return refusal
         outcome = await record_job(
@@ -118,33 +144,10 @@
             settler=self._settler,
             limit_ms=Millis(self._settings.timing.call_timeout_ms),
         )
-        if isinstance(outcome, Accepted):
-            await self.notify_leader(outcome.job_id)
-        return outcome
-
-    async def notify_leader(self, job_id: str) -> None:
-        """Tell the leader of this domain about a job.
-
-        A notice that is lost only delays the job: leaders search for records
-        that they have missed.
-
-        Args:
-            job_id: the job.
-        """
         leader = self._seat.leader
-        if leader is not None:
-            await leader.notice(job_id)
-            return
-        peer = self._peers.leader_of(self._settings.domain)
-        if peer is None:
-            return
-        try:
-            await peer.client.job_notice(
-                msg.JobNotice(job_id=job_id),
-                timeout_ms=Millis(self._settings.timing.call_timeout_ms),
-            )
-        except WireError as error:
-            eliot.log_message('job:no_notice', job=job_id, error=str(error))
+        if isinstance(outcome, Accepted) and leader is not None:
+            await leader.notice(outcome.job_id)
+        return outcome
 
     async def find(
         self, job_id: str, access: msg.TicketAccess | msg.TeamAccess, wait: int
@@ -168,7 +171,7 @@
             if not _may_see(record, access):
                 return None
             if record.is_final or not remaining:
-                return encode_json(job_view(record))
+                return encode_json(self._view(record))
             await curio.sleep(to_seconds(min(_POLL_MS, remaining)))
 
     async def find_held(
@@ -192,7 +195,7 @@
         record = book.find(job_id)
         if record is None or not _may_see(record, access):
             return None
-        return encode_json(job_view(record))
+        return encode_json(self._view(record))
 
     async def cancel(self, job_id: str, team: str) -> msg.CancelResult:
         """Cancel a job through its leader.
@@ -240,18 +243,50 @@
             return msg.CancelResult.FINISHED
         try:
             record = await leader.parts.admission.cancel(job_id)
-        except NotOwner:
+        except JobOverError:
+            return msg.CancelResult.FINISHED
+        except TransitionError:
             return msg.CancelResult.UNKNOWN
-        if record.is_cancelling:
+        if record.is_cancelling or record.state is JobState.CANCELLED:
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
-    def _refuse(
-        self, record: JobRecord, queue: Queue, access: Granted
-    ) -> Refused | None:
+    async def _submit_to(
+        self, peer: Peer, prepared: PreparedJob
+    ) -> SubmitOutcome | None:
+        """Have the leader accept a job; None when it may not have.
+
+        Recording the job here as well is then safe, since its id is the same.
+        """
+        call = msg.SubmitJob(
+            record=encode_record(prepared.record).encode(),
+            ticket=prepared.ticket,
+        )
+        timing = self._settings.timing
+        try:
+            reply = await peer.client.submit_job(
+                call, timeout_ms=Millis(2 * timing.call_timeout_ms)
+            )
+        except WireError as error:
+            eliot.log_message('job:leader_lost', error=str(error))
+            return None
+        return reply.outcome
+
+    def _view(self, record: JobRecord) -> JobView:
+        leader = self._seat.leader
+        is_running = leader is not None and leader.parts.attempts.is_running(
+            record
+        )
+        return job_view(record, is_running=is_running)
+
+    def _refuse(self, record: JobRecord) -> Refused | None:
         """Refuse what can never run and what waits in too great numbers."""
         leader = self._seat.leader
-        if leader is None:
+        team = self._keeper.snapshot.team(record.team)
+        queue = self._keeper.snapshot.queue(record.queue)
+        if leader is None or team is None or queue is None:
+            return None
+        if leader.parts.book.find(record.job_id) is not None:
             return None
         views = leader.parts.placer.views
         reason = impossible_reason(record, views) if views else ''
@@ -263,7 +298,7 @@
         ]
         of_team = sum(held.team == record.team for held in waiting)
         in_queue = sum(held.queue == queue.name for held in waiting)
-        if of_team >= access.team.max_waiting or in_queue >= queue.max_waiting:
+        if of_team >= team.max_waiting or in_queue >= queue.max_waiting:
             return Refused(
                 reason=RefusalReason.OVER_LIMIT,
                 detail=f'{of_team} jobs of the team wait, {in_queue} in queue',
--- a/jayshore/routing/fake_executor_test.py
+++ b/jayshore/routing/fake_executor_test.py
@@ -55,6 +55,7 @@
         self.running = {}
         self.finished = set()
         self.started = []
+        self.calls = 0
         self.peak = 0
         self._gates = {}
         self._changed = curio.Event()
@@ -83,8 +84,11 @@
     async def reboot(self):
         self.boot_id += '+'
         self.lease_id += 1
+        interrupted = tuple(self.running)
         self.running.clear()
         self.finished.clear()
+        for request_id in interrupted:
+            await self.gate(request_id).set()
         await self.changed()
 
     def gate(self, request_id):
@@ -113,6 +117,7 @@
 
     async def run(self, request, *, lease_id, timeout_ms):
         request_id = request.request_id
+        self.calls += 1
         mode = self.modes.get(request_id)
         if mode != 'lost_running' and not self.is_stubborn:
             self.modes.pop(request_id, None)
@@ -130,6 +135,8 @@
             raise ExecutorLost('scripted')
         if not self.is_instant:
             await self.gate(request_id).wait()
+        if request_id not in self.running:
+            raise ExecutorLost('the executor has restarted')
         await self.end(request_id)
         if mode == 'lost_after':
             raise ExecutorLost('scripted')
@@ -158,6 +165,9 @@
         self.taken[team] = taken
         return True
 
+    def take(self, team, demand):
+        self.taken[team] = self.taken.get(team, 0) + demand.requests
+
     def give_back(self, team, demand):
         self.taken[team] -= demand.requests
         assert self.taken[team] >= 0
@@ -199,8 +209,8 @@
         )
         await settle()
 
-    async def route(self, request_id, **changes):
-        request = RoutedRequest(
+    def request(self, request_id, **changes):
+        return RoutedRequest(
             **{
                 'request_id': request_id,
                 'service': 'fill',
@@ -210,7 +220,9 @@
                 **changes,
             },
         )
-        return await self.router.route(request)
+
+    async def route(self, request_id, **changes):
+        return await self.router.route(self.request(request_id, **changes))
 
     async def start(self, request_id, **changes):
         task = await curio.spawn(self._route_task, request_id, changes)
@@ -220,6 +232,11 @@
     async def _route_task(self, request_id, changes):
         return await self.route(request_id, **changes)
 
+    @property
+    def used(self):
+        executors = self.router._dispatcher.table.of_service('fill')
+        return sum(slots.used for slots in executors)
+
     @property
     def free(self):
         return sum(entry.free_slots for entry in self.router.load())
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -9,7 +9,7 @@
 from typing import TypeAlias
 
 from jayshore.clock import Millis
-from jayshore.outcomes import RequestOutcome
+from jayshore.outcomes import RequestOutcome, SubmitOutcome
 
 
 class DaemonState(enum.StrEnum):
@@ -152,6 +152,26 @@
     outcome: RequestOutcome
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitJob:
+    """A job whose key was checked and that the leader is asked to accept.
+
+    Attributes:
+        record: JSON of the job record.
+        ticket: returned to the submitter.
+    """
+
+    record: bytes
+    ticket: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitJobReply:
+    """What became of a submitted job."""
+
+    outcome: SubmitOutcome
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobNotice:
     """A job record was created or changed; the leader should read it."""
@@ -215,6 +235,18 @@
     result: CancelResult
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloQuery:
+    """Ask for the service-level samples that the peer has recorded."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloReply:
+    """Samples as JSON of a `SloSnapshot`."""
+
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallFailed:
     """The peer's handler failed; what it did before is not known."""
@@ -227,18 +259,22 @@
     | PromiseConfig
     | ConfigCommitted
     | RouteRequest
+    | SubmitJob
     | JobNotice
     | JobQuery
     | CancelJob
+    | SloQuery
 )
 Reply: TypeAlias = (
     HeartbeatReply
     | PromiseConfigReply
     | ConfigCommittedReply
     | RouteReply
+    | SubmitJobReply
     | JobNoticeReply
     | JobQueryReply
     | CancelJobReply
+    | SloReply
     | CallFailed
 )
 Message: TypeAlias = Call | Reply
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -65,6 +65,10 @@
     async def route_request(self, call: msg.RouteRequest) -> msg.RouteReply:
         """Run a request."""
 
+    @abc.abstractmethod
+    async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
+        """Accept a job."""
+
     @abc.abstractmethod
     async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
         """Note that a job record was created or changed."""
@@ -73,6 +77,10 @@
     async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
         """Answer with the state of a job."""
 
+    @abc.abstractmethod
+    async def slo_query(self, call: msg.SloQuery) -> msg.SloReply:
+        """Answer with the service-level samples of this daemon."""
+
     @abc.abstractmethod
     async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
         """Cancel a job."""
@@ -250,10 +258,14 @@
             return await handler.config_committed(call)
         case msg.RouteRequest():
             return await handler.route_request(call)
+        case msg.SubmitJob():
+            return await handler.submit_job(call)
         case msg.JobNotice():
             return await handler.job_notice(call)
         case msg.JobQuery():
             return await handler.job_query(call)
+        case msg.SloQuery():
+            return await handler.slo_query(call)
         case msg.CancelJob():
             return await handler.cancel_job(call)
     raise UnexpectedMessageError(f'{type(call).__name__} is no call')
