--- a/jayshore/daemon/api.py
+++ b/jayshore/daemon/api.py
@@ -56,6 +56,7 @@
     Refused,
     RequestOutcome,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.routing.executor import RoutedRequest
 from jayshore.wire import messages as msg
@@ -232,6 +233,8 @@
             reason = 'accepted'
             if isinstance(outcome, Refused):
                 reason = outcome.reason.value
+            elif isinstance(outcome, Unconfirmed):
+                reason = 'unknown'
             action.add_success_fields(outcome=reason)
         self._parts.metrics.job_submitted(reason)
         return answer_submission(outcome)
--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -172,6 +172,7 @@
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
         await self._superseded.wait()
+        self._superseded.clear()
 
     async def _run_grants(
         self, epoch: int, grants: DomainLedger, granted: GrantedLedger
--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -196,7 +196,7 @@
     async def _settle(
         self, attempt: Attempt, ending: Ending, state: TaskState
     ) -> None:
-        await self._book.change(
+        changed = await self._book.change(
             attempt.job_id,
             functools.partial(
                 _settle_record,
@@ -212,6 +212,7 @@
             ),
         )
         self._attempts.forget(attempt)
+        self._placer.regroup(changed)
 
     async def _try_again(
         self, record: JobRecord, attempt: Attempt, ending: Ending
