Take failing workers out of use, probe them, and tell unconfirmed jobs apart

Change: WorkerWatch and Prober; Unconfirmed in the inner protocol; the tracker ignores evidence older than its process.

--- a/jayshore/cli/http_client.py
+++ b/jayshore/cli/http_client.py
@@ -53,6 +53,7 @@
 _STATUS_ACCEPTED = 202
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
+_STATUS_UNKNOWN = 504
 
 # Errors of the daemon that mean the same as the refusal of a job.
 _REASON_OF_ERROR = {  # noqa: WPS407 never changed
@@ -165,14 +166,19 @@
 
         Returns:
             Whether the job was accepted.
+
+        Raises:
+            AnswerLostError: it is not known whether the job was recorded.
         """
         body = json.loads(specification)
         if isinstance(body, dict):
             body['idempotency_key'] = idempotency_key
         answer = await self._call('POST', '/v1/jobs', json.dumps(body).encode())
+        content = _decode(answer)
+        if answer.status == _STATUS_UNKNOWN:
+            raise AnswerLostError('the store did not confirm the job')
         if answer.status != _STATUS_ACCEPTED:
             return _refusal(answer)
-        content = _decode(answer)
         return Accepted(job_id=content['job_id'], ticket=content['ticket'])
 
     async def read_job(
--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -111,7 +111,7 @@
         self._settler = settler
         self._clock = clock
         self._freshness_ms = freshness_ms
-        self._tracker = FreshnessTracker(name=name)
+        self._tracker = FreshnessTracker(name=name, started_at=clock.now())
         self._snapshot = Snapshot(version=0, document=Document(), write_id='')
         self._reachable = False
         self._stored = StoredConfig()
--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -30,13 +30,16 @@
     GrantRounds,
     StoredGrantBook,
 )
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.probing import Prober
 from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
 from jayshore.leases.leadership import LeadershipObserver
 from jayshore.leases.worker import WorkerLink
 from jayshore.placement.cell import Cell
+from jayshore.placement.health import WorkerHealth
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store
@@ -260,16 +263,22 @@
             attempts=attempts,
             tasks=self._tasks,
         )
+        watch = WorkerWatch(
+            cell=cell,
+            health=WorkerHealth(source=services.source),
+            clock=services.clock,
+        )
         endings = EndingRecorder(
             context=context,
             book=book,
             attempts=attempts,
             placer=placer,
+            watch=watch,
             tasks=self._tasks,
         )
         inventory = InventoryReader(
             context=context,
-            cell=cell,
+            watch=watch,
             book=book,
             attempts=attempts,
             placer=placer,
@@ -295,6 +304,14 @@
             endings=endings,
             tasks=self._tasks,
         )
+        prober = Prober(
+            context=context,
+            watch=watch,
+            book=book,
+            attempts=attempts,
+            fleet=fleet,
+            placer=placer,
+        )
         return DomainLeader(
             parts=LeaderParts(
                 context=context,
@@ -302,9 +319,11 @@
                 book=book,
                 attempts=attempts,
                 fleet=fleet,
+                watch=watch,
                 placer=placer,
                 admission=admission,
                 inventory=inventory,
+                prober=prober,
                 tasks=self._tasks,
             )
         )
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -35,11 +35,12 @@
     RefusalReason,
     Refused,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store, StoreError
 from jayshore.wire import messages as msg
-from jayshore.wire.errors import WireError
+from jayshore.wire.errors import PeerUnreachable, WireError
 
 _POLL_MS = Millis(250)
 _RETRY_AFTER_MS = Millis(1000)
@@ -118,9 +119,7 @@
             return prepared
         peer = self._peers.leader_of(self._settings.domain)
         if self._seat.leader is None and peer is not None:
-            outcome = await self._submit_to(peer, prepared)
-            if outcome is not None:
-                return outcome
+            return await self._submit_to(peer, prepared)
         return await self.accept(prepared)
 
     async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
@@ -253,10 +252,11 @@
 
     async def _submit_to(
         self, peer: Peer, prepared: PreparedJob
-    ) -> SubmitOutcome | None:
-        """Have the leader accept a job; None when it may not have.
+    ) -> SubmitOutcome:
+        """Have the leader accept a job; record it here when no answer comes.
 
-        Recording the job here as well is then safe, since its id is the same.
+        Recording it twice is safe, since its id is the same. What is refused
+        here may have been recorded by a leader whose answer was lost.
         """
         call = msg.SubmitJob(
             record=encode_record(prepared.record).encode(),
@@ -267,10 +267,18 @@
             reply = await peer.client.submit_job(
                 call, timeout_ms=Millis(2 * timing.call_timeout_ms)
             )
+        except PeerUnreachable:
+            return await self.accept(prepared)
         except WireError as error:
             eliot.log_message('job:leader_lost', error=str(error))
-            return None
-        return reply.outcome
+        else:
+            return reply.outcome
+        outcome = await self.accept(prepared)
+        if isinstance(outcome, Refused):
+            return Unconfirmed(
+                job_id=prepared.record.job_id, ticket=prepared.ticket
+            )
+        return outcome
 
     def _view(self, record: JobRecord) -> JobView:
         leader = self._seat.leader
--- a/jayshore/freshness/tracker.py
+++ b/jayshore/freshness/tracker.py
@@ -28,12 +28,16 @@
     A new daemon process makes a new tracker: nothing survives a restart.
     """
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(self, *, name: str, started_at: Millis | None = None) -> None:
         """Start without any knowledge.
 
         Args:
             name: name of the daemon in the roster.
+            started_at: when the process started. Older evidence is not used:
+                before its restart the daemon may have acted on a version that
+                was committed after that evidence.
         """
+        self._started_at = started_at
         self._name = name
         self._version = 0
         self._roster = Roster()
@@ -211,6 +215,8 @@
         """
         if found.version > self._version:
             return
+        if self._started_at is not None and found.as_of < self._started_at:
+            return
         if self._evidence is None or found.as_of > self._evidence.as_of:
             self._evidence = found
 
--- a/jayshore/freshness/tracker_test.py
+++ b/jayshore/freshness/tracker_test.py
@@ -140,6 +140,17 @@
     assert tracker.age(1500) == 800
 
 
+def test_evidence_older_than_the_process_is_not_used():
+    """Guards against a restart that goes back to an older version."""
+    tracker = FreshnessTracker(name='a', started_at=1000)
+    tracker.adopt(version=1, roster=roster('abc'))
+    for age, expected in ((200, None), (100, 150)):
+        tracker.record_relayed(
+            relayed=RelayedEvidence(version=1, age_ms=age), asked_at=1100
+        )
+        assert tracker.age(1150) == expected
+
+
 def test_older_reading_that_arrives_late_changes_nothing():
     """Guards against a version that reverts."""
     tracker = informed(version=2, revision=12)
--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -12,6 +12,7 @@
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
 from jayshore.jobs.proofs import NEVER_STARTED, unproved_workers
 from jayshore.jobs.record import (
@@ -70,6 +71,7 @@
         book: JobBook,
         attempts: AttemptTable,
         placer: Placer,
+        watch: WorkerWatch,
         tasks: BackgroundTasks,
     ) -> None:
         """Prepare to record.
@@ -79,12 +81,14 @@
             book: the job records.
             attempts: the newest attempts of all tasks.
             placer: queues attempts.
+            watch: evidence about workers.
             tasks: background tasks of the leader.
         """
         self._context = context
         self._book = book
         self._attempts = attempts
         self._placer = placer
+        self._watch = watch
         self._tasks = tasks
         self._unproved: dict[str, tuple[Ending, Reporter | None]] = {}
 
@@ -130,6 +134,7 @@
             reporter: the worker that waits for the acknowledgement, if any.
         """
         attempt.phase = Phase.ENDED
+        self._note_health(attempt, ending)
         await self._tasks.spawn(self._record(attempt, ending, reporter))
 
     async def resume(self, attempt: Attempt) -> None:
@@ -219,13 +224,14 @@
     ) -> None:
         failed = ending.outcome is TaskOutcome.FAILED
         failed_on = attempt.worker
+        is_retry = failed and self._is_fault_of_job(attempt)
         changed = await self._book.change(
             attempt.job_id,
             functools.partial(
                 _attempt_again,
                 writer=self._context.writer,
                 attempt=attempt,
-                is_retry=failed,
+                is_retry=is_retry,
             ),
         )
         attempt.begin(changed.tasks[attempt.index].attempt)
@@ -236,6 +242,22 @@
         await self._stop_siblings(record, attempt)
         self._placer.enqueue(attempt)
 
+    def _is_fault_of_job(self, attempt: Attempt) -> bool:
+        """Tell whether a failure uses up a retry of its job."""
+        worker = attempt.worker
+        return worker is None or not self._watch.is_quarantined(
+            worker.worker_id
+        )
+
+    def _note_health(self, attempt: Attempt, ending: Ending) -> None:
+        if attempt.worker is None:
+            return
+        worker_id = attempt.worker.worker_id
+        if ending.outcome is TaskOutcome.SUCCEEDED:
+            self._watch.succeeded(worker_id)
+        elif ending.outcome is TaskOutcome.FAILED:
+            self._watch.failed(worker_id, attempt.job_id)
+
     async def _stop_siblings(self, record: JobRecord, attempt: Attempt) -> None:
         """Stop the rest of a gang, so that it starts again as a whole."""
         if record.kind is not JobKind.GANG:
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -15,6 +15,7 @@
     reported,
 )
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
 from jayshore.jobs.proofs import Proof, Verdict, WorkerReport
 from jayshore.jobs.record import WorkerBoot
@@ -25,8 +26,7 @@
     Renewed,
     TaskReport,
 )
-from jayshore.placement.cell import Cell
-from jayshore.placement.tasks import WorkerState, WorkerView
+from jayshore.placement.tasks import WorkerView
 
 ProofMaker: TypeAlias = Callable[[WorkerBoot], Proof]
 
@@ -38,7 +38,7 @@
         self,
         *,
         context: LeaderContext,
-        cell: Cell,
+        watch: WorkerWatch,
         book: JobBook,
         attempts: AttemptTable,
         placer: Placer,
@@ -48,14 +48,14 @@
 
         Args:
             context: what the parts of the leader share.
-            cell: the workers and their room.
+            watch: evidence about workers.
             book: the job records.
             attempts: the newest attempts of all tasks.
             placer: counts running attempts, queues others.
             endings: records what has ended.
         """
         self._context = context
-        self._cell = cell
+        self._watch = watch
         self._book = book
         self._attempts = attempts
         self._placer = placer
@@ -100,7 +100,7 @@
             renewed: the worker's answer.
         """
         if renewed.leaving and worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.LEAVING)
+            self._watch.leaving(worker_id)
         await self._take_reports(worker_id, renewed.tasks)
 
     async def worker_lost(self, worker_id: str) -> None:
@@ -110,7 +110,7 @@
             worker_id: the worker.
         """
         if worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.QUARANTINED)
+            self._watch.lost(worker_id)
 
     async def epoch_superseded(self) -> None:
         """Stop to lead."""
@@ -185,11 +185,12 @@
                     boot_id=opened.boot_id,
                 )
             )
-        self._placer.boots[worker_id] = WorkerBoot(
-            worker_id=worker_id, boot_id=opened.boot_id
+        boot = WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
+        is_new_boot = self._placer.boots.get(worker_id) != boot
+        self._placer.boots[worker_id] = boot
+        self._watch.opened(
+            worker_id, is_new_boot=is_new_boot, is_leaving=opened.leaving
         )
-        state = WorkerState.LEAVING if opened.leaving else WorkerState.USABLE
-        self._cell.set_worker_state(worker_id, state)
 
     def _adopt(
         self, attempt: Attempt, worker_id: str, opened: OpenedLease
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -12,18 +12,20 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import FleetObserver, InstanceFollower, WorkerFleet
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.probing import Prober
 from jayshore.jobs.proofs import InstanceGone, LeaseExpired, Proof
 from jayshore.jobs.record import WorkerBoot
 from jayshore.placement.cell import Cell
-from jayshore.placement.tasks import WorkerState
 from jayshore.platform.instances import Instance
 from jayshore.platform.store import StoreError
 
 # A worker's clock may run this much slower than the leader's.
 _CLOCK_RATE_PERCENT = 102
 _LEASE_CHECK_MS = Millis(1000)
+_PROBE_CHECK_MS = Millis(1000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -35,9 +37,11 @@
     book: JobBook
     attempts: AttemptTable
     fleet: WorkerFleet
+    watch: WorkerWatch
     placer: Placer
     admission: Admission
     inventory: InventoryReader
+    prober: Prober
     tasks: BackgroundTasks
 
 
@@ -87,6 +91,7 @@
         await spawn(follower.run())
         await spawn(self._placer.run(round_ms))
         await spawn(self._watch_leases(follower))
+        await spawn(self._parts.prober.run(_PROBE_CHECK_MS))
         await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
@@ -126,7 +131,7 @@
             instance: listed as leaving.
         """
         if instance.id in self._placer.boots:
-            self._parts.cell.set_worker_state(instance.id, WorkerState.LEAVING)
+            self._parts.watch.leaving(instance.id)
 
     async def instance_gone(self, instance: Instance) -> None:
         """Conclude that nothing runs on a worker any more.
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -251,19 +251,12 @@
         self.release(record, attempt)
         self.enqueue(attempt)
 
-    async def _round(self) -> None:
-        while True:
-            decision = self._cell.decide(self._context.clock.now())
-            match decision:
-                case Wait():
-                    return
-                case Place():
-                    await self._carry_out(decision)
-                case Preempt():
-                    self._cell.preempt(decision)
-                    await self._tasks.spawn(self._preempt(decision))
+    async def carry_out(self, decision: Place) -> None:
+        """Start tasks where they were placed.
 
-    async def _carry_out(self, decision: Place) -> None:
+        Args:
+            decision: of the cell, or a probe.
+        """
         now = self._context.clock.now()
         placed = []
         for chosen in decision.assignments:
@@ -284,6 +277,18 @@
         if placed:
             await self._tasks.spawn(self._launch(placed))
 
+    async def _round(self) -> None:
+        while True:
+            decision = self._cell.decide(self._context.clock.now())
+            match decision:
+                case Wait():
+                    return
+                case Place():
+                    await self.carry_out(decision)
+                case Preempt():
+                    self._cell.preempt(decision)
+                    await self._tasks.spawn(self._preempt(decision))
+
     async def _launch(self, placed: list[_Launch]) -> None:
         job_id = placed[0].attempt.job_id
         wanted = {launch.worker for launch in placed}
--- /dev/null
+++ b/jayshore/jobs/probing.py
@@ -0,0 +1,90 @@
+"""Tries workers that were taken out of use with one harmless task at a time."""
+
+import curio
+
+from jayshore.clock import Millis, to_seconds
+from jayshore.jobs.attempts import AttemptTable, Phase
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.context import LeaderContext
+from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.health import WorkerWatch
+from jayshore.jobs.pending import pending_task
+from jayshore.jobs.placing import Placer
+from jayshore.placement.decisions import Assignment, Place
+from jayshore.placement.tasks import PendingTask, WorkerView
+
+
+class Prober:
+    """Places probes on quarantined workers."""
+
+    def __init__(
+        self,
+        *,
+        context: LeaderContext,
+        watch: WorkerWatch,
+        book: JobBook,
+        attempts: AttemptTable,
+        fleet: WorkerFleet,
+        placer: Placer,
+    ) -> None:
+        """Prepare to probe.
+
+        Args:
+            context: what the parts of the leader share.
+            watch: evidence about workers.
+            book: the job records.
+            attempts: the newest attempts of all tasks.
+            fleet: the sessions with the workers.
+            placer: starts the probes.
+        """
+        self._context = context
+        self._watch = watch
+        self._book = book
+        self._attempts = attempts
+        self._fleet = fleet
+        self._placer = placer
+
+    async def run(self, interval_ms: Millis) -> None:
+        """Look for workers that are due until cancelled.
+
+        Args:
+            interval_ms: between two looks, in ms.
+        """
+        while True:
+            await curio.sleep(to_seconds(interval_ms))
+            for view in self._placer.views:
+                session = self._fleet.sessions.get(view.worker_id)
+                is_due = self._watch.is_quarantined(view.worker_id)
+                if is_due and session is not None and session.is_open:
+                    await self._probe(view)
+
+    async def _probe(self, view: WorkerView) -> None:
+        probe = self._watch.choose_probe(view, self._waiting_for(view))
+        if probe is not None:
+            chosen = Assignment(task_id=probe.task_id, worker_id=view.worker_id)
+            await self._placer.carry_out(Place(assignments=(chosen,)))
+
+    def _waiting_for(self, view: WorkerView) -> list[PendingTask]:
+        """List the waiting tasks that may run on a worker that is idle."""
+        if any(self._attempts.on_worker(view.worker_id)):
+            return []
+        waiting = []
+        for attempt in self._attempts:
+            record = self._book.find(attempt.job_id)
+            if attempt.phase is not Phase.QUEUED or record is None:
+                continue
+            allowed = self._context.ledger.has_headroom(
+                record.team, record.demand
+            )
+            named = [worker.worker_id for worker in record.intent]
+            # Probes stay within the intent, as they may run in an outage.
+            if allowed and view.worker_id in named:
+                waiting.append(
+                    pending_task(
+                        record,
+                        attempt,
+                        context=self._context,
+                        is_confined=False,
+                    )
+                )
+        return [task for task in waiting if task.demand.fits_in(view.capacity)]
--- a/jayshore/outcomes.py
+++ b/jayshore/outcomes.py
@@ -124,7 +124,7 @@
 
     job_id: str
     ticket: str
-    retry_after_ms: Millis
+    retry_after_ms: Millis = Millis(1000)
 
 
 SubmitOutcome: TypeAlias = Accepted | Refused | Unconfirmed
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -21,6 +21,7 @@
     NotRunReason,
     Ran,
     RequestOutcome,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
@@ -225,6 +226,10 @@
     outcome = reply.outcome
     if isinstance(outcome, Accepted):
         return {'accepted': {'jobId': outcome.job_id, 'ticket': outcome.ticket}}
+    if isinstance(outcome, Unconfirmed):
+        return {
+            'unconfirmed': {'jobId': outcome.job_id, 'ticket': outcome.ticket},
+        }
     return {
         'refused': {
             'reason': outcome.reason.value,
@@ -240,6 +245,13 @@
         return msg.SubmitJobReply(
             outcome=Accepted(job_id=accepted.jobId, ticket=accepted.ticket)
         )
+    if str(reader.which()) == 'unconfirmed':
+        unconfirmed = reader.unconfirmed
+        return msg.SubmitJobReply(
+            outcome=Unconfirmed(
+                job_id=unconfirmed.jobId, ticket=unconfirmed.ticket
+            )
+        )
     refused = reader.refused
     return msg.SubmitJobReply(
         outcome=Refused(
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -11,6 +11,7 @@
     NotRun,
     NotRunReason,
     Ran,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
@@ -59,6 +60,7 @@
     msg.SloReply(document=b'{}'),
     msg.SubmitJob(record=b'{}', ticket='t'),
     msg.SubmitJobReply(outcome=Accepted(job_id='j', ticket='t')),
+    msg.SubmitJobReply(outcome=Unconfirmed(job_id='j', ticket='t')),
     msg.SubmitJobReply(
         outcome=Refused(reason=RefusalReason.NEVER_FITS, detail='memory_mb')
     ),
