Apply the teams' shares to placement and learn run times

Cause: the cell never got the shares of the configuration, so all teams had the same weight; run-time estimates were not fed. Change: shares are handed over with each configuration version; run times of tasks that ended by themselves feed the estimates, which backfill uses. Not done: sizes are not corrected from usage, since limits are counted by the declared sizes.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -39,6 +39,7 @@
 from jayshore.leases.leadership import LeadershipObserver
 from jayshore.leases.worker import WorkerLink
 from jayshore.placement.cell import Cell
+from jayshore.placement.estimates import Estimates
 from jayshore.placement.health import WorkerHealth
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
@@ -338,6 +339,7 @@
             wall_clock=services.wall_clock,
             source=services.source,
             ledger=ledger,
+            estimates=Estimates(),
             events=services.events,
             snapshot=lambda: services.keeper.snapshot,
             is_store_reachable=lambda: services.keeper.is_store_reachable,
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -10,6 +10,7 @@
 from jayshore.jobs.record import JobRecord
 from jayshore.jobs.transitions import Writer
 from jayshore.placement.decisions import Headroom
+from jayshore.placement.estimates import Estimates
 from jayshore.platform.settling import new_write_id
 from jayshore.resources import Resources
 
@@ -69,6 +70,7 @@
         wall_clock: time of day, in which deadlines are given.
         source: random numbers.
         ledger: use of the teams' limits.
+        estimates: run times of ended tasks, per team and queue.
         events: metrics.
         snapshot: the newest configuration seen.
         is_store_reachable: whether the last read of the store was answered.
@@ -84,6 +86,7 @@
     wall_clock: Clock
     source: random.Random
     ledger: TeamLedger
+    estimates: Estimates
     events: JobEvents
     snapshot: Callable[[], Snapshot]
     is_store_reachable: Callable[[], bool]
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
+from jayshore.clock import Millis
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
@@ -18,15 +19,17 @@
 from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
 from jayshore.jobs.proofs import Proof, Verdict, WorkerReport
-from jayshore.jobs.record import WorkerBoot
+from jayshore.jobs.record import JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerObserver
 from jayshore.leases.worker import (
     AttemptName,
     OpenedLease,
     Renewed,
+    TaskOutcome,
     TaskReport,
 )
-from jayshore.placement.tasks import WorkerView
+from jayshore.placement.estimates import EndedTask
+from jayshore.placement.tasks import RunningTask, WorkerView
 
 ProofMaker: TypeAlias = Callable[[WorkerBoot], Proof]
 
@@ -246,7 +249,9 @@
         if attempt.phase is Phase.STARTING:
             self._placer.note_running(record, attempt)
         if report.outcome is not None:
-            self._placer.release(record, attempt)
+            running = self._placer.release(record, attempt)
+            if report.outcome is TaskOutcome.SUCCEEDED:
+                self._learn(record, running)
             attempt.note(self._report(attempt, worker, Verdict.ENDED))
             await self._endings.record_later(
                 attempt, reported(report), self._reporter(worker_id, report)
@@ -254,6 +259,21 @@
         elif report.usage is not None:
             self._placer.note_usage(attempt, report.usage)
 
+    def _learn(self, record: JobRecord, running: RunningTask) -> None:
+        """Learn the run time of a task that ran to its end."""
+        now = self._context.clock.now()
+        declared = Millis(record.run_ms) if record.run_ms else None
+        self._context.estimates.observe(
+            EndedTask(
+                team=record.team,
+                queue=record.queue,
+                declared=record.demand,
+                peak=running.usage,
+                declared_run_ms=declared,
+                run_ms=Millis(now - running.started_at),
+            )
+        )
+
     async def _handle_unexpected(
         self, worker_id: str, report: TaskReport
     ) -> None:
--- a/jayshore/jobs/pending.py
+++ b/jayshore/jobs/pending.py
@@ -55,7 +55,9 @@
         enqueued_at=Millis(record.accepted_at_ms - offset),
         urgent=queue is not None and queue.urgent,
         declared_run_ms=run_ms,
-        estimated_run_ms=run_ms,
+        estimated_run_ms=context.estimates.run_ms(
+            record.team, record.queue, run_ms
+        ),
         deadline=None if deadline is None else Millis(deadline - offset),
         idempotent=record.idempotent,
         preemptible=record.idempotent and record.kind is JobKind.BATCH,
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -31,6 +31,9 @@
 )
 from jayshore.resources import Resources
 
+# The cell counts shares in whole numbers.
+_SHARE_UNITS = 100
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Launch:
@@ -81,6 +84,7 @@
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
         self._is_confined = False
+        self._shares_version = 0
 
     @property
     def boots(self) -> dict[str, WorkerBoot]:
@@ -134,6 +138,7 @@
                 await self._wake.wait()
             self._wake.clear()
             self._confine()
+            self._apply_shares()
             await self._round()
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -197,16 +202,20 @@
             )
         )
 
-    def release(self, record: JobRecord, attempt: Attempt) -> None:
+    def release(self, record: JobRecord, attempt: Attempt) -> RunningTask:
         """Free the room of an attempt that has ended or never started.
 
         Args:
             record: its job.
             attempt: a starting or running attempt.
+
+        Returns:
+            The task as it was running.
         """
-        self._cell.finish(id_of(attempt))
+        running = self._cell.finish(id_of(attempt))
         self._context.ledger.give_back(record.team, record.demand)
         attempt.phase = Phase.ENDED
+        return running
 
     def note_usage(self, attempt: Attempt, usage: Resources) -> None:
         """Count what a running attempt really uses.
@@ -363,6 +372,19 @@
     def _find(self, task_id: TaskId) -> Attempt | None:
         return self._attempts.find(task_name(task_id.job_id, task_id.index))
 
+    def _apply_shares(self) -> None:
+        """Hand the shares of a new configuration to the cell."""
+        snapshot = self._context.snapshot()
+        if snapshot.version == self._shares_version:
+            return
+        self._shares_version = snapshot.version
+        self._cell.apply_shares(
+            {
+                team.name: max(1, round(team.share * _SHARE_UNITS))
+                for team in snapshot.document.teams
+            }
+        )
+
     def _confine(self) -> None:
         """Confine waiting tasks to their recorded intents in an outage."""
         is_confined = not self._context.is_store_reachable()
