--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -15,12 +15,13 @@
 from jayshore.clock import Millis
 from jayshore.outcomes import (
     Accepted,
-    RefusalReason,
-    Refused,
     NotRun,
     NotRunReason,
     Ran,
+    RefusalReason,
+    Refused,
     RequestOutcome,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
@@ -225,6 +226,14 @@
     outcome = reply.outcome
     if isinstance(outcome, Accepted):
         return {'accepted': {'jobId': outcome.job_id, 'ticket': outcome.ticket}}
+    if isinstance(outcome, Unconfirmed):
+        return {
+            'unconfirmed': {
+                'jobId': outcome.job_id,
+                'ticket': outcome.ticket,
+                'retryAfterMs': outcome.retry_after_ms,
+            }
+        }
     return {
         'refused': {
             'reason': outcome.reason.value,
@@ -235,11 +244,21 @@
 
 
 def _decode_submitted(reader: Any) -> msg.SubmitJobReply:
-    if str(reader.which()) == 'accepted':
+    which = str(reader.which())
+    if which == 'accepted':
         accepted = reader.accepted
         return msg.SubmitJobReply(
             outcome=Accepted(job_id=accepted.jobId, ticket=accepted.ticket)
         )
+    if which == 'unconfirmed':
+        unconfirmed = reader.unconfirmed
+        return msg.SubmitJobReply(
+            outcome=Unconfirmed(
+                job_id=unconfirmed.jobId,
+                ticket=unconfirmed.ticket,
+                retry_after_ms=Millis(unconfirmed.retryAfterMs),
+            )
+        )
     refused = reader.refused
     return msg.SubmitJobReply(
         outcome=Refused(
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -8,6 +8,7 @@
     Accepted,
     RefusalReason,
     Refused,
+    Unconfirmed,
     NotRun,
     NotRunReason,
     Ran,
@@ -62,6 +63,9 @@
     msg.SubmitJobReply(
         outcome=Refused(reason=RefusalReason.NEVER_FITS, detail='memory_mb')
     ),
+    msg.SubmitJobReply(
+        outcome=Unconfirmed(job_id='j', ticket='t', retry_after_ms=1000)
+    ),
     msg.PromiseConfigReply(promised=True, config_version=4),
     msg.ConfigCommitted(version=5, document=b'{}'),
     msg.ConfigCommittedReply(config_version=5),
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -93,6 +93,11 @@
       detail @3 :Text;
       retryAfterMs @4 :Int64 = -1;
     }
+    unconfirmed :group {
+      jobId @5 :Text;
+      ticket @6 :Text;
+      retryAfterMs @7 :Int64;
+    }
   }
 }
 
