Report an apply as unsettled when it may have been in force

Cause: a commit whose answer was lost was read back; when another version had followed in the meantime, the operator was told of a conflict, although the document had been the accepted configuration for a moment. A race of two operators with lost answers of the store showed it. Ruled out: a write that takes effect twice, as every version was won once and none fell.

Change: after a lost answer the outcome is a conflict only while the old version is still in the store, otherwise it is unsettled.

--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -19,7 +19,13 @@
 from jayshore.freshness.evidence import StoreReading
 from jayshore.freshness.roster import Roster, may_write
 from jayshore.freshness.tracker import FreshnessTracker
-from jayshore.platform.settling import Write, WriteSettler, new_write_id
+from jayshore.platform.settling import (
+    SettledWrite,
+    Superseded,
+    Write,
+    WriteSettler,
+    new_write_id,
+)
 from jayshore.platform.store import Store, StoreError, Written
 from jayshore.wire import messages as msg
 
@@ -240,8 +246,10 @@
             if promised is not None:
                 await self._put(_marked(current, is_announced=False), revision)
                 return NoMajority(promised=promised)
-        committed = await self._put(following, revision)
-        if committed is None:
+        committed = await self._settle(following, revision)
+        if isinstance(committed, Superseded):
+            return await self._superseded(current.version)
+        if not isinstance(committed, Written):
             return await self._conflict()
         self.adopt(following)
         await self.refresh()
@@ -270,8 +278,27 @@
         current, _ = await self._read()
         return VersionConflict(version=current.version)
 
+    async def _superseded(self, version: int) -> ApplyOutcome:
+        """Judge a commit that was overwritten after its answer was lost.
+
+        Versions only grow: while the old one is still there, the commit did
+        not take effect. Otherwise it may have been in force for a moment.
+        """
+        current, _ = await self._read()
+        if current.version == version:
+            return VersionConflict(version=version)
+        return ApplyUnsettled(
+            detail=f'version {current.version} may have replaced it'
+        )
+
     async def _put(self, stored: StoredConfig, revision: int) -> int | None:
-        result = await self._settler.settle_write(
+        result = await self._settle(stored, revision)
+        return result.revision if isinstance(result, Written) else None
+
+    async def _settle(
+        self, stored: StoredConfig, revision: int
+    ) -> SettledWrite:
+        return await self._settler.settle_write(
             Write(
                 key=CONFIG_KEY,
                 value=msgspec.json.encode(stored, order='sorted').decode(),
@@ -279,7 +306,6 @@
             ),
             limit_ms=self._freshness_ms,
         )
-        return result.revision if isinstance(result, Written) else None
 
     async def _read(self) -> tuple[StoredConfig, int]:
         """Read what changed since the last read.
--- /dev/null
+++ b/tests/guarantee_apply_test.py
@@ -0,0 +1,215 @@
+"""Racing applies through all daemons, with separate processes.
+
+Guards against an accepted configuration that is replaced by an older one, and
+against two operators who are both told that theirs is the same version.
+"""
+
+import json
+import random
+import threading
+import time
+
+import pytest
+
+from demo.cluster import OPERATOR_KEY, Cluster, bearer
+from demo.processes import wait_until
+from tests.guarantee_support import (
+    IN_FORCE_S,
+    Background,
+    attempt,
+    heal,
+    show,
+    small_shape,
+    teams,
+)
+
+pytestmark = pytest.mark.processes
+
+SEED = 4711
+APPLIES = 50
+MARKERS = 100_000
+# Each operator tries again on the version it was told of until its documents
+# are applied; this bounds the whole race.
+RACE_S = 30
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    with Cluster(shape=small_shape(), teams=teams()) as started:
+        yield started
+
+
+class Operator(threading.Thread):
+    """Applies documents one after another through one daemon."""
+
+    def __init__(self, *, cluster, daemon, number, count):
+        super().__init__()
+        self.won = []
+        self.refused = set()
+        self.skipped = 0
+        self.replies = []
+        self._cluster = cluster
+        self._daemon = daemon
+        self._number = number
+        self._count = count
+        self._version = cluster.version
+        self._end = time.monotonic() + RACE_S
+
+    def run(self):
+        while len(self.won) < self._count and time.monotonic() < self._end:
+            self._apply()
+
+    def _apply(self):
+        # Every attempt has a marker of its own, so that a document in force
+        # tells which attempt it came from.
+        marker = self._number * MARKERS + len(self.replies) + 1
+        document = marked(self._cluster.document(), marker)
+        body = {'expected_version': self._version, 'document': document}
+        reply = put_config(self._daemon, body)
+        self.replies.append(reply)
+        if reply.status == 200:
+            # Nothing that this operator has not seen was replaced.
+            self.skipped += decode(reply)['version'] != self._version + 1
+            self._version = decode(reply)['version']
+            self.won.append((self._version, marker))
+        elif reply.status == 409:
+            self._version = decode(reply)['version']
+            self.refused.add(marker)
+        else:
+            self._look()
+
+    def _look(self):
+        """Look again, as an operator whose apply is not settled has to."""
+        reply = get_config(self._daemon)
+        if reply.status == 200:
+            self._version = decode(reply)['version']
+
+
+def marked(document, marker):
+    """Make a document that can be told from all others."""
+    changed = [dict(team) for team in document['teams']]
+    changed[0]['max_waiting'] = marker
+    return {**document, 'teams': changed}
+
+
+def marker_of(document):
+    return document['teams'][0]['max_waiting']
+
+
+def decode(reply):
+    return json.loads(reply.content)
+
+
+def put_config(daemon, body):
+    return attempt(daemon, 'PUT', '/v1/config', body, bearer(OPERATOR_KEY))
+
+
+def get_config(daemon):
+    return attempt(daemon, 'GET', '/v1/config', None, bearer(OPERATOR_KEY), 3)
+
+
+def read_status(daemon):
+    return attempt(daemon, 'GET', '/v1/status', None, None, 3)
+
+
+def race(cluster, count):
+    operators = [
+        Operator(cluster=cluster, daemon=daemon, number=number, count=count)
+        for number, daemon in enumerate(
+            [cluster.daemons['north-0'], cluster.daemons['south-0']]
+        )
+    ]
+    for operator in operators:
+        operator.start()
+    for started in operators:
+        started.join()
+    return operators
+
+
+def versions_of(replies):
+    shown = [decode(reply) for reply in replies if reply.status == 200]
+    return [
+        status.get('config_version', status.get('version')) for status in shown
+    ]
+
+
+def check_versions_never_fall(background):
+    for name, replies in background.replies.items():
+        versions = versions_of(replies)
+        assert versions, name
+        assert versions == sorted(versions), name
+
+
+def check_refused_never_in_force(background, operators):
+    """An operator who was told of a conflict has changed nothing."""
+    shown = {
+        marker_of(decode(reply)['document'])
+        for name, replies in background.replies.items()
+        for reply in replies
+        if name.endswith('config') and reply.status == 200
+    }
+    refused = set().union(*(operator.refused for operator in operators))
+    show('conflicts seen in force', len(shown & refused), 0, 'of them')
+    assert not shown & refused
+
+
+def wait_everywhere(cluster, version, marker):
+    """Measure until every daemon holds the last accepted document."""
+
+    def is_held():
+        shown = [
+            decode(get_config(daemon)) for daemon in cluster.daemons.values()
+        ]
+        return all(
+            held['version'] == version and marker_of(held['document']) == marker
+            for held in shown
+        )
+
+    took = wait_until(is_held, 2 * IN_FORCE_S, f'version {version} everywhere')
+    show('last version everywhere', took, IN_FORCE_S, 's')
+    assert took <= IN_FORCE_S
+
+
+@pytest.mark.parametrize('loses_answers', [False, True])
+def test_one_of_two_operators_wins_each_version(cluster, loses_answers):
+    source = random.Random(SEED)
+    start_version = cluster.version
+    with Background(pause_s=0.01) as background:
+        for name, daemon in cluster.daemons.items():
+            background.add(name, read_status, daemon)
+            background.add(f'{name} config', get_config, daemon)
+        if loses_answers:
+            background.add('store', lose_answers, cluster, source)
+        count = APPLIES // 2 // (5 if loses_answers else 1)
+        operators = race(cluster, count)
+    cluster.store.call('POST', '/admin/faults', {'lose_next_write_answers': 0})
+    background.replies.pop('store', None)
+    won = sorted(pair for operator in operators for pair in operator.won)
+    versions = [version for version, _ in won]
+    calls = sum(len(operator.replies) for operator in operators)
+    show('applies that won', len(won), 2 * count, 'of them')
+    print(f'calls needed: {calls}')
+    assert len(set(versions)) == len(versions)
+    assert not sum(operator.skipped for operator in operators)
+    check_versions_never_fall(background)
+    check_refused_never_in_force(background, operators)
+    if loses_answers:
+        # An apply that stays unsettled may have taken effect untold.
+        assert len(won) > count
+    else:
+        assert len(won) == 2 * count
+        first = start_version + 1
+        assert versions == list(range(first, first + 2 * count))
+    shown = decode(get_config(cluster.daemons['east-0']))
+    cluster.version = shown['version']
+    assert cluster.version >= versions[-1]
+    if not loses_answers:
+        assert marker_of(shown['document']) == won[-1][1]
+    wait_everywhere(cluster, cluster.version, marker_of(shown['document']))
+    heal(cluster)
+
+
+def lose_answers(cluster, source):
+    """Lose the answers of one to three writes in a row."""
+    lost = {'lose_next_write_answers': source.randint(1, 3)}
+    return attempt(cluster.store, 'POST', '/admin/faults', lost)
--- /dev/null
+++ b/tests/guarantee_support.py
@@ -0,0 +1,305 @@
+"""Clusters, probes and figures that the tests of guarantees share."""
+
+import dataclasses
+import threading
+import time
+from http.client import HTTPException
+from typing import Any
+
+from demo.cluster import SERVICE, Cluster, ClusterShape
+from demo.processes import Answer, Process, call, wait_until
+
+IN_FORCE_S = 3.0
+"""Design, 1.2: an accepted configuration is in force within this time."""
+
+TEAMS = ('fenland', 'millrace', 'riverbend')
+_SETTLE_S = 12
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What a caller saw of one call; times are monotonic, in seconds.
+
+    Attributes:
+        sent: when the call was sent.
+        answered: when its answer was complete, or the call failed.
+        status: status code, 0 without an answer.
+        content: the body.
+        error: why there is no answer.
+    """
+
+    sent: float
+    answered: float
+    status: int
+    content: bytes = b''
+    error: str = ''
+
+
+def small_shape(**changes: Any) -> ClusterShape:
+    """Describe three failure domains with one of everything.
+
+    Args:
+        changes: fields of the shape that differ.
+
+    Returns:
+        The shape.
+    """
+    counts = {'daemons': 1, 'workers': 1, 'executors': 1}
+    return ClusterShape(**{**counts, **changes})
+
+
+def teams(**limit: int) -> list[dict[str, Any]]:
+    """Describe three teams with equal shares and limits.
+
+    Args:
+        limit: resources of the limit that differ.
+
+    Returns:
+        Content of `teams.json`.
+    """
+    amounts = {'cpu_millis': 96_000, 'memory_mb': 384_000, 'requests': 30}
+    return [
+        {
+            'name': name,
+            'share': 1,
+            'limit': {**amounts, **limit},
+            'max_waiting': 500,
+        }
+        for name in TEAMS
+    ]
+
+
+def attempt(
+    process: Process,
+    method: str,
+    path: str,
+    content: object = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10,
+) -> Reply:
+    """Send one call and keep what was seen, also when it failed.
+
+    Args:
+        process: whom to call.
+        method: HTTP method.
+        path: path with query.
+        content: bytes or JSON.
+        headers: further headers.
+        timeout_s: timeout in seconds.
+
+    Returns:
+        The answer or the error.
+    """
+    sent = time.monotonic()
+    try:
+        answer = call(
+            process.address,
+            method,
+            path,
+            content,
+            headers=headers,
+            timeout_s=timeout_s,
+        )
+    except (OSError, HTTPException) as error:
+        return Reply(
+            sent=sent, answered=time.monotonic(), status=0, error=repr(error)
+        )
+    return Reply(
+        sent=sent,
+        answered=time.monotonic(),
+        status=answer.status,
+        content=answer.body,
+    )
+
+
+def send_request(
+    process: Process,
+    headers: dict[str, str],
+    body: bytes = b'x',
+    *,
+    service: str = SERVICE,
+    timeout_s: float = 10,
+) -> Reply:
+    """Send one request to a service.
+
+    Args:
+        process: the daemon.
+        headers: with the key.
+        body: opaque.
+        service: name of the service.
+        timeout_s: timeout in seconds.
+
+    Returns:
+        What the caller saw.
+    """
+    path = f'/v1/requests/{service}'
+    return attempt(process, 'POST', path, body, headers, timeout_s)
+
+
+def send_job(process: Process, headers: dict[str, str]) -> Reply:
+    """Submit one short job.
+
+    Args:
+        process: the daemon.
+        headers: with the key.
+
+    Returns:
+        What the caller saw.
+    """
+    job = {
+        'queue': 'night',
+        'demand': {'cpu_millis': 10, 'memory_mb': 1},
+        'payload': {'run_ms': 1},
+        'idempotent': True,
+    }
+    return attempt(process, 'POST', '/v1/jobs', job, headers)
+
+
+class Background:
+    """Repeats calls in threads until stopped."""
+
+    def __init__(self, *, pause_s: float = 0.02) -> None:
+        """Start without calls.
+
+        Args:
+            pause_s: between two calls of one thread, in seconds.
+        """
+        self.replies: dict[str, list[Reply]] = {}
+        self._pause_s = pause_s
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def __enter__(self) -> 'Background':
+        """Let calls be added."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop and wait for calls in progress."""
+        self.stop()
+
+    def add(self, name: str, send: Any, *arguments: Any) -> None:
+        """Repeat one kind of call.
+
+        Args:
+            name: under which the replies are kept.
+            send: returns a `Reply`.
+            arguments: of `send`.
+        """
+        self.replies.setdefault(name, [])
+        thread = threading.Thread(
+            target=self._repeat, args=(name, send, arguments)
+        )
+        self._threads.append(thread)
+        thread.start()
+
+    def stop(self) -> None:
+        """Stop and wait for calls in progress."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def all(self) -> list[Reply]:
+        """Collect all replies.
+
+        Returns:
+            The replies of all threads, in no order.
+        """
+        return [reply for own in self.replies.values() for reply in own]
+
+    def _repeat(self, name: str, send: Any, arguments: Any) -> None:
+        while not self._stopped.is_set():
+            self.replies[name].append(send(*arguments))
+            self._stopped.wait(self._pause_s)
+
+
+def probe_key(
+    background: Background, cluster: Cluster, headers: dict[str, str]
+) -> None:
+    """Present a key to every daemon all the time, for requests and jobs.
+
+    Args:
+        background: repeats the calls.
+        cluster: its daemons are called.
+        headers: with the key.
+    """
+    for name, daemon in cluster.daemons.items():
+        background.add(f'{name} request', send_request, daemon, headers)
+        background.add(f'{name} job', send_job, daemon, headers)
+
+
+def last_accepted(background: Background, since: float) -> float:
+    """Compute how long calls were accepted after an instant.
+
+    Args:
+        background: with the replies to 200 and 202 as accepted ones.
+        since: the instant.
+
+    Returns:
+        Seconds from the instant to the last answer that accepted, at least 0.
+    """
+    accepted = [
+        reply.answered
+        for reply in background.all()
+        if reply.status in {200, 202}
+    ]
+    return max(0.0, max(accepted, default=since) - since)
+
+
+def status_of(daemon: Process) -> dict[str, Any]:
+    """Read the status of a daemon.
+
+    Args:
+        daemon: the daemon.
+
+    Returns:
+        The decoded answer.
+    """
+    answer: Answer = daemon.call('GET', '/v1/status', timeout_s=2)
+    found: dict[str, Any] = answer.content
+    return found
+
+
+def heal(cluster: Cluster) -> float:
+    """Undo the faults of the store, and wait until all daemons work.
+
+    Args:
+        cluster: the cluster.
+
+    Returns:
+        How long it took, in seconds.
+    """
+    cluster.store.call(
+        'POST', '/admin/faults', {'mode': 'up', 'refuse_from': []}
+    )
+    return wait_until(
+        lambda: _is_settled(cluster), _SETTLE_S, 'all daemons work'
+    )
+
+
+def _is_settled(cluster: Cluster) -> bool:
+    leaders = cluster.leaders()
+    if len(leaders) < len(cluster.shape.domains):
+        return False
+    for daemon in cluster.daemons.values():
+        status = status_of(daemon)
+        if status['config_version'] != cluster.version:
+            return False
+        if not status['is_fresh'] or status['leaders'] != leaders:
+            return False
+    slots = cluster.shape.executors * cluster.shape.executor_slots
+    return all(
+        status_of(cluster.daemons[name])['services'].get(SERVICE, 0) >= slots
+        for name in leaders.values()
+    )
+
+
+def show(figure: str, measured: float, bound: float, unit: str) -> None:
+    """Print a figure next to its bound.
+
+    Args:
+        figure: what was measured.
+        measured: its value.
+        bound: from the stated target.
+        unit: of both.
+    """
+    print(f'{figure}: {measured:.3f} {unit}, bound {bound:g} {unit}')
