Count bytes and messages of each flow as metrics

The HTTP client and server and the frames of the inner protocol add to plain integers, which a collector reads when the metrics are scraped.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -12,8 +12,7 @@
 from jayshore.config.snapshot import Snapshot
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.settings import Settings
-from jayshore.http.client import Address, HttpClient
-from jayshore.http.messages import Request, Response
+from jayshore.daemon.upstreams import UpstreamConnector
 from jayshore.jobs.admission import Admission
 from jayshore.jobs.attempts import AttemptTable
 from jayshore.jobs.book import JobBook
@@ -33,9 +32,8 @@
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
 from jayshore.jobs.placing import Placer
-from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
+from jayshore.leases.executor import HttpExecutorPort
 from jayshore.leases.leadership import LeadershipObserver
-from jayshore.leases.worker import WorkerLink
 from jayshore.placement.cell import Cell
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
@@ -46,9 +44,6 @@
 from jayshore.routing.policy import RoutingPolicy
 from jayshore.routing.router import Router
 
-_WORKER_CONNECTIONS = 8
-_EXECUTOR_CONNECTIONS = 64
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeatServices:
@@ -65,6 +60,7 @@
         keeper: the configuration.
         events: metrics.
         cut_off: names of the domains of which no leader is heard.
+        upstreams: makes the links to workers and executors.
     """
 
     settings: Settings
@@ -77,6 +73,7 @@
     keeper: ConfigKeeper
     events: JobEvents
     cut_off: Callable[[], frozenset[str]]
+    upstreams: UpstreamConnector
 
 
 class LeaderSeat(LeadershipObserver):
@@ -146,7 +143,9 @@
             domain=settings.domain,
             interval_ms=Millis(settings.timing.list_poll_ms),
             observer=_ListObserver(
-                leader=leader, router=self._router, connect=self._port
+                leader=leader,
+                router=self._router,
+                connect=services.upstreams.executor,
             ),
         )
         await self._tasks.spawn(
@@ -278,7 +277,7 @@
             terms=SessionTerms(
                 epoch=epoch,
                 renew_wait_ms=Millis(timing.renew_wait_ms),
-                connect=self._link,
+                connect=services.upstreams.worker,
                 source=services.source,
             ),
             observer=inventory,
@@ -327,34 +326,6 @@
             task_lease_ms=Millis(settings.timing.task_lease_ms),
         )
 
-    def _link(self, instance: Instance) -> WorkerLink:
-        timing = self._services.settings.timing
-        return WorkerLink(
-            client=HttpClient(
-                address=Address.parse(instance.address),
-                max_connections=_WORKER_CONNECTIONS,
-                connect_timeout_ms=Millis(timing.call_timeout_ms),
-            ),
-            holder=self._services.settings.name,
-            clock=self._services.clock,
-            call_timeout_ms=Millis(timing.call_timeout_ms),
-            task_lease_ms=Millis(timing.task_lease_ms),
-        )
-
-    def _port(self, instance: Instance) -> HttpExecutorPort:
-        timing = self._services.settings.timing
-        return HttpExecutorPort(
-            client=HttpClient(
-                address=Address.parse(instance.address),
-                max_connections=_EXECUTOR_CONNECTIONS,
-                connect_timeout_ms=Millis(timing.call_timeout_ms),
-                keep=_answers_own_request,
-            ),
-            holder=self._services.settings.name,
-            call_timeout_ms=Millis(timing.call_timeout_ms),
-            renew_wait_ms=Millis(timing.renew_wait_ms),
-        )
-
 
 class _ListObserver(FleetObserver):
     """Passes workers on to the leader and executors to the router."""
@@ -390,9 +361,3 @@
             await self._leader.instance_gone(instance)
         else:
             await self._router.remove_executor(instance.id)
-
-
-def _answers_own_request(request: Request, response: Response) -> bool:
-    """Keep a connection only while its answers are in step."""
-    wanted = request.headers.get(REQUEST_ID_HEADER)
-    return response.header(REQUEST_ID_HEADER) == wanted
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -21,6 +21,7 @@
 from jayshore.daemon.signals import wait_for_signal
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
+from jayshore.daemon.upstreams import UpstreamConnector
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import HttpServer
@@ -29,6 +30,7 @@
 from jayshore.platform.httpcalls import PlatformCaller
 from jayshore.platform.httpstore import HttpInstanceList, HttpStore
 from jayshore.platform.settling import WriteSettler
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerAddress, PeerServer, PeerServerLimits
 
@@ -49,12 +51,15 @@
         clock = MonotonicClock()
         wall_clock = WallClock()
         source = random.Random()  # noqa: S311 jitter, not a secret
-        store = HttpStore(caller=_caller(settings, settings.store))
+        self._metrics = Metrics()
+        flow = self._metrics.traffic
+        store = HttpStore(
+            caller=_caller(settings, settings.store, flow('store'))
+        )
         settler = WriteSettler(
             store=store, clock=clock, backoff=Backoff(), source=source
         )
         self._settings = settings
-        self._metrics = Metrics()
         self._keeper = ConfigKeeper(
             name=settings.name,
             store=store,
@@ -76,6 +81,7 @@
             timeout_ms=Millis(timing.call_timeout_ms),
             keeper=self._keeper,
             status=self._status.for_peers,
+            traffic=flow('peer_calls'),
         )
         self._seat = LeaderSeat(
             services=SeatServices(
@@ -86,11 +92,19 @@
                 store=store,
                 settler=settler,
                 instances=HttpInstanceList(
-                    caller=_caller(settings, settings.instance_list)
+                    caller=_caller(
+                        settings, settings.instance_list, flow('instances')
+                    )
                 ),
                 keeper=self._keeper,
                 events=self._metrics,
                 cut_off=self._cut_off,
+                upstreams=UpstreamConnector(
+                    settings=settings,
+                    clock=clock,
+                    workers=flow('workers'),
+                    executors=flow('executors'),
+                ),
             ),
             confirm=self._confirm,
         )
@@ -124,6 +138,7 @@
             ),
             address=_peer_address(settings.peer_listen),
             limits=PeerServerLimits(),
+            traffic=flow('peer_answers'),
         )
         api = Api(
             parts=ApiParts(
@@ -148,6 +163,7 @@
             port=listen.port,
             handler=api,
             bounds=_bounds(settings),
+            traffic=flow('callers'),
         )
 
     async def run(self) -> None:
@@ -233,11 +249,14 @@
         eliot.to_file(sys.stderr)
 
 
-def _caller(settings: Settings, address: str) -> PlatformCaller:
+def _caller(
+    settings: Settings, address: str, traffic: Traffic
+) -> PlatformCaller:
     client = HttpClient(
         address=Address.parse(address),
         max_connections=_PLATFORM_CONNECTIONS,
         connect_timeout_ms=Millis(settings.timing.call_timeout_ms),
+        traffic=traffic,
     )
     return PlatformCaller(
         client=client,
--- a/jayshore/daemon/metrics.py
+++ b/jayshore/daemon/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of one daemon, served as text on its own listener."""
 
+from collections.abc import Iterator
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -7,16 +9,44 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.metrics_core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from jayshore.clock import Millis, to_seconds
 from jayshore.jobs.context import JobEvents
 from jayshore.jobs.record import JobRecord
 from jayshore.outcomes import NotRun, Ran, RequestOutcome, Unknown
+from jayshore.traffic import Traffic
 
 _WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.6, 3, 10, 30, 120, 600)
 _REQUEST_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 5, 30)
 
 
+class _TrafficCollector(Collector):
+    """Reads the counts of all flows when the metrics are scraped."""
+
+    def __init__(self) -> None:
+        self.flows: dict[str, Traffic] = {}
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        octets = CounterMetricFamily(
+            'jayshore_traffic_bytes',
+            'Bytes over the sockets of each flow.',
+            labels=('flow', 'direction'),
+        )
+        messages = CounterMetricFamily(
+            'jayshore_traffic_messages',
+            'Calls sent, or answered by a listener.',
+            labels=('flow',),
+        )
+        for flow, traffic in self.flows.items():
+            octets.add_metric((flow, 'sent'), traffic.sent)
+            octets.add_metric((flow, 'received'), traffic.received)
+            messages.add_metric((flow,), traffic.messages)
+        yield octets
+        yield messages
+
+
 class Metrics(JobEvents):
     """All metrics, in a registry of their own."""
 
@@ -24,6 +54,8 @@
         """Create the metrics."""
         registry = CollectorRegistry()
         self._registry = registry
+        self._traffic = _TrafficCollector()
+        registry.register(self._traffic)
         self._requests = Counter(
             'jayshore_requests',
             'Requests answered, by outcome.',
@@ -82,6 +114,17 @@
             registry=registry,
         )
 
+    def traffic(self, flow: str) -> Traffic:
+        """Make the counters of one flow.
+
+        Args:
+            flow: name of the flow.
+
+        Returns:
+            Counters that the connections of the flow update.
+        """
+        return self._traffic.flows.setdefault(flow, Traffic())
+
     def request_answered(
         self, service: str, outcome: RequestOutcome, took_ms: Millis
     ) -> None:
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -13,6 +13,7 @@
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.client import PeerClient
 from jayshore.wire.errors import WireError
@@ -52,6 +53,7 @@
         timeout_ms: Millis,
         keeper: ConfigKeeper,
         status: Callable[[], msg.DaemonStatus],
+        traffic: Traffic,
     ) -> None:
         """Start without peers.
 
@@ -63,6 +65,7 @@
             timeout_ms: timeout of a call to a peer, in ms.
             keeper: takes the peers' evidence.
             status: what this daemon tells its peers about itself.
+            traffic: counts the bytes to and from peers.
         """
         self._name = name
         self._clock = clock
@@ -71,6 +74,7 @@
         self._timeout_ms = timeout_ms
         self._keeper = keeper
         self._status = status
+        self._traffic = traffic
         self._peers: dict[str, Peer] = {}
 
     async def run(self) -> None:
@@ -180,6 +184,7 @@
             address=PeerAddress(host=address.host, port=address.port),
             clock=self._clock,
             rng=self._source,
+            traffic=self._traffic,
         )
         return Peer(entry=entry, client=client)
 
--- /dev/null
+++ b/jayshore/daemon/upstreams.py
@@ -0,0 +1,91 @@
+"""Connections of a leader to the workers and executors of its domain."""
+
+from jayshore.clock import Clock, Millis
+from jayshore.daemon.settings import Settings
+from jayshore.http.client import Address, HttpClient
+from jayshore.http.messages import Request, Response
+from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
+from jayshore.leases.worker import WorkerLink
+from jayshore.platform.instances import Instance
+from jayshore.traffic import Traffic
+
+_WORKER_CONNECTIONS = 8
+_EXECUTOR_CONNECTIONS = 64
+
+
+class UpstreamConnector:
+    """Makes the links to the upstreams of a domain."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        workers: Traffic,
+        executors: Traffic,
+    ) -> None:
+        """Prepare; nothing is sent.
+
+        Args:
+            settings: of the daemon.
+            clock: monotonic time.
+            workers: counts the bytes to and from workers.
+            executors: counts the bytes to and from executors.
+        """
+        self._holder = settings.name
+        self._timing = settings.timing
+        self._clock = clock
+        self._workers = workers
+        self._executors = executors
+
+    def worker(self, instance: Instance) -> WorkerLink:
+        """Make the link to a worker.
+
+        Args:
+            instance: its entry on the platform's list.
+
+        Returns:
+            The link, which connects when it is used.
+        """
+        timing = self._timing
+        return WorkerLink(
+            client=HttpClient(
+                address=Address.parse(instance.address),
+                max_connections=_WORKER_CONNECTIONS,
+                connect_timeout_ms=Millis(timing.call_timeout_ms),
+                traffic=self._workers,
+            ),
+            holder=self._holder,
+            clock=self._clock,
+            call_timeout_ms=Millis(timing.call_timeout_ms),
+            task_lease_ms=Millis(timing.task_lease_ms),
+        )
+
+    def executor(self, instance: Instance) -> HttpExecutorPort:
+        """Make the link to an executor.
+
+        Args:
+            instance: its entry on the platform's list.
+
+        Returns:
+            The link, which connects when it is used.
+        """
+        timing = self._timing
+        return HttpExecutorPort(
+            client=HttpClient(
+                address=Address.parse(instance.address),
+                max_connections=_EXECUTOR_CONNECTIONS,
+                connect_timeout_ms=Millis(timing.call_timeout_ms),
+                keep=_answers_own_request,
+                traffic=self._executors,
+            ),
+            holder=self._holder,
+            call_timeout_ms=Millis(timing.call_timeout_ms),
+            renew_wait_ms=Millis(timing.renew_wait_ms),
+        )
+
+
+def _answers_own_request(request: Request, response: Response) -> bool:
+    """Keep a connection only while its answers are in step."""
+    wanted = request.headers.get(REQUEST_ID_HEADER)
+    return response.header(REQUEST_ID_HEADER) == wanted
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -26,6 +26,7 @@
 )
 from jayshore.http.messages import Request, Response
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 
 __all__ = (  # noqa: WPS410
     'Address',
@@ -97,6 +98,7 @@
         max_connections: int,
         connect_timeout_ms: Millis,
         keep: Callable[[Request, Response], bool] = keep_always,
+        traffic: Traffic | None = None,
     ) -> None:
         """Configure a client; it connects when it is called.
 
@@ -107,6 +109,7 @@
             keep: decides after each answer whether its connection may be
                 used again; False closes it, for instance when the answer
                 belongs to another request.
+            traffic: counts the bytes and calls, shared by several clients.
         """
         self._address = address
         self._connect_timeout_ms = connect_timeout_ms
@@ -115,6 +118,7 @@
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[ClientConnection] = []
         self._closed = False
+        self._traffic = traffic or Traffic()
         self._host = str(address).encode('ascii')
 
     @property
@@ -210,7 +214,7 @@
         except BaseException:
             await sock.close()
             raise
-        return ClientConnection(sock=sock)
+        return ClientConnection(sock=sock, traffic=self._traffic)
 
     async def _connect(self, sock: Any, limit_ms: Millis) -> None:
         try:
--- a/jayshore/http/clientconnection.py
+++ b/jayshore/http/clientconnection.py
@@ -17,6 +17,7 @@
 )
 from jayshore.http.messages import Request, Response
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 
 MAX_ANSWER_BYTES = 67_108_864
 """Bound on the body of an answer, so that no upstream can exhaust memory."""
@@ -65,15 +66,17 @@
         reusable: True when the last answer left the connection usable.
     """
 
-    def __init__(self, *, sock: Any) -> None:
+    def __init__(self, *, sock: Any, traffic: Traffic) -> None:
         """Take over a connected socket.
 
         Args:
             sock: a curio socket.
+            traffic: counts the bytes.
         """
         self.pooled = False
         self.reusable = False
         self._sock = sock
+        self._traffic = traffic
         self._clock = MonotonicClock()
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
@@ -99,6 +102,8 @@
             sent = sockets.send_ready(self._sock, message)
         except OSError as error:
             raise NothingSent(str(error)) from None
+        self._traffic.sent += len(message)
+        self._traffic.messages += 1
         try:
             return await self._finish(message, sent, outgoing.deadline)
         except sockets.WaitExpired:
@@ -171,6 +176,7 @@
 
     async def _feed(self, deadline: Millis) -> None:
         chunk = await sockets.receive(self._sock, self._remaining(deadline))
+        self._traffic.received += len(chunk)
         self._http.receive_data(chunk)
 
     def _remaining(self, deadline: Millis) -> Millis:
--- a/jayshore/http/loopback_test.py
+++ b/jayshore/http/loopback_test.py
@@ -9,6 +9,7 @@
 from jayshore.http import messages
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.server import Bounds, Handler, HttpServer
+from jayshore.traffic import Traffic
 
 
 BOUNDS = Bounds(
@@ -112,3 +113,19 @@
         await client.close()
 
     run(main)
+
+
+def test_traffic_is_counted_on_both_sides():
+    """Guards against capacity figures that miss a direction or a message."""
+    counted = Traffic()
+
+    async def main(server, _handler):
+        client = client_of(server, traffic=counted)
+        for body in (b'', b'x' * 1000):
+            await client.call(post('/a', body), timeout_ms=Millis(1000))
+        await client.close()
+
+    run(main)
+    assert counted.messages == 2
+    assert 1000 < counted.sent < 1400
+    assert 1000 < counted.received < 1400
--- a/jayshore/http/requestreader.py
+++ b/jayshore/http/requestreader.py
@@ -12,6 +12,7 @@
 from jayshore.http.headers import decode_headers
 from jayshore.http.messages import ErrorKind, Request, error_response
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_BODY_TOO_LARGE = 413
@@ -72,7 +73,12 @@
     """
 
     def __init__(
-        self, *, sock: Any, connection: h11.Connection, bounds: Bounds
+        self,
+        *,
+        sock: Any,
+        connection: h11.Connection,
+        bounds: Bounds,
+        traffic: Traffic,
     ) -> None:
         """Read from a connection.
 
@@ -80,11 +86,13 @@
             sock: a curio socket.
             connection: the protocol state of the server's side.
             bounds: what the caller may cost.
+            traffic: counts the bytes.
         """
         self.idle = True
         self._sock = sock
         self._http = connection
         self._bounds = bounds
+        self._traffic = traffic
         self._clock = MonotonicClock()
         self._head_bytes = 0
 
@@ -147,6 +155,7 @@
             raise CallerGone('no further request') from None
         self.idle = False
         self._head_bytes = len(chunk)
+        self._traffic.received += len(chunk)
         self._http.receive_data(chunk)
 
     async def _feed(self, deadline: int, kind: ErrorKind, slow: str) -> None:
@@ -156,6 +165,7 @@
         except sockets.WaitExpired:
             raise BadRequest(_STATUS_REQUEST_TIMEOUT, kind, slow) from None
         self._head_bytes += len(chunk)
+        self._traffic.received += len(chunk)
         self._http.receive_data(chunk)
 
     async def _read_body(self, declared_length: str | None) -> bytes:
--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -15,6 +15,7 @@
 from jayshore.http.requestreader import Bounds
 from jayshore.http.serverconnection import Handler, ServerConnection
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 
 __all__ = ('Bounds', 'Handler', 'HttpServer', 'NotListening')  # noqa: WPS410
 
@@ -42,7 +43,13 @@
     """Serves one handler on one address."""
 
     def __init__(
-        self, *, host: str, port: int, handler: Handler, bounds: Bounds
+        self,
+        *,
+        host: str,
+        port: int,
+        handler: Handler,
+        bounds: Bounds,
+        traffic: Traffic | None = None,
     ) -> None:
         """Configure a server; it listens only from `listen` or `serve` on.
 
@@ -51,10 +58,12 @@
             port: port to bind, 0 for any free one.
             handler: answers the requests.
             bounds: what callers may cost.
+            traffic: counts the bytes and answers.
         """
         self._address = (host, port)
         self._handler = handler
         self._bounds = bounds
+        self._traffic = traffic or Traffic()
         self._listener: Any = None
         self._acceptor: Any = None
         self._stopped = curio.Event()
@@ -136,7 +145,10 @@
 
     async def _start_connection(self, sock: Any) -> None:
         connection = ServerConnection(
-            sock=sock, handler=self._handler, bounds=self._bounds
+            sock=sock,
+            handler=self._handler,
+            bounds=self._bounds,
+            traffic=self._traffic,
         )
         connection.draining = self._draining
         if len(self._tasks) < self._bounds.max_connections:
--- a/jayshore/http/serverconnection.py
+++ b/jayshore/http/serverconnection.py
@@ -30,6 +30,7 @@
     RequestReader,
 )
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 
 # After an answer that ends a connection, the rest of what the caller sent is
 # read and discarded for a moment: closing with unread bytes makes the kernel
@@ -71,23 +72,30 @@
         draining: True when the connection closes after the next answer.
     """
 
-    def __init__(self, *, sock: Any, handler: Handler, bounds: Bounds) -> None:
+    def __init__(
+        self, *, sock: Any, handler: Handler, bounds: Bounds, traffic: Traffic
+    ) -> None:
         """Take over an accepted connection.
 
         Args:
             sock: a curio socket.
             handler: answers the requests.
             bounds: what the caller may cost.
+            traffic: counts the bytes and answers.
         """
         self.draining = False
         self._sock = sock
         self._handler = handler
         self._bounds = bounds
+        self._traffic = traffic
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=bounds.max_header_bytes
         )
         self._reader = RequestReader(
-            sock=sock, connection=self._http, bounds=bounds
+            sock=sock,
+            connection=self._http,
+            bounds=bounds,
+            traffic=traffic,
         )
 
     async def run(self) -> None:
@@ -157,6 +165,8 @@
             head = self._response_head(answer)
         body = b'' if method == 'HEAD' else answer.body
         message = encode_message(self._http, head, body)
+        self._traffic.sent += len(message)
+        self._traffic.messages += 1
         await sockets.send(self._sock, message, self._bounds.write_timeout_ms)
 
     def _response_head(self, answer: Response) -> h11.Response:
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -8,6 +8,7 @@
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.retry import Backoff
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
 from jayshore.wire.errors import (
@@ -110,6 +111,7 @@
         clock: Clock,
         rng: random.Random,
         max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES,
+        traffic: Traffic | None = None,
     ) -> None:
         """Prepare to connect.
 
@@ -118,11 +120,13 @@
             clock: measures the backoff.
             rng: source of the jitter.
             max_frame_bytes: limit for a frame in either direction.
+            traffic: counts bytes and frames, shared by several clients.
         """
         self._address = address
         self._clock = clock
         self._rng = rng
         self._max_frame_bytes = max_frame_bytes
+        self._traffic = traffic or Traffic()
         self._connection: _Connection | None = None
         self._connecting = curio.Lock()
         self._failures = 0
@@ -294,6 +298,7 @@
             stream=FrameStream(
                 sock=sock,
                 max_frame_bytes=self._max_frame_bytes,
+                traffic=self._traffic,
             ),
         )
         await connection.start()
--- a/jayshore/wire/framing.py
+++ b/jayshore/wire/framing.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from jayshore.traffic import Traffic
 from jayshore.wire.errors import (
     FrameNotSentError,
     FrameTooLargeError,
@@ -29,12 +30,19 @@
     One task reads; any number of tasks write.
     """
 
-    def __init__(self, *, sock: Any, max_frame_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        sock: Any,
+        max_frame_bytes: int,
+        traffic: Traffic | None = None,
+    ) -> None:
         """Take over a connected socket.
 
         Args:
             sock: a curio socket.
             max_frame_bytes: limit for a frame in either direction.
+            traffic: counts the bytes and the frames that were written.
         """
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
@@ -42,6 +50,7 @@
         self._max_frame_bytes = max_frame_bytes
         self._write_lock = curio.Lock()
         self._broken = False
+        self._traffic = traffic or Traffic()
 
     async def read(self) -> bytes:
         """Read the next frame.
@@ -60,6 +69,7 @@
             frame: bytes = await self._reader.read_exactly(length)
         except (OSError, EOFError) as error:
             raise StreamBrokenError('the connection ended') from error
+        self._traffic.received += _PREFIX.size + length
         return frame
 
     async def write(
@@ -95,6 +105,8 @@
             finally:
                 if unsent:
                     self._shut_down()
+            self._traffic.sent += _PREFIX.size + len(frame)
+            self._traffic.messages += 1
             if on_sent is not None:
                 on_sent()
             self._broken = False
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -10,6 +10,7 @@
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis, to_seconds  # noqa: WPS347
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
 from jayshore.wire.errors import (
@@ -107,6 +108,7 @@
         handler: PeerHandler,
         address: PeerAddress,
         limits: PeerServerLimits,
+        traffic: Traffic | None = None,
     ) -> None:
         """Prepare to listen.
 
@@ -114,10 +116,12 @@
             handler: answers the calls.
             address: where to listen.
             limits: bounds of frames, calls and times.
+            traffic: counts bytes and frames.
         """
         self._handler = handler
         self._address = address
         self._limits = limits
+        self._traffic = traffic or Traffic()
         self._listener: Any = None
         self._tasks = BackgroundTasks()
         self._calls_running = 0
@@ -163,6 +167,7 @@
             stream = FrameStream(
                 sock=sock,
                 max_frame_bytes=self._limits.max_frame_bytes,
+                traffic=self._traffic,
             )
             await self._tasks.spawn(self._serve(stream))
 
