--- a/bench/slopes_test.py
+++ b/bench/slopes_test.py
@@ -13,9 +13,7 @@
         ((0, 3, 0), 1, 0, 2),
     ],
 )
-def test_fit_reports_the_line_and_its_worst_distance(
-    found, base, slope, residual
-):
+def test_fit_gives_line_and_residual(found, base, slope, residual):
     """Guards against a swapped slope and base, and a hidden bad fit."""
     line = fit((0, 1, 2), found)
     assert (line.base, line.slope, line.residual) == (base, slope, residual)
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -19,6 +19,7 @@
 from jayshore.daemon.routes import RequestRoutes
 from jayshore.daemon.settings import Settings, SettingsError, load_settings
 from jayshore.daemon.signals import wait_for_signal
+from jayshore.daemon.slo import EventFanout, SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
 from jayshore.daemon.upstreams import UpstreamConnector
@@ -67,6 +68,9 @@
             clock=clock,
             freshness_ms=Millis(timing.freshness_ms),
         )
+        slo = SloCounts(
+            wall_clock=wall_clock, snapshot=lambda: self._keeper.snapshot
+        )
         self._status = StatusReporter(
             settings=settings,
             clock=clock,
@@ -97,7 +101,7 @@
                     )
                 ),
                 keeper=self._keeper,
-                events=self._metrics,
+                events=EventFanout(observers=(self._metrics, slo)),
                 cut_off=self._cut_off,
                 upstreams=UpstreamConnector(
                     settings=settings,
@@ -135,6 +139,7 @@
                 seat=self._seat,
                 desk=desk,
                 clock=clock,
+                slo=slo,
             ),
             address=_peer_address(settings.peer_listen),
             limits=PeerServerLimits(),
@@ -155,6 +160,7 @@
                 desk=desk,
                 status=self._status,
                 metrics=self._metrics,
+                slo=slo,
             )
         )
         listen = Address.parse(settings.listen)
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -6,7 +6,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.model import Queue
 from jayshore.daemon.access import Access, Granted, NotFresh
-from jayshore.daemon.answers import job_view
+from jayshore.daemon.answers import JobView, job_view
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import Peer, PeerGroup
@@ -19,15 +19,17 @@
     hash_ticket,
     prepare,
     record_job,
+    store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
 from jayshore.jobs.record import (
     JobRecord,
+    JobState,
     decode_record,
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import NotOwner
+from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
@@ -92,6 +94,10 @@
         Returns:
             Accepted when it is recorded in the store.
         """
+        if not self._keeper.is_store_reachable and isinstance(access, Granted):
+            # A write whose answer fails to come may still be applied, so a
+            # refusal is certain only when nothing is sent.
+            return store_unavailable('the last read of the store failed')
         if isinstance(access, NotFresh):
             return Refused(
                 reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
@@ -165,7 +171,7 @@
             if not _may_see(record, access):
                 return None
             if record.is_final or not remaining:
-                return encode_json(job_view(record))
+                return encode_json(self._view(record))
             await curio.sleep(to_seconds(min(_POLL_MS, remaining)))
 
     async def find_held(
@@ -189,7 +195,7 @@
         record = book.find(job_id)
         if record is None or not _may_see(record, access):
             return None
-        return encode_json(job_view(record))
+        return encode_json(self._view(record))
 
     async def cancel(self, job_id: str, team: str) -> msg.CancelResult:
         """Cancel a job through its leader.
@@ -237,9 +243,11 @@
             return msg.CancelResult.FINISHED
         try:
             record = await leader.parts.admission.cancel(job_id)
-        except NotOwner:
+        except JobOverError:
+            return msg.CancelResult.FINISHED
+        except TransitionError:
             return msg.CancelResult.UNKNOWN
-        if record.is_cancelling:
+        if record.is_cancelling or record.state is JobState.CANCELLED:
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
@@ -264,6 +272,13 @@
             return None
         return reply.outcome
 
+    def _view(self, record: JobRecord) -> JobView:
+        leader = self._seat.leader
+        is_running = leader is not None and leader.parts.attempts.is_running(
+            record
+        )
+        return job_view(record, is_running=is_running)
+
     def _refuse(self, record: JobRecord) -> Refused | None:
         """Refuse what can never run and what waits in too great numbers."""
         leader = self._seat.leader
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -186,15 +186,6 @@
         """Have a job accepted; see `call` for the errors."""
         return await self.call(call, msg.SubmitJobReply, timeout_ms=timeout_ms)
 
-    async def job_notice(
-        self,
-        call: msg.JobNotice,
-        *,
-        timeout_ms: Millis,
-    ) -> msg.JobNoticeReply:
-        """Announce a changed job record; see `call` for the errors."""
-        return await self.call(call, msg.JobNoticeReply, timeout_ms=timeout_ms)
-
     async def job_query(
         self,
         call: msg.JobQuery,
@@ -204,6 +195,15 @@
         """Ask for the state of a job; see `call` for the errors."""
         return await self.call(call, msg.JobQueryReply, timeout_ms=timeout_ms)
 
+    async def slo_query(
+        self,
+        call: msg.SloQuery,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.SloReply:
+        """Ask for service-level samples; see `call` for the errors."""
+        return await self.call(call, msg.SloReply, timeout_ms=timeout_ms)
+
     async def cancel_job(
         self,
         call: msg.CancelJob,
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -286,8 +286,6 @@
             lambda call: {'record': call.record, 'ticket': call.ticket},
         ),
         msg.SubmitJobReply: ('submitJobReply', _encode_submitted),
-        msg.JobNotice: ('jobNotice', lambda call: {'jobId': call.job_id}),
-        msg.JobNoticeReply: ('jobNoticeReply', lambda _: None),
         msg.JobQuery: ('jobQuery', _encode_query),
         msg.JobQueryReply: ('jobQueryReply', _encode_query_reply),
         msg.CancelJob: (
@@ -298,6 +296,11 @@
             'cancelJobReply',
             lambda reply: {'result': reply.result.value},
         ),
+        msg.SloQuery: ('sloQuery', lambda _: None),
+        msg.SloReply: (
+            'sloReply',
+            lambda reply: {'document': reply.document},
+        ),
         msg.CallFailed: ('callFailed', lambda reply: {'detail': reply.detail}),
     }
 )
@@ -331,8 +334,6 @@
             record=reader.record, ticket=reader.ticket
         ),
         'submitJobReply': _decode_submitted,
-        'jobNotice': lambda reader: msg.JobNotice(job_id=reader.jobId),
-        'jobNoticeReply': lambda _: msg.JobNoticeReply(),
         'jobQuery': _decode_query,
         'jobQueryReply': _decode_query_reply,
         'cancelJob': lambda reader: msg.CancelJob(
@@ -342,6 +343,8 @@
         'cancelJobReply': lambda reader: msg.CancelJobReply(
             result=msg.CancelResult(str(reader.result)),
         ),
+        'sloQuery': lambda _: msg.SloQuery(),
+        'sloReply': lambda reader: msg.SloReply(document=reader.document),
         'callFailed': lambda reader: msg.CallFailed(detail=reader.detail),
     }
 )
