--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -16,6 +16,7 @@
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
 from jayshore.report.samples import SloSnapshot
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.client import PeerClient
 from jayshore.wire.errors import WireError
@@ -74,6 +75,7 @@
         timeout_ms: Millis,
         keeper: ConfigKeeper,
         status: Callable[[], msg.DaemonStatus],
+        traffic: Traffic,
     ) -> None:
         """Start without peers.
 
@@ -85,6 +87,7 @@
             timeout_ms: timeout of a call to a peer, in ms.
             keeper: takes the peers' evidence.
             status: what this daemon tells its peers about itself.
+            traffic: counts the bytes to and from peers.
         """
         self._name = name
         self._clock = clock
@@ -93,6 +96,7 @@
         self._timeout_ms = timeout_ms
         self._keeper = keeper
         self._status = status
+        self._traffic = traffic
         self._peers: dict[str, Peer] = {}
 
     async def run(self) -> None:
@@ -235,6 +239,7 @@
             address=PeerAddress(host=address.host, port=address.port),
             clock=self._clock,
             rng=self._source,
+            traffic=self._traffic,
         )
         return Peer(entry=entry, client=client)
 
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -269,7 +269,9 @@
         now = self._context.clock.now()
         placed = []
         for chosen in decision.assignments:
-            attempt = self._find(chosen.task_id)
+            attempt = self._attempts.find(
+                task_name(chosen.task_id.job_id, chosen.task_id.index)
+            )
             record = self._book.find(chosen.task_id.job_id)
             if attempt is None or record is None:
                 self._cell.withdraw(chosen.task_id)
@@ -361,7 +363,9 @@
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
-            attempt = self._find(task_id)
+            attempt = self._attempts.find(
+                task_name(task_id.job_id, task_id.index)
+            )
             if attempt is not None:
                 await self.stop(attempt, checkpoint=decision.checkpoint_first)
 
@@ -369,9 +373,6 @@
         sessions = self._fleet.sessions if self._fleet else {}
         return sessions.get(worker.worker_id)
 
-    def _find(self, task_id: TaskId) -> Attempt | None:
-        return self._attempts.find(task_name(task_id.job_id, task_id.index))
-
     def _apply_shares(self) -> None:
         """Hand the shares of a new configuration to the cell."""
         snapshot = self._context.snapshot()
