Keep one definition of backoff

Cause: jayshore.platform.backoff and jayshore.retry held the same rule twice. Change: the platform and worker calls use jayshore.retry; the test of the removed copy goes, as retry_test checks the same bounds and jitter on the one that stays.

--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -27,10 +27,10 @@
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import HttpServer
 from jayshore.leases.leadership import Leadership
-from jayshore.platform.backoff import Backoff
 from jayshore.platform.httpcalls import PlatformCaller
 from jayshore.platform.httpstore import HttpInstanceList, HttpStore
 from jayshore.platform.settling import WriteSettler
+from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerAddress, PeerServer, PeerServerLimits
@@ -58,7 +58,10 @@
             caller=_caller(settings, settings.store, flow('store'))
         )
         settler = WriteSettler(
-            store=store, clock=clock, backoff=Backoff(), source=source
+            store=store,
+            clock=clock,
+            backoff=PLATFORM_BACKOFF,
+            source=source,
         )
         self._settings = settings
         self._keeper = ConfigKeeper(
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -26,7 +26,6 @@
 )
 from jayshore.placement.tasks import (
     RunningTask,
-    TaskId,
     WorkerView,
 )
 from jayshore.resources import Resources
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -20,7 +20,7 @@
     UpstreamUnreachable,
     WorkerLink,
 )
-from jayshore.platform.backoff import Backoff
+from jayshore.retry import PLATFORM_BACKOFF
 
 
 class WorkerObserver(abc.ABC):
@@ -89,7 +89,6 @@
         self._observer = observer
         self._renew_wait_ms = renew_wait_ms
         self._source = source
-        self._backoff = Backoff()
         self._opening = curio.Lock()
         self._lease_id = 0
         self._acknowledged: list[AttemptName] = []
@@ -130,7 +129,9 @@
             except UpstreamError as error:
                 failures += 1
                 await self._note_lost(error)
-                pause = self._backoff.pause(failures, self._source)
+                pause = PLATFORM_BACKOFF.delay(
+                    attempt=failures, rng=self._source
+                )
                 await curio.sleep(to_seconds(pause))
 
     async def start(self, order: StartOrder) -> StartResult:
--- a/jayshore/platform/platform_test.py
+++ b/jayshore/platform/platform_test.py
@@ -10,7 +10,6 @@
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.messages import Request, encode_json
 from jayshore.http.server import Bounds, HttpServer
-from jayshore.platform.backoff import Backoff
 from jayshore.platform.httpcalls import PlatformCaller
 from jayshore.platform.httpstore import HttpInstanceList, HttpStore
 from jayshore.platform.instances import InstanceKind, InstanceState
@@ -31,6 +30,7 @@
     StoreUncertain,
     Written,
 )
+from jayshore.retry import Backoff
 from standins.store import StoreSettings, StoreStandIn
 
 TIMEOUT_MS = Millis(200)
@@ -54,7 +54,7 @@
         self.settler = WriteSettler(
             store=self.store,
             clock=MonotonicClock(),
-            backoff=Backoff(first_ms=Millis(1), longest_ms=Millis(4)),
+            backoff=Backoff(base_ms=Millis(1), max_ms=Millis(4)),
             source=random.Random(SEED),
         )
 
@@ -290,7 +290,7 @@
     settler = WriteSettler(
         store=store,
         clock=ManualClock(),
-        backoff=Backoff(first_ms=Millis(0)),
+        backoff=Backoff(base_ms=Millis(0), max_ms=Millis(0)),
         source=random.Random(SEED),
     )
     write = Write(key='a', value=OURS, expect_revision=expected)
@@ -353,13 +353,3 @@
 def test_write_id_is_read(value, write_id):
     """Guards against failures on values of other writers."""
     assert read_write_id(value) == write_id
-
-
-def test_backoff_is_bounded():
-    """Guards against pauses beyond the bound, and synchronous retries."""
-    source = random.Random(SEED)
-    backoff = Backoff(first_ms=Millis(10), longest_ms=Millis(100))
-    for failures, bound in ((1, 10), (2, 20), (5, 100), (10_000, 100)):
-        pauses = {backoff.pause(failures, source) for _ in range(200)}
-        assert len(pauses) > 5
-        assert max(pauses) <= bound
--- a/jayshore/platform/settling.py
+++ b/jayshore/platform/settling.py
@@ -18,7 +18,6 @@
     to_seconds,
 )
 from jayshore.outcomes import JayshoreError
-from jayshore.platform.backoff import Backoff
 from jayshore.platform.store import (
     Conflict,
     Entry,
@@ -28,6 +27,7 @@
     StoreUncertain,
     Written,
 )
+from jayshore.retry import Backoff
 
 _WRITE_ID_BYTES = 12
 
@@ -126,7 +126,7 @@
                 raise StoreUncertain(
                     f'{write.key}: not settled within {limit_ms} ms'
                 )
-            pause = self._backoff.pause(failures, self._source)
+            pause = self._backoff.delay(attempt=failures, rng=self._source)
             await curio.sleep(to_seconds(pause))
             failures += 1
             result = await self._try_settle(write)
--- a/jayshore/retry.py
+++ b/jayshore/retry.py
@@ -44,6 +44,10 @@
         return Millis(rng.randint(self.base_ms, max(self.base_ms, ceiling)))
 
 
+PLATFORM_BACKOFF: Final = Backoff(base_ms=Millis(50), max_ms=Millis(1000))
+"""Pause before the store or a worker is called again after a failure."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RetryRatio:
     """How many retries are allowed.
