End every wait for a record when a leadership ends

Cause: a deposed leader's writer was cancelled while a caller waited for it, so the caller waited for ever; requests that were running lost their answers. Change: the writer refuses what waits when it is cancelled; a deposed leader's router is drained in the background. Measured: book_test fails without the change (TaskTimeout after 1 s) and passes with it.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -102,6 +102,7 @@
         self._router: Router | None = None
         self._tasks = BackgroundTasks()
         self._superseded = curio.Event()
+        self._retire_ms = Millis(services.settings.limits.max_request_ms)
 
     @property
     def epoch(self) -> int:
@@ -170,7 +171,7 @@
         self._router = None
         await self._tasks.close()
         if router is not None:
-            await router.close()
+            await curio.spawn(_retire, router, self._retire_ms, daemon=True)
 
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
@@ -349,6 +350,13 @@
         )
 
 
+async def _retire(router: Router, limit_ms: Millis) -> None:
+    """Let the requests that are running end, then stop."""
+    async with curio.ignore_after(to_seconds(limit_ms)):
+        await router.drain()
+    await router.close()
+
+
 class _ListObserver(FleetObserver):
     """Passes workers on to the leader and executors to the router."""
 
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -207,20 +207,30 @@
         return record
 
     async def _write_changes(self, held: _Held) -> None:
-        await curio.sleep(to_seconds(self._flush_ms))
-        while held.waiting:
-            batch = held.waiting
-            held.waiting = []
-            try:
-                await self._write_batch(held, batch)
-            except NotOwnerError as error:
-                _refuse(batch, error)
-            for change in batch:
-                await change.done.set()
+        batch: list[_Change] = []
+        try:
+            await curio.sleep(to_seconds(self._flush_ms))
+            while held.waiting:
+                batch = held.waiting
+                held.waiting = []
+                await self._write_or_refuse(held, batch)
+        except curio.CancelledError:
+            # This leadership has ended; whoever waits must not wait for ever.
+            left = [*batch, *held.waiting]
+            _refuse(left, NotOwnerError(held.record.job_id))
+            await _announce(left)
+            raise
         held.is_writing = False
         if held.record.is_final:
             await held.ended.set()
 
+    async def _write_or_refuse(self, held: _Held, batch: list[_Change]) -> None:
+        try:
+            await self._write_batch(held, batch)
+        except NotOwnerError as error:
+            _refuse(batch, error)
+        await _announce(batch)
+
     async def _write_batch(self, held: _Held, batch: list[_Change]) -> None:
         write_id = new_write_id()
         while True:
@@ -292,6 +302,11 @@
     return record == dataclasses.replace(before, write_id=record.write_id)
 
 
+async def _announce(batch: list[_Change]) -> None:
+    for change in batch:
+        await change.done.set()
+
+
 def _refuse(batch: list[_Change], refusal: TransitionError) -> None:
     for change in batch:
         change.refusal = refusal
--- /dev/null
+++ b/jayshore/jobs/book_test.py
@@ -0,0 +1,137 @@
+"""Tests of the book of job records."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis
+from jayshore.jobs.book import JobBook
+from jayshore.jobs.record import (
+    JobKind,
+    JobSpec,
+    encode_record,
+    job_key,
+    new_record,
+)
+from jayshore.jobs.transitions import NotOwnerError
+from jayshore.platform.store import Conflict, Entry, Listing, Written
+from jayshore.resources import Resources
+
+
+class FakeStore:
+    """One record; the list of keys is enough for the book."""
+
+    def __init__(self, record):
+        self.entry = Entry(
+            key=job_key(record.job_id),
+            value=encode_record(record),
+            revision=1,
+        )
+        self.writes = 0
+
+    async def list(self, prefix, *, since=0):
+        return Listing(revision=self.entry.revision, entries=(self.entry,))
+
+    async def get(self, key):
+        return self.entry
+
+
+class FakeSettler:
+    """Writes to the fake store, or never answers."""
+
+    def __init__(self, store, *, answers=True):
+        self.store = store
+        self.answers = answers
+
+    async def settle_write(self, write, *, limit_ms):
+        if not self.answers:
+            await curio.sleep(3600)
+        if write.expect_revision != self.store.entry.revision:
+            return Conflict(revision=self.store.entry.revision)
+        self.store.writes += 1
+        self.store.entry = Entry(
+            key=write.key,
+            value=write.value,
+            revision=write.expect_revision + 1,
+        )
+        return Written(revision=self.store.entry.revision)
+
+
+def record():
+    """Make a record with two tasks."""
+    return new_record(
+        JobSpec(
+            job_id='j',
+            team='t',
+            key_id='k',
+            queue='q',
+            kind=JobKind.BATCH,
+            task_count=2,
+            demand=Resources(cpu_millis=1),
+            payload='{}',
+            idempotent=True,
+            domain='north',
+            ticket_hash='h',
+            accepted_at_ms=0,
+        ),
+        write_id='w0',
+    )
+
+
+def make_book(store, settler, tasks):
+    """Make a book of one domain."""
+    return JobBook(
+        store=store,
+        settler=settler,
+        domain='north',
+        epoch=5,
+        write_limit_ms=Millis(100),
+        flush_ms=Millis(1),
+        tasks=tasks,
+    )
+
+
+def with_payload(text):
+    """Make a transition that changes one field."""
+
+    def transition(current):
+        return dataclasses.replace(current, payload=current.payload + text)
+
+    return transition
+
+
+def test_changes_of_one_job_are_written_together():
+    """Guards against one store write for each task."""
+
+    async def main():
+        store = FakeStore(record())
+        tasks = BackgroundTasks()
+        book = make_book(store, FakeSettler(store), tasks)
+        await book.read_changes()
+        async with curio.TaskGroup(wait=all) as group:
+            for text in 'abc':
+                await group.spawn(book.change('j', with_payload(text)))
+        assert store.writes == 1
+        assert sorted(book.find('j').payload) == sorted('{}abc')
+
+    curio.run(main)
+
+
+def test_end_of_the_leadership_ends_every_wait():
+    """Guards against callers that wait for a write nobody makes any more."""
+
+    async def main():
+        store = FakeStore(record())
+        tasks = BackgroundTasks()
+        book = make_book(store, FakeSettler(store, answers=False), tasks)
+        await book.read_changes()
+        waiting = await curio.spawn(book.change, 'j', with_payload('a'))
+        await curio.sleep(0.02)
+        await tasks.close()
+        with pytest.raises(curio.TaskError) as failure:
+            await curio.timeout_after(1, waiting.join)
+        assert isinstance(failure.value.__cause__, NotOwnerError)
+
+    curio.run(main)
