Run a job in another domain when it can never fit in its own

Cause: a job was refused although another failure domain could run it. Change: the entry daemon asks the leaders of the other domains, with the same job id, so that it is recorded in one domain only. Measured: tests/domains_test.py passes: four daemons of two domains, a task of 48 cores ran on the one worker that holds it; 65 cores are refused with the resource named.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -267,6 +267,18 @@
         self._instances = kept
         self.store.call('PUT', '/admin/instances', {'instances': kept})
 
+    def add_worker(self, name: str, domain: str, worker: Process) -> None:
+        """Add a worker to the platform's list.
+
+        Args:
+            name: its instance id, which ends in a digit.
+            domain: its failure domain.
+            worker: the started stand-in.
+        """
+        self.workers[name] = worker
+        self._list(name, 'worker', domain, worker.address)
+        self.list_instances({})
+
     def submit(
         self, team: str, job: dict[str, Any], *, through: str | None = None
     ) -> Answer:
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -117,10 +117,15 @@
         )
         if isinstance(prepared, Refused):
             return prepared
-        peer = self._peers.leader_of(self._settings.domain)
-        if self._seat.leader is None and peer is not None:
-            return await self._submit_to(peer, prepared)
-        return await self.accept(prepared)
+        outcome = await self._submit_here(prepared)
+        for domain in self._other_domains():
+            peer = self._peers.leader_of(domain)
+            if not _never_fits(outcome) or peer is None:
+                continue
+            outcome = await self._submit_to(
+                peer, prepared.in_domain(domain), is_foreign=True
+            )
+        return outcome
 
     async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
         """Record a job whose key was checked, here or by a peer.
@@ -250,8 +255,22 @@
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
+    async def _submit_here(self, prepared: PreparedJob) -> SubmitOutcome:
+        """Submit to the leader of the own domain."""
+        peer = self._peers.leader_of(self._settings.domain)
+        if self._seat.leader is None and peer is not None:
+            return await self._submit_to(peer, prepared)
+        return await self.accept(prepared)
+
+    def _other_domains(self) -> list[str]:
+        return [
+            domain.name
+            for domain in self._keeper.snapshot.document.domains
+            if domain.name != self._settings.domain
+        ]
+
     async def _submit_to(
-        self, peer: Peer, prepared: PreparedJob
+        self, peer: Peer, prepared: PreparedJob, *, is_foreign: bool = False
     ) -> SubmitOutcome:
         """Have the leader accept a job; record it here when no answer comes.
 
@@ -268,6 +287,12 @@
                 call, timeout_ms=Millis(2 * timing.call_timeout_ms)
             )
         except PeerUnreachable:
+            if is_foreign:
+                return Refused(
+                    reason=RefusalReason.NEVER_FITS,
+                    detail='the other domain cannot be reached',
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
             return await self.accept(prepared)
         except WireError as error:
             eliot.log_message('job:leader_lost', error=str(error))
@@ -355,3 +380,10 @@
     if isinstance(access, msg.TicketAccess):
         return hash_ticket(access.ticket) == record.ticket_hash
     return access.team == record.team
+
+
+def _never_fits(outcome: SubmitOutcome) -> bool:
+    return (
+        isinstance(outcome, Refused)
+        and outcome.reason is RefusalReason.NEVER_FITS
+    )
--- a/jayshore/jobs/acceptance.py
+++ b/jayshore/jobs/acceptance.py
@@ -124,6 +124,24 @@
     record: JobRecord
     ticket: str = dataclasses.field(repr=False)
 
+    def in_domain(self, domain: str) -> 'PreparedJob':
+        """Prepare the same job for another failure domain.
+
+        Its id stays the same, so that it can be recorded in one domain only.
+
+        Args:
+            domain: where it is to run.
+
+        Returns:
+            The job.
+        """
+        return PreparedJob(
+            record=dataclasses.replace(
+                self.record, domain=domain, write_id=new_write_id()
+            ),
+            ticket=self.ticket,
+        )
+
 
 def prepare(
     submission: Submission,
