Measure requests through one daemon against the bare relay

The rate is given as a ratio to the bare relay, and the processor time per request beside it, as other programs use the machine.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,7 +1,11 @@
-"""Measures relays with small requests: the bare one and that of the library.
+"""Measures relays with small requests: bare, of the library, and a daemon.
 
 Run with `python -m bench.relay`. The upstream is the executor stand-in. The
 runs of the relays alternate, so that a slow phase of the machine meets all.
+Processor time per request is given as well, since it varies less than the rate when other
+programs use the machine. The daemon leads its domain, so that a request passes
+one process. It has two executors with half of the slots each, since it keeps
+two of the 64 connections of an executor for renewals and questions.
 """
 
 import argparse
@@ -15,21 +19,38 @@
 import msgspec
 
 from bench.callers import Load, Measured, measure
-from bench.processes import started
+from bench.processes import read_cpu_s, started
+from demo.cluster import SERVICE, Cluster, ClusterShape
 from jayshore.clock import Millis, from_seconds  # noqa: WPS347
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.messages import Request, decode_json, encode_json
 
-_RELAYS = ('bench.barerelay', 'bench.httprelay')
+_DAEMON = 'daemon'
+_RELAYS = ('bench.barerelay', 'bench.httprelay', _DAEMON)
 _BODY = b'x' * 100
-_SETTINGS = '{"record_history": false, "slots": 64}'
+_SLOTS = 64
+_SETTINGS = json.dumps({'record_history': False, 'slots': _SLOTS})
 _CALL_TIMEOUT_MS = Millis(5000)
+_WARM_UP_MS = Millis(1000)
 
 
 class _Lease(msgspec.Struct):
     lease_id: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Relayed:
+    """One measurement of one relay.
+
+    Attributes:
+        seen: by the callers.
+        cpu_ms: processor time of the relay per request, in ms.
+    """
+
+    seen: Measured
+    cpu_ms: float
+
+
 async def _open_lease(address: Address) -> int:
     client = HttpClient(
         address=address, max_connections=1, connect_timeout_ms=_CALL_TIMEOUT_MS
@@ -58,25 +79,77 @@
     return head.encode() + _BODY
 
 
-def _measure_relay(relay: str, options: argparse.Namespace) -> Measured:
+def _daemon_message(key: str) -> bytes:
+    head = (
+        f'POST /v1/requests/{SERVICE} HTTP/1.1\r\n'
+        'host: bench\r\n'
+        f'authorization: {key}\r\n'
+        f'content-length: {len(_BODY)}\r\n\r\n'
+    )
+    return head.encode() + _BODY
+
+
+def _measure_daemon(options: argparse.Namespace) -> Relayed:
+    shape = ClusterShape(
+        domains=('north',),
+        daemons=1,
+        workers=0,
+        executors=2,
+        executor_slots=_SLOTS // 2,
+        service_ms=0,
+    )
+    team = {
+        'name': 'bench',
+        'share': 1,
+        'limit': {'requests': 4 * _SLOTS},
+        'max_waiting': 100,
+    }
+    with Cluster(shape=shape, teams=[team]) as cluster:
+        daemon = cluster.daemons['north-0']
+        message = _daemon_message(cluster.key('bench')['authorization'])
+        address = Address.parse(daemon.address)
+        load = _load(address, message, options)
+        return _run_load(load, daemon.popen.pid)
+
+
+def _run_load(load: Load, pid: int) -> Relayed:
+    warm_up = dataclasses.replace(load, measure_ms=_WARM_UP_MS)
+    curio.run(measure, warm_up)
+    before = read_cpu_s(pid)
+    seen: Measured = curio.run(measure, load)
+    used = read_cpu_s(pid) - before
+    return Relayed(seen=seen, cpu_ms=1000 * used / max(1, seen.requests))
+
+
+def _load(
+    address: Address, message: bytes, options: argparse.Namespace
+) -> Load:
+    return Load(
+        address=address,
+        message=message,
+        callers=options.callers,
+        warm_up_ms=Millis(0),
+        measure_ms=from_seconds(options.seconds),
+    )
+
+
+def _measure_relay(relay: str, options: argparse.Namespace) -> Relayed:
+    if relay == _DAEMON:
+        return _measure_daemon(options)
     executor = ('standins.executor', '--settings', _SETTINGS)
     with started(*executor) as upstream:
-        lease_id = curio.run(_open_lease, upstream)
-        with started(relay, str(upstream)) as address:
-            load = Load(
-                address=address,
-                message=_message(lease_id),
-                callers=options.callers,
-                warm_up_ms=Millis(1000),
-                measure_ms=from_seconds(options.seconds),
-            )
-            return curio.run(measure, load)  # type: ignore[no-any-return]
-
-
-def _print_line(relay: str, seen: Measured) -> None:
+        lease_id = curio.run(_open_lease, upstream.address)
+        with started(relay, str(upstream.address)) as child:
+            load = _load(child.address, _message(lease_id), options)
+            return _run_load(load, child.pid)
+
+
+def _print_line(relay: str, relayed: Relayed) -> None:
+    seen = relayed.seen
     sys.stdout.write(
         f'{relay:16} {seen.per_second:8.0f} requests/s'
-        f'  p50 {seen.p50_ms:6.2f} ms  p99 {seen.p99_ms:6.2f} ms\n'
+        f'  p50 {seen.p50_ms:6.2f} ms  p99 {seen.p99_ms:6.2f} ms'
+        f'  {relayed.cpu_ms:.3f} ms of processor time per request\n'
     )
     sys.stdout.flush()
 
@@ -89,17 +162,26 @@
     parser.add_argument('--rounds', type=int, default=3)
     parser.add_argument('--output', default='out/relay.json')
     options = parser.parse_args()
-    seen: dict[str, list[Measured]] = {relay: [] for relay in _RELAYS}
+    seen: dict[str, list[Relayed]] = {relay: [] for relay in _RELAYS}
     for _ in range(options.rounds):
         for measured in _RELAYS:
             seen[measured].append(_measure_relay(measured, options))
             _print_line(measured, seen[measured][-1])
-    medians = {
-        relay: statistics.median(one.per_second for one in rounds)
+    rates = {
+        relay: statistics.median(one.seen.per_second for one in rounds)
         for relay, rounds in seen.items()
     }
-    share = medians['bench.httprelay'] / medians['bench.barerelay']
-    sys.stdout.write(f'httprelay reaches {share:.2f} of bare (medians)\n')
+    costs = {
+        relay: statistics.median(one.cpu_ms for one in rounds)
+        for relay, rounds in seen.items()
+    }
+    bare = _RELAYS[0]
+    shares = {relay: rate / rates[bare] for relay, rate in rates.items()}
+    for name in _RELAYS:
+        sys.stdout.write(
+            f'{name} reaches {shares[name]:.2f} of the rate of bare, and'
+            f' {costs[bare] / costs[name]:.2f} by processor time (medians)\n'
+        )
     path = pathlib.Path(options.output)
     path.parent.mkdir(parents=True, exist_ok=True)
     rounds_seen = {
@@ -112,8 +194,9 @@
                 'callers': options.callers,
                 'seconds': options.seconds,
                 'rounds': rounds_seen,
-                'median_per_second': medians,
-                'share_of_bare': share,
+                'median_per_second': rates,
+                'median_cpu_ms': costs,
+                'share_of_bare': shares,
             },
             indent=2,
         )
--- a/bench/usage.py
+++ b/bench/usage.py
@@ -8,11 +8,11 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
+from bench.processes import read_cpu_s
 from demo.cluster import Cluster
 from demo.processes import Process
 
 _BYTES = 'jayshore_traffic_bytes_total'
-_NANOS_PER_S = 1_000_000_000
 _KB_PER_MB = 1024
 
 
@@ -98,7 +98,9 @@
     if scrape_first:
         octets = _scrape_all(cluster)
     at = time.monotonic()
-    cpu = {name: _cpu_s(one) for name, one in cluster.daemons.items()}
+    cpu = {
+        name: read_cpu_s(one.popen.pid) for name, one in cluster.daemons.items()
+    }
     memory = {name: _memory_mb(one) for name, one in cluster.daemons.items()}
     calls = cluster.store.call('GET', '/admin/calls').content['by_sender']
     if not scrape_first:
@@ -170,16 +172,6 @@
     return octets
 
 
-def _cpu_s(process: Process) -> float:
-    """Read the processor time.
-
-    `/proc/<pid>/stat` counts in steps of 10 ms, which is a tenth of what an
-    idle daemon uses in a measurement; `schedstat` counts nanoseconds.
-    """
-    path = pathlib.Path(f'/proc/{process.popen.pid}/schedstat')
-    return int(path.read_text().split()[0]) / _NANOS_PER_S
-
-
 def _memory_mb(process: Process) -> float:
     path = pathlib.Path(f'/proc/{process.popen.pid}/status')
     fields: dict[str, Any] = dict(
