Report only changes in renewals and in the instance list

Change: a worker's answer to a renewal holds ended tasks and new usage; the list carries a version and is left out when it is the known one. Ruled out: longer intervals alone; they delay leaving upstreams and gone ones.

--- a/jayshore/platform/httpstore.py
+++ b/jayshore/platform/httpstore.py
@@ -41,7 +41,8 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _InstancesAnswer:
-    instances: tuple[Instance, ...]
+    version: int
+    instances: tuple[Instance, ...] | None = None
 
 
 class HttpStore(Store):
@@ -215,16 +216,25 @@
             caller: sends the calls.
         """
         self._caller = caller
+        self._version = -1
+        self._instances: tuple[Instance, ...] = ()
 
     async def read(self) -> tuple[Instance, ...]:
-        """Read the list.
+        """Read the list; one that has not changed is not sent again.
 
         Returns:
             All listed instances.
         """
-        call = Call(method='GET', path='/v1/instances')
+        call = Call(
+            method='GET',
+            path='/v1/instances',
+            query={'known': str(self._version)},
+        )
         answer = await self._caller.fetch(call, _InstancesAnswer)
-        return answer.instances
+        if answer.instances is not None:
+            self._version = answer.version
+            self._instances = answer.instances
+        return self._instances
 
 
 def _key_path(key: str) -> str:
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -51,18 +51,27 @@
         self._clock = clock
         self._versions: list[_Version] = []
 
-    async def read(self, _request: Request) -> Response:
+    async def read(self, request: Request) -> Response:
         """Read the list as it was before the lag.
 
+        Args:
+            request: the call; `known` is the version that the caller has.
+
         Returns:
-            The instances.
+            The instances, none of them when the caller has this version.
         """
         horizon = self._clock.now() - self._faults.lag_ms
         visible: list[JsonObject] = []
-        for version in self._versions:
+        number = 0
+        for count, version in enumerate(self._versions, start=1):
             if version.since <= horizon:
                 visible = version.instances
-        return json_response(_STATUS_OK, {'instances': visible})
+                number = count
+        if request.query.get('known') == str(number):
+            return json_response(_STATUS_OK, {'version': number})
+        return json_response(
+            _STATUS_OK, {'version': number, 'instances': visible}
+        )
 
     async def write(self, request: Request) -> Response:
         """Replace the list; the first one is visible at once.
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -138,6 +138,7 @@
     Attributes:
         order: what was started.
         outcome: how it ended, None while it runs.
+        is_usage_reported: whether a renewal has reported its usage.
     """
 
     def __init__(
@@ -152,6 +153,7 @@
         """
         self.order = order
         self.outcome: Outcome | None = None
+        self.is_usage_reported = False
         self._under = under
         self._clock = clock
         self._start_ms = clock.now()
--- a/standins/tasktable.py
+++ b/standins/tasktable.py
@@ -110,6 +110,24 @@
         """
         return [task.report(self._usage_lag_ms) for task in self._tasks]
 
+    def news(self) -> list[TaskReport]:
+        """Describe what has changed, for a renewal.
+
+        Returns:
+            Finished tasks not yet acknowledged, and running ones whose usage
+            was not reported before.
+        """
+        changed = []
+        for task in self._tasks:
+            report = task.report(self._usage_lag_ms)
+            is_measured = report.usage is not None
+            if task.outcome is not None or (
+                is_measured and not task.is_usage_reported
+            ):
+                changed.append(report)
+                task.is_usage_reported = is_measured
+        return changed
+
     def records(self) -> list[TaskRecord]:
         """Describe what really happened, in the order of starts.
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -175,7 +175,11 @@
             return refusal(error)
         self._gate.leave_wait(request)
         self._has_news = False
-        return json_response(_STATUS_OK, self._inventory())
+        self._leaving_shown = self._faults.leaving
+        return json_response(
+            _STATUS_OK,
+            {'leaving': self._leaving_shown, 'tasks': self._tasks.news()},
+        )
 
     async def _wait_for_news(self, body: _Renew) -> None:
         async with curio.ignore_after(to_seconds(Millis(body.wait_ms))):
