Check guarantees in the differential histories

The cell and its oracle share the accounts and policies, so a fault in those would be agreed on. Each decision is now also checked against room, team limit and what may be stopped, from the history's own records.

In scratch copies (trials), a charge that ignored reported usage and a preemption of non-idempotent tasks were both found; a first form of the check used the product's own charge and missed the first one.

--- a/bench/differential.py
+++ b/bench/differential.py
@@ -8,12 +8,14 @@
 import argparse
 import dataclasses
 import json
+import operator
 import random
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import TypeAlias
 
 from jayshore.clock import Millis
+from jayshore.outcomes import JayshoreError
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
     Decision,
@@ -98,10 +100,8 @@
 
     Attributes:
         rounds: rounds of decisions.
-        places: decisions of each kind.
+        places, preempts, waits: decisions of each kind.
         gangs: places of more than one task.
-        preempts: decisions of each kind.
-        waits: decisions of each kind.
     """
 
     rounds: int = 0
@@ -111,6 +111,10 @@
     waits: int = 0
 
 
+class BrokenRuleError(JayshoreError):
+    """A decision breaks a guarantee, whatever the oracle says."""
+
+
 class History:
     """One cell, kept twice."""
 
@@ -134,6 +138,7 @@
         self._pending: dict[TaskId, PendingTask] = {}
         self._running: dict[TaskId, RunningTask] = {}
         self._workers: list[str] = []
+        self._capacity: dict[str, Resources] = {}
         for _ in range(self._random.randint(2, 9)):
             self._add_worker()
 
@@ -171,6 +176,8 @@
     def _carry_out(self, decision: Place | Preempt) -> None:
         if isinstance(decision, Preempt):
             self._tally.preempts += 1
+            for task_id in decision.task_ids:
+                _check_stop(self._running[task_id])
             for preempted in self._cells:
                 preempted.preempt(decision)
             return
@@ -178,12 +185,19 @@
         self._tally.gangs += len(decision.assignments) > 1
         for one in decision.assignments:
             task = self._pending.pop(one.task_id)
+            if not self._limits.has_headroom(task.team, task.demand):
+                raise BrokenRuleError(f'{task.team} exceeds its limit')
             self._limits.count(task, 1)
             self._running[one.task_id] = RunningTask(
                 task=task,
                 worker_id=one.worker_id,
                 started_at=Millis(self._now),
             )
+            _check_room(
+                self._capacity[one.worker_id],
+                one.worker_id,
+                self._running.values(),
+            )
             for cell in self._cells:
                 cell.start(one.task_id, one.worker_id, Millis(self._now))
 
@@ -216,6 +230,7 @@
             ),
         )
         self._workers.append(view.worker_id)
+        self._capacity[view.worker_id] = view.capacity
         for cell in self._cells:
             cell.add_worker(view)
 
@@ -277,6 +292,9 @@
         usage = NOTHING
         if cores:
             usage = Resources(cpu_millis=cores * 1000, memory_mb=cores * 512)
+        self._running[task_id] = dataclasses.replace(
+            self._running[task_id], usage=usage
+        )
         for cell in self._cells:
             cell.update_usage(task_id, usage)
 
@@ -295,6 +313,24 @@
             cell.apply_shares(shares)
 
 
+def _check_room(
+    capacity: Resources, worker_id: str, running: Iterable[RunningTask]
+) -> None:
+    charges = [
+        tuple(map(max, one.task.demand, one.usage))
+        for one in running
+        if one.worker_id == worker_id
+    ]
+    charged = [sum(column) for column in zip(*charges, strict=True)]
+    if any(map(operator.gt, charged, capacity)):
+        raise BrokenRuleError(f'{worker_id} is overcommitted by a start')
+
+
+def _check_stop(running: RunningTask) -> None:
+    if not (running.task.idempotent and running.task.preemptible):
+        raise BrokenRuleError(f'{running.task.task_id} must not be stopped')
+
+
 def _random_task(
     pick: random.Random, now: int, workers: list[str]
 ) -> PendingTask:
