Send heartbeats less often while the store gives evidence

Change: every 2 s, and every 0.5 s once evidence is older than half the bound. Ruled out: relying on failed reads alone; a store that hangs would be noticed only after its timeout.

--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -139,6 +139,13 @@
         """Whether the last read of the store was answered."""
         return self._reachable
 
+    @property
+    def needs_evidence(self) -> bool:
+        """Whether half of the time in which evidence counts has passed."""
+        return not self._tracker.is_fresh(
+            now=self._clock.now(), bound_ms=Millis(self._freshness_ms // 2)
+        )
+
     @property
     def is_fresh(self) -> bool:
         """Whether fleet-wide facts may be acted on now."""
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -24,7 +24,8 @@
 
 # A peer whose last heartbeat is older than this many intervals is not counted
 # on as a leader.
-_MISSED_HEARTBEATS = 4
+_MISSED_HEARTBEATS = 3
+_STEPS = 8
 
 
 class Peer:
@@ -247,10 +248,25 @@
         try:
             while True:
                 await self._beat(peer)
-                await curio.sleep(to_seconds(self._interval_ms))
+                await self._pause()
         finally:
             await peer.client.close()
 
+    async def _pause(self) -> None:
+        """Wait until the next heartbeat.
+
+        While the store gives no evidence, the peers have to, several times
+        within the bound on its age.
+        """
+        start = self._clock.now()
+        step = Millis(self._interval_ms // _STEPS)
+        shortest = start + 2 * step
+        longest = start + self._interval_ms
+        while self._clock.now() < longest:
+            await curio.sleep(to_seconds(step))
+            if self._clock.now() >= shortest and self._keeper.needs_evidence:
+                return
+
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
         asked_at = self._clock.now()
--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -24,7 +24,8 @@
     Attributes:
         freshness_ms: oldest evidence on which keyed work is accepted.
         store_poll_ms: interval of configuration reads.
-        heartbeat_ms: interval of heartbeats to each peer.
+        heartbeat_ms: interval of heartbeats to each peer, a fourth of it
+            while the store gives no evidence.
         list_poll_ms: interval of reads of the instance list.
         leadership_ttl_ms: store lease on the leadership of a domain.
         task_lease_ms: how long a worker runs a task without a renewal.
@@ -42,8 +43,8 @@
     """
 
     freshness_ms: int = 2000
-    store_poll_ms: int = 1000
-    heartbeat_ms: int = 1000
+    store_poll_ms: int = 500
+    heartbeat_ms: int = 2000
     list_poll_ms: int = 1000
     leadership_ttl_ms: int = 3000
     task_lease_ms: int = 300_000
