Judge impossible jobs by what ordinary work may use

Cause: a job that needs a whole worker was accepted and waited for ever, since a sixteenth of each worker is kept for urgent work; the check also stood twice. Change: admission uses placement.feasible.never_fits with the lane taken off.

--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -322,7 +322,9 @@
         if leader.parts.book.find(record.job_id) is not None:
             return None
         views = leader.parts.placer.views
-        reason = impossible_reason(record, views) if views else ''
+        reason = ''
+        if views:
+            reason = impossible_reason(record, views, is_urgent=queue.urgent)
         if reason:
             return Refused(reason=RefusalReason.NEVER_FITS, detail=reason)
         names = leader.parts.attempts.waiting_jobs()
--- a/jayshore/jobs/admission.py
+++ b/jayshore/jobs/admission.py
@@ -1,7 +1,6 @@
 """Takes jobs over from earlier leaders and admits new ones."""
 
 import functools
-import itertools
 from collections.abc import Collection, Iterable
 
 import curio
@@ -21,6 +20,8 @@
     TaskState,
     WorkerBoot,
 )
+from jayshore.placement.feasible import never_fits
+from jayshore.placement.lane import NoLane, ReservedLane
 from jayshore.placement.tasks import WorkerView
 from jayshore.platform.store import StoreError
 
@@ -160,7 +161,9 @@
                     _admit_record,
                     writer=self._context.writer,
                     workers=[self._placer.boots[name] for name in chosen],
-                    reason=impossible_reason(record, views),
+                    reason=impossible_reason(
+                        record, views, is_urgent=self._is_urgent(record)
+                    ),
                 ),
             )
         except transitions.TransitionError as refusal:
@@ -176,6 +179,10 @@
         await self.enforce_cancel(admitted)
         await self._placer.wake()
 
+    def _is_urgent(self, record: JobRecord) -> bool:
+        queue = self._context.snapshot().queue(record.queue)
+        return queue is not None and queue.urgent
+
 
 def choose_intent(
     record: JobRecord, views: Collection[WorkerView], width: int
@@ -201,34 +208,28 @@
     return (fitting[first:] + fitting[:first])[:wanted]
 
 
-def impossible_reason(record: JobRecord, views: Collection[WorkerView]) -> str:
+def impossible_reason(
+    record: JobRecord, views: Collection[WorkerView], *, is_urgent: bool
+) -> str:
     """Tell why a job can never run in this domain.
 
     Args:
         record: the job.
         views: the workers of the domain, at least one.
+        is_urgent: whether its queue may use the reserved lane.
 
     Returns:
         `never_fits` and the resources that are short, or an empty text.
     """
-    shortages = [record.demand.short_of(view.capacity) for view in views]
-    if all(shortages):
-        names = sorted(set(itertools.chain.from_iterable(shortages)))
-        return f'never_fits: {", ".join(names)}'
-    if record.kind is JobKind.GANG:
-        room = sum(_copies(record, view) for view in views)
-        if room < record.task_count:
-            return f'never_fits: room for {room} of {record.task_count} tasks'
-    return ''
-
-
-def _copies(record: JobRecord, view: WorkerView) -> int:
-    ratios = [
-        free // wanted
-        for wanted, free in zip(record.demand, view.capacity, strict=True)
-        if wanted
-    ]
-    return min(ratios, default=record.task_count)
+    uses_lane = is_urgent or record.kind is JobKind.PREVIEW
+    lane = NoLane() if uses_lane else ReservedLane()
+    is_gang = record.kind is JobKind.GANG
+    short = never_fits(
+        record.demand,
+        (view.capacity - lane.evaluate(view.capacity) for view in views),
+        record.task_count if is_gang else 1,
+    )
+    return f'never_fits: {", ".join(short)}' if short else ''
 
 
 def _admit_record(
