--- a/bench/relay.py
+++ b/bench/relay.py
@@ -2,10 +2,10 @@
 
 Run with `python -m bench.relay`. The upstream is the executor stand-in. The
 runs of the relays alternate, so that a slow phase of the machine meets all.
-Processor time per request is given as well, since it varies less than the rate when other
-programs use the machine. The daemon leads its domain, so that a request passes
-one process. It has two executors with half of the slots each, since it keeps
-two of the 64 connections of an executor for renewals and questions.
+Processor time per request is given as well, since it varies less than the rate
+when other programs use the machine. The daemon leads its domain, so that a
+request passes one process. It has two executors with half of the slots each,
+since it keeps two of the 64 connections of an executor for other calls.
 """
 
 import argparse
