--- /dev/null
+++ b/tests/guarantee_requests_test.py
@@ -0,0 +1,224 @@
+"""Requests under faults of executors, with separate processes.
+
+Guards against an answer that reaches the wrong caller, work that ran although
+its caller was told `not_run`, requests that run twice, slots that are
+exceeded, and work for an executor that leaves.
+"""
+
+import json
+import random
+import threading
+import time
+
+import pytest
+
+from demo.cluster import Cluster
+from demo.history import check_slots, request_runs
+from demo.processes import wait_until
+from tests.guarantee_support import (
+    IN_FORCE_S,
+    Background,
+    send_request,
+    show,
+    small_shape,
+    teams,
+)
+
+pytestmark = pytest.mark.processes
+
+SEED = 1203
+CALLERS = 24
+FAULTS_S = 6.0
+# A caller waits no longer than the timeout it has set, and one round trip.
+TIMEOUT_MS = 4000
+
+# This team's requests are not idempotent; the histories name teams only.
+ONCE = 'riverbend'
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    shape = small_shape(executors=2, executor_slots=4)
+    with Cluster(shape=shape, teams=teams()) as started:
+        yield started
+
+
+class Sender:
+    """Sends requests that can be found again in the histories."""
+
+    def __init__(self, *, cluster, seed):
+        self.bodies = {}
+        self.began_ms = 1000 * time.monotonic()
+        self._cluster = cluster
+        self._source = random.Random(seed)
+        self._lock = threading.Lock()
+
+    def send(self, daemon, team):
+        """Send one request; its body names it."""
+        with self._lock:
+            number = len(self.bodies)
+            body = json.dumps(
+                {'service_ms': self._source.randint(1, 30), 'name': number}
+            ).encode()
+            self.bodies[body] = team
+        idempotent = team != ONCE
+        headers = {
+            **self._cluster.key(team),
+            'jayshore-idempotent': str(idempotent).lower(),
+            'jayshore-timeout-ms': str(TIMEOUT_MS),
+        }
+        reply = send_request(daemon, headers, body)
+        return (body, reply)
+
+
+def load(background, cluster, sender):
+    daemons = list(cluster.daemons.values())
+    names = [team['name'] for team in cluster.teams]
+    for number in range(CALLERS):
+        daemon = daemons[number % len(daemons)]
+        team = names[number % len(names)]
+        background.add(f'caller {number}', sender.send, daemon, team)
+
+
+def disturb(cluster, source, end):
+    """Delay, swap and lose answers at executors until the given time."""
+    executors = list(cluster.executors.values())
+    while time.monotonic() < end:
+        executor = source.choice(executors)
+        faults = source.choice(
+            [
+                {'delay_next_answers': 3, 'answer_delay_ms': 300},
+                {'cross_next_pairs': 2},
+                {'lose_next_write_answers': 2, 'lose_kinds': ['run']},
+                {'drop_next_before_run': 2},
+            ]
+        )
+        if executor.is_running:
+            executor.call('POST', '/admin/faults', faults)
+        time.sleep(0.1)
+
+
+def judge(cluster, sender, replies):
+    """Compare what callers were told with what the executors ran."""
+    runs = {}
+    for run in request_runs(cluster):
+        if run.start_ms >= sender.began_ms:
+            runs.setdefault(run.name, []).append(run)
+    counts = {}
+    wrong = []
+    for body, reply in replies:
+        outcome = 'ran'
+        if reply.status != 200:
+            outcome = json.loads(reply.content or b'{}').get('outcome', 'none')
+        counts[outcome] = counts.get(outcome, 0) + 1
+        if reply.status == 200 and reply.content != body:
+            wrong.append((body, reply))
+    print(f'outcomes: {counts}; runs: {len(runs)}')
+    return counts, wrong, runs
+
+
+def test_each_caller_gets_its_own_answer_or_unknown(cluster):
+    sender = Sender(cluster=cluster, seed=SEED)
+    source = random.Random(SEED)
+    with Background(pause_s=0.005) as background:
+        load(background, cluster, sender)
+        disturb(cluster, source, time.monotonic() + FAULTS_S)
+    replies = background.all()
+    counts, wrong, runs = judge(cluster, sender, replies)
+    answered = [reply.answered - reply.sent for _, reply in replies]
+    bound = TIMEOUT_MS / 1000 + 1
+    show('longest wait of a caller', max(answered), bound, 's')
+    show('wrong answers', len(wrong), 0, 'answers')
+    assert counts['ran'] > 100
+    assert not wrong, wrong[0]
+    assert 'none' not in counts, [r for _, r in replies if not r.status][:1]
+    assert max(answered) <= bound
+    check_runs_against_outcomes(cluster, counts, runs)
+
+
+def check_runs_against_outcomes(cluster, counts, runs):
+    """Runs without an answer belong to callers that were told `unknown`.
+
+    An idempotent request whose answer was lost is retried under the same id
+    (design, 4.3), but never while it may be running; others run once.
+    """
+    full = [v for v in check_slots(cluster) if v.rule == 'slots']
+    show('slots exceeded', len(full), 0, 'violations')
+    assert not full, full[0]
+    twice = [own for own in runs.values() if len(own) > 1]
+    wrong = [own for own in twice if own[0].team == ONCE or overlap(own)]
+    print(f'idempotent requests that ran again: {len(twice) - len(wrong)}')
+    show('request ids run twice', len(wrong), 0, 'requests')
+    assert not wrong, wrong[0]
+    untold = len(runs) - counts['ran'] - counts.get('unknown', 0)
+    show('runs of requests told not_run', max(0, untold), 0, 'runs')
+    assert untold <= 0
+
+
+def overlap(own):
+    own.sort(key=lambda run: run.start_ms)
+    pairs = zip(own, own[1:], strict=False)
+    return any(later.start_ms < earlier.end_ms for earlier, later in pairs)
+
+
+@pytest.mark.parametrize('shown_by', ['list', 'lease'])
+def test_leaving_executor_gets_no_new_work(cluster, shown_by):
+    sender = Sender(cluster=cluster, seed=SEED + 2)
+    name = 'north-x0' if shown_by == 'list' else 'south-x0'
+    leaving = cluster.executors[name]
+    with Background(pause_s=0.005) as background:
+        load(background, cluster, sender)
+        wait_until(lambda: len(background.all()) > 300, 10, 'load runs')
+        if shown_by == 'list':
+            cluster.list_instances({name: {'state': 'leaving'}})
+            shown = time.monotonic() + cluster.shape.list_lag_ms / 1000
+        else:
+            leaving.call('POST', '/admin/faults', {'leaving': True})
+            shown = time.monotonic()
+        time.sleep(max(0, shown + IN_FORCE_S + 1 - time.monotonic()))
+    starts = [
+        run.start_ms / 1000
+        for run in request_runs(cluster)
+        if run.upstream == name
+    ]
+    cluster.list_instances({name: {'state': 'live'}})
+    leaving.call('POST', '/admin/faults', {'leaving': False})
+    took = max(0.0, max(starts) - shown)
+    show(f'new work for a leaving executor, {shown_by}', took, IN_FORCE_S, 's')
+    counts, wrong, _ = judge(cluster, sender, background.all())
+    assert took <= IN_FORCE_S
+    assert not wrong
+    assert set(counts) == {'ran'}
+
+
+def test_killed_executor_loses_no_caller(cluster):
+    sender = Sender(cluster=cluster, seed=SEED + 1)
+    killed = 'east-x0'
+    with Background(pause_s=0.005) as background:
+        load(background, cluster, sender)
+        wait_until(lambda: len(background.all()) > 300, 10, 'load runs')
+        gone = request_runs(cluster)
+        cluster.executors[killed].kill()
+        at = time.monotonic()
+        cluster.list_instances({killed: None})
+        time.sleep(IN_FORCE_S + 1)
+    replies = background.all()
+    counts, wrong, runs = judge(cluster, sender, replies)
+    assert gone
+    assert not wrong, wrong[0]
+    assert 'none' not in counts
+    refused = [
+        reply
+        for _, reply in replies
+        if reply.sent > at + IN_FORCE_S and reply.status != 200
+    ]
+    assert [reply for _, reply in replies if reply.sent > at + IN_FORCE_S]
+    show('refused 3 s after the kill', len(refused), 0, 'requests')
+    assert not refused
+    waits = [reply.answered - reply.sent for _, reply in replies]
+    show('longest wait', max(waits), TIMEOUT_MS / 1000 + 1, 's')
+    assert max(waits) <= TIMEOUT_MS / 1000 + 1
+    twice = [
+        own for own in runs.values() if len(own) > 1 and own[0].team == ONCE
+    ]
+    assert not twice
