--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -169,6 +169,14 @@
         if router is not None:
             await router.close()
 
+    async def drain(self) -> None:
+        """Refuse new requests and wait for the ones in progress.
+
+        The caller bounds the time.
+        """
+        if self._router is not None:
+            await self._router.drain()
+
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
         await self._superseded.wait()
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from typing import Any
 
 import curio
 import eliot
@@ -159,20 +160,28 @@
         running = [
             await curio.spawn(self._keeper.poll, Millis(timing.store_poll_ms)),
             await curio.spawn(self._peers.run),
-            await curio.spawn(self._lead),
         ]
+        leading = await curio.spawn(self._lead)
         serving = await curio.spawn(self._server.serve)
         self._status.state = msg.DaemonState.SERVING
         eliot.log_message('daemon:serving', name=self._settings.name)
         await wait_for_signal((signal.SIGTERM, signal.SIGINT))
-        await self._shut_down()
+        await self._shut_down(leading)
         for task in running:
             await task.cancel()
         await serving.cancel()
         await self._peer_server.close()
 
-    async def _shut_down(self) -> None:
-        """Drain: not ready first, then answer what is in progress."""
+    async def _shut_down(self, leading: Any) -> None:
+        """Drain: not ready first, then answer what is in progress.
+
+        Peers send requests here as long as they take this daemon for a
+        leader. They are told that it is none before the connections close;
+        a request on its way would be lost otherwise.
+
+        Args:
+            leading: the task that competes for leadership.
+        """
         limit = Millis(self._settings.timing.drain_ms)
         self._status.state = msg.DaemonState.DRAINING
         with eliot.start_action(action_type='daemon:drain', limit_ms=limit):
@@ -181,6 +190,10 @@
             )
             await self._server.drain(limit)
             async with curio.ignore_after(to_seconds(limit)):
+                await self._seat.drain()
+            await leading.cancel()
+            async with curio.ignore_after(to_seconds(limit)):
+                await self._peers.tell_status()
                 await self._peer_server.wait_idle()
 
     async def _lead(self) -> None:
--- /dev/null
+++ b/tests/guarantee_input_test.py
@@ -0,0 +1,161 @@
+"""Bad input and overload towards the daemon, with separate processes.
+
+Guards against a caller that brings a daemon down, keeps it busy or learns
+nothing of its mistake, and against one team that takes another one's place.
+"""
+
+import json
+import socket
+import statistics
+import time
+
+import pytest
+
+from demo.cluster import Cluster
+from tests.guarantee_support import (
+    Background,
+    attempt,
+    send_request,
+    show,
+    small_shape,
+    teams,
+)
+
+pytestmark = pytest.mark.processes
+
+# Design, 5: typed error within a bound; nothing here has to wait.
+ANSWER_S = 1.0
+FLOOD_CALLERS = 60
+SAMPLES = 30
+# All slots together end 240 of these in a second; the flood wants more.
+SERVICE_MS = 100
+FLOOD_TIMEOUT_MS = 250
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    shape = small_shape(executor_slots=8)
+    with Cluster(shape=shape, teams=teams(requests=60)) as started:
+        yield started
+
+
+@pytest.fixture
+def daemon(cluster):
+    return cluster.daemons['north-0']
+
+
+def raw(daemon, data, limit_s):
+    """Send bytes as they are and read until the daemon closes."""
+    host, port = daemon.address.split(':')
+    began = time.monotonic()
+    received = b''
+    with socket.create_connection((host, int(port)), limit_s) as caller:
+        try:
+            caller.sendall(data)
+        except OSError:
+            pass
+        while chunk := caller.recv(65_536):
+            received += chunk
+    return received, time.monotonic() - began
+
+
+JOB = {'queue': 'night', 'demand': {'cpu_millis': 10}, 'payload': {}}
+
+
+@pytest.mark.parametrize(
+    ('path', 'content', 'key', 'status', 'reason'),
+    [
+        ('/v1/requests/plans', b'x' * 1_000_001, True, 413, 'too_large'),
+        ('/v1/requests/plans', b'x', False, 401, 'unauthorised'),
+        ('/v1/requests/nothing', b'x', True, 404, 'unknown_service'),
+        ('/v1/jobs', b'{not json', True, 400, 'malformed'),
+        ('/v1/jobs', b'\xff\x00', True, 400, 'malformed'),
+        ('/v1/jobs', {**JOB, 'surprise': 1}, True, 400, 'malformed'),
+        ('/v1/jobs', {**JOB, 'queue': 'none'}, True, 400, 'malformed'),
+        ('/v1/jobs', {**JOB, 'tasks': 10**9}, True, 400, 'malformed'),
+        ('/v1/jobs', {**JOB, 'tasks': -1}, True, 400, 'malformed'),
+        (
+            '/v1/jobs',
+            {**JOB, 'demand': {'cpu_millis': 40_000}},
+            True,
+            422,
+            'never_fits',
+        ),
+        (
+            '/v1/jobs',
+            {**JOB, 'demand': {'cpu_millis': 10**30}},
+            True,
+            400,
+            'malformed',
+        ),
+        ('/v1/jobs', JOB, False, 401, 'unauthorised'),
+        ('/v1/config', b'{}', True, 401, 'unauthorised'),
+    ],
+)
+def test_bad_call_gets_a_typed_error(
+    cluster, daemon, path, content, key, status, reason
+):
+    right = cluster.key('millrace')
+    wrong = {'authorization': right['authorization'] + 'x'}
+    method = 'PUT' if path == '/v1/config' else 'POST'
+    reply = attempt(daemon, method, path, content, right if key else wrong)
+    took = reply.answered - reply.sent
+    show(f'{path} {reason}', took, ANSWER_S, 's')
+    assert reply.status == status, reply
+    assert reason in reply.content.decode()
+    assert took <= ANSWER_S
+    assert send_request(daemon, right).status == 200
+
+
+@pytest.mark.parametrize(
+    ('data', 'limit_s', 'status'),
+    [
+        (b'GET /healthz HTTP/1.1\r\n' + b'x: ' + b'y' * 20_000, 1, b'431'),
+        (b'GET /healthz HTTP/1.1\r\n' + b'a: b\r\n' * 5000, 1, b'431'),
+        (b'nonsense\r\n\r\n', 1, b'400'),
+        (b'GET /healthz HTTP/1.1\r\nhost: x\r\n', 5 + 1, b'408'),
+    ],
+)
+def test_bad_bytes_end_within_the_bound(cluster, daemon, data, limit_s, status):
+    received, took = raw(daemon, data, limit_s + 2)
+    show(f'answer {status.decode()}', took, limit_s, 's')
+    assert received.split(b' ')[1] == status, received[:200]
+    assert b'"error"' in received
+    assert took <= limit_s
+    assert send_request(daemon, cluster.key('millrace')).status == 200
+
+
+def waits_of(daemon, headers):
+    body = json.dumps({'service_ms': SERVICE_MS}).encode()
+    waits = []
+    for _ in range(SAMPLES):
+        reply = send_request(daemon, headers, body)
+        assert reply.status == 200, reply
+        waits.append(reply.answered - reply.sent)
+    return waits
+
+
+def flood(daemon, headers):
+    body = json.dumps({'service_ms': SERVICE_MS}).encode()
+    return send_request(daemon, {**headers, 'jayshore-timeout-ms': '400'}, body)
+
+
+def test_flood_of_one_team_leaves_the_other_its_place(cluster, daemon):
+    path = cluster.key('millrace')
+    waits_of(daemon, path)
+    alone = statistics.median(waits_of(daemon, path))
+    with Background(pause_s=0) as background:
+        for number in range(FLOOD_CALLERS):
+            background.add(f'{number}', flood, daemon, cluster.key('fenland'))
+        time.sleep(0.5)
+        beside = statistics.median(waits_of(daemon, path))
+    replies = background.all()
+    early = [r for r in replies if b'would_miss_deadline' in r.content]
+    show('median wait beside a flood', 1000 * beside, 2000 * alone, 'ms')
+    print(f'flood: {len(replies)} calls, {len(early)} refused early')
+    took = statistics.median(r.answered - r.sent for r in early)
+    show('median wait for the refusal', 1000 * took, FLOOD_TIMEOUT_MS, 'ms')
+    assert beside <= 2 * alone
+    assert len(early) > FLOOD_CALLERS
+    assert 1000 * took <= FLOOD_TIMEOUT_MS
+    assert all(reply.status in {200, 429, 503} for reply in replies)
