--- a/jayshore/daemon/answers.py
+++ b/jayshore/daemon/answers.py
@@ -13,6 +13,7 @@
     RefusalReason,
     RequestOutcome,
     SubmitOutcome,
+    Unconfirmed,
     Unknown,
 )
 
@@ -51,7 +52,7 @@
         job_id: id of the job.
         team: the team that is charged.
         queue: the queue it was submitted to.
-        state: state of the job as a whole.
+        state: waiting, running, or the final state of the job.
         is_final: whether the state will not change any more.
         tasks: states of the tasks, in order.
         results: results of the tasks, in order, None where there is none.
@@ -68,11 +69,12 @@
     attempts: tuple[int, ...]
 
 
-def job_view(record: JobRecord) -> JobView:
+def job_view(record: JobRecord, *, is_running: bool) -> JobView:
     """Show a job without what only the scheduler needs.
 
     Args:
         record: the job.
+        is_running: whether a task of it is known to run.
 
     Returns:
         What its submitter may see.
@@ -81,7 +83,7 @@
         job_id=record.job_id,
         team=record.team,
         queue=record.queue,
-        state=record.state.value,
+        state=_shown_state(record, is_running=is_running),
         is_final=record.is_final,
         tasks=tuple(task.state.value for task in record.tasks),
         results=tuple(task.result for task in record.tasks),
@@ -89,6 +91,13 @@
     )
 
 
+def _shown_state(record: JobRecord, *, is_running: bool) -> str:
+    if record.is_final:
+        return record.state.value
+    has_begun = any(task.is_final for task in record.tasks)
+    return 'running' if is_running or has_begun else 'waiting'
+
+
 def answer_request(outcome: RequestOutcome) -> Response:
     """Encode the outcome of a request.
 
@@ -133,6 +142,17 @@
                 'ticket': outcome.ticket,
             },
         )
+    if isinstance(outcome, Unconfirmed):
+        unconfirmed = json_response(
+            _STATUS_UNKNOWN,
+            {
+                'outcome': 'unknown',
+                'job_id': outcome.job_id,
+                'ticket': outcome.ticket,
+                'retry_after_ms': outcome.retry_after_ms,
+            },
+        )
+        return _with_retry_after(unconfirmed, outcome.retry_after_ms)
     answer = json_response(
         _STATUS_OF_REFUSAL.get(outcome.reason, _STATUS_UNAVAILABLE),
         {
--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -35,6 +35,7 @@
 # A writer needs two writes and one round of promises; an announcement that is
 # older than this was left by a writer that died.
 _ABANDONED_AFTER_MS = Millis(3000)
+_SETTLE_PAUSE_MS = Millis(50)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,7 +117,7 @@
         self._settler = settler
         self._clock = clock
         self._freshness_ms = freshness_ms
-        self._tracker = FreshnessTracker(name=name)
+        self._tracker = FreshnessTracker(name=name, started_at=clock.now())
         self._snapshot = Snapshot(version=0, document=Document(), write_id='')
         self._reachable = False
         self._stored = StoredConfig()
@@ -138,6 +139,13 @@
         """Whether the last read of the store was answered."""
         return self._reachable
 
+    @property
+    def needs_evidence(self) -> bool:
+        """Whether half of the time in which evidence counts has passed."""
+        return not self._tracker.is_fresh(
+            now=self._clock.now(), bound_ms=Millis(self._freshness_ms // 2)
+        )
+
     @property
     def is_fresh(self) -> bool:
         """Whether fleet-wide facts may be acted on now."""
@@ -225,7 +233,7 @@
         expected_version: int,
         ask_promises: AskPromises,
     ) -> ApplyOutcome:
-        current, revision = await self._read()
+        current, revision = await self._read_settled()
         if current.version != expected_version:
             return VersionConflict(version=current.version)
         following = StoredConfig(
@@ -255,6 +263,18 @@
         await self.refresh()
         return Applied(version=following.version)
 
+    async def _read_settled(self) -> tuple[StoredConfig, int]:
+        """Wait until the write that another daemon announced is settled.
+
+        Replacing its announcement would make it fail although no new version
+        exists. An announcement of a writer that died is withdrawn in time.
+        """
+        current, revision = await self._read()
+        while current.is_announced:
+            await curio.sleep(to_seconds(_SETTLE_PAUSE_MS))
+            current, revision = await self._read()
+        return current, revision
+
     async def _gather(
         self,
         old: Document,
--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -12,8 +12,7 @@
 from jayshore.config.snapshot import Snapshot
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.settings import Settings
-from jayshore.http.client import Address, HttpClient
-from jayshore.http.messages import Request, Response
+from jayshore.daemon.upstreams import UpstreamConnector
 from jayshore.jobs.admission import Admission
 from jayshore.jobs.attempts import AttemptTable
 from jayshore.jobs.book import JobBook
@@ -30,13 +29,16 @@
     GrantRounds,
     StoredGrantBook,
 )
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
 from jayshore.jobs.placing import Placer
-from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
+from jayshore.jobs.probing import Prober
+from jayshore.leases.executor import HttpExecutorPort
 from jayshore.leases.leadership import LeadershipObserver
-from jayshore.leases.worker import WorkerLink
 from jayshore.placement.cell import Cell
+from jayshore.placement.estimates import Estimates
+from jayshore.placement.health import WorkerHealth
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store
@@ -46,9 +48,6 @@
 from jayshore.routing.policy import RoutingPolicy
 from jayshore.routing.router import Router
 
-_WORKER_CONNECTIONS = 8
-_EXECUTOR_CONNECTIONS = 64
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeatServices:
@@ -65,6 +64,7 @@
         keeper: the configuration.
         events: metrics.
         cut_off: names of the domains of which no leader is heard.
+        upstreams: makes the links to workers and executors.
     """
 
     settings: Settings
@@ -77,6 +77,7 @@
     keeper: ConfigKeeper
     events: JobEvents
     cut_off: Callable[[], frozenset[str]]
+    upstreams: UpstreamConnector
 
 
 class LeaderSeat(LeadershipObserver):
@@ -101,6 +102,7 @@
         self._router: Router | None = None
         self._tasks = BackgroundTasks()
         self._superseded = curio.Event()
+        self._retire_ms = Millis(services.settings.limits.max_request_ms)
 
     @property
     def epoch(self) -> int:
@@ -146,7 +148,9 @@
             domain=settings.domain,
             interval_ms=Millis(settings.timing.list_poll_ms),
             observer=_ListObserver(
-                leader=leader, router=self._router, connect=self._port
+                leader=leader,
+                router=self._router,
+                connect=services.upstreams.executor,
             ),
         )
         await self._tasks.spawn(
@@ -167,7 +171,7 @@
         self._router = None
         await self._tasks.close()
         if router is not None:
-            await router.close()
+            await curio.spawn(_retire, router, self._retire_ms, daemon=True)
 
     async def drain(self) -> None:
         """Refuse new requests and wait for the ones in progress.
@@ -180,6 +184,7 @@
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
         await self._superseded.wait()
+        self._superseded.clear()
 
     async def _run_grants(
         self, epoch: int, grants: DomainLedger, granted: GrantedLedger
@@ -267,16 +272,22 @@
             attempts=attempts,
             tasks=self._tasks,
         )
+        watch = WorkerWatch(
+            cell=cell,
+            health=WorkerHealth(source=services.source),
+            clock=services.clock,
+        )
         endings = EndingRecorder(
             context=context,
             book=book,
             attempts=attempts,
             placer=placer,
+            watch=watch,
             tasks=self._tasks,
         )
         inventory = InventoryReader(
             context=context,
-            cell=cell,
+            watch=watch,
             book=book,
             attempts=attempts,
             placer=placer,
@@ -286,7 +297,7 @@
             terms=SessionTerms(
                 epoch=epoch,
                 renew_wait_ms=Millis(timing.renew_wait_ms),
-                connect=self._link,
+                connect=services.upstreams.worker,
                 source=services.source,
             ),
             observer=inventory,
@@ -302,6 +313,14 @@
             endings=endings,
             tasks=self._tasks,
         )
+        prober = Prober(
+            context=context,
+            watch=watch,
+            book=book,
+            attempts=attempts,
+            fleet=fleet,
+            placer=placer,
+        )
         return DomainLeader(
             parts=LeaderParts(
                 context=context,
@@ -309,9 +328,11 @@
                 book=book,
                 attempts=attempts,
                 fleet=fleet,
+                watch=watch,
                 placer=placer,
                 admission=admission,
                 inventory=inventory,
+                prober=prober,
                 tasks=self._tasks,
             )
         )
@@ -326,6 +347,7 @@
             wall_clock=services.wall_clock,
             source=services.source,
             ledger=ledger,
+            estimates=Estimates(),
             events=services.events,
             snapshot=lambda: services.keeper.snapshot,
             is_store_reachable=lambda: services.keeper.is_store_reachable,
@@ -335,33 +357,12 @@
             task_lease_ms=Millis(settings.timing.task_lease_ms),
         )
 
-    def _link(self, instance: Instance) -> WorkerLink:
-        timing = self._services.settings.timing
-        return WorkerLink(
-            client=HttpClient(
-                address=Address.parse(instance.address),
-                max_connections=_WORKER_CONNECTIONS,
-                connect_timeout_ms=Millis(timing.call_timeout_ms),
-            ),
-            holder=self._services.settings.name,
-            clock=self._services.clock,
-            call_timeout_ms=Millis(timing.call_timeout_ms),
-            task_lease_ms=Millis(timing.task_lease_ms),
-        )
 
-    def _port(self, instance: Instance) -> HttpExecutorPort:
-        timing = self._services.settings.timing
-        return HttpExecutorPort(
-            client=HttpClient(
-                address=Address.parse(instance.address),
-                max_connections=_EXECUTOR_CONNECTIONS,
-                connect_timeout_ms=Millis(timing.call_timeout_ms),
-                keep=_answers_own_request,
-            ),
-            holder=self._services.settings.name,
-            call_timeout_ms=Millis(timing.call_timeout_ms),
-            renew_wait_ms=Millis(timing.renew_wait_ms),
-        )
+async def _retire(router: Router, limit_ms: Millis) -> None:
+    """Let the requests that are running end, then stop."""
+    async with curio.ignore_after(to_seconds(limit_ms)):
+        await router.drain()
+    await router.close()
 
 
 class _ListObserver(FleetObserver):
@@ -398,9 +399,3 @@
             await self._leader.instance_gone(instance)
         else:
             await self._router.remove_executor(instance.id)
-
-
-def _answers_own_request(request: Request, response: Response) -> bool:
-    """Keep a connection only while its answers are in step."""
-    wanted = request.headers.get(REQUEST_ID_HEADER)
-    return response.header(REQUEST_ID_HEADER) == wanted
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -20,16 +20,19 @@
 from jayshore.daemon.routes import RequestRoutes
 from jayshore.daemon.settings import Settings, SettingsError, load_settings
 from jayshore.daemon.signals import wait_for_signal
+from jayshore.daemon.slo import EventFanout, SloCounts
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.submissions import JobDesk
+from jayshore.daemon.upstreams import UpstreamConnector
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import HttpServer
 from jayshore.leases.leadership import Leadership
-from jayshore.platform.backoff import Backoff
 from jayshore.platform.httpcalls import PlatformCaller
 from jayshore.platform.httpstore import HttpInstanceList, HttpStore
 from jayshore.platform.settling import WriteSettler
+from jayshore.retry import PLATFORM_BACKOFF
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerAddress, PeerServer, PeerServerLimits
 
@@ -50,12 +53,18 @@
         clock = MonotonicClock()
         wall_clock = WallClock()
         source = random.Random()  # noqa: S311 jitter, not a secret
-        store = HttpStore(caller=_caller(settings, settings.store))
+        self._metrics = Metrics()
+        flow = self._metrics.traffic
+        store = HttpStore(
+            caller=_caller(settings, settings.store, flow('store'))
+        )
         settler = WriteSettler(
-            store=store, clock=clock, backoff=Backoff(), source=source
+            store=store,
+            clock=clock,
+            backoff=PLATFORM_BACKOFF,
+            source=source,
         )
         self._settings = settings
-        self._metrics = Metrics()
         self._keeper = ConfigKeeper(
             name=settings.name,
             store=store,
@@ -63,6 +72,9 @@
             clock=clock,
             freshness_ms=Millis(timing.freshness_ms),
         )
+        slo = SloCounts(
+            wall_clock=wall_clock, snapshot=lambda: self._keeper.snapshot
+        )
         self._status = StatusReporter(
             settings=settings,
             clock=clock,
@@ -77,6 +89,7 @@
             timeout_ms=Millis(timing.call_timeout_ms),
             keeper=self._keeper,
             status=self._status.for_peers,
+            traffic=flow('peer_calls'),
         )
         self._seat = LeaderSeat(
             services=SeatServices(
@@ -87,11 +100,19 @@
                 store=store,
                 settler=settler,
                 instances=HttpInstanceList(
-                    caller=_caller(settings, settings.instance_list)
+                    caller=_caller(
+                        settings, settings.instance_list, flow('instances')
+                    )
                 ),
                 keeper=self._keeper,
-                events=self._metrics,
+                events=EventFanout(observers=(self._metrics, slo)),
                 cut_off=self._cut_off,
+                upstreams=UpstreamConnector(
+                    settings=settings,
+                    clock=clock,
+                    workers=flow('workers'),
+                    executors=flow('executors'),
+                ),
             ),
             confirm=self._confirm,
         )
@@ -122,9 +143,11 @@
                 seat=self._seat,
                 desk=desk,
                 clock=clock,
+                slo=slo,
             ),
             address=_peer_address(settings.peer_listen),
             limits=PeerServerLimits(),
+            traffic=flow('peer_answers'),
         )
         api = Api(
             parts=ApiParts(
@@ -141,6 +164,7 @@
                 desk=desk,
                 status=self._status,
                 metrics=self._metrics,
+                slo=slo,
             )
         )
         listen = Address.parse(settings.listen)
@@ -149,6 +173,7 @@
             port=listen.port,
             handler=api,
             bounds=_bounds(settings),
+            traffic=flow('callers'),
         )
 
     async def run(self) -> None:
@@ -246,11 +271,14 @@
         eliot.to_file(sys.stderr)
 
 
-def _caller(settings: Settings, address: str) -> PlatformCaller:
+def _caller(
+    settings: Settings, address: str, traffic: Traffic
+) -> PlatformCaller:
     client = HttpClient(
         address=Address.parse(address),
         max_connections=_PLATFORM_CONNECTIONS,
         connect_timeout_ms=Millis(settings.timing.call_timeout_ms),
+        traffic=traffic,
     )
     return PlatformCaller(
         client=client,
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -6,7 +6,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.model import Queue
 from jayshore.daemon.access import Access, Granted, NotFresh
-from jayshore.daemon.answers import job_view
+from jayshore.daemon.answers import JobView, job_view
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import Peer, PeerGroup
@@ -19,25 +19,28 @@
     hash_ticket,
     prepare,
     record_job,
+    store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
 from jayshore.jobs.record import (
     JobRecord,
+    JobState,
     decode_record,
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import NotOwner
+from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
     Refused,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store, StoreError
 from jayshore.wire import messages as msg
-from jayshore.wire.errors import WireError
+from jayshore.wire.errors import PeerUnreachable, WireError
 
 _POLL_MS = Millis(250)
 _RETRY_AFTER_MS = Millis(1000)
@@ -92,6 +95,10 @@
         Returns:
             Accepted when it is recorded in the store.
         """
+        if not self._keeper.is_store_reachable and isinstance(access, Granted):
+            # A write whose answer fails to come may still be applied, so a
+            # refusal is certain only when nothing is sent.
+            return store_unavailable('the last read of the store failed')
         if isinstance(access, NotFresh):
             return Refused(
                 reason=RefusalReason.NOT_FRESH, retry_after_ms=_RETRY_AFTER_MS
@@ -110,12 +117,15 @@
         )
         if isinstance(prepared, Refused):
             return prepared
-        peer = self._peers.leader_of(self._settings.domain)
-        if self._seat.leader is None and peer is not None:
-            outcome = await self._submit_to(peer, prepared)
-            if outcome is not None:
-                return outcome
-        return await self.accept(prepared)
+        outcome = await self._submit_here(prepared)
+        for domain in self._other_domains():
+            peer = self._peers.leader_of(domain)
+            if not _never_fits(outcome) or peer is None:
+                continue
+            outcome = await self._submit_to(
+                peer, prepared.in_domain(domain), is_foreign=True
+            )
+        return outcome
 
     async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
         """Record a job whose key was checked, here or by a peer.
@@ -165,7 +175,7 @@
             if not _may_see(record, access):
                 return None
             if record.is_final or not remaining:
-                return encode_json(job_view(record))
+                return encode_json(self._view(record))
             await curio.sleep(to_seconds(min(_POLL_MS, remaining)))
 
     async def find_held(
@@ -189,7 +199,7 @@
         record = book.find(job_id)
         if record is None or not _may_see(record, access):
             return None
-        return encode_json(job_view(record))
+        return encode_json(self._view(record))
 
     async def cancel(self, job_id: str, team: str) -> msg.CancelResult:
         """Cancel a job through its leader.
@@ -237,18 +247,35 @@
             return msg.CancelResult.FINISHED
         try:
             record = await leader.parts.admission.cancel(job_id)
-        except NotOwner:
+        except JobOverError:
+            return msg.CancelResult.FINISHED
+        except TransitionError:
             return msg.CancelResult.UNKNOWN
-        if record.is_cancelling:
+        if record.is_cancelling or record.state is JobState.CANCELLED:
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
+    async def _submit_here(self, prepared: PreparedJob) -> SubmitOutcome:
+        """Submit to the leader of the own domain."""
+        peer = self._peers.leader_of(self._settings.domain)
+        if self._seat.leader is None and peer is not None:
+            return await self._submit_to(peer, prepared)
+        return await self.accept(prepared)
+
+    def _other_domains(self) -> list[str]:
+        return [
+            domain.name
+            for domain in self._keeper.snapshot.document.domains
+            if domain.name != self._settings.domain
+        ]
+
     async def _submit_to(
-        self, peer: Peer, prepared: PreparedJob
-    ) -> SubmitOutcome | None:
-        """Have the leader accept a job; None when it may not have.
+        self, peer: Peer, prepared: PreparedJob, *, is_foreign: bool = False
+    ) -> SubmitOutcome:
+        """Have the leader accept a job; record it here when no answer comes.
 
-        Recording the job here as well is then safe, since its id is the same.
+        Recording it twice is safe, since its id is the same. What is refused
+        here may have been recorded by a leader whose answer was lost.
         """
         call = msg.SubmitJob(
             record=encode_record(prepared.record).encode(),
@@ -259,10 +286,31 @@
             reply = await peer.client.submit_job(
                 call, timeout_ms=Millis(2 * timing.call_timeout_ms)
             )
+        except PeerUnreachable:
+            if is_foreign:
+                return Refused(
+                    reason=RefusalReason.NEVER_FITS,
+                    detail='the other domain cannot be reached',
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+            return await self.accept(prepared)
         except WireError as error:
             eliot.log_message('job:leader_lost', error=str(error))
-            return None
-        return reply.outcome
+        else:
+            return reply.outcome
+        outcome = await self.accept(prepared)
+        if isinstance(outcome, Refused):
+            return Unconfirmed(
+                job_id=prepared.record.job_id, ticket=prepared.ticket
+            )
+        return outcome
+
+    def _view(self, record: JobRecord) -> JobView:
+        leader = self._seat.leader
+        is_running = leader is not None and leader.parts.attempts.is_running(
+            record
+        )
+        return job_view(record, is_running=is_running)
 
     def _refuse(self, record: JobRecord) -> Refused | None:
         """Refuse what can never run and what waits in too great numbers."""
@@ -332,3 +380,10 @@
     if isinstance(access, msg.TicketAccess):
         return hash_ticket(access.ticket) == record.ticket_hash
     return access.team == record.team
+
+
+def _never_fits(outcome: SubmitOutcome) -> bool:
+    return (
+        isinstance(outcome, Refused)
+        and outcome.reason is RefusalReason.NEVER_FITS
+    )
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -1,8 +1,10 @@
 """Compares what workers report with what the leader expects."""
 
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
 
-from jayshore.jobs import transitions
+from jayshore.clock import Millis
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
@@ -14,17 +16,22 @@
     reported,
 )
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
-from jayshore.jobs.record import WorkerBoot
+from jayshore.jobs.proofs import Proof, Verdict, WorkerReport
+from jayshore.jobs.record import JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerObserver
 from jayshore.leases.worker import (
     AttemptName,
     OpenedLease,
     Renewed,
+    TaskOutcome,
     TaskReport,
 )
-from jayshore.placement.cell import Cell
-from jayshore.placement.tasks import WorkerState, WorkerView
+from jayshore.placement.estimates import EndedTask
+from jayshore.placement.tasks import RunningTask, WorkerView
+
+ProofMaker: TypeAlias = Callable[[WorkerBoot], Proof]
 
 
 class InventoryReader(WorkerObserver):
@@ -34,7 +41,7 @@
         self,
         *,
         context: LeaderContext,
-        cell: Cell,
+        watch: WorkerWatch,
         book: JobBook,
         attempts: AttemptTable,
         placer: Placer,
@@ -44,14 +51,14 @@
 
         Args:
             context: what the parts of the leader share.
-            cell: the workers and their room.
+            watch: evidence about workers.
             book: the job records.
             attempts: the newest attempts of all tasks.
             placer: counts running attempts, queues others.
             endings: records what has ended.
         """
         self._context = context
-        self._cell = cell
+        self._watch = watch
         self._book = book
         self._attempts = attempts
         self._placer = placer
@@ -78,12 +85,13 @@
         for attempt in self._attempts.on_worker(worker_id):
             if not _is_in(reports, attempt):
                 await self._note_missing(attempt, opened)
-        for inherited in self._attempts.inherited():
-            if _is_in(reports, inherited):
-                self._adopt(inherited, worker_id, opened)
-            else:
-                inherited.note_absent(worker_id, opened.boot_id)
-                await self.resolve(inherited)
+        for unsettled in self._attempts.unsettled(worker_id):
+            is_inherited = unsettled.phase is Phase.INHERITED
+            if is_inherited and _is_in(reports, unsettled):
+                self._adopt(unsettled, worker_id, opened)
+            elif not _is_in(reports, unsettled):
+                self._note_absent(unsettled, worker_id, opened.boot_id)
+                await self.resolve(unsettled)
         await self._take_reports(worker_id, opened.tasks)
         await self._placer.wake()
 
@@ -95,7 +103,7 @@
             renewed: the worker's answer.
         """
         if renewed.leaving and worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.LEAVING)
+            self._watch.leaving(worker_id)
         await self._take_reports(worker_id, renewed.tasks)
 
     async def worker_lost(self, worker_id: str) -> None:
@@ -105,37 +113,68 @@
             worker_id: the worker.
         """
         if worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.QUARANTINED)
+            self._watch.lost(worker_id)
 
     async def epoch_superseded(self) -> None:
         """Stop to lead."""
         await self._context.depose()
 
-    async def account_for(self, worker_id: str, reason: str) -> None:
+    async def account_for(self, worker_id: str, make_proof: ProofMaker) -> None:
         """Conclude that whatever ran on a worker is over.
 
         Args:
             worker_id: the worker.
-            reason: see `AttemptOver`.
+            make_proof: makes the proof about one boot of the worker.
         """
         for attempt in self._attempts.on_worker(worker_id):
-            await self._lose(attempt, reason)
-        for inherited in self._attempts.inherited():
-            inherited.note_over(worker_id, reason)
-            await self.resolve(inherited)
+            if attempt.worker is not None:
+                await self._lose(attempt, make_proof(attempt.worker))
+        for unsettled in self._attempts.unsettled(worker_id):
+            record = self._book.find(unsettled.job_id)
+            for worker in record.intent if record else ():
+                if worker.worker_id == worker_id:
+                    unsettled.note(make_proof(worker))
+            await self.resolve(unsettled)
 
     async def resolve(self, attempt: Attempt) -> None:
-        """End an inherited attempt once no worker can have it any more.
+        """End an attempt once no worker can have it any more.
 
         Args:
-            attempt: an inherited attempt.
+            attempt: an attempt that waits for proofs.
         """
-        if attempt.phase is Phase.INHERITED and attempt.is_settled:
-            record = self._book.find(attempt.job_id)
-            if record is not None:
-                self._context.ledger.give_back(record.team, record.demand)
-            ending = Ending(outcome=None, proof=attempt.proof)
-            await self._endings.record_later(attempt, ending, None)
+        record = self._book.find(attempt.job_id)
+        if record is None or attempt.unproved(record):
+            return
+        if attempt.phase is Phase.INHERITED:
+            self._context.ledger.give_back(record.team, record.demand)
+            await self._endings.record_later(
+                attempt, Ending(outcome=None), None
+            )
+        elif attempt.phase is Phase.ENDED:
+            await self._endings.resume(attempt)
+
+    def _note_absent(
+        self, attempt: Attempt, worker_id: str, boot_id: str
+    ) -> None:
+        """Note that a newly opened lease shows no sign of an attempt."""
+        record = self._book.find(attempt.job_id)
+        for worker in record.intent if record else ():
+            if worker.worker_id == worker_id:
+                report = self._report(attempt, worker, Verdict.NEVER_STARTED)
+                attempt.note(
+                    dataclasses.replace(report, reporting_boot_id=boot_id)
+                )
+
+    def _report(
+        self, attempt: Attempt, worker: WorkerBoot, verdict: Verdict
+    ) -> WorkerReport:
+        return WorkerReport(
+            worker=worker,
+            reporting_boot_id=worker.boot_id,
+            lease_epoch=self._context.epoch,
+            attempt=attempt.number,
+            verdict=verdict,
+        )
 
     def _update_worker(self, worker_id: str, opened: OpenedLease) -> None:
         instance = self._fleet.instance(worker_id) if self._fleet else None
@@ -149,19 +188,18 @@
                     boot_id=opened.boot_id,
                 )
             )
-        self._placer.boots[worker_id] = WorkerBoot(
-            worker_id=worker_id, boot_id=opened.boot_id
+        boot = WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
+        is_new_boot = self._placer.boots.get(worker_id) != boot
+        self._placer.boots[worker_id] = boot
+        self._watch.opened(
+            worker_id, is_new_boot=is_new_boot, is_leaving=opened.leaving
         )
-        state = WorkerState.LEAVING if opened.leaving else WorkerState.USABLE
-        self._cell.set_worker_state(worker_id, state)
 
     def _adopt(
         self, attempt: Attempt, worker_id: str, opened: OpenedLease
     ) -> None:
         record = self._book.find(attempt.job_id)
-        attempt.note_found(
-            WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
-        )
+        attempt.worker = WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
         if record is not None:
             self._placer.adopt(record, attempt)
 
@@ -180,17 +218,16 @@
             return
         if attempt.phase is Phase.STARTING and same_boot:
             self._placer.requeue(record, attempt)
-        else:
-            await self._lose(attempt, 'worker_report')
+        elif worker is not None:
+            report = self._report(attempt, worker, Verdict.ENDED)
+            await self._lose(attempt, report)
 
-    async def _lose(self, attempt: Attempt, reason: str) -> None:
+    async def _lose(self, attempt: Attempt, proof: Proof) -> None:
         record = self._book.find(attempt.job_id)
         if record is not None:
             self._placer.release(record, attempt)
-        over = transitions.AttemptOver(reason=reason)
-        await self._endings.record_later(
-            attempt, Ending(outcome=None, proof=over), None
-        )
+        attempt.note(proof)
+        await self._endings.record_later(attempt, Ending(outcome=None), None)
 
     async def _take_reports(
         self, worker_id: str, reports: Iterable[TaskReport]
@@ -212,13 +249,31 @@
         if attempt.phase is Phase.STARTING:
             self._placer.note_running(record, attempt)
         if report.outcome is not None:
-            self._placer.release(record, attempt)
+            running = self._placer.release(record, attempt)
+            if report.outcome is TaskOutcome.SUCCEEDED:
+                self._learn(record, running)
+            attempt.note(self._report(attempt, worker, Verdict.ENDED))
             await self._endings.record_later(
                 attempt, reported(report), self._reporter(worker_id, report)
             )
         elif report.usage is not None:
             self._placer.note_usage(attempt, report.usage)
 
+    def _learn(self, record: JobRecord, running: RunningTask) -> None:
+        """Learn the run time of a task that ran to its end."""
+        now = self._context.clock.now()
+        declared = Millis(record.run_ms) if record.run_ms else None
+        self._context.estimates.observe(
+            EndedTask(
+                team=record.team,
+                queue=record.queue,
+                declared=record.demand,
+                peak=running.usage,
+                declared_run_ms=declared,
+                run_ms=Millis(now - running.started_at),
+            )
+        )
+
     async def _handle_unexpected(
         self, worker_id: str, report: TaskReport
     ) -> None:
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -12,16 +12,20 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import FleetObserver, InstanceFollower, WorkerFleet
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.probing import Prober
+from jayshore.jobs.proofs import InstanceGone, LeaseExpired, Proof
+from jayshore.jobs.record import WorkerBoot
 from jayshore.placement.cell import Cell
-from jayshore.placement.tasks import WorkerState
 from jayshore.platform.instances import Instance
 from jayshore.platform.store import StoreError
 
 # A worker's clock may run this much slower than the leader's.
 _CLOCK_RATE_PERCENT = 102
 _LEASE_CHECK_MS = Millis(1000)
+_PROBE_CHECK_MS = Millis(1000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -33,9 +37,11 @@
     book: JobBook
     attempts: AttemptTable
     fleet: WorkerFleet
+    watch: WorkerWatch
     placer: Placer
     admission: Admission
     inventory: InventoryReader
+    prober: Prober
     tasks: BackgroundTasks
 
 
@@ -85,6 +91,7 @@
         await spawn(follower.run())
         await spawn(self._placer.run(round_ms))
         await spawn(self._watch_leases(follower))
+        await spawn(self._parts.prober.run(_PROBE_CHECK_MS))
         await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
@@ -124,7 +131,7 @@
             instance: listed as leaving.
         """
         if instance.id in self._placer.boots:
-            self._parts.cell.set_worker_state(instance.id, WorkerState.LEAVING)
+            self._parts.watch.leaving(instance.id)
 
     async def instance_gone(self, instance: Instance) -> None:
         """Conclude that nothing runs on a worker any more.
@@ -133,7 +140,7 @@
             instance: not listed any more.
         """
         self._parts.fleet.remove(instance.id)
-        await self._parts.inventory.account_for(instance.id, 'instance_gone')
+        await self._parts.inventory.account_for(instance.id, _gone)
         self._placer.remove_worker(instance.id)
 
     async def _reconcile(self) -> None:
@@ -156,7 +163,7 @@
             if expired and await self._is_confirmed():
                 for worker_id in expired:
                     await self._parts.inventory.account_for(
-                        worker_id, 'lease_expired'
+                        worker_id, self._expired
                     )
 
     def _expired_workers(self) -> list[str]:
@@ -185,14 +192,25 @@
         """
         if not follower.was_read:
             return
-        for attempt in self._parts.attempts.inherited():
-            for worker in attempt.unresolved:
+        for attempt in self._parts.attempts.unsettled():
+            record = self._parts.book.find(attempt.job_id)
+            for worker in attempt.unproved(record) if record else ():
                 if not follower.lists(worker.worker_id):
-                    attempt.note_over(worker.worker_id, 'instance_gone')
+                    attempt.note(_gone(worker))
             await self._parts.inventory.resolve(attempt)
 
+    def _expired(self, worker: WorkerBoot) -> Proof:
+        epoch = self._parts.context.epoch
+        return LeaseExpired(
+            worker=worker, lease_epoch=epoch, confirmed_epoch=epoch
+        )
+
     async def _is_confirmed(self) -> bool:
         try:
             return await self._parts.context.confirm()
         except StoreError:
             return False
+
+
+def _gone(worker: WorkerBoot) -> Proof:
+    return InstanceGone(worker=worker)
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -1,6 +1,8 @@
 """Carries out the decisions of the cell: widens intents, starts, stops."""
 
+import dataclasses
 import functools
+from collections.abc import Iterable
 
 import curio
 import eliot
@@ -12,6 +14,7 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.pending import id_of, pending_task
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerSession
 from jayshore.leases.worker import StartOrder, StartResult
@@ -22,14 +25,32 @@
     Wait,
 )
 from jayshore.placement.tasks import (
-    PendingTask,
     RunningTask,
-    TaskId,
-    TaskKind,
     WorkerView,
 )
 from jayshore.resources import Resources
 
+# The cell counts shares in whole numbers.
+_SHARE_UNITS = 100
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Launch:
+    """One decision to start an attempt.
+
+    While it waits for the store, a newly opened lease may queue the attempt
+    again; the start must then not be sent any more.
+    """
+
+    attempt: Attempt
+    number: int
+    worker: WorkerBoot
+
+    @property
+    def is_current(self) -> bool:
+        is_newest = self.attempt.launches == self.number
+        return is_newest and self.attempt.phase is Phase.STARTING
+
 
 class Placer:
     """Runs placement rounds and carries their decisions out."""
@@ -62,6 +83,7 @@
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
         self._is_confined = False
+        self._shares_version = 0
 
     @property
     def boots(self) -> dict[str, WorkerBoot]:
@@ -115,6 +137,7 @@
                 await self._wake.wait()
             self._wake.clear()
             self._confine()
+            self._apply_shares()
             await self._round()
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -129,7 +152,23 @@
             return
         attempt.phase = Phase.QUEUED
         attempt.worker = None
-        self._cell.enqueue(self._pending(record, attempt))
+        self._cell.enqueue(
+            pending_task(
+                record,
+                attempt,
+                context=self._context,
+                is_confined=self._is_confined,
+            )
+        )
+
+    def regroup(self, record: JobRecord) -> None:
+        """Let the waiting tasks of a gang wait only for those that are left.
+
+        Args:
+            record: a job of which a task has just ended for good.
+        """
+        if record.kind is JobKind.GANG:
+            self._enqueue_again(self._attempts.of_job(record))
 
     def withdraw(self, attempt: Attempt) -> None:
         """Take an attempt out of the queue.
@@ -137,7 +176,7 @@
         Args:
             attempt: a queued attempt.
         """
-        self._cell.withdraw(_task_id(attempt))
+        self._cell.withdraw(id_of(attempt))
 
     def adopt(self, record: JobRecord, attempt: Attempt) -> None:
         """Count the room of an inherited attempt that was found.
@@ -151,22 +190,31 @@
         attempt.phase = Phase.RUNNING
         self._cell.adopt(
             RunningTask(
-                task=self._pending(record, attempt),
+                task=pending_task(
+                    record,
+                    attempt,
+                    context=self._context,
+                    is_confined=False,
+                ),
                 worker_id=attempt.worker.worker_id,
                 started_at=self._context.clock.now(),
             )
         )
 
-    def release(self, record: JobRecord, attempt: Attempt) -> None:
+    def release(self, record: JobRecord, attempt: Attempt) -> RunningTask:
         """Free the room of an attempt that has ended or never started.
 
         Args:
             record: its job.
             attempt: a starting or running attempt.
+
+        Returns:
+            The task as it was running.
         """
-        self._cell.finish(_task_id(attempt))
+        running = self._cell.finish(id_of(attempt))
         self._context.ledger.give_back(record.team, record.demand)
         attempt.phase = Phase.ENDED
+        return running
 
     def note_usage(self, attempt: Attempt, usage: Resources) -> None:
         """Count what a running attempt really uses.
@@ -175,7 +223,7 @@
             attempt: a running attempt.
             usage: as its worker reported it.
         """
-        self._cell.update_usage(_task_id(attempt), usage)
+        self._cell.update_usage(id_of(attempt), usage)
 
     async def stop(self, attempt: Attempt, *, checkpoint: bool) -> None:
         """Ask the worker of a running attempt to stop it.
@@ -211,23 +259,18 @@
         self.release(record, attempt)
         self.enqueue(attempt)
 
-    async def _round(self) -> None:
-        while True:
-            decision = self._cell.decide(self._context.clock.now())
-            match decision:
-                case Wait():
-                    return
-                case Place():
-                    await self._carry_out(decision)
-                case Preempt():
-                    self._cell.preempt(decision)
-                    await self._tasks.spawn(self._preempt(decision))
+    async def carry_out(self, decision: Place) -> None:
+        """Start tasks where they were placed.
 
-    async def _carry_out(self, decision: Place) -> None:
+        Args:
+            decision: of the cell, or a probe.
+        """
         now = self._context.clock.now()
         placed = []
         for chosen in decision.assignments:
-            attempt = self._find(chosen.task_id)
+            attempt = self._attempts.find(
+                task_name(chosen.task_id.job_id, chosen.task_id.index)
+            )
             record = self._book.find(chosen.task_id.job_id)
             if attempt is None or record is None:
                 self._cell.withdraw(chosen.task_id)
@@ -236,14 +279,29 @@
             self._context.ledger.take(record.team, record.demand)
             attempt.phase = Phase.STARTING
             attempt.launches += 1
-            attempt.worker = self._boots[chosen.worker_id]
-            placed.append(attempt)
+            worker = self._boots[chosen.worker_id]
+            attempt.worker = worker
+            placed.append(
+                _Launch(attempt=attempt, number=attempt.launches, worker=worker)
+            )
         if placed:
             await self._tasks.spawn(self._launch(placed))
 
-    async def _launch(self, placed: list[Attempt]) -> None:
-        job_id = placed[0].job_id
-        wanted = {item.worker for item in placed if item.worker is not None}
+    async def _round(self) -> None:
+        while True:
+            decision = self._cell.decide(self._context.clock.now())
+            match decision:
+                case Wait():
+                    return
+                case Place():
+                    await self.carry_out(decision)
+                case Preempt():
+                    self._cell.preempt(decision)
+                    await self._tasks.spawn(self._preempt(decision))
+
+    async def _launch(self, placed: list[_Launch]) -> None:
+        job_id = placed[0].attempt.job_id
+        wanted = {launch.worker for launch in placed}
         record = self._book.find(job_id)
         with eliot.start_action(
             action_type='placement:launch', job=job_id, tasks=len(placed)
@@ -252,8 +310,8 @@
                 await self._widen(job_id, wanted)
             starts = curio.TaskGroup(wait=all)
             async with starts:
-                for attempt in placed:
-                    await starts.spawn(self._start(attempt))
+                for launch in placed:
+                    await starts.spawn(self._start(launch))
             if not all(starts.results):
                 await self._stop_partial_gang(placed)
         await self.wake()
@@ -263,27 +321,29 @@
             await self._book.change(
                 job_id,
                 functools.partial(
-                    transitions.widen,
-                    epoch=self._context.epoch,
+                    transitions.widen_intent,
+                    writer=self._context.writer,
                     workers=sorted(wanted),
                 ),
             )
-        except transitions.NotOwner:
+        except transitions.NotOwnerError:
             await self._context.depose()
+        except transitions.TransitionError as refusal:
+            eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
-    async def _start(self, attempt: Attempt) -> bool:
+    async def _start(self, launch: _Launch) -> bool:
+        attempt = launch.attempt
+        worker = launch.worker
         record = self._book.find(attempt.job_id)
-        worker = attempt.worker
-        launch = attempt.launches
-        if record is None or worker is None:
+        if record is None:
             return False
         session = self._session(worker)
-        is_current = worker == self._boots.get(worker.worker_id)
-        result = StartResult.CERTAINLY_NOT
+        is_known = worker == self._boots.get(worker.worker_id)
         may_start = worker in record.intent and not record.is_cancelling
-        if session is not None and is_current and may_start:
+        result = StartResult.CERTAINLY_NOT
+        if launch.is_current and session and is_known and may_start:
             result = await session.start(_order(record, attempt))
-        if attempt.phase is not Phase.STARTING or attempt.launches != launch:
+        if not launch.is_current:
             # A lease that was opened meanwhile has settled it.
             return attempt.phase is Phase.RUNNING
         if result is StartResult.STARTED:
@@ -292,17 +352,19 @@
             self.requeue(record, attempt)
         return result is StartResult.STARTED
 
-    async def _stop_partial_gang(self, placed: list[Attempt]) -> None:
-        record = self._book.find(placed[0].job_id)
+    async def _stop_partial_gang(self, placed: list[_Launch]) -> None:
+        record = self._book.find(placed[0].attempt.job_id)
         if record is None or record.kind is not JobKind.GANG:
             return
-        for attempt in placed:
-            if attempt.phase is Phase.RUNNING:
-                await self.stop(attempt, checkpoint=False)
+        for launch in placed:
+            if launch.attempt.phase is Phase.RUNNING:
+                await self.stop(launch.attempt, checkpoint=False)
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
-            attempt = self._find(task_id)
+            attempt = self._attempts.find(
+                task_name(task_id.job_id, task_id.index)
+            )
             if attempt is not None:
                 await self.stop(attempt, checkpoint=decision.checkpoint_first)
 
@@ -310,8 +372,18 @@
         sessions = self._fleet.sessions if self._fleet else {}
         return sessions.get(worker.worker_id)
 
-    def _find(self, task_id: TaskId) -> Attempt | None:
-        return self._attempts.find(task_name(task_id.job_id, task_id.index))
+    def _apply_shares(self) -> None:
+        """Hand the shares of a new configuration to the cell."""
+        snapshot = self._context.snapshot()
+        if snapshot.version == self._shares_version:
+            return
+        self._shares_version = snapshot.version
+        self._cell.apply_shares(
+            {
+                team.name: max(1, round(team.share * _SHARE_UNITS))
+                for team in snapshot.document.teams
+            }
+        )
 
     def _confine(self) -> None:
         """Confine waiting tasks to their recorded intents in an outage."""
@@ -319,49 +391,15 @@
         if is_confined == self._is_confined:
             return
         self._is_confined = is_confined
-        queued = [item for item in self._attempts if item.phase is Phase.QUEUED]
+        self._enqueue_again(self._attempts)
+
+    def _enqueue_again(self, attempts: Iterable[Attempt]) -> None:
+        queued = [item for item in attempts if item.phase is Phase.QUEUED]
         for attempt in queued:
             self.withdraw(attempt)
         for waiting in queued:
             self.enqueue(waiting)
 
-    def _pending(self, record: JobRecord, attempt: Attempt) -> PendingTask:
-        snapshot = self._context.snapshot()
-        queue = snapshot.queue(record.queue)
-        run_ms = Millis(record.run_ms) if record.run_ms else None
-        allowed = None
-        if self._is_confined:
-            allowed = frozenset(item.worker_id for item in record.intent)
-        return PendingTask(
-            task_id=_task_id(attempt),
-            team=record.team,
-            queue=record.queue,
-            kind=TaskKind(record.kind.value),
-            demand=record.demand,
-            enqueued_at=self._on_own_clock(record.accepted_at_ms),
-            urgent=queue is not None and queue.urgent,
-            declared_run_ms=run_ms,
-            estimated_run_ms=run_ms,
-            deadline=(
-                None
-                if record.deadline_ms is None
-                else self._on_own_clock(record.deadline_ms)
-            ),
-            idempotent=record.idempotent,
-            preemptible=record.idempotent and record.kind is JobKind.BATCH,
-            gang_size=record.task_count if record.kind is JobKind.GANG else 1,
-            allowed_workers=allowed,
-            avoided_workers=attempt.avoided,
-        )
-
-    def _on_own_clock(self, wall_ms: int) -> Millis:
-        offset = self._context.clock.now() - self._context.wall_clock.now()
-        return Millis(wall_ms + offset)
-
-
-def _task_id(attempt: Attempt) -> TaskId:
-    return TaskId(job_id=attempt.job_id, index=attempt.index)
-
 
 def _order(record: JobRecord, attempt: Attempt) -> StartOrder:
     return StartOrder(
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -8,6 +8,7 @@
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.retry import Backoff
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
 from jayshore.wire.errors import (
@@ -110,6 +111,7 @@
         clock: Clock,
         rng: random.Random,
         max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES,
+        traffic: Traffic | None = None,
     ) -> None:
         """Prepare to connect.
 
@@ -118,11 +120,13 @@
             clock: measures the backoff.
             rng: source of the jitter.
             max_frame_bytes: limit for a frame in either direction.
+            traffic: counts bytes and frames, shared by several clients.
         """
         self._address = address
         self._clock = clock
         self._rng = rng
         self._max_frame_bytes = max_frame_bytes
+        self._traffic = traffic or Traffic()
         self._connection: _Connection | None = None
         self._connecting = curio.Lock()
         self._failures = 0
@@ -182,15 +186,6 @@
         """Have a job accepted; see `call` for the errors."""
         return await self.call(call, msg.SubmitJobReply, timeout_ms=timeout_ms)
 
-    async def job_notice(
-        self,
-        call: msg.JobNotice,
-        *,
-        timeout_ms: Millis,
-    ) -> msg.JobNoticeReply:
-        """Announce a changed job record; see `call` for the errors."""
-        return await self.call(call, msg.JobNoticeReply, timeout_ms=timeout_ms)
-
     async def job_query(
         self,
         call: msg.JobQuery,
@@ -200,6 +195,15 @@
         """Ask for the state of a job; see `call` for the errors."""
         return await self.call(call, msg.JobQueryReply, timeout_ms=timeout_ms)
 
+    async def slo_query(
+        self,
+        call: msg.SloQuery,
+        *,
+        timeout_ms: Millis,
+    ) -> msg.SloReply:
+        """Ask for service-level samples; see `call` for the errors."""
+        return await self.call(call, msg.SloReply, timeout_ms=timeout_ms)
+
     async def cancel_job(
         self,
         call: msg.CancelJob,
@@ -294,6 +298,7 @@
             stream=FrameStream(
                 sock=sock,
                 max_frame_bytes=self._max_frame_bytes,
+                traffic=self._traffic,
             ),
         )
         await connection.start()
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -21,6 +21,7 @@
     NotRunReason,
     Ran,
     RequestOutcome,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
@@ -225,6 +226,10 @@
     outcome = reply.outcome
     if isinstance(outcome, Accepted):
         return {'accepted': {'jobId': outcome.job_id, 'ticket': outcome.ticket}}
+    if isinstance(outcome, Unconfirmed):
+        return {
+            'unconfirmed': {'jobId': outcome.job_id, 'ticket': outcome.ticket},
+        }
     return {
         'refused': {
             'reason': outcome.reason.value,
@@ -240,6 +245,13 @@
         return msg.SubmitJobReply(
             outcome=Accepted(job_id=accepted.jobId, ticket=accepted.ticket)
         )
+    if str(reader.which()) == 'unconfirmed':
+        unconfirmed = reader.unconfirmed
+        return msg.SubmitJobReply(
+            outcome=Unconfirmed(
+                job_id=unconfirmed.jobId, ticket=unconfirmed.ticket
+            )
+        )
     refused = reader.refused
     return msg.SubmitJobReply(
         outcome=Refused(
@@ -286,8 +298,6 @@
             lambda call: {'record': call.record, 'ticket': call.ticket},
         ),
         msg.SubmitJobReply: ('submitJobReply', _encode_submitted),
-        msg.JobNotice: ('jobNotice', lambda call: {'jobId': call.job_id}),
-        msg.JobNoticeReply: ('jobNoticeReply', lambda _: None),
         msg.JobQuery: ('jobQuery', _encode_query),
         msg.JobQueryReply: ('jobQueryReply', _encode_query_reply),
         msg.CancelJob: (
@@ -298,6 +308,11 @@
             'cancelJobReply',
             lambda reply: {'result': reply.result.value},
         ),
+        msg.SloQuery: ('sloQuery', lambda _: None),
+        msg.SloReply: (
+            'sloReply',
+            lambda reply: {'document': reply.document},
+        ),
         msg.CallFailed: ('callFailed', lambda reply: {'detail': reply.detail}),
     }
 )
@@ -331,8 +346,6 @@
             record=reader.record, ticket=reader.ticket
         ),
         'submitJobReply': _decode_submitted,
-        'jobNotice': lambda reader: msg.JobNotice(job_id=reader.jobId),
-        'jobNoticeReply': lambda _: msg.JobNoticeReply(),
         'jobQuery': _decode_query,
         'jobQueryReply': _decode_query_reply,
         'cancelJob': lambda reader: msg.CancelJob(
@@ -342,6 +355,8 @@
         'cancelJobReply': lambda reader: msg.CancelJobReply(
             result=msg.CancelResult(str(reader.result)),
         ),
+        'sloQuery': lambda _: msg.SloQuery(),
+        'sloReply': lambda reader: msg.SloReply(document=reader.document),
         'callFailed': lambda reader: msg.CallFailed(detail=reader.detail),
     }
 )
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -172,18 +172,6 @@
     outcome: SubmitOutcome
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobNotice:
-    """A job record was created or changed; the leader should read it."""
-
-    job_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobNoticeReply:
-    """The notice was received."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TicketAccess:
     """The caller presented the ticket of the job."""
@@ -235,6 +223,18 @@
     result: CancelResult
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloQuery:
+    """Ask for the service-level samples that the peer has recorded."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SloReply:
+    """Samples as JSON of a `SloSnapshot`."""
+
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallFailed:
     """The peer's handler failed; what it did before is not known."""
@@ -248,9 +248,9 @@
     | ConfigCommitted
     | RouteRequest
     | SubmitJob
-    | JobNotice
     | JobQuery
     | CancelJob
+    | SloQuery
 )
 Reply: TypeAlias = (
     HeartbeatReply
@@ -258,9 +258,9 @@
     | ConfigCommittedReply
     | RouteReply
     | SubmitJobReply
-    | JobNoticeReply
     | JobQueryReply
     | CancelJobReply
+    | SloReply
     | CallFailed
 )
 Message: TypeAlias = Call | Reply
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -93,13 +93,13 @@
       detail @3 :Text;
       retryAfterMs @4 :Int64 = -1;
     }
+    unconfirmed :group {
+      jobId @5 :Text;
+      ticket @6 :Text;
+    }
   }
 }
 
-struct JobNotice {
-  jobId @0 :Text;
-}
-
 struct JobQuery {
   jobId @0 :Text;
   waitMs @1 :UInt32;
@@ -131,6 +131,10 @@
   result @0 :CancelResult;
 }
 
+struct SloReply {
+  document @0 :Data;            # JSON
+}
+
 struct CallFailed {
   detail @0 :Text;
 }
@@ -146,14 +150,14 @@
     configCommittedReply @6 :ConfigCommittedReply;
     routeRequest @7 :RouteRequest;
     routeReply @8 :RouteReply;
-    jobNotice @9 :JobNotice;
-    jobNoticeReply @10 :Void;
-    jobQuery @11 :JobQuery;
-    jobQueryReply @12 :JobQueryReply;
-    cancelJob @13 :CancelJob;
-    cancelJobReply @14 :CancelJobReply;
-    callFailed @15 :CallFailed;
-    submitJob @16 :SubmitJob;
-    submitJobReply @17 :SubmitJobReply;
+    jobQuery @9 :JobQuery;
+    jobQueryReply @10 :JobQueryReply;
+    cancelJob @11 :CancelJob;
+    cancelJobReply @12 :CancelJobReply;
+    callFailed @13 :CallFailed;
+    submitJob @14 :SubmitJob;
+    submitJobReply @15 :SubmitJobReply;
+    sloQuery @16 :Void;
+    sloReply @17 :SloReply;
   }
 }
--- a/jayshore/wire/server.py
+++ b/jayshore/wire/server.py
@@ -10,6 +10,7 @@
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis, to_seconds  # noqa: WPS347
 from jayshore.outcomes import JayshoreError
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.codec import decode, encode
 from jayshore.wire.errors import (
@@ -69,14 +70,14 @@
     async def submit_job(self, call: msg.SubmitJob) -> msg.SubmitJobReply:
         """Accept a job."""
 
-    @abc.abstractmethod
-    async def job_notice(self, call: msg.JobNotice) -> msg.JobNoticeReply:
-        """Note that a job record was created or changed."""
-
     @abc.abstractmethod
     async def job_query(self, call: msg.JobQuery) -> msg.JobQueryReply:
         """Answer with the state of a job."""
 
+    @abc.abstractmethod
+    async def slo_query(self, call: msg.SloQuery) -> msg.SloReply:
+        """Answer with the service-level samples of this daemon."""
+
     @abc.abstractmethod
     async def cancel_job(self, call: msg.CancelJob) -> msg.CancelJobReply:
         """Cancel a job."""
@@ -107,6 +108,7 @@
         handler: PeerHandler,
         address: PeerAddress,
         limits: PeerServerLimits,
+        traffic: Traffic | None = None,
     ) -> None:
         """Prepare to listen.
 
@@ -114,10 +116,12 @@
             handler: answers the calls.
             address: where to listen.
             limits: bounds of frames, calls and times.
+            traffic: counts bytes and frames.
         """
         self._handler = handler
         self._address = address
         self._limits = limits
+        self._traffic = traffic or Traffic()
         self._listener: Any = None
         self._tasks = BackgroundTasks()
         self._calls_running = 0
@@ -163,6 +167,7 @@
             stream = FrameStream(
                 sock=sock,
                 max_frame_bytes=self._limits.max_frame_bytes,
+                traffic=self._traffic,
             )
             await self._tasks.spawn(self._serve(stream))
 
@@ -256,10 +261,10 @@
             return await handler.route_request(call)
         case msg.SubmitJob():
             return await handler.submit_job(call)
-        case msg.JobNotice():
-            return await handler.job_notice(call)
         case msg.JobQuery():
             return await handler.job_query(call)
+        case msg.SloQuery():
+            return await handler.slo_query(call)
         case msg.CancelJob():
             return await handler.cancel_job(call)
     raise UnexpectedMessageError(f'{type(call).__name__} is no call')
