--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -16,6 +16,7 @@
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
 from jayshore.report.samples import SloSnapshot
+from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.client import PeerClient
 from jayshore.wire.errors import WireError
@@ -23,7 +24,8 @@
 
 # A peer whose last heartbeat is older than this many intervals is not counted
 # on as a leader.
-_MISSED_HEARTBEATS = 4
+_MISSED_HEARTBEATS = 3
+_STEPS = 8
 
 
 class Peer:
@@ -74,6 +76,7 @@
         timeout_ms: Millis,
         keeper: ConfigKeeper,
         status: Callable[[], msg.DaemonStatus],
+        traffic: Traffic,
     ) -> None:
         """Start without peers.
 
@@ -85,6 +88,7 @@
             timeout_ms: timeout of a call to a peer, in ms.
             keeper: takes the peers' evidence.
             status: what this daemon tells its peers about itself.
+            traffic: counts the bytes to and from peers.
         """
         self._name = name
         self._clock = clock
@@ -93,6 +97,7 @@
         self._timeout_ms = timeout_ms
         self._keeper = keeper
         self._status = status
+        self._traffic = traffic
         self._peers: dict[str, Peer] = {}
 
     async def run(self) -> None:
@@ -235,6 +240,7 @@
             address=PeerAddress(host=address.host, port=address.port),
             clock=self._clock,
             rng=self._source,
+            traffic=self._traffic,
         )
         return Peer(entry=entry, client=client)
 
@@ -242,10 +248,25 @@
         try:
             while True:
                 await self._beat(peer)
-                await curio.sleep(to_seconds(self._interval_ms))
+                await self._pause()
         finally:
             await peer.client.close()
 
+    async def _pause(self) -> None:
+        """Wait until the next heartbeat.
+
+        While the store gives no evidence, the peers have to, several times
+        within the bound on its age.
+        """
+        start = self._clock.now()
+        step = Millis(self._interval_ms // _STEPS)
+        shortest = start + 2 * step
+        longest = start + self._interval_ms
+        while self._clock.now() < longest:
+            await curio.sleep(to_seconds(step))
+            if self._clock.now() >= shortest and self._keeper.needs_evidence:
+                return
+
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
         asked_at = self._clock.now()
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -35,11 +35,12 @@
     RefusalReason,
     Refused,
     SubmitOutcome,
+    Unconfirmed,
 )
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store, StoreError
 from jayshore.wire import messages as msg
-from jayshore.wire.errors import WireError
+from jayshore.wire.errors import PeerUnreachable, WireError
 
 _POLL_MS = Millis(250)
 _RETRY_AFTER_MS = Millis(1000)
@@ -116,12 +117,15 @@
         )
         if isinstance(prepared, Refused):
             return prepared
-        peer = self._peers.leader_of(self._settings.domain)
-        if self._seat.leader is None and peer is not None:
-            outcome = await self._submit_to(peer, prepared)
-            if outcome is not None:
-                return outcome
-        return await self.accept(prepared)
+        outcome = await self._submit_here(prepared)
+        for domain in self._other_domains():
+            peer = self._peers.leader_of(domain)
+            if not _never_fits(outcome) or peer is None:
+                continue
+            outcome = await self._submit_to(
+                peer, prepared.in_domain(domain), is_foreign=True
+            )
+        return outcome
 
     async def accept(self, prepared: PreparedJob) -> SubmitOutcome:
         """Record a job whose key was checked, here or by a peer.
@@ -251,12 +255,27 @@
             return msg.CancelResult.CANCELLED
         return msg.CancelResult.FINISHED
 
+    async def _submit_here(self, prepared: PreparedJob) -> SubmitOutcome:
+        """Submit to the leader of the own domain."""
+        peer = self._peers.leader_of(self._settings.domain)
+        if self._seat.leader is None and peer is not None:
+            return await self._submit_to(peer, prepared)
+        return await self.accept(prepared)
+
+    def _other_domains(self) -> list[str]:
+        return [
+            domain.name
+            for domain in self._keeper.snapshot.document.domains
+            if domain.name != self._settings.domain
+        ]
+
     async def _submit_to(
-        self, peer: Peer, prepared: PreparedJob
-    ) -> SubmitOutcome | None:
-        """Have the leader accept a job; None when it may not have.
+        self, peer: Peer, prepared: PreparedJob, *, is_foreign: bool = False
+    ) -> SubmitOutcome:
+        """Have the leader accept a job; record it here when no answer comes.
 
-        Recording the job here as well is then safe, since its id is the same.
+        Recording it twice is safe, since its id is the same. What is refused
+        here may have been recorded by a leader whose answer was lost.
         """
         call = msg.SubmitJob(
             record=encode_record(prepared.record).encode(),
@@ -267,10 +286,24 @@
             reply = await peer.client.submit_job(
                 call, timeout_ms=Millis(2 * timing.call_timeout_ms)
             )
+        except PeerUnreachable:
+            if is_foreign:
+                return Refused(
+                    reason=RefusalReason.NEVER_FITS,
+                    detail='the other domain cannot be reached',
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+            return await self.accept(prepared)
         except WireError as error:
             eliot.log_message('job:leader_lost', error=str(error))
-            return None
-        return reply.outcome
+        else:
+            return reply.outcome
+        outcome = await self.accept(prepared)
+        if isinstance(outcome, Refused):
+            return Unconfirmed(
+                job_id=prepared.record.job_id, ticket=prepared.ticket
+            )
+        return outcome
 
     def _view(self, record: JobRecord) -> JobView:
         leader = self._seat.leader
@@ -347,3 +380,10 @@
     if isinstance(access, msg.TicketAccess):
         return hash_ticket(access.ticket) == record.ticket_hash
     return access.team == record.team
+
+
+def _never_fits(outcome: SubmitOutcome) -> bool:
+    return (
+        isinstance(outcome, Refused)
+        and outcome.reason is RefusalReason.NEVER_FITS
+    )
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -26,11 +26,13 @@
 )
 from jayshore.placement.tasks import (
     RunningTask,
-    TaskId,
     WorkerView,
 )
 from jayshore.resources import Resources
 
+# The cell counts shares in whole numbers.
+_SHARE_UNITS = 100
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Launch:
@@ -81,6 +83,7 @@
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
         self._is_confined = False
+        self._shares_version = 0
 
     @property
     def boots(self) -> dict[str, WorkerBoot]:
@@ -134,6 +137,7 @@
                 await self._wake.wait()
             self._wake.clear()
             self._confine()
+            self._apply_shares()
             await self._round()
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -197,16 +201,20 @@
             )
         )
 
-    def release(self, record: JobRecord, attempt: Attempt) -> None:
+    def release(self, record: JobRecord, attempt: Attempt) -> RunningTask:
         """Free the room of an attempt that has ended or never started.
 
         Args:
             record: its job.
             attempt: a starting or running attempt.
+
+        Returns:
+            The task as it was running.
         """
-        self._cell.finish(id_of(attempt))
+        running = self._cell.finish(id_of(attempt))
         self._context.ledger.give_back(record.team, record.demand)
         attempt.phase = Phase.ENDED
+        return running
 
     def note_usage(self, attempt: Attempt, usage: Resources) -> None:
         """Count what a running attempt really uses.
@@ -251,23 +259,18 @@
         self.release(record, attempt)
         self.enqueue(attempt)
 
-    async def _round(self) -> None:
-        while True:
-            decision = self._cell.decide(self._context.clock.now())
-            match decision:
-                case Wait():
-                    return
-                case Place():
-                    await self._carry_out(decision)
-                case Preempt():
-                    self._cell.preempt(decision)
-                    await self._tasks.spawn(self._preempt(decision))
+    async def carry_out(self, decision: Place) -> None:
+        """Start tasks where they were placed.
 
-    async def _carry_out(self, decision: Place) -> None:
+        Args:
+            decision: of the cell, or a probe.
+        """
         now = self._context.clock.now()
         placed = []
         for chosen in decision.assignments:
-            attempt = self._find(chosen.task_id)
+            attempt = self._attempts.find(
+                task_name(chosen.task_id.job_id, chosen.task_id.index)
+            )
             record = self._book.find(chosen.task_id.job_id)
             if attempt is None or record is None:
                 self._cell.withdraw(chosen.task_id)
@@ -284,6 +287,18 @@
         if placed:
             await self._tasks.spawn(self._launch(placed))
 
+    async def _round(self) -> None:
+        while True:
+            decision = self._cell.decide(self._context.clock.now())
+            match decision:
+                case Wait():
+                    return
+                case Place():
+                    await self.carry_out(decision)
+                case Preempt():
+                    self._cell.preempt(decision)
+                    await self._tasks.spawn(self._preempt(decision))
+
     async def _launch(self, placed: list[_Launch]) -> None:
         job_id = placed[0].attempt.job_id
         wanted = {launch.worker for launch in placed}
@@ -347,7 +362,9 @@
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
-            attempt = self._find(task_id)
+            attempt = self._attempts.find(
+                task_name(task_id.job_id, task_id.index)
+            )
             if attempt is not None:
                 await self.stop(attempt, checkpoint=decision.checkpoint_first)
 
@@ -355,8 +372,18 @@
         sessions = self._fleet.sessions if self._fleet else {}
         return sessions.get(worker.worker_id)
 
-    def _find(self, task_id: TaskId) -> Attempt | None:
-        return self._attempts.find(task_name(task_id.job_id, task_id.index))
+    def _apply_shares(self) -> None:
+        """Hand the shares of a new configuration to the cell."""
+        snapshot = self._context.snapshot()
+        if snapshot.version == self._shares_version:
+            return
+        self._shares_version = snapshot.version
+        self._cell.apply_shares(
+            {
+                team.name: max(1, round(team.share * _SHARE_UNITS))
+                for team in snapshot.document.teams
+            }
+        )
 
     def _confine(self) -> None:
         """Confine waiting tasks to their recorded intents in an outage."""
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -15,11 +15,11 @@
 from jayshore.clock import Millis
 from jayshore.outcomes import (
     Accepted,
+    RefusalReason,
+    Refused,
     NotRun,
     NotRunReason,
     Ran,
-    RefusalReason,
-    Refused,
     RequestOutcome,
     Unconfirmed,
     Unknown,
@@ -228,11 +228,7 @@
         return {'accepted': {'jobId': outcome.job_id, 'ticket': outcome.ticket}}
     if isinstance(outcome, Unconfirmed):
         return {
-            'unconfirmed': {
-                'jobId': outcome.job_id,
-                'ticket': outcome.ticket,
-                'retryAfterMs': outcome.retry_after_ms,
-            }
+            'unconfirmed': {'jobId': outcome.job_id, 'ticket': outcome.ticket},
         }
     return {
         'refused': {
@@ -244,19 +240,16 @@
 
 
 def _decode_submitted(reader: Any) -> msg.SubmitJobReply:
-    which = str(reader.which())
-    if which == 'accepted':
+    if str(reader.which()) == 'accepted':
         accepted = reader.accepted
         return msg.SubmitJobReply(
             outcome=Accepted(job_id=accepted.jobId, ticket=accepted.ticket)
         )
-    if which == 'unconfirmed':
+    if str(reader.which()) == 'unconfirmed':
         unconfirmed = reader.unconfirmed
         return msg.SubmitJobReply(
             outcome=Unconfirmed(
-                job_id=unconfirmed.jobId,
-                ticket=unconfirmed.ticket,
-                retry_after_ms=Millis(unconfirmed.retryAfterMs),
+                job_id=unconfirmed.jobId, ticket=unconfirmed.ticket
             )
         )
     refused = reader.refused
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -96,7 +96,6 @@
     unconfirmed :group {
       jobId @5 :Text;
       ticket @6 :Text;
-      retryAfterMs @7 :Int64;
     }
   }
 }
