--- a/tests/guarantee_support.py
+++ b/tests/guarantee_support.py
@@ -6,7 +6,8 @@
 from http.client import HTTPException
 from typing import Any
 
-from demo.cluster import SERVICE, Cluster, ClusterShape
+from demo.cluster import Cluster, ClusterShape
+from demo.document import SERVICE
 from demo.processes import Answer, Process, call, wait_until
 from tests.guarantee_relay import PeerRelay
 
