List an added worker like the others

Cause: the method that listed one instance was merged away. Change: add_worker lists through the common method. Measured: tests/domains_test.py passes. Conclusion: kept.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -227,7 +227,8 @@
             worker: the started stand-in.
         """
         self.workers[name] = worker
-        self._list(name, 'worker', domain, worker.address)
+        self.domain_of[name] = domain
+        self._list_all('worker', {name: worker})
         self.list_instances({})
 
     def submit(
