--- a/bench/main.py
+++ b/bench/main.py
@@ -4,7 +4,14 @@
 import runpy
 import sys
 
-MEASUREMENTS = ('differential', 'placement', 'relay', 'control')
+MEASUREMENTS = (
+    'differential',
+    'placement',
+    'relay',
+    'control',
+    'urgent',
+    'recovery',
+)
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,125 @@
+"""Rate of task starts around the death of a leader.
+
+Tasks are submitted at a steady rate to one domain with two daemons; its leader
+is killed half way. Lost and doubled tasks are read from the histories.
+"""
+
+import argparse
+import json
+import pathlib
+import threading
+import time
+from collections import Counter
+from typing import Any
+
+from bench.results import write_result
+from demo.cluster import Cluster, ClusterShape
+from demo.history import check_all, finished_runs, task_runs
+from demo.processes import Answer
+
+_NS_PER_MS = 1_000_000
+_MS_PER_S = 1000
+_TARGET_S = 10
+_GOOD_RATE = 0.9
+_TASKS_PER_JOB = 5
+_END_S = 60
+
+
+def main() -> None:
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--rate', type=int, default=25, help='task starts/s')
+    parser.add_argument('--seconds', type=int, default=30)
+    arguments = parser.parse_args()
+    shape = ClusterShape(domains=('north',), workers=6, executors=1)
+    with Cluster(shape=shape, teams=[_team()]) as cell:
+        result = _measure(cell, arguments.rate, arguments.seconds)
+    write_result(pathlib.Path('out/recovery.json'), result)
+    print(json.dumps(result))
+
+
+def _measure(cell: Cluster, rate: int, seconds: int) -> dict[str, Any]:
+    leader = cell.leaders()['north']
+    through = next(name for name in cell.daemons if name != leader)
+    accepted: list[Answer] = []
+    submitting = threading.Thread(
+        target=_submit, args=(cell, through, rate, seconds, accepted)
+    )
+    submitting.start()
+    time.sleep(seconds / 3)
+    killed_ms = time.monotonic_ns() / _NS_PER_MS
+    cell.daemons[leader].kill()
+    submitting.join()
+    ended = [
+        cell.wait_job(answer, _END_S, through=through) for answer in accepted
+    ]
+    runs = task_runs(cell)
+    lost = sum(
+        len(finished_runs(runs, answer.content['job_id'])) != _TASKS_PER_JOB
+        for answer in accepted
+    )
+    starts = Counter(
+        int((run.start_ms - killed_ms) // _MS_PER_S) for run in runs
+    )
+    first = min(run.start_ms for run in runs if run.start_ms > killed_ms)
+    back = next(
+        second
+        for second in range(seconds)
+        if starts[second] >= _GOOD_RATE * rate
+    )
+    return {
+        'rate': rate,
+        'jobs': len(accepted),
+        'not_finished': sum(job['state'] != 'finished' for job in ended),
+        'lost_jobs': lost,
+        'violations': [str(found) for found in check_all(cell)],
+        'first_start_s': round((first - killed_ms) / _MS_PER_S, 2),
+        'rate_back_within_s': back + 1,
+        'target_s': _TARGET_S,
+        'starts_per_s': [starts[second] for second in range(-5, 15)],
+    }
+
+
+def _team() -> dict[str, Any]:
+    return {
+        'name': 'bulk',
+        'share': 1,
+        'limit': {
+            'cpu_millis': 1_000_000,
+            'memory_mb': 4_000_000,
+            'requests': 10,
+        },
+        'max_waiting': 10_000,
+    }
+
+
+def _submit(
+    cell: Cluster,
+    through: str,
+    rate: int,
+    seconds: int,
+    accepted: list[Answer],
+) -> None:
+    begun = time.monotonic()
+    for number in range(rate * seconds // _TASKS_PER_JOB):
+        due = begun + number * _TASKS_PER_JOB / rate
+        time.sleep(max(0, due - time.monotonic()))
+        answer = cell.submit(
+            'bulk',
+            {
+                'queue': 'night',
+                'tasks': _TASKS_PER_JOB,
+                'demand': {'cpu_millis': 1000, 'memory_mb': 256},
+                'run_ms': 300,
+                'payload': {'run_ms': 300},
+                'idempotent': True,
+                'idempotency_key': f'recovery-{number}',
+            },
+            through=through,
+        )
+        if answer.status == 202:
+            accepted.append(answer)
+
+
+if __name__ == '__main__':
+    main()
