--- a/bench/control.py
+++ b/bench/control.py
@@ -17,6 +17,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import msgspec
+
 from bench.loads import LoadPlan, apply_steadily, run_load, start_services
 from bench.slopes import fit
 from bench.usage import Usage, watch
@@ -24,7 +26,8 @@
 
 _SETTLE_S = 2
 _FEW_TEAMS = 6
-_ROLES = (('leader', True), ('standby', False))
+_ROLES = ('leader', 'standby')
+_APPLY_ROLES = ('applying', 'other')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -90,8 +93,11 @@
             'daemons': self._daemons,
             'workers': self._workers,
             'executors': self._executors,
+            'listed': self._listed,
             'teams': self._teams,
-            'load': self._load,
+            'running': self._running,
+            'starts': self._starts,
+            'applies': self._applies,
         }
         for name, measured in dimensions.items():
             if not self._options.only or name in self._options.only:
@@ -113,6 +119,18 @@
             shape = _one_domain(2, executors)
             yield from self._idle('executors', executors, shape)
 
+    def _listed(self) -> Iterator[Point]:
+        """Vary the instances of other domains on the platform's list."""
+        with self._cluster(_one_domain(2, 1), _FEW_TEAMS) as cluster:
+            own = cluster.store.call('GET', '/v1/instances').content
+            for count in (0, 150, 450):
+                others = [_elsewhere(number) for number in range(count)]
+                instances = [*own['instances'], *others]
+                cluster.store.call(
+                    'PUT', '/admin/instances', {'instances': instances}
+                )
+                yield self._point('listed', count, cluster)
+
     def _teams(self) -> Iterator[Point]:
         for teams in (_FEW_TEAMS, 70, 280):
             with self._cluster(_one_domain(2, 1), teams) as cluster:
@@ -126,7 +144,7 @@
                     done=done.counts,
                 )
 
-    def _load(self) -> Iterator[Point]:
+    def _running(self) -> Iterator[Point]:
         with self._cluster(_one_domain(8, 1), _FEW_TEAMS) as cluster:
             running = 0
             for wanted in (0, 150, 400):
@@ -134,9 +152,14 @@
                 running = wanted
                 time.sleep(_SETTLE_S)
                 yield self._point('running', wanted, cluster)
+
+    def _starts(self) -> Iterator[Point]:
         with self._cluster(_one_domain(8, 1), _FEW_TEAMS) as cluster:
             for tasks in (1, 10):
-                yield from self._starts(cluster, tasks)
+                yield from self._starts_in_jobs_of(tasks, cluster)
+
+    def _applies(self) -> Iterator[Point]:
+        with self._cluster(_one_domain(8, 1), _FEW_TEAMS) as cluster:
             for per_s in (0.5, 1, 2):
                 done = apply_steadily(cluster, self._options.seconds, per_s)
                 yield Point(
@@ -146,7 +169,9 @@
                     done=done.counts,
                 )
 
-    def _starts(self, cluster: Cluster, tasks: int) -> Iterator[Point]:
+    def _starts_in_jobs_of(
+        self, tasks: int, cluster: Cluster
+    ) -> Iterator[Point]:
         for starts_per_s in (0, 5, 10, 20):
             plan = LoadPlan(
                 jobs_per_s=starts_per_s / tasks,
@@ -184,7 +209,7 @@
         return Point(dimension=dimension, size=size, daemons=usage, done={})
 
 
-def slopes_of(points: list[Point]) -> dict[str, dict[str, Any]]:
+def slopes_of(points: list[Point]) -> dict[str, dict[str, float]]:
     """Fit a line for each dimension, role and figure.
 
     Args:
@@ -193,35 +218,65 @@
     Returns:
         `base`, `slope` and `residual` by `dimension/role/figure`.
     """
-    lines: dict[str, dict[str, Any]] = {}
+    lines: dict[str, dict[str, float]] = {}
     for dimension in dict.fromkeys(point.dimension for point in points):
         same = [point for point in points if point.dimension == dimension]
-        for role, is_leader in _ROLES:
-            found = [
-                _mean_figures(point, is_leader=is_leader) for point in same
-            ]
-            for figure in found[-1]:
+        for role in _roles(dimension):
+            found = {
+                point.size: _mean_figures(point, role)
+                for point in same
+                if _daemons_in(point, role)
+            }
+            for figure in found[max(found)]:
                 line = fit(
-                    [point.size for point in same],
-                    [each.get(figure, 0) for each in found],
+                    list(found),
+                    [each.get(figure, 0) for each in found.values()],
                 )
                 key = f'{dimension}/{role}/{figure}'
                 lines[key] = dataclasses.asdict(line)
     return lines
 
 
+def _elsewhere(number: int) -> dict[str, Any]:
+    return {
+        'id': f'other-w{number}',
+        'kind': 'worker',
+        'address': f'10.0.{number // 250}.{number % 250}:7000',
+        'domain': 'other',
+        'rack': f'other-rack{number % 20}',
+        'state': 'live',
+        'service': None,
+    }
+
+
 def _one_domain(workers: int, executors: int) -> ClusterShape:
     return ClusterShape(
         domains=('north',), daemons=2, workers=workers, executors=executors
     )
 
 
-def _mean_figures(point: Point, *, is_leader: bool) -> dict[str, float]:
-    own = [
-        usage.figures()
-        for usage in point.daemons.values()
-        if usage.is_leader == is_leader
+def _roles(dimension: str) -> tuple[str, ...]:
+    """Tell roles apart: one daemon takes all applies, leader or not."""
+    return _APPLY_ROLES if 'applies' in dimension else _ROLES
+
+
+def _daemons_in(point: Point, role: str) -> list[Usage]:
+    if role in _ROLES:
+        return [
+            usage
+            for usage in point.daemons.values()
+            if usage.is_leader == (role == 'leader')
+        ]
+    first = next(iter(point.daemons))
+    return [
+        usage
+        for name, usage in point.daemons.items()
+        if (name == first) == (role == 'applying')
     ]
+
+
+def _mean_figures(point: Point, role: str) -> dict[str, float]:
+    own = [usage.figures() for usage in _daemons_in(point, role)]
     names = sorted({name for figures in own for name in figures})
     return {
         name: statistics.mean(figures.get(name, 0) for figures in own)
@@ -236,6 +291,8 @@
         lines: as made by `slopes_of`.
     """
     for key, line in lines.items():
+        if not any(line.values()):
+            continue
         sys.stdout.write(
             f'{key:52} {line["base"]:10.3f} + {line["slope"]:9.4f} per unit'
             f'  (residual {line["residual"]:.3f})\n'
@@ -243,7 +300,7 @@
 
 
 def summarize(paths: list[str]) -> dict[str, dict[str, float]]:
-    """Take the medians of several runs.
+    """Take the medians of the lines of several runs.
 
     Args:
         paths: files written by this program.
@@ -251,23 +308,28 @@
     Returns:
         Lines, as made by `slopes_of`.
     """
-    runs = [
-        json.loads(pathlib.Path(path).read_text())['lines'] for path in paths
-    ]
+    runs = [slopes_of(_load_points(path)) for path in paths]
+    keys = dict.fromkeys(key for run in runs for key in run)
     return {
         key: {
-            part: statistics.median(run[key][part] for run in runs)
+            part: statistics.median(
+                run[key][part] for run in runs if key in run
+            )
             for part in ('base', 'slope', 'residual')
         }
-        for key in runs[0]
-        if all(key in run for run in runs)
+        for key in keys
     }
 
 
+def _load_points(path: str) -> list[Point]:
+    written = json.loads(pathlib.Path(path).read_text())
+    return msgspec.convert(written['points'], list[Point])
+
+
 def _print_point(point: Point) -> None:
     sys.stdout.write(f'{point.dimension} {point.size:g} {point.done or ""}\n')
-    for role, is_leader in _ROLES:
-        figures = _mean_figures(point, is_leader=is_leader)
+    for role in _roles(point.dimension):
+        figures = _mean_figures(point, role)
         texts = [f'{name} {figure:.2f}' for name, figure in figures.items()]
         sys.stdout.write(f'  {role}: {", ".join(texts)}\n')
     sys.stdout.flush()
