--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -22,6 +22,7 @@
     store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
+from jayshore.jobs.changes import JobOverError, TransitionError
 from jayshore.jobs.record import (
     JobRecord,
     JobState,
@@ -29,7 +30,6 @@
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
--- a/jayshore/http/loopback_test.py
+++ b/jayshore/http/loopback_test.py
@@ -11,7 +11,6 @@
 from jayshore.http.server import Bounds, Handler, HttpServer
 from jayshore.traffic import Traffic
 
-
 BOUNDS = Bounds(
     max_header_bytes=2000,
     max_body_bytes=1000,
--- a/jayshore/http/server_test.py
+++ b/jayshore/http/server_test.py
@@ -13,7 +13,6 @@
 from jayshore.http.loopback_test import client_of, post, raw_exchange, run
 from jayshore.http.server import Bounds
 
-
 SEED = 11
 
 
--- a/jayshore/jobs/admission.py
+++ b/jayshore/jobs/admission.py
@@ -11,6 +11,7 @@
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import AttemptTable, Phase
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import TransitionError, Writer
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.endings import Ending, EndingRecorder
 from jayshore.jobs.placing import Placer
@@ -139,7 +140,7 @@
                     transitions.claim, writer=self._context.writer
                 ),
             )
-        except transitions.TransitionError:
+        except TransitionError:
             return
         # Until it is known that an inherited attempt does not run, it counts
         # against the team's limit.
@@ -166,7 +167,7 @@
                     ),
                 ),
             )
-        except transitions.TransitionError as refusal:
+        except TransitionError as refusal:
             eliot.log_message(
                 'job:not_admitted', job=record.job_id, why=str(refusal)
             )
@@ -235,7 +236,7 @@
 def _admit_record(
     record: JobRecord,
     *,
-    writer: transitions.Writer,
+    writer: Writer,
     workers: list[WorkerBoot],
     reason: str,
 ) -> JobRecord:
@@ -253,8 +254,6 @@
     )
 
 
-def _cancel_record(
-    record: JobRecord, *, writer: transitions.Writer
-) -> JobRecord:
+def _cancel_record(record: JobRecord, *, writer: Writer) -> JobRecord:
     cancelled = transitions.cancel(record, writer)
     return transitions.finish_if_over(cancelled, writer)
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -14,6 +14,7 @@
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis, to_seconds
+from jayshore.jobs.changes import NotOwnerError, TransitionError
 from jayshore.jobs.record import (
     JOB_PREFIX,
     JobRecord,
@@ -22,7 +23,6 @@
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import NotOwnerError, TransitionError
 from jayshore.platform.settling import Write, WriteSettler, new_write_id
 from jayshore.platform.store import (
     Entry,
--- a/jayshore/jobs/book_test.py
+++ b/jayshore/jobs/book_test.py
@@ -8,6 +8,7 @@
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import NotOwnerError
 from jayshore.jobs.record import (
     JobKind,
     JobSpec,
@@ -15,7 +16,6 @@
     job_key,
     new_record,
 )
-from jayshore.jobs.transitions import NotOwnerError
 from jayshore.platform.store import Conflict, Entry, Listing, Written
 from jayshore.resources import Resources
 
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -7,8 +7,8 @@
 
 from jayshore.clock import Clock, Millis
 from jayshore.config.snapshot import Snapshot
+from jayshore.jobs.changes import Writer
 from jayshore.jobs.record import JobRecord
-from jayshore.jobs.transitions import Writer
 from jayshore.placement.decisions import Headroom
 from jayshore.placement.estimates import Estimates
 from jayshore.platform.settling import new_write_id
--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -11,6 +11,7 @@
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import MissingProofError, TransitionError, Writer
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
@@ -152,11 +153,11 @@
     ) -> None:
         try:
             await self.record(attempt, ending)
-        except transitions.MissingProofError:
+        except MissingProofError:
             # Workers that are not accounted for yet may still have it.
             self._unproved[attempt.name] = (ending, reporter)
             return
-        except transitions.TransitionError as refusal:
+        except TransitionError as refusal:
             eliot.log_message(
                 'task:not_recorded', task=attempt.name, why=str(refusal)
             )
@@ -283,7 +284,7 @@
 def _settle_record(
     record: JobRecord,
     *,
-    writer: transitions.Writer,
+    writer: Writer,
     attempt: Attempt,
     ended: TaskRecord,
 ) -> JobRecord:
@@ -303,7 +304,7 @@
 def _attempt_again(
     record: JobRecord,
     *,
-    writer: transitions.Writer,
+    writer: Writer,
     attempt: Attempt,
     is_retry: bool,
 ) -> JobRecord:
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -12,6 +12,7 @@
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase, task_name
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import NotOwnerError, TransitionError
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
 from jayshore.jobs.pending import id_of, pending_task
@@ -326,9 +327,9 @@
                     workers=sorted(wanted),
                 ),
             )
-        except transitions.NotOwnerError:
+        except NotOwnerError:
             await self._context.depose()
-        except transitions.TransitionError as refusal:
+        except TransitionError as refusal:
             eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
     async def _start(self, launch: _Launch) -> bool:
--- a/jayshore/jobs/recovery_test.py
+++ b/jayshore/jobs/recovery_test.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from jayshore.jobs import transitions
+from jayshore.jobs.changes import TransitionError, Writer
 from jayshore.jobs.proofs import (
     InstanceGone,
     LeaseExpired,
@@ -22,7 +23,6 @@
     encode_record,
     new_record,
 )
-from jayshore.jobs.transitions import TransitionError, Writer
 from jayshore.resources import Resources
 
 FATES = ('prompt', 'prompt', 'answer lost', 'delayed', 'dropped')
--- a/jayshore/jobs/transitions_test.py
+++ b/jayshore/jobs/transitions_test.py
@@ -5,6 +5,14 @@
 import pytest
 
 from jayshore.jobs import transitions
+from jayshore.jobs.changes import (
+    JobOverError,
+    MissingProofError,
+    NotOwnerError,
+    TaskStateError,
+    WorkerNotNamedError,
+    Writer,
+)
 from jayshore.jobs.proofs import (
     InstanceGone,
     LeaseExpired,
@@ -20,14 +28,6 @@
     WorkerBoot,
     new_record,
 )
-from jayshore.jobs.transitions import (
-    JobOverError,
-    MissingProofError,
-    NotOwnerError,
-    TaskStateError,
-    WorkerNotNamedError,
-    Writer,
-)
 from jayshore.resources import Resources
 
 TASKS = range(2)
--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -15,11 +15,11 @@
 from jayshore.clock import Millis
 from jayshore.outcomes import (
     Accepted,
-    RefusalReason,
-    Refused,
     NotRun,
     NotRunReason,
     Ran,
+    RefusalReason,
+    Refused,
     RequestOutcome,
     Unconfirmed,
     Unknown,
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -6,12 +6,12 @@
 
 from jayshore.outcomes import (
     Accepted,
-    RefusalReason,
-    Refused,
-    Unconfirmed,
     NotRun,
     NotRunReason,
     Ran,
+    RefusalReason,
+    Refused,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
