--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -1,6 +1,5 @@
 """Carries out the decisions of the cell: widens intents, starts, stops."""
 
-import dataclasses
 import functools
 from collections.abc import Iterable
 
@@ -15,10 +14,11 @@
 from jayshore.jobs.changes import NotOwnerError, TransitionError
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.launch import Launch
 from jayshore.jobs.pending import id_of, pending_task
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerSession
-from jayshore.leases.worker import StartOrder, StartResult
+from jayshore.leases.worker import StartResult
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
     Place,
@@ -35,24 +35,6 @@
 _SHARE_UNITS = 100
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Launch:
-    """One decision to start an attempt.
-
-    While it waits for the store, a newly opened lease may queue the attempt
-    again; the start must then not be sent any more.
-    """
-
-    attempt: Attempt
-    number: int
-    worker: WorkerBoot
-
-    @property
-    def is_current(self) -> bool:
-        is_newest = self.attempt.launches == self.number
-        return is_newest and self.attempt.phase is Phase.STARTING
-
-
 class Placer:
     """Runs placement rounds and carries their decisions out."""
 
@@ -283,7 +265,7 @@
             worker = self._boots[chosen.worker_id]
             attempt.worker = worker
             placed.append(
-                _Launch(attempt=attempt, number=attempt.launches, worker=worker)
+                Launch(attempt=attempt, number=attempt.launches, worker=worker)
             )
         if placed:
             await self._tasks.spawn(self._launch(placed))
@@ -300,7 +282,7 @@
                     self._cell.preempt(decision)
                     await self._tasks.spawn(self._preempt(decision))
 
-    async def _launch(self, placed: list[_Launch]) -> None:
+    async def _launch(self, placed: list[Launch]) -> None:
         job_id = placed[0].attempt.job_id
         wanted = {launch.worker for launch in placed}
         record = self._book.find(job_id)
@@ -332,7 +314,7 @@
         except TransitionError as refusal:
             eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
-    async def _start(self, launch: _Launch) -> bool:
+    async def _start(self, launch: Launch) -> bool:
         attempt = launch.attempt
         worker = launch.worker
         record = self._book.find(attempt.job_id)
@@ -343,7 +325,7 @@
         may_start = worker in record.intent and not record.is_cancelling
         result = StartResult.CERTAINLY_NOT
         if launch.is_current and session and is_known and may_start:
-            result = await session.start(_order(record, attempt))
+            result = await session.start(launch.order(record))
         if not launch.is_current:
             # A lease that was opened meanwhile has settled it.
             return attempt.phase is Phase.RUNNING
@@ -353,7 +335,7 @@
             self.requeue(record, attempt)
         return result is StartResult.STARTED
 
-    async def _stop_partial_gang(self, placed: list[_Launch]) -> None:
+    async def _stop_partial_gang(self, placed: list[Launch]) -> None:
         record = self._book.find(placed[0].attempt.job_id)
         if record is None or record.kind is not JobKind.GANG:
             return
@@ -400,14 +382,3 @@
             self.withdraw(attempt)
         for waiting in queued:
             self.enqueue(waiting)
-
-
-def _order(record: JobRecord, attempt: Attempt) -> StartOrder:
-    return StartOrder(
-        task_id=attempt.name,
-        attempt=attempt.number,
-        job_id=record.job_id,
-        team=record.team,
-        resources=record.demand,
-        payload=record.payload,
-    )
