--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -174,10 +174,7 @@
             await curio.spawn(_retire, router, self._retire_ms, daemon=True)
 
     async def drain(self) -> None:
-        """Refuse new requests and wait for the ones in progress.
-
-        The caller bounds the time.
-        """
+        """Refuse new requests, and wait for the ones in progress."""
         if self._router is not None:
             await self._router.drain()
 
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -132,27 +132,6 @@
         ]
         return max(leaders, key=_epoch_of, default=None)
 
-    def views(self) -> tuple[PeerView, ...]:
-        """Describe the peers to operators.
-
-        Returns:
-            One entry for each peer of the roster, by name.
-        """
-        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
-        return tuple(
-            PeerView(
-                name=name,
-                domain=peer.entry.domain,
-                is_reachable=peer.status is not None
-                and peer.heard_at >= oldest,
-                config_version=peer.status.config_version if peer.status else 0,
-                evidence_age_ms=(
-                    peer.status.evidence_age_ms if peer.status else None
-                ),
-            )
-            for name, peer in sorted(self._peers.items())
-        )
-
     def note(self, status: msg.DaemonStatus) -> None:
         """Take note of the status in a peer's own heartbeat.
 
@@ -218,6 +197,27 @@
             for peer in self._peers.values():
                 await tasks.spawn(self._beat, peer)
 
+    def views(self) -> tuple[PeerView, ...]:
+        """Describe the peers to operators.
+
+        Returns:
+            One entry for each peer of the roster, by name.
+        """
+        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
+        return tuple(
+            PeerView(
+                name=name,
+                domain=peer.entry.domain,
+                is_reachable=peer.status is not None
+                and peer.heard_at >= oldest,
+                config_version=peer.status.config_version if peer.status else 0,
+                evidence_age_ms=(
+                    peer.status.evidence_age_ms if peer.status else None
+                ),
+            )
+            for name, peer in sorted(self._peers.items())
+        )
+
     async def _follow_peers(self, running: dict[str, Any]) -> None:
         for gone in running.keys() - self._peers.keys():
             await running.pop(gone).cancel()
--- a/jayshore/daemon/routes.py
+++ b/jayshore/daemon/routes.py
@@ -37,6 +37,12 @@
 )
 _RETRY_AFTER_MS = Millis(500)
 
+# A leader in another process answers by its deadline at the latest. It gets a
+# part of the time less, up to this, so that its "not run" arrives before the
+# call is given up, which would make it an unknown outcome.
+_ANSWER_MARGIN_MS = Millis(100)
+_MARGIN_PART = 10
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AdmittedRequest:
@@ -140,6 +146,7 @@
     peer: Peer, admitted: AdmittedRequest, remaining: Millis
 ) -> RequestOutcome | None:
     request = admitted.request
+    margin = min(_ANSWER_MARGIN_MS, remaining // _MARGIN_PART)
     call = msg.RouteRequest(
         request_id=request.request_id,
         service=request.service,
@@ -147,7 +154,7 @@
         key_id=admitted.key_id,
         config_version=admitted.config_version,
         idempotent=request.idempotent,
-        timeout_ms=remaining,
+        timeout_ms=Millis(remaining - margin),
         hops=1,
         body=request.body,
         content_type=request.content_type,
--- a/jayshore/routing/journey.py
+++ b/jayshore/routing/journey.py
@@ -95,7 +95,11 @@
             await dispatcher.submit(waiter)
         except QueueFullError:
             return self._refuse(NotRunReason.OVERLOADED)
+        has_waited = waiter.grant is None
         grant = await self._wait_for_grant(waiter)
+        if grant is not None and has_waited and self._would_miss():
+            await dispatcher.release(grant.executor, grant.occupant)
+            return self._refuse(NotRunReason.WOULD_MISS_DEADLINE)
         outcome: RequestOutcome | None = None
         while grant is not None and outcome is None:
             outcome = await self._attempt(grant)
@@ -103,6 +107,15 @@
                 grant = await self._next_grant()
         return outcome or self._answered() or self._out_of_time()
 
+    def _would_miss(self) -> bool:
+        """Tell whether too little time is left after the wait for a slot.
+
+        Only requests that had to wait are judged, so that a wrong mean is
+        corrected by requests that find a free slot.
+        """
+        mean = self._context.dispatcher.time_of(self._request.service).mean_ms
+        return self._left() < to_seconds(Millis(round(mean)))
+
     async def _next_grant(self) -> Grant | None:
         """Wait for another slot; None when there is an answer or no time."""
         delay = self._context.policy.retry_backoff.delay(
--- /dev/null
+++ b/tests/guarantee_limits_test.py
@@ -0,0 +1,208 @@
+"""Limits that are raised and lowered under load, with separate processes.
+
+Guards against a team that runs more than its limit, also while a domain is
+cut off, and against a raised limit that is not used.
+"""
+
+import time
+
+import pytest
+
+from demo.history import check_all, peak_use, request_runs, task_runs
+from demo.processes import wait_until
+from tests.guarantee_support import (
+    IN_FORCE_S,
+    Background,
+    CuttableCluster,
+    heal,
+    send_request,
+    show,
+    small_shape,
+    status_of,
+    teams,
+)
+
+pytestmark = pytest.mark.processes
+
+TEAM = 'millrace'
+CUT_TEAM = 'fenland'
+CUT_TASKS = 10
+TASK_CPU = 1000
+LOW = {'cpu_millis': 6000, 'memory_mb': 384_000, 'requests': 6}
+HIGH = {'cpu_millis': 18_000, 'memory_mb': 384_000, 'requests': 18}
+CALLERS = 30
+REQUEST_MS = 200
+# The stand-in workers end a checkpoint at once.
+CHECKPOINT_S = 0.0
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    shape = small_shape()
+    with CuttableCluster(shape=shape, teams=teams(**LOW)) as started:
+        yield started
+
+
+def apply_limit(cluster, limit, team_name=TEAM):
+    for team in cluster.teams:
+        if team['name'] == team_name:
+            team['limit'] = limit
+    answer = cluster.apply(cluster.document(), through='north-0')
+    assert answer.status == 200, answer.body
+    return 1000 * time.monotonic()
+
+
+def is_seen_cut(cluster, domain):
+    return all(
+        domain not in status_of(cluster.daemons[name])['leaders']
+        for name in ('north-0', 'south-0')
+    )
+
+
+def submit_tasks(cluster, team, through, count=30):
+    """Submit idempotent work that runs until it is stopped."""
+    job = {
+        'queue': 'night',
+        'tasks': count,
+        'demand': {'cpu_millis': TASK_CPU, 'memory_mb': 64},
+        'payload': {},
+        'idempotent': True,
+    }
+    answer = cluster.submit(team, job, through=through)
+    assert answer.status == 202, answer.body
+    return answer.content['job_id']
+
+
+def load(background, cluster):
+    headers = cluster.key(TEAM)
+    daemons = list(cluster.daemons.values())
+    body = b'{"service_ms": %d}' % REQUEST_MS
+    for number in range(CALLERS):
+        daemon = daemons[number % len(daemons)]
+        background.add(f'{number}', send_request, daemon, headers, body)
+
+
+class Use:
+    """What the histories say the team had running."""
+
+    def __init__(self, cluster, team=TEAM, domain=''):
+        runs = [*task_runs(cluster), *request_runs(cluster)]
+        self._runs = [
+            run
+            for run in runs
+            if run.team == team and run.upstream.startswith(domain)
+        ]
+
+    def peak(self, start_ms, end_ms):
+        """Compute the most that ran at a time in an interval."""
+        within = [
+            run
+            for run in self._runs
+            if run.start_ms < end_ms and run.end_ms > start_ms
+        ]
+        found = {'cpu_millis': 0, 'requests': 0}
+        return {**found, **peak_use(within)}
+
+
+def running_now(cluster, team=TEAM):
+    now = 1000 * time.monotonic()
+    return Use(cluster, team).peak(now - 1, now)
+
+
+def wait_used(cluster, limit, team=TEAM):
+    """Measure until as many tasks run as the limit allows."""
+    return wait_until(
+        lambda: running_now(cluster, team)['cpu_millis'] >= limit['cpu_millis'],
+        2 * IN_FORCE_S,
+        f'{limit} is used',
+    )
+
+
+def show_peak(what, peak, limit):
+    for resource in ('cpu_millis', 'requests'):
+        show(f'{what}, {resource}', peak[resource], limit[resource], 'units')
+
+
+def fits(peak, limit):
+    return all(peak[name] <= limit[name] for name in ('cpu_millis', 'requests'))
+
+
+def test_limit_holds_while_it_changes(cluster):
+    began = 1000 * time.monotonic()
+    for name in cluster.daemons:
+        submit_tasks(cluster, TEAM, name)
+    with Background(pause_s=0.005) as background:
+        load(background, cluster)
+        wait_used(cluster, LOW)
+        raised = apply_limit(cluster, HIGH)
+        took = wait_used(cluster, HIGH)
+        time.sleep(1)
+        lowered = apply_limit(cluster, LOW)
+        time.sleep(IN_FORCE_S + CHECKPOINT_S + 1)
+        end = 1000 * time.monotonic()
+    show('raised limit used', took, IN_FORCE_S, 's')
+    assert took <= IN_FORCE_S
+    use = Use(cluster)
+    before = use.peak(began, raised - 100)
+    high = use.peak(began, end)
+    settled = lowered + 1000 * (IN_FORCE_S + CHECKPOINT_S)
+    low = use.peak(settled, end)
+    show_peak('peak before', before, LOW)
+    show_peak('peak when raised', high, HIGH)
+    show_peak('peak 3 s after lowering', low, LOW)
+    assert high['requests'] > LOW['requests']
+    assert fits(before, LOW)
+    assert fits(high, HIGH)
+    assert fits(low, LOW)
+    refused = [r for r in background.all() if r.status not in {200, 429, 503}]
+    assert not refused, refused[0]
+
+
+@pytest.mark.parametrize('seen', ['cut seen', 'cut just now'])
+def test_limit_holds_beside_a_domain_that_is_cut_off(cluster, seen):
+    heal(cluster)
+    apply_limit(cluster, HIGH, CUT_TEAM)
+    jobs = [submit_tasks(cluster, CUT_TEAM, 'east-0', CUT_TASKS)]
+    held = {'cpu_millis': CUT_TASKS * TASK_CPU}
+    wait_used(cluster, held, CUT_TEAM)
+    for name in ('north-0', 'south-0'):
+        jobs.append(submit_tasks(cluster, CUT_TEAM, name))
+    wait_used(cluster, HIGH, CUT_TEAM)
+    cluster.cut_off('east-0')
+    if seen == 'cut seen':
+        wait_until(lambda: is_seen_cut(cluster, 'east'), 10, 'the cut is seen')
+    lowered = apply_limit(cluster, LOW, CUT_TEAM)
+    time.sleep(IN_FORCE_S + CHECKPOINT_S + 1)
+    end = 1000 * time.monotonic()
+    settled = lowered + 1000 * (IN_FORCE_S + CHECKPOINT_S)
+    kept = Use(cluster, CUT_TEAM, 'east').peak(settled, end)
+    low = Use(cluster, CUT_TEAM).peak(settled, end)
+    # Design, 4.5: the cut domain keeps its part, and the others are left
+    # with what it leaves of the limit, here nothing.
+    bound = {**kept, 'cpu_millis': max(LOW['cpu_millis'], kept['cpu_millis'])}
+    show_peak('peak beside a cut domain', low, bound)
+    heal(cluster)
+    healed = 1000 * time.monotonic()
+    took = wait_until(
+        lambda: (
+            running_now(cluster, CUT_TEAM)['cpu_millis'] <= LOW['cpu_millis']
+        ),
+        2 * IN_FORCE_S,
+        'the lowered limit holds again',
+    )
+    show('limit holds after the cut', took, IN_FORCE_S, 's')
+    for job_id in jobs:
+        path = f'/v1/jobs/{job_id}/cancel'
+        headers = cluster.key(CUT_TEAM)
+        cluster.daemons['north-0'].call('POST', path, headers=headers)
+    wait_until(
+        lambda: not running_now(cluster, CUT_TEAM)['cpu_millis'],
+        IN_FORCE_S,
+        'the jobs are cancelled',
+    )
+    assert kept['cpu_millis'] == held['cpu_millis']
+    assert low['cpu_millis'] <= bound['cpu_millis']
+    assert took <= IN_FORCE_S
+    peak = Use(cluster, CUT_TEAM).peak(settled, healed)
+    assert peak['cpu_millis'] <= bound['cpu_millis']
+    assert not [v for v in check_all(cluster) if v.rule != 'limit']
