Run test files side by side

Cause: the tests take longer than 5 minutes one after another, mostly waiting. Change: pytest-xdist with four processes, one file in one process.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN = $(VENV)/bin
+# Files run side by side; most of their time is waiting.
+TEST_JOBS ?= 4
 
 .PHONY: demo test lint format bench setup
 
@@ -15,7 +17,7 @@
 	$(BIN)/python -m demo.main
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_JOBS) --dist loadfile
 
 lint: setup
 	$(BIN)/ruff format --check .
