--- a/jayshore/jobs/admission.py
+++ b/jayshore/jobs/admission.py
@@ -1,7 +1,6 @@
 """Takes jobs over from earlier leaders and admits new ones."""
 
 import functools
-import itertools
 from collections.abc import Collection, Iterable
 
 import curio
@@ -12,6 +11,7 @@
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import AttemptTable, Phase
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import TransitionError, Writer
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.endings import Ending, EndingRecorder
 from jayshore.jobs.placing import Placer
@@ -21,6 +21,8 @@
     TaskState,
     WorkerBoot,
 )
+from jayshore.placement.feasible import never_fits
+from jayshore.placement.lane import NoLane, ReservedLane
 from jayshore.placement.tasks import WorkerView
 from jayshore.platform.store import StoreError
 
@@ -138,7 +140,7 @@
                     transitions.claim, writer=self._context.writer
                 ),
             )
-        except transitions.TransitionError:
+        except TransitionError:
             return
         # Until it is known that an inherited attempt does not run, it counts
         # against the team's limit.
@@ -160,10 +162,12 @@
                     _admit_record,
                     writer=self._context.writer,
                     workers=[self._placer.boots[name] for name in chosen],
-                    reason=impossible_reason(record, views),
+                    reason=impossible_reason(
+                        record, views, is_urgent=self._is_urgent(record)
+                    ),
                 ),
             )
-        except transitions.TransitionError as refusal:
+        except TransitionError as refusal:
             eliot.log_message(
                 'job:not_admitted', job=record.job_id, why=str(refusal)
             )
@@ -176,6 +180,10 @@
         await self.enforce_cancel(admitted)
         await self._placer.wake()
 
+    def _is_urgent(self, record: JobRecord) -> bool:
+        queue = self._context.snapshot().queue(record.queue)
+        return queue is not None and queue.urgent
+
 
 def choose_intent(
     record: JobRecord, views: Collection[WorkerView], width: int
@@ -201,40 +209,34 @@
     return (fitting[first:] + fitting[:first])[:wanted]
 
 
-def impossible_reason(record: JobRecord, views: Collection[WorkerView]) -> str:
+def impossible_reason(
+    record: JobRecord, views: Collection[WorkerView], *, is_urgent: bool
+) -> str:
     """Tell why a job can never run in this domain.
 
     Args:
         record: the job.
         views: the workers of the domain, at least one.
+        is_urgent: whether its queue may use the reserved lane.
 
     Returns:
         `never_fits` and the resources that are short, or an empty text.
     """
-    shortages = [record.demand.short_of(view.capacity) for view in views]
-    if all(shortages):
-        names = sorted(set(itertools.chain.from_iterable(shortages)))
-        return f'never_fits: {", ".join(names)}'
-    if record.kind is JobKind.GANG:
-        room = sum(_copies(record, view) for view in views)
-        if room < record.task_count:
-            return f'never_fits: room for {room} of {record.task_count} tasks'
-    return ''
-
-
-def _copies(record: JobRecord, view: WorkerView) -> int:
-    ratios = [
-        free // wanted
-        for wanted, free in zip(record.demand, view.capacity, strict=True)
-        if wanted
-    ]
-    return min(ratios, default=record.task_count)
+    uses_lane = is_urgent or record.kind is JobKind.PREVIEW
+    lane = NoLane() if uses_lane else ReservedLane()
+    is_gang = record.kind is JobKind.GANG
+    short = never_fits(
+        record.demand,
+        (view.capacity - lane.evaluate(view.capacity) for view in views),
+        record.task_count if is_gang else 1,
+    )
+    return f'never_fits: {", ".join(short)}' if short else ''
 
 
 def _admit_record(
     record: JobRecord,
     *,
-    writer: transitions.Writer,
+    writer: Writer,
     workers: list[WorkerBoot],
     reason: str,
 ) -> JobRecord:
@@ -252,8 +254,6 @@
     )
 
 
-def _cancel_record(
-    record: JobRecord, *, writer: transitions.Writer
-) -> JobRecord:
+def _cancel_record(record: JobRecord, *, writer: Writer) -> JobRecord:
     cancelled = transitions.cancel(record, writer)
     return transitions.finish_if_over(cancelled, writer)
