--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -22,6 +22,7 @@
     store_unavailable,
 )
 from jayshore.jobs.admission import impossible_reason
+from jayshore.jobs.changes import JobOverError, TransitionError
 from jayshore.jobs.record import (
     JobRecord,
     JobState,
@@ -29,7 +30,6 @@
     encode_record,
     job_key,
 )
-from jayshore.jobs.transitions import JobOverError, TransitionError
 from jayshore.outcomes import (
     Accepted,
     RefusalReason,
@@ -322,7 +322,9 @@
         if leader.parts.book.find(record.job_id) is not None:
             return None
         views = leader.parts.placer.views
-        reason = impossible_reason(record, views) if views else ''
+        reason = ''
+        if views:
+            reason = impossible_reason(record, views, is_urgent=queue.urgent)
         if reason:
             return Refused(reason=RefusalReason.NEVER_FITS, detail=reason)
         names = leader.parts.attempts.waiting_jobs()
