--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -218,12 +218,6 @@
             for name, peer in sorted(self._peers.items())
         )
 
-    async def tell_status(self) -> None:
-        """Send a heartbeat to every peer now and wait for the answers."""
-        async with curio.TaskGroup(wait=all) as tasks:
-            for peer in self._peers.values():
-                await tasks.spawn(self._beat, peer)
-
     async def _follow_peers(self, running: dict[str, Any]) -> None:
         for gone in running.keys() - self._peers.keys():
             await running.pop(gone).cancel()
