--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from demo.document import SERVICE, make_document
 from demo.processes import (
     HOST,
     Answer,
@@ -17,17 +18,16 @@
     end_all,
     free_ports,
     start_daemon,
-    start_stand_in,
+    spawn_stand_in,
+    wait_listening,
     wait_ready,
     wait_until,
 )
 from jayshore.config.keys import generate_key
 
 OPERATOR_KEY = 'operator-key-of-the-demonstration'
-SERVICE = 'plans'
 _CONFIG_S = 15
 _LEADER_S = 15
-_NS_PER_MS = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -90,7 +90,8 @@
         """Start everything and apply the configuration."""
         try:
             self._start()
-        except BaseException:
+        except BaseException as failure:
+            failure.add_note(self.read_errors())
             self.close()
             raise
         return self
@@ -104,6 +105,15 @@
         """Settings and logs of the daemons."""
         return pathlib.Path(self._directory.name)
 
+    def read_errors(self) -> str:
+        """Collect what the daemons wrote to standard error.
+
+        Returns:
+            The texts of all daemons.
+        """
+        paths = sorted(self.directory.glob('*.err'))
+        return ''.join(path.read_text() for path in paths)
+
     def close(self) -> None:
         """End every process."""
         end_all(list(self._processes()))
@@ -115,62 +125,12 @@
         Returns:
             One value for each configuration file.
         """
-        return {
-            'teams': self.teams,
-            'keys': [
-                {
-                    'id': key.entry.id,
-                    'team': key.entry.team,
-                    'sha256': key.entry.sha256,
-                }
-                for key in self.keys.values()
-            ],
-            'queues': [
-                {'name': 'night', 'kind': 'batch', 'max_waiting': 5000},
-                {'name': 'gangs', 'kind': 'gang', 'max_waiting': 100},
-                {'name': 'services', 'kind': 'service', 'max_waiting': 100},
-                {
-                    'name': 'previews',
-                    'kind': 'preview',
-                    'urgent': True,
-                    'max_waiting': 1000,
-                },
-                {
-                    'name': 'public',
-                    'kind': 'batch',
-                    'open': True,
-                    'team': self.teams[0]['name'],
-                    'max_waiting': 100,
-                },
-            ],
-            'services': [
-                {
-                    'name': SERVICE,
-                    'max_queue': 200,
-                    'default_timeout_ms': 10_000,
-                },
-                {
-                    'name': 'catalog',
-                    'open': True,
-                    'team': self.teams[0]['name'],
-                    'max_queue': 200,
-                    'default_timeout_ms': 10_000,
-                },
-            ],
-            'policies': {},
-            'domains': [
-                {'name': domain, 'region': 'delta'}
-                for domain in self.shape.domains
-            ],
-            'instances': [
-                {
-                    'name': name,
-                    'domain': settings['domain'],
-                    'address': settings['peer_listen'],
-                }
-                for name, settings in self._settings.items()
-            ],
-        }
+        return make_document(
+            domains=self.shape.domains,
+            teams=self.teams,
+            keys=self.keys.values(),
+            daemons=self._settings.values(),
+        )
 
     def apply(
         self, document: dict[str, Any], *, through: str | None = None
@@ -235,24 +195,6 @@
         self.daemons[name] = start_daemon(self._settings[name], self.directory)
         wait_ready(self.daemons[name])
 
-    def kill_worker(self, name: str) -> None:
-        """Kill a worker and keep what it did for the checker.
-
-        It is cut off first, so that nothing starts after its history is read.
-
-        Args:
-            name: a running worker.
-        """
-        worker = self.workers[name]
-        worker.call('POST', '/admin/faults', {'mode': 'down'})
-        history = worker.call('GET', '/admin/history').content
-        worker.kill()
-        now_ms = time.monotonic_ns() // _NS_PER_MS
-        for task in history['tasks']:
-            if task['end_ms'] is None:
-                task['end_ms'] = now_ms
-        self.ended_histories[name] = history
-
     def list_instances(self, changes: dict[str, dict[str, Any] | None]) -> None:
         """Change the platform's list.
 
@@ -267,6 +209,19 @@
         self._instances = kept
         self.store.call('PUT', '/admin/instances', {'instances': kept})
 
+    def add_worker(self, name: str, domain: str, worker: Process) -> None:
+        """Add a worker to the platform's list.
+
+        Args:
+            name: its instance id, which ends in a digit.
+            domain: its failure domain.
+            worker: the started stand-in.
+        """
+        self.workers[name] = worker
+        self.domain_of[name] = domain
+        self._list_all('worker', {name: worker})
+        self.list_instances({})
+
     def submit(
         self, team: str, job: dict[str, Any], *, through: str | None = None
     ) -> Answer:
@@ -319,9 +274,12 @@
         return seen
 
     def _start(self) -> None:
-        self.store = start_stand_in('store', {'lag_ms': self.shape.list_lag_ms})
+        self.store = spawn_stand_in('store', {'lag_ms': self.shape.list_lag_ms})
         for domain in self.shape.domains:
             self._start_upstreams(domain)
+        wait_listening(self.store)
+        self._list_all('worker', self.workers)
+        self._list_all('executor', self.executors)
         self.store.call(
             'PUT', '/admin/instances', {'instances': self._instances}
         )
@@ -342,21 +300,24 @@
         shape = self.shape
         for number in range(shape.workers):
             name = f'{domain}-w{number}'
-            self.workers[name] = start_stand_in(
+            self.domain_of[name] = domain
+            self.workers[name] = spawn_stand_in(
                 'worker',
                 {'capacity': shape.worker_capacity, 'usage_lag_ms': 500},
             )
-            self._list(name, 'worker', domain, self.workers[name].address)
         settings = {
             'slots': shape.executor_slots,
             'service_ms': shape.service_ms,
         }
         for index in range(shape.executors):
-            executor = start_stand_in('executor', settings)
-            self.executors[f'{domain}-x{index}'] = executor
-            self._list(
-                f'{domain}-x{index}', 'executor', domain, executor.address
-            )
+            executor = f'{domain}-x{index}'
+            self.domain_of[executor] = domain
+            self.executors[executor] = spawn_stand_in('executor', settings)
+
+    def _list_all(self, kind: str, started: dict[str, Process]) -> None:
+        for name, process in started.items():
+            wait_listening(process)
+            self._list(name, kind, self.domain_of[name], process.address)
 
     def _list(self, name: str, kind: str, domain: str, address: str) -> None:
         self.domain_of[name] = domain
--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -29,12 +29,16 @@
     GrantRounds,
     StoredGrantBook,
 )
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.probing import Prober
 from jayshore.leases.executor import HttpExecutorPort
 from jayshore.leases.leadership import LeadershipObserver
 from jayshore.placement.cell import Cell
+from jayshore.placement.estimates import Estimates
+from jayshore.placement.health import WorkerHealth
 from jayshore.platform.instances import Instance, InstanceKind, InstanceList
 from jayshore.platform.settling import WriteSettler
 from jayshore.platform.store import Store
@@ -98,6 +102,7 @@
         self._router: Router | None = None
         self._tasks = BackgroundTasks()
         self._superseded = curio.Event()
+        self._retire_ms = Millis(services.settings.limits.max_request_ms)
 
     @property
     def epoch(self) -> int:
@@ -166,7 +171,12 @@
         self._router = None
         await self._tasks.close()
         if router is not None:
-            await router.close()
+            await curio.spawn(_retire, router, self._retire_ms, daemon=True)
+
+    async def drain(self) -> None:
+        """Refuse new requests, and wait for the ones in progress."""
+        if self._router is not None:
+            await self._router.drain()
 
     async def wait_superseded(self) -> None:
         """Wait until an upstream shows that a later leader was elected."""
@@ -259,16 +269,22 @@
             attempts=attempts,
             tasks=self._tasks,
         )
+        watch = WorkerWatch(
+            cell=cell,
+            health=WorkerHealth(source=services.source),
+            clock=services.clock,
+        )
         endings = EndingRecorder(
             context=context,
             book=book,
             attempts=attempts,
             placer=placer,
+            watch=watch,
             tasks=self._tasks,
         )
         inventory = InventoryReader(
             context=context,
-            cell=cell,
+            watch=watch,
             book=book,
             attempts=attempts,
             placer=placer,
@@ -294,6 +310,14 @@
             endings=endings,
             tasks=self._tasks,
         )
+        prober = Prober(
+            context=context,
+            watch=watch,
+            book=book,
+            attempts=attempts,
+            fleet=fleet,
+            placer=placer,
+        )
         return DomainLeader(
             parts=LeaderParts(
                 context=context,
@@ -301,9 +325,11 @@
                 book=book,
                 attempts=attempts,
                 fleet=fleet,
+                watch=watch,
                 placer=placer,
                 admission=admission,
                 inventory=inventory,
+                prober=prober,
                 tasks=self._tasks,
             )
         )
@@ -318,6 +344,7 @@
             wall_clock=services.wall_clock,
             source=services.source,
             ledger=ledger,
+            estimates=Estimates(),
             events=services.events,
             snapshot=lambda: services.keeper.snapshot,
             is_store_reachable=lambda: services.keeper.is_store_reachable,
@@ -328,6 +355,13 @@
         )
 
 
+async def _retire(router: Router, limit_ms: Millis) -> None:
+    """Let the requests that are running end, then stop."""
+    async with curio.ignore_after(to_seconds(limit_ms)):
+        await router.drain()
+    await router.close()
+
+
 class _ListObserver(FleetObserver):
     """Passes workers on to the leader and executors to the router."""
 
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -24,7 +24,8 @@
 
 # A peer whose last heartbeat is older than this many intervals is not counted
 # on as a leader.
-_MISSED_HEARTBEATS = 4
+_MISSED_HEARTBEATS = 3
+_STEPS = 8
 
 
 class Peer:
@@ -131,27 +132,6 @@
         ]
         return max(leaders, key=_epoch_of, default=None)
 
-    def views(self) -> tuple[PeerView, ...]:
-        """Describe the peers to operators.
-
-        Returns:
-            One entry for each peer of the roster, by name.
-        """
-        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
-        return tuple(
-            PeerView(
-                name=name,
-                domain=peer.entry.domain,
-                is_reachable=peer.status is not None
-                and peer.heard_at >= oldest,
-                config_version=peer.status.config_version if peer.status else 0,
-                evidence_age_ms=(
-                    peer.status.evidence_age_ms if peer.status else None
-                ),
-            )
-            for name, peer in sorted(self._peers.items())
-        )
-
     def note(self, status: msg.DaemonStatus) -> None:
         """Take note of the status in a peer's own heartbeat.
 
@@ -211,6 +191,33 @@
             for peer in self._peers.values():
                 await tasks.spawn(self._announce_to(peer, call))
 
+    async def tell_status(self) -> None:
+        """Send a heartbeat to every peer now and wait for the answers."""
+        async with curio.TaskGroup(wait=all) as tasks:
+            for peer in self._peers.values():
+                await tasks.spawn(self._beat, peer)
+
+    def views(self) -> tuple[PeerView, ...]:
+        """Describe the peers to operators.
+
+        Returns:
+            One entry for each peer of the roster, by name.
+        """
+        oldest = self._clock.now() - self._interval_ms * _MISSED_HEARTBEATS
+        return tuple(
+            PeerView(
+                name=name,
+                domain=peer.entry.domain,
+                is_reachable=peer.status is not None
+                and peer.heard_at >= oldest,
+                config_version=peer.status.config_version if peer.status else 0,
+                evidence_age_ms=(
+                    peer.status.evidence_age_ms if peer.status else None
+                ),
+            )
+            for name, peer in sorted(self._peers.items())
+        )
+
     async def _follow_peers(self, running: dict[str, Any]) -> None:
         for gone in running.keys() - self._peers.keys():
             await running.pop(gone).cancel()
@@ -247,10 +254,25 @@
         try:
             while True:
                 await self._beat(peer)
-                await curio.sleep(to_seconds(self._interval_ms))
+                await self._pause()
         finally:
             await peer.client.close()
 
+    async def _pause(self) -> None:
+        """Wait until the next heartbeat.
+
+        While the store gives no evidence, the peers have to, several times
+        within the bound on its age.
+        """
+        start = self._clock.now()
+        step = Millis(self._interval_ms // _STEPS)
+        shortest = start + 2 * step
+        longest = start + self._interval_ms
+        while self._clock.now() < longest:
+            await curio.sleep(to_seconds(step))
+            if self._clock.now() >= shortest and self._keeper.needs_evidence:
+                return
+
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
         asked_at = self._clock.now()
--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
+from jayshore.clock import Millis
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import LeaderContext
@@ -15,18 +16,20 @@
     reported,
 )
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.placing import Placer
 from jayshore.jobs.proofs import Proof, Verdict, WorkerReport
-from jayshore.jobs.record import WorkerBoot
+from jayshore.jobs.record import JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerObserver
 from jayshore.leases.worker import (
     AttemptName,
     OpenedLease,
     Renewed,
+    TaskOutcome,
     TaskReport,
 )
-from jayshore.placement.cell import Cell
-from jayshore.placement.tasks import WorkerState, WorkerView
+from jayshore.placement.estimates import EndedTask
+from jayshore.placement.tasks import RunningTask, WorkerView
 
 ProofMaker: TypeAlias = Callable[[WorkerBoot], Proof]
 
@@ -38,7 +41,7 @@
         self,
         *,
         context: LeaderContext,
-        cell: Cell,
+        watch: WorkerWatch,
         book: JobBook,
         attempts: AttemptTable,
         placer: Placer,
@@ -48,14 +51,14 @@
 
         Args:
             context: what the parts of the leader share.
-            cell: the workers and their room.
+            watch: evidence about workers.
             book: the job records.
             attempts: the newest attempts of all tasks.
             placer: counts running attempts, queues others.
             endings: records what has ended.
         """
         self._context = context
-        self._cell = cell
+        self._watch = watch
         self._book = book
         self._attempts = attempts
         self._placer = placer
@@ -100,7 +103,7 @@
             renewed: the worker's answer.
         """
         if renewed.leaving and worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.LEAVING)
+            self._watch.leaving(worker_id)
         await self._take_reports(worker_id, renewed.tasks)
 
     async def worker_lost(self, worker_id: str) -> None:
@@ -110,7 +113,7 @@
             worker_id: the worker.
         """
         if worker_id in self._placer.boots:
-            self._cell.set_worker_state(worker_id, WorkerState.QUARANTINED)
+            self._watch.lost(worker_id)
 
     async def epoch_superseded(self) -> None:
         """Stop to lead."""
@@ -185,11 +188,12 @@
                     boot_id=opened.boot_id,
                 )
             )
-        self._placer.boots[worker_id] = WorkerBoot(
-            worker_id=worker_id, boot_id=opened.boot_id
+        boot = WorkerBoot(worker_id=worker_id, boot_id=opened.boot_id)
+        is_new_boot = self._placer.boots.get(worker_id) != boot
+        self._placer.boots[worker_id] = boot
+        self._watch.opened(
+            worker_id, is_new_boot=is_new_boot, is_leaving=opened.leaving
         )
-        state = WorkerState.LEAVING if opened.leaving else WorkerState.USABLE
-        self._cell.set_worker_state(worker_id, state)
 
     def _adopt(
         self, attempt: Attempt, worker_id: str, opened: OpenedLease
@@ -245,7 +249,9 @@
         if attempt.phase is Phase.STARTING:
             self._placer.note_running(record, attempt)
         if report.outcome is not None:
-            self._placer.release(record, attempt)
+            running = self._placer.release(record, attempt)
+            if report.outcome is TaskOutcome.SUCCEEDED:
+                self._learn(record, running)
             attempt.note(self._report(attempt, worker, Verdict.ENDED))
             await self._endings.record_later(
                 attempt, reported(report), self._reporter(worker_id, report)
@@ -253,6 +259,21 @@
         elif report.usage is not None:
             self._placer.note_usage(attempt, report.usage)
 
+    def _learn(self, record: JobRecord, running: RunningTask) -> None:
+        """Learn the run time of a task that ran to its end."""
+        now = self._context.clock.now()
+        declared = Millis(record.run_ms) if record.run_ms else None
+        self._context.estimates.observe(
+            EndedTask(
+                team=record.team,
+                queue=record.queue,
+                declared=record.demand,
+                peak=running.usage,
+                declared_run_ms=declared,
+                run_ms=Millis(now - running.started_at),
+            )
+        )
+
     async def _handle_unexpected(
         self, worker_id: str, report: TaskReport
     ) -> None:
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -1,6 +1,5 @@
 """Carries out the decisions of the cell: widens intents, starts, stops."""
 
-import dataclasses
 import functools
 from collections.abc import Iterable
 
@@ -12,12 +11,14 @@
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase, task_name
 from jayshore.jobs.book import JobBook
+from jayshore.jobs.changes import NotOwnerError, TransitionError
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.fleet import WorkerFleet
+from jayshore.jobs.launch import Launch
 from jayshore.jobs.pending import id_of, pending_task
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerSession
-from jayshore.leases.worker import StartOrder, StartResult
+from jayshore.leases.worker import StartResult
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
     Place,
@@ -26,28 +27,12 @@
 )
 from jayshore.placement.tasks import (
     RunningTask,
-    TaskId,
     WorkerView,
 )
 from jayshore.resources import Resources
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Launch:
-    """One decision to start an attempt.
-
-    While it waits for the store, a newly opened lease may queue the attempt
-    again; the start must then not be sent any more.
-    """
-
-    attempt: Attempt
-    number: int
-    worker: WorkerBoot
-
-    @property
-    def is_current(self) -> bool:
-        is_newest = self.attempt.launches == self.number
-        return is_newest and self.attempt.phase is Phase.STARTING
+# The cell counts shares in whole numbers.
+_SHARE_UNITS = 100
 
 
 class Placer:
@@ -81,6 +66,7 @@
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
         self._is_confined = False
+        self._shares_version = 0
 
     @property
     def boots(self) -> dict[str, WorkerBoot]:
@@ -134,6 +120,7 @@
                 await self._wake.wait()
             self._wake.clear()
             self._confine()
+            self._apply_shares()
             await self._round()
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -197,16 +184,20 @@
             )
         )
 
-    def release(self, record: JobRecord, attempt: Attempt) -> None:
+    def release(self, record: JobRecord, attempt: Attempt) -> RunningTask:
         """Free the room of an attempt that has ended or never started.
 
         Args:
             record: its job.
             attempt: a starting or running attempt.
+
+        Returns:
+            The task as it was running.
         """
-        self._cell.finish(id_of(attempt))
+        running = self._cell.finish(id_of(attempt))
         self._context.ledger.give_back(record.team, record.demand)
         attempt.phase = Phase.ENDED
+        return running
 
     def note_usage(self, attempt: Attempt, usage: Resources) -> None:
         """Count what a running attempt really uses.
@@ -251,23 +242,18 @@
         self.release(record, attempt)
         self.enqueue(attempt)
 
-    async def _round(self) -> None:
-        while True:
-            decision = self._cell.decide(self._context.clock.now())
-            match decision:
-                case Wait():
-                    return
-                case Place():
-                    await self._carry_out(decision)
-                case Preempt():
-                    self._cell.preempt(decision)
-                    await self._tasks.spawn(self._preempt(decision))
+    async def carry_out(self, decision: Place) -> None:
+        """Start tasks where they were placed.
 
-    async def _carry_out(self, decision: Place) -> None:
+        Args:
+            decision: of the cell, or a probe.
+        """
         now = self._context.clock.now()
         placed = []
         for chosen in decision.assignments:
-            attempt = self._find(chosen.task_id)
+            attempt = self._attempts.find(
+                task_name(chosen.task_id.job_id, chosen.task_id.index)
+            )
             record = self._book.find(chosen.task_id.job_id)
             if attempt is None or record is None:
                 self._cell.withdraw(chosen.task_id)
@@ -279,12 +265,24 @@
             worker = self._boots[chosen.worker_id]
             attempt.worker = worker
             placed.append(
-                _Launch(attempt=attempt, number=attempt.launches, worker=worker)
+                Launch(attempt=attempt, number=attempt.launches, worker=worker)
             )
         if placed:
             await self._tasks.spawn(self._launch(placed))
 
-    async def _launch(self, placed: list[_Launch]) -> None:
+    async def _round(self) -> None:
+        while True:
+            decision = self._cell.decide(self._context.clock.now())
+            match decision:
+                case Wait():
+                    return
+                case Place():
+                    await self.carry_out(decision)
+                case Preempt():
+                    self._cell.preempt(decision)
+                    await self._tasks.spawn(self._preempt(decision))
+
+    async def _launch(self, placed: list[Launch]) -> None:
         job_id = placed[0].attempt.job_id
         wanted = {launch.worker for launch in placed}
         record = self._book.find(job_id)
@@ -311,12 +309,12 @@
                     workers=sorted(wanted),
                 ),
             )
-        except transitions.NotOwnerError:
+        except NotOwnerError:
             await self._context.depose()
-        except transitions.TransitionError as refusal:
+        except TransitionError as refusal:
             eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
-    async def _start(self, launch: _Launch) -> bool:
+    async def _start(self, launch: Launch) -> bool:
         attempt = launch.attempt
         worker = launch.worker
         record = self._book.find(attempt.job_id)
@@ -327,7 +325,7 @@
         may_start = worker in record.intent and not record.is_cancelling
         result = StartResult.CERTAINLY_NOT
         if launch.is_current and session and is_known and may_start:
-            result = await session.start(_order(record, attempt))
+            result = await session.start(launch.order(record))
         if not launch.is_current:
             # A lease that was opened meanwhile has settled it.
             return attempt.phase is Phase.RUNNING
@@ -337,7 +335,7 @@
             self.requeue(record, attempt)
         return result is StartResult.STARTED
 
-    async def _stop_partial_gang(self, placed: list[_Launch]) -> None:
+    async def _stop_partial_gang(self, placed: list[Launch]) -> None:
         record = self._book.find(placed[0].attempt.job_id)
         if record is None or record.kind is not JobKind.GANG:
             return
@@ -347,7 +345,9 @@
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
-            attempt = self._find(task_id)
+            attempt = self._attempts.find(
+                task_name(task_id.job_id, task_id.index)
+            )
             if attempt is not None:
                 await self.stop(attempt, checkpoint=decision.checkpoint_first)
 
@@ -355,8 +355,18 @@
         sessions = self._fleet.sessions if self._fleet else {}
         return sessions.get(worker.worker_id)
 
-    def _find(self, task_id: TaskId) -> Attempt | None:
-        return self._attempts.find(task_name(task_id.job_id, task_id.index))
+    def _apply_shares(self) -> None:
+        """Hand the shares of a new configuration to the cell."""
+        snapshot = self._context.snapshot()
+        if snapshot.version == self._shares_version:
+            return
+        self._shares_version = snapshot.version
+        self._cell.apply_shares(
+            {
+                team.name: max(1, round(team.share * _SHARE_UNITS))
+                for team in snapshot.document.teams
+            }
+        )
 
     def _confine(self) -> None:
         """Confine waiting tasks to their recorded intents in an outage."""
@@ -372,14 +382,3 @@
             self.withdraw(attempt)
         for waiting in queued:
             self.enqueue(waiting)
-
-
-def _order(record: JobRecord, attempt: Attempt) -> StartOrder:
-    return StartOrder(
-        task_id=attempt.name,
-        attempt=attempt.number,
-        job_id=record.job_id,
-        team=record.team,
-        resources=record.demand,
-        payload=record.payload,
-    )
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -6,11 +6,12 @@
 
 from jayshore.outcomes import (
     Accepted,
-    RefusalReason,
-    Refused,
     NotRun,
     NotRunReason,
     Ran,
+    RefusalReason,
+    Refused,
+    Unconfirmed,
     Unknown,
     UnknownReason,
 )
@@ -59,9 +60,13 @@
     msg.SloReply(document=b'{}'),
     msg.SubmitJob(record=b'{}', ticket='t'),
     msg.SubmitJobReply(outcome=Accepted(job_id='j', ticket='t')),
+    msg.SubmitJobReply(outcome=Unconfirmed(job_id='j', ticket='t')),
     msg.SubmitJobReply(
         outcome=Refused(reason=RefusalReason.NEVER_FITS, detail='memory_mb')
     ),
+    msg.SubmitJobReply(
+        outcome=Unconfirmed(job_id='j', ticket='t', retry_after_ms=1000)
+    ),
     msg.PromiseConfigReply(promised=True, config_version=4),
     msg.ConfigCommitted(version=5, document=b'{}'),
     msg.ConfigCommittedReply(config_version=5),
