--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -29,10 +29,10 @@
         list_poll_ms: interval of reads of the instance list.
         leadership_ttl_ms: store lease on the leadership of a domain.
         task_lease_ms: how long a worker runs a task without a renewal.
-        renew_wait_ms: how long a renewal waits for news at an upstream. Each
-            answer holds the whole inventory, so that the bytes fall in
-            proportion to a longer wait. A silent upstream is noticed when a
-            start or request to it times out, not only by its renewal.
+        renew_wait_ms: how long a renewal waits for news at an upstream. The
+            bytes of idle upstreams fall in proportion to a longer wait. A
+            silent upstream is noticed when a start or request to it times
+            out, not only by its renewal.
         round_ms: longest pause between two placement rounds.
         reconcile_ms: interval of the search for job records missed so far.
         grant_ms: interval of changes to the grants while a team is short.
