--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -218,8 +218,7 @@
             worker: the started stand-in.
         """
         self.workers[name] = worker
-        self.domain_of[name] = domain
-        self._list_all('worker', {name: worker})
+        self._list(name, 'worker', domain, worker.address)
         self.list_instances({})
 
     def submit(
