Count a domain that does not take a new version over as cut off

Cause: a domain that was cut off just before a limit was lowered counted as reachable until three heartbeats were missed (6 s), so the others shrank too little: 12,000 milli-cores ran 3 s later, bound 10,000. Ruled out: a shorter threshold on missed heartbeats, which preempts work whenever a daemon is slow. Change: a new version is followed by a heartbeat at once; a leader that does not hold the version 1 s later does not count as reachable for grants.

--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -120,6 +120,7 @@
         self._tracker = FreshnessTracker(name=name, started_at=clock.now())
         self._snapshot = Snapshot(version=0, document=Document(), write_id='')
         self._reachable = False
+        self._adopted_at = clock.now()
         self._stored = StoredConfig()
         self._revision = 0
         self._seen = 0
@@ -139,6 +140,11 @@
         """Whether the last read of the store was answered."""
         return self._reachable
 
+    @property
+    def held_for_ms(self) -> Millis:
+        """How long the version held has been held."""
+        return Millis(self._clock.now() - self._adopted_at)
+
     @property
     def needs_evidence(self) -> bool:
         """Whether half of the time in which evidence counts has passed."""
@@ -187,6 +193,7 @@
                 document=stored.document,
                 write_id=stored.write_id,
             )
+            self._adopted_at = self._clock.now()
             eliot.log_message('config:adopted', version=stored.version)
 
     async def apply(
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -39,6 +39,9 @@
 _PLATFORM_CONNECTIONS = 32
 _EXIT_SETTINGS = 2
 
+# Peers get a new version by an announcement, and answer a heartbeat with it.
+_FOLLOW_MS = Millis(1000)
+
 
 class Daemon:
     """One jayshored process."""
@@ -232,14 +235,28 @@
                 await self._leadership.resign()
 
     def _cut_off(self) -> frozenset[str]:
-        """List the other domains of which no leader is heard."""
+        """List the other domains that do not follow the configuration."""
         return frozenset(
             domain.name
             for domain in self._keeper.snapshot.document.domains
             if domain.name != self._settings.domain
-            and self._peers.leader_of(domain.name) is None
+            and not self._follows(domain.name)
         )
 
+    def _follows(self, domain: str) -> bool:
+        """Tell whether the leader of a domain can be counted on.
+
+        A leader that has not taken a new version over within a moment may be
+        cut off. Waiting until its heartbeats are missed would take longer than
+        a lowered limit may.
+        """
+        peer = self._peers.leader_of(domain)
+        if peer is None or peer.status is None:
+            return False
+        keeper = self._keeper
+        has_version = peer.status.config_version >= keeper.snapshot.version
+        return has_version or keeper.held_for_ms < _FOLLOW_MS
+
     async def _confirm(self) -> bool:
         return await self._leadership.confirm()
 
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -262,9 +262,11 @@
         """Wait until the next heartbeat.
 
         While the store gives no evidence, the peers have to, several times
-        within the bound on its age.
+        within the bound on its age. After a new version, a heartbeat shows at
+        once which peers hold it.
         """
         start = self._clock.now()
+        version = self._keeper.snapshot.version
         step = Millis(self._interval_ms // _STEPS)
         shortest = start + 2 * step
         longest = start + self._interval_ms
@@ -272,6 +274,8 @@
             await curio.sleep(to_seconds(step))
             if self._clock.now() >= shortest and self._keeper.needs_evidence:
                 return
+            if self._keeper.snapshot.version != version:
+                return
 
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
