--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -67,8 +67,7 @@
         )
     except _ENCODE_ERRORS as error:
         raise MalformedMessageError(f'cannot encode {tag}') from error
-    # Packing halves a heartbeat, most of which is zero.
-    frame: bytes = builder.to_bytes_packed()
+    frame: bytes = builder.to_bytes()
     return frame
 
 
@@ -85,10 +84,10 @@
         MalformedMessageError: the bytes are no message of this protocol.
     """
     try:
-        reader = _SCHEMA.Envelope.from_bytes_packed(frame)
-        tag = str(reader.which())
-        message = _DECODERS[tag](getattr(reader, tag))
-        return msg.Envelope(call_id=reader.callId, message=message)
+        with _SCHEMA.Envelope.from_bytes(frame) as reader:
+            tag = str(reader.which())
+            message = _DECODERS[tag](getattr(reader, tag))
+            return msg.Envelope(call_id=reader.callId, message=message)
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MalformedMessageError('the frame is no message') from error
 
