Delete the records of jobs that ended long ago

Cause: job_retention_ms was a setting that nothing used; records would pile up and every new leader lists them. Ruled out: counting from acceptance, which would delete the result of a job that ran longer than the retention as soon as it ends. Change: a leader deletes records a retention after it first found them ended.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -352,6 +352,7 @@
             depose=self._superseded.set,
             intent_width=settings.limits.intent_width,
             task_lease_ms=Millis(settings.timing.task_lease_ms),
+            job_retention_ms=Millis(settings.timing.job_retention_ms),
         )
 
 
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -56,6 +56,7 @@
         self.waiting: list[_Change] = []
         self.is_writing = False
         self.ended = curio.Event()
+        self.ended_by: Millis | None = None
 
 
 class JobBook:
@@ -180,15 +181,23 @@
             async with curio.ignore_after(to_seconds(limit_ms)):
                 await held.ended.wait()
 
-    async def delete_ended(self, *, before_ms: Millis) -> None:
+    async def delete_ended(self, *, now: Millis, retention_ms: Millis) -> None:
         """Delete records of jobs that ended long ago.
 
+        The time counts from when this leader first found the job ended here,
+        so a change of leader keeps a record longer, never shorter.
+
         Args:
-            before_ms: wall clock; jobs accepted earlier are deleted.
+            now: monotonic time.
+            retention_ms: how long records of ended jobs are kept, in ms.
         """
         for held in tuple(self._held.values()):
             record = held.record
-            if record.is_final and record.accepted_at_ms < before_ms:
+            if not record.is_final:
+                continue
+            if held.ended_by is None:
+                held.ended_by = now
+            if now - held.ended_by >= retention_ms:
                 await self._store.delete(
                     job_key(record.job_id), expect_revision=held.revision
                 )
--- a/jayshore/jobs/book_test.py
+++ b/jayshore/jobs/book_test.py
@@ -12,6 +12,7 @@
 from jayshore.jobs.record import (
     JobKind,
     JobSpec,
+    JobState,
     encode_record,
     job_key,
     new_record,
@@ -37,6 +38,11 @@
     async def get(self, key):
         return self.entry
 
+    async def delete(self, key, *, expect_revision):
+        assert expect_revision == self.entry.revision
+        self.deleted = key
+        return Written(revision=expect_revision + 1)
+
 
 class FakeSettler:
     """Writes to the fake store, or never answers."""
@@ -119,6 +125,29 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize(
+    ('state', 'age_ms', 'is_deleted'),
+    [
+        (JobState.FINISHED, 100, True),
+        (JobState.FINISHED, 99, False),
+        (JobState.ACTIVE, 100, False),
+    ],
+)
+def test_only_old_records_of_ended_jobs_are_deleted(state, age_ms, is_deleted):
+    """Guards against records that pile up, and against losing active jobs."""
+
+    async def main():
+        store = FakeStore(dataclasses.replace(record(), state=state))
+        book = make_book(store, FakeSettler(store), BackgroundTasks())
+        await book.read_changes()
+        for now in (0, age_ms):
+            await book.delete_ended(now=Millis(now), retention_ms=Millis(100))
+        assert (book.find('j') is None) == is_deleted
+        assert hasattr(store, 'deleted') == is_deleted
+
+    curio.run(main)
+
+
 def test_end_of_the_leadership_ends_every_wait():
     """Guards against callers that wait for a write nobody makes any more."""
 
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -78,6 +78,7 @@
         depose: ends this leadership.
         intent_width: workers named in a record before they are needed.
         task_lease_ms: how long tasks run without a renewal, in ms.
+        job_retention_ms: how long the record of an ended job is kept, in ms.
     """
 
     epoch: int
@@ -94,6 +95,7 @@
     depose: Callable[[], Awaitable[None]]
     intent_width: int
     task_lease_ms: Millis
+    job_retention_ms: Millis
 
     @property
     def writer(self) -> Writer:
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -26,6 +26,7 @@
 _CLOCK_RATE_PERCENT = 102
 _LEASE_CHECK_MS = Millis(1000)
 _PROBE_CHECK_MS = Millis(1000)
+_CLEANUP_MS = Millis(60_000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,6 +93,7 @@
         await spawn(self._placer.run(round_ms))
         await spawn(self._watch_leases(follower))
         await spawn(self._parts.prober.run(_PROBE_CHECK_MS))
+        await spawn(self._delete_old_records())
         await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
@@ -143,6 +145,18 @@
         await self._parts.inventory.account_for(instance.id, _gone)
         self._placer.remove_worker(instance.id)
 
+    async def _delete_old_records(self) -> None:
+        context = self._parts.context
+        while True:
+            await curio.sleep(to_seconds(_CLEANUP_MS))
+            try:
+                await self._parts.book.delete_ended(
+                    now=context.clock.now(),
+                    retention_ms=context.job_retention_ms,
+                )
+            except StoreError as error:
+                eliot.log_message('job:not_deleted', error=str(error))
+
     async def _reconcile(self) -> None:
         try:
             found = await self._parts.book.read_changes()
