--- a/jayshore/jobs/book_test.py
+++ b/jayshore/jobs/book_test.py
@@ -10,15 +10,12 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.changes import NotOwnerError
 from jayshore.jobs.record import (
-    JobKind,
-    JobSpec,
     JobState,
     encode_record,
     job_key,
-    new_record,
 )
+from jayshore.jobs.sample_record_test import sample_record
 from jayshore.platform.store import Conflict, Entry, Listing, Written
-from jayshore.resources import Resources
 
 
 class FakeStore:
@@ -65,27 +62,6 @@
         return Written(revision=self.store.entry.revision)
 
 
-def record():
-    """Make a record with two tasks."""
-    return new_record(
-        JobSpec(
-            job_id='j',
-            team='t',
-            key_id='k',
-            queue='q',
-            kind=JobKind.BATCH,
-            task_count=2,
-            demand=Resources(cpu_millis=1),
-            payload='{}',
-            idempotent=True,
-            domain='north',
-            ticket_hash='h',
-            accepted_at_ms=0,
-        ),
-        write_id='w0',
-    )
-
-
 def make_book(store, settler, tasks):
     """Make a book of one domain."""
     return JobBook(
@@ -112,15 +88,15 @@
     """Guards against one store write for each task."""
 
     async def main():
-        store = FakeStore(record())
+        store = FakeStore(sample_record())
         tasks = BackgroundTasks()
         book = make_book(store, FakeSettler(store), tasks)
         await book.read_changes()
         async with curio.TaskGroup(wait=all) as group:
             for text in 'abc':
-                await group.spawn(book.change('j', with_payload(text)))
+                await group.spawn(book.change('job', with_payload(text)))
         assert store.writes == 1
-        assert sorted(book.find('j').payload) == sorted('{}abc')
+        assert sorted(book.find('job').payload) == sorted('{}abc')
 
     curio.run(main)
 
@@ -137,12 +113,12 @@
     """Guards against records that pile up, and against losing active jobs."""
 
     async def main():
-        store = FakeStore(dataclasses.replace(record(), state=state))
+        store = FakeStore(dataclasses.replace(sample_record(), state=state))
         book = make_book(store, FakeSettler(store), BackgroundTasks())
         await book.read_changes()
         for now in (0, age_ms):
             await book.delete_ended(now=Millis(now), retention_ms=Millis(100))
-        assert (book.find('j') is None) == is_deleted
+        assert (book.find('job') is None) == is_deleted
         assert hasattr(store, 'deleted') == is_deleted
 
     curio.run(main)
@@ -152,11 +128,11 @@
     """Guards against callers that wait for a write nobody makes any more."""
 
     async def main():
-        store = FakeStore(record())
+        store = FakeStore(sample_record())
         tasks = BackgroundTasks()
         book = make_book(store, FakeSettler(store, answers=False), tasks)
         await book.read_changes()
-        waiting = await curio.spawn(book.change, 'j', with_payload('a'))
+        waiting = await curio.spawn(book.change, 'job', with_payload('a'))
         await curio.sleep(0.02)
         await tasks.close()
         with pytest.raises(curio.TaskError) as failure:
--- a/jayshore/jobs/recovery_test.py
+++ b/jayshore/jobs/recovery_test.py
@@ -15,19 +15,15 @@
     WorkerReport,
 )
 from jayshore.jobs.record import (
-    JobKind,
-    JobSpec,
     TaskState,
     WorkerBoot,
     decode_record,
     encode_record,
-    new_record,
 )
-from jayshore.resources import Resources
+from jayshore.jobs.sample_record_test import TASKS, sample_record
 
 FATES = ('prompt', 'prompt', 'answer lost', 'delayed', 'dropped')
 WORKERS = range(3)
-TASKS = range(2)
 
 either = strategies.sampled_from((0, 1))
 any_worker = strategies.sampled_from(WORKERS)
@@ -35,24 +31,6 @@
 any_fate = strategies.sampled_from(FATES)
 
 
-def _new(*, idempotent):
-    spec = JobSpec(
-        job_id='job',
-        team='team',
-        key_id='key',
-        queue='queue',
-        kind=JobKind.BATCH,
-        task_count=len(TASKS),
-        demand=Resources(cpu_millis=1),
-        payload='{}',
-        idempotent=idempotent,
-        domain='north',
-        ticket_hash='hash',
-        accepted_at_ms=0,
-    )
-    return new_record(spec, write_id='first')
-
-
 class FakeWorker:
     """A worker as section 4.1 of the design describes it."""
 
@@ -101,7 +79,7 @@
 
     def __init__(self):
         super().__init__()
-        self.text = encode_record(_new(idempotent=self.idempotent))
+        self.text = encode_record(sample_record(idempotent=self.idempotent))
         self.revision = 1
         self.leader_key = 0
         self.lease_count = 0
--- a/jayshore/jobs/transitions_test.py
+++ b/jayshore/jobs/transitions_test.py
@@ -21,40 +21,18 @@
     WorkerReport,
 )
 from jayshore.jobs.record import (
-    JobKind,
-    JobSpec,
     JobState,
     TaskState,
     WorkerBoot,
-    new_record,
 )
-from jayshore.resources import Resources
+from jayshore.jobs.sample_record_test import TASKS, sample_record
 
-TASKS = range(2)
 ONE, TWO = (WorkerBoot(worker_id=name, boot_id='0') for name in 'ab')
 WRITER = Writer(epoch=5, write_id='w')
 
 
-def _new(*, idempotent):
-    spec = JobSpec(
-        job_id='job',
-        team='team',
-        key_id='key',
-        queue='queue',
-        kind=JobKind.BATCH,
-        task_count=len(TASKS),
-        demand=Resources(cpu_millis=1),
-        payload='{}',
-        idempotent=idempotent,
-        domain='north',
-        ticket_hash='hash',
-        accepted_at_ms=0,
-    )
-    return new_record(spec, write_id='first')
-
-
 def _begun(*, idempotent=True):
-    claimed = transitions.claim(_new(idempotent=idempotent), WRITER)
+    claimed = transitions.claim(sample_record(idempotent=idempotent), WRITER)
     return transitions.widen_intent(
         claimed, WRITER, workers=(ONE, TWO), begin=TASKS
     )
