Keep the demand of waiting requests when a grant round fails

A request that waits for its team's part of the limit is noted as short once, when it is queued. The round takes the note and writes the part. When three domains claim the part of a team at the same time, two of the writes meet a conflict, and the note is lost: the request waited until its deadline (429 over_limit after 5 s or more, or a timeout of the caller), unless another request of the team arrived.

Ruled out: a slow machine (jobs were accepted in 0.1 s in the same runs); the limit (3 parts of 7 requests fit into 30).

Change: after each round, also a failed one, the teams that were short are tried again, so that a demand still without room is noted again.

--- a/jayshore/jobs/grants.py
+++ b/jayshore/jobs/grants.py
@@ -278,7 +278,8 @@
             now: monotonic time.
             fresh_snapshot: the configuration while it is fresh, else None.
             cut_off: names of the domains that cannot be reached.
-            added: told of the teams whose part was raised or claimed.
+            added: told of the teams whose demand has to be tried again: those
+                that were short, and those whose part was raised or claimed.
         """
         quiet = 0
         while True:
@@ -287,23 +288,28 @@
             if not self._granted.is_short and quiet < _QUIET_ROUNDS:
                 continue
             quiet = 0
+            short = self._granted.collect_shortages()
             try:
-                changes = await self._round(now(), fresh_snapshot(), cut_off())
+                changes = await self._round(
+                    short, now(), fresh_snapshot(), cut_off()
+                )
             except GrantStoreError as error:
                 eliot.log_message('grants:store_error', error=str(error))
-            else:
-                await self._preempt(changes)
-                teams = {change.team for change in changes}
-                await added(teams | self._collect_claimed())
+                changes = ()
+            await self._preempt(changes)
+            # What is still turned away is noted as short again. Otherwise a
+            # waiting request whose raise met a conflict would wait for ever.
+            teams = short.keys() | {change.team for change in changes}
+            await added(teams | self._collect_claimed())
 
     async def _round(
         self,
+        short: Mapping[str, Resources],
         now: Millis,
         snapshot: Snapshot | None,
         cut_off: frozenset[str],
     ) -> tuple[PartChange, ...]:
         await self._stored.sync()
-        short = self._granted.collect_shortages()
         for team in short.keys() | self._teams_with_part():
             if team not in self._claimed and await self._keeper.claim(team):
                 self._claimed.add(team)
