Repeat a lost stop until the worker shows the end

Cause: `WorkerSession.stop` logs a call without an answer and forgets it. Only a cancellation was sent again, with each reconciliation, and the stop above a lowered limit with each round of the grants. A preempted task whose stop was lost ran on and kept every further preemption from being decided, since the cell waits for it. The rest of a gang whose stop was lost ran on in part, and so did a member whose uncertain start turned out to run after the others were stopped, or that a new leader adopted after a member had been queued. A task preempted before its start was answered was told to stop too early.

Change: `StopKeeper` sends a stop until the attempt is seen to have ended or is started again, 1 s after an answer and with the platform's backoff otherwise; it waits while the lease is closed or the start is open. Stops name a task, so none is sent once a later attempt or launch exists; a further attempt still needs the proofs of `transitions`. Whether a gang runs in part is judged from the phases of its members, after a launch, after an ending and in each reconciliation. An uncertain start alone no longer stops the other members, because the member may run.

The worker stand-in can lose stops (`drop_next_stops`).

Not covered: a task that a worker reports although the record has moved past it is told to stop with each report, not at an interval.

--- a/jayshore/jobs/endings.py
+++ b/jayshore/jobs/endings.py
@@ -240,8 +240,9 @@
             attempt.avoided |= {failed_on.worker_id}
         if record.kind is JobKind.SERVICE and ending.outcome is not None:
             await curio.sleep(to_seconds(_SERVICE_RESTART_PAUSE_MS))
-        await self._stop_siblings(record, attempt)
         self._placer.enqueue(attempt)
+        # The rest of a gang is stopped, so that it starts again as a whole.
+        await self._placer.stop_partial_gang(record)
 
     def _is_fault_of_job(self, attempt: Attempt) -> bool:
         """Tell whether a failure uses up a retry of its job."""
@@ -259,14 +260,6 @@
         elif ending.outcome is TaskOutcome.FAILED:
             self._watch.failed(worker_id, attempt.job_id)
 
-    async def _stop_siblings(self, record: JobRecord, attempt: Attempt) -> None:
-        """Stop the rest of a gang, so that it starts again as a whole."""
-        if record.kind is not JobKind.GANG:
-            return
-        for sibling in self._attempts.of_job(record):
-            if sibling is not attempt and sibling.phase is Phase.RUNNING:
-                await self._placer.stop(sibling, checkpoint=True)
-
 
 def found_on(report: TaskReport, attempt: Attempt) -> bool:
     """Tell whether a report is about an attempt.
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -164,9 +164,11 @@
             eliot.log_message('job:not_read', error=str(error))
         else:
             await self._parts.admission.admit(found)
-        # Tasks whose start was under way when the job was cancelled.
+        # Tasks whose start was under way when the job was cancelled, or when
+        # the rest of their gang was stopped.
         for record in self._parts.book.records:
             await self._parts.admission.enforce_cancel(record)
+            await self._placer.stop_partial_gang(record)
 
     async def _watch_leases(self, follower: InstanceFollower) -> None:
         """Find workers whose task leases have expired or that are gone."""
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -17,6 +17,7 @@
 from jayshore.jobs.launch import Launch
 from jayshore.jobs.pending import id_of, pending_task
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
+from jayshore.jobs.stopping import StopKeeper
 from jayshore.leases.session import WorkerSession
 from jayshore.leases.worker import StartResult
 from jayshore.placement.cell import Cell
@@ -62,6 +63,9 @@
         self._attempts = attempts
         self._fleet: WorkerFleet | None = None
         self._tasks = tasks
+        self._stops = StopKeeper(
+            session_of=self._session, source=context.source, tasks=tasks
+        )
         self._boots: dict[str, WorkerBoot] = {}
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
@@ -209,17 +213,30 @@
         self._cell.update_usage(id_of(attempt), usage)
 
     async def stop(self, attempt: Attempt, *, checkpoint: bool) -> None:
-        """Ask the worker of a running attempt to stop it.
+        """Have the worker of an attempt stop it, however often it takes.
 
         Args:
-            attempt: a running attempt.
+            attempt: a starting or running attempt.
             checkpoint: whether to checkpoint it first.
         """
-        if attempt.worker is None:
+        await self._stops.stop(attempt, checkpoint=checkpoint)
+
+    async def stop_partial_gang(self, record: JobRecord) -> None:
+        """Stop the members of a gang that run while others wait.
+
+        Until an uncertain start is settled, its member may run, so only a
+        waiting member shows that the gang runs in part.
+
+        Args:
+            record: a job; those that are no gangs are left alone.
+        """
+        if record.kind is not JobKind.GANG:
             return
-        session = self._session(attempt.worker)
-        if session is not None and session.is_open:
-            await session.stop(attempt.name, checkpoint=checkpoint)
+        members = self._attempts.of_job(record)
+        if any(member.phase is Phase.QUEUED for member in members):
+            for member in members:
+                if member.phase is Phase.RUNNING:
+                    await self.stop(member, checkpoint=True)
 
     def note_running(self, record: JobRecord, attempt: Attempt) -> None:
         """Note that a starting attempt runs.
@@ -295,8 +312,8 @@
             async with starts:
                 for launch in placed:
                     await starts.spawn(self._start(launch))
-            if not all(starts.results):
-                await self._stop_partial_gang(placed)
+            if record is not None:
+                await self.stop_partial_gang(record)
         await self.wake()
 
     async def _widen(self, job_id: str, wanted: set[WorkerBoot]) -> None:
@@ -335,14 +352,6 @@
             self.requeue(record, attempt)
         return result is StartResult.STARTED
 
-    async def _stop_partial_gang(self, placed: list[Launch]) -> None:
-        record = self._book.find(placed[0].attempt.job_id)
-        if record is None or record.kind is not JobKind.GANG:
-            return
-        for launch in placed:
-            if launch.attempt.phase is Phase.RUNNING:
-                await self.stop(launch.attempt, checkpoint=False)
-
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
             attempt = self._attempts.find(
--- a/jayshore/jobs/sample_record_test.py
+++ b/jayshore/jobs/sample_record_test.py
@@ -6,8 +6,8 @@
 TASKS = range(2)
 
 
-def sample_record(*, idempotent=True):
-    """Make a batch job that no leader has claimed.
+def sample_record(*, idempotent=True, kind=JobKind.BATCH):
+    """Make a job that no leader has claimed.
 
     Its id is `job`, its domain `north`.
     """
@@ -16,7 +16,7 @@
         team='team',
         key_id='key',
         queue='queue',
-        kind=JobKind.BATCH,
+        kind=kind,
         task_count=len(TASKS),
         demand=Resources(cpu_millis=1),
         payload='{}',
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -156,12 +156,15 @@
                 await self.reopen()
         return result
 
-    async def stop(self, task_id: str, *, checkpoint: bool) -> None:
+    async def stop(self, task_id: str, *, checkpoint: bool) -> bool:
         """Ask the worker to stop a task.
 
         Args:
             task_id: the task.
             checkpoint: whether to checkpoint it first.
+
+        Returns:
+            Whether the worker answered; only its inventory shows the end.
         """
         try:
             await self._link.stop(
@@ -174,6 +177,8 @@
                 task=task_id,
                 error=str(error),
             )
+            return False
+        return True
 
     def acknowledge(self, name: AttemptName) -> None:
         """Let the worker forget an ended task with the next renewal.
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -21,6 +21,7 @@
     error_response,
     json_response,
 )
+from jayshore.http.serverconnection import DropConnection
 from jayshore.resources import Resources
 from standins.faults import FaultGate, Faults
 from standins.fencing import (
@@ -73,11 +74,14 @@
         fail_starts: whether every task that is started fails.
         fail_after_ms: run time of these tasks, in ms.
         leaving: whether the worker reports that it leaves.
+        drop_next_stops: for how many stops the connection ends without an
+            effect.
     """
 
     fail_starts: bool = False
     fail_after_ms: int = 0
     leaving: bool = False
+    drop_next_stops: int = 0
 
 
 class _Renew(msgspec.Struct, kw_only=True):
@@ -217,6 +221,9 @@
         self, request: Request, task_id: str, action: str
     ) -> Response:
         body = decode_json(request.body, _Change)
+        if action == 'stop' and self._faults.drop_next_stops > 0:
+            self._faults.drop_next_stops -= 1
+            raise DropConnection('stop lost by order')
         try:
             self._lease.check(body.lease_id)
         except LeaseNotCurrent as error:
--- a/tests/support.py
+++ b/tests/support.py
@@ -123,13 +123,22 @@
         """
         answer = self.cluster.submit(TEAM, body, through=through)
         if answer.status == 202:
-            self.accepted[answer.content['job_id']] = answer
-            self._bodies[answer.content['job_id']] = body
+            self.expect(answer, body)
         elif answer.content['outcome'] == 'unknown':
             self.unsettled.add(answer.content['job_id'])
             self._bodies[answer.content['job_id']] = body
         return answer
 
+    def expect(self, answer: Answer, body: dict[str, Any]) -> None:
+        """Check a job that was submitted in another way, too.
+
+        Args:
+            answer: to its submission, which was accepted.
+            body: of the call.
+        """
+        self.accepted[answer.content['job_id']] = answer
+        self._bodies[answer.content['job_id']] = body
+
     def wait_all(
         self, limit_s: float = END_S, through: str | None = None
     ) -> dict[str, dict[str, Any]]:
