Open a lease again at once when a start is not confirmed

Checked: what can happen between a start without an answer and the next lease. The worker's capacity is not exceeded. The attempt keeps its room and its part of the limit in the phase `STARTING` until an inventory settles it, a start that arrives late carries an older lease and is refused, and `Launch` keeps an answer that comes after the new lease from counting. No task is lost then either: the inventory, the list or the end of the task lease settles it.

Two faults were found. First, when the one attempt to open the lease anew failed, the worker stayed usable in the cell although it could be told nothing, until the waiting renewal ended after up to 22 s. The cell packs, so it chose that worker again and again, at full speed, while others had room. Second, a connection that failed counted as a call that may have renewed the task lease. Trying to reach a dead worker that stays on the list thus kept its task lease from ever being over, and its tasks were never run again.

Change: a start that was not confirmed takes the worker out of use and ends the wait of the renewal, and the session's own task opens the lease again with its backoff. A start that is refused or cannot connect does the same. Taking in a report is not interrupted. Several doubtful starts open one lease instead of one each. A call that was not sent leaves the time of renewal as it was.

--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -331,12 +331,12 @@
         except TransitionError as refusal:
             eliot.log_message('job:not_widened', job=job_id, why=str(refusal))
 
-    async def _start(self, launch: Launch) -> bool:
+    async def _start(self, launch: Launch) -> None:
         attempt = launch.attempt
         worker = launch.worker
         record = self._book.find(attempt.job_id)
         if record is None:
-            return False
+            return
         session = self._session(worker)
         is_known = worker == self._boots.get(worker.worker_id)
         may_start = worker in record.intent and not record.is_cancelling
@@ -345,12 +345,11 @@
             result = await session.start(launch.order(record))
         if not launch.is_current:
             # A lease that was opened meanwhile has settled it.
-            return attempt.phase is Phase.RUNNING
+            return
         if result is StartResult.STARTED:
             self.note_running(record, attempt)
         elif result is StartResult.CERTAINLY_NOT:
             self.requeue(record, attempt)
-        return result is StartResult.STARTED
 
     async def _preempt(self, decision: Preempt) -> None:
         for task_id in decision.task_ids:
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -1,7 +1,6 @@
 """One task per worker that keeps its lease open and passes its news on."""
 
 import abc
-import contextlib
 import random
 
 import curio
@@ -89,7 +88,7 @@
         self._observer = observer
         self._renew_wait_ms = renew_wait_ms
         self._source = source
-        self._opening = curio.Lock()
+        self._doubted = curio.Event()
         self._lease_id = 0
         self._acknowledged: list[AttemptName] = []
         self._was_opened = False
@@ -137,23 +136,23 @@
     async def start(self, order: StartOrder) -> StartResult:
         """Start a task under the newest lease.
 
-        An uncertain start is settled by opening a new lease, whose inventory
-        goes to the observer.
+        Whenever the worker did not confirm a start, it gets no new work until
+        its lease is opened again. The inventory of that lease, which goes to
+        the observer, settles an uncertain start.
 
         Args:
             order: what to run.
 
         Returns:
-            Whether it was started; `UNCERTAIN` when the worker could not be
-            asked, in which case the next opened lease tells.
+            Whether it was started; `UNCERTAIN` when the next opened lease
+            tells.
         """
-        if not self._lease_id:
+        lease_id = self._lease_id
+        if not lease_id:
             return StartResult.CERTAINLY_NOT
-        result = await self._link.start(self._lease_id, order)
-        if result is StartResult.UNCERTAIN:
-            self._lease_id = 0
-            with contextlib.suppress(UpstreamError):
-                await self.reopen()
+        result = await self._link.start(lease_id, order)
+        if result is not StartResult.STARTED:
+            await self._doubt(lease_id)
         return result
 
     async def stop(self, task_id: str, *, checkpoint: bool) -> bool:
@@ -188,41 +187,81 @@
         """
         self._acknowledged.append(name)
 
-    async def reopen(self) -> None:
-        """Open a new lease now, to settle an uncertain start.
-
-        Raises:
-            UpstreamError: the worker did not answer.
-        """  # noqa: DAR401 raised by the link
-        async with self._opening:
-            opened = await self._link.open(self._epoch)
-            if self._is_ended:
-                return
-            self._lease_id = opened.lease_id
-            self._was_opened = True
-            await self._observer.lease_opened(self._worker_id, opened)
-
     async def _keep(self) -> None:
         if not self._lease_id:
-            await self.reopen()
+            await self._open()
         while self._lease_id:
             await self._renew()
 
+    async def _open(self) -> None:
+        opened = await self._link.open(self._epoch)
+        if self._is_ended:
+            return
+        self._doubted.clear()
+        self._lease_id = opened.lease_id
+        self._was_opened = True
+        await self._observer.lease_opened(self._worker_id, opened)
+
+    async def _doubt(self, lease_id: int) -> None:
+        """Have the lease opened again, unless a newer one was opened.
+
+        The newer one was then opened after the start was sent, so that its
+        inventory shows the start.
+        """
+        if lease_id == self._lease_id:
+            self._lease_id = 0
+            await self._observer.worker_lost(self._worker_id)
+            await self._doubted.set()
+
     async def _renew(self) -> None:
         lease_id = self._lease_id
         sent = self._acknowledged.copy()
         # Acknowledgements go out at once; only a renewal without one waits.
         wait_ms = Millis(0) if sent else self._renew_wait_ms
         try:
-            renewed = await self._link.renew(lease_id, sent, wait_ms)
+            renewed = await self._wait_for_news(lease_id, sent, wait_ms)
         except LeaseSuperseded:
             if lease_id == self._lease_id:
                 self._lease_id = 0
             raise
+        if renewed is None:
+            return
         del self._acknowledged[: len(sent)]
         if lease_id == self._lease_id:
             await self._observer.tasks_reported(self._worker_id, renewed)
 
+    async def _wait_for_news(
+        self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
+    ) -> Renewed | None:
+        """Renew, unless the lease is doubted meanwhile.
+
+        A renewal waits longer than an uncertain start may stay unsettled.
+
+        Returns:
+            The answer, or None when a new lease has to be opened.
+        """
+        first = curio.TaskGroup(wait=any)
+        async with first:
+            renewal = await first.spawn(
+                self._try_renewal, lease_id, sent, wait_ms
+            )
+            await first.spawn(self._doubted.wait)
+        if first.completed is not renewal:
+            return None
+        renewed: Renewed | UpstreamError = renewal.result
+        if isinstance(renewed, UpstreamError):
+            raise renewed
+        return renewed
+
+    async def _try_renewal(
+        self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
+    ) -> Renewed | UpstreamError:
+        """Return the error, since curio logs those that end a task."""
+        try:
+            return await self._link.renew(lease_id, sent, wait_ms)
+        except UpstreamError as error:
+            return error
+
     async def _note_lost(self, error: UpstreamError) -> None:
         if self._lease_id:
             eliot.log_message(
--- /dev/null
+++ b/jayshore/leases/session_test.py
@@ -0,0 +1,231 @@
+"""Tests of a lease that is in doubt after a start."""
+
+import random
+
+import curio
+import pytest
+
+from jayshore.clock import ManualClock, Millis
+from jayshore.http.client import CallTimedOut, ConnectFailed, ConnectionLost
+from jayshore.leases.session import WorkerObserver, WorkerSession
+from jayshore.leases.worker import (
+    OpenedLease,
+    Renewed,
+    StartOrder,
+    StartResult,
+    UpstreamUnreachable,
+    WorkerLink,
+)
+from jayshore.resources import Resources
+
+BOUND_S = 5
+ORDER = StartOrder(
+    task_id='job.0',
+    attempt=1,
+    job_id='job',
+    team='team',
+    resources=Resources(),
+    payload='{}',
+)
+
+
+class FakeLink:
+    """A worker whose renewals wait until news are put in."""
+
+    def __init__(self):
+        self.leases = 0
+        self.lost_opens = 0
+        self.starts = []
+        self.results = []
+        self.news = curio.Queue()
+        self.renewals = 0
+
+    async def open(self, epoch):
+        if self.lost_opens:
+            self.lost_opens -= 1
+            raise UpstreamUnreachable('lost')
+        self.leases += 1
+        return OpenedLease(
+            lease_id=self.leases,
+            boot_id='boot',
+            capacity=Resources(),
+            leaving=False,
+            tasks=(),
+        )
+
+    async def renew(self, lease_id, acknowledged, wait_ms):
+        self.renewals += 1
+        return await self.news.get()
+
+    async def start(self, lease_id, order):
+        self.starts.append(lease_id)
+        result = self.results.pop(0)
+        if isinstance(result, StartResult):
+            return result
+        return await result()
+
+
+class RecordingObserver(WorkerObserver):
+    """Notes what it is told; a report takes a while."""
+
+    def __init__(self):
+        self.seen = []
+        self.may_go_on = curio.Event()
+
+    async def lease_opened(self, worker_id, opened):
+        self.seen.append(f'opened {opened.lease_id}')
+
+    async def tasks_reported(self, worker_id, renewed):
+        self.seen.append('report begins')
+        await self.may_go_on.wait()
+        self.seen.append('report ends')
+
+    async def worker_lost(self, worker_id):
+        self.seen.append('lost')
+
+    async def epoch_superseded(self):
+        self.seen.append('superseded')
+
+
+async def wait_for(condition):
+    async with curio.timeout_after(BOUND_S):
+        while not condition():
+            await curio.sleep(0.001)
+
+
+def run_session(scenario):
+    """Run a scenario beside a session whose first lease is open."""
+
+    async def run():
+        link, observer = FakeLink(), RecordingObserver()
+        session = WorkerSession(
+            worker_id='w0',
+            link=link,
+            epoch=1,
+            observer=observer,
+            renew_wait_ms=Millis(20_000),
+            source=random.Random(3),
+        )
+        running = await curio.spawn(session.run)
+        await wait_for(lambda: link.renewals)
+        await scenario(session, link, observer)
+        await running.cancel()
+        return link, observer
+
+    return curio.run(run)
+
+
+@pytest.mark.parametrize(
+    'result', [StartResult.UNCERTAIN, StartResult.CERTAINLY_NOT]
+)
+def test_start_without_success_opens_a_new_lease(result):
+    """An uncertain start must not wait for a renewal of 20 s to end."""
+
+    async def scenario(session, link, _observer):
+        link.lost_opens = 2
+        link.results = [result]
+        assert await session.start(ORDER) is result
+        assert not session.is_open
+        assert await session.start(ORDER) is StartResult.CERTAINLY_NOT
+        await wait_for(lambda: session.is_open)
+
+    link, observer = run_session(scenario)
+    assert link.starts == [1]
+    assert observer.seen[:2] == ['opened 1', 'lost']
+    assert observer.seen[-1] == 'opened 2'
+
+
+def test_success_keeps_the_lease():
+    """A start that worked must not cost a new lease."""
+
+    async def scenario(session, link, _observer):
+        link.results = [StartResult.STARTED]
+        assert await session.start(ORDER) is StartResult.STARTED
+        await curio.sleep(0.01)
+
+    link, observer = run_session(scenario)
+    assert observer.seen == ['opened 1']
+    assert link.leases == 1
+
+
+def test_late_doubt_does_not_close_a_newer_lease():
+    """Many uncertain starts at once must not open one lease after another."""
+
+    async def scenario(session, link, _observer):
+        may_end = curio.Event()
+
+        async def late():
+            await may_end.wait()
+            return StartResult.UNCERTAIN
+
+        link.results = [late, StartResult.UNCERTAIN]
+        slow = await curio.spawn(session.start, ORDER)
+        await wait_for(lambda: link.starts)
+        await session.start(ORDER)
+        await wait_for(lambda: session.is_open)
+        await may_end.set()
+        assert await slow.join() is StartResult.UNCERTAIN
+        assert session.is_open
+
+    link, observer = run_session(scenario)
+    assert observer.seen == ['opened 1', 'lost', 'opened 2']
+
+
+def test_doubt_does_not_interrupt_a_report():
+    """An ending that is being noted must not be lost with the old lease."""
+
+    async def scenario(session, link, observer):
+        await link.news.put(Renewed(leaving=False, tasks=()))
+        await wait_for(lambda: 'report begins' in observer.seen)
+        link.results = [StartResult.UNCERTAIN]
+        await session.start(ORDER)
+        await observer.may_go_on.set()
+        await wait_for(lambda: session.is_open)
+
+    _, observer = run_session(scenario)
+    assert observer.seen == [
+        'opened 1',
+        'report begins',
+        'lost',
+        'report ends',
+        'opened 2',
+    ]
+
+
+class FailingClient:
+    """An HTTP client whose calls fail."""
+
+    def __init__(self, error):
+        self.error = error
+
+    async def call(self, request, *, timeout_ms):
+        raise self.error
+
+
+@pytest.mark.parametrize(
+    ('error', 'counts'),
+    [
+        (ConnectFailed('refused'), False),
+        (ConnectionLost('cut'), True),
+        (CallTimedOut('silent'), True),
+    ],
+)
+def test_only_a_call_that_was_sent_may_renew(error, counts):
+    """Trying to reach a worker must not keep its lease from being over."""
+
+    async def scenario():
+        clock = ManualClock()
+        link = WorkerLink(
+            client=FailingClient(error),
+            holder='north-0',
+            clock=clock,
+            call_timeout_ms=Millis(2000),
+            task_lease_ms=Millis(300_000),
+        )
+        before = link.renewed_at
+        clock.advance(Millis(1000))
+        with pytest.raises(UpstreamUnreachable):
+            await link.open(1)
+        return link.renewed_at - before
+
+    assert curio.run(scenario) == (3000 if counts else 0)
--- a/jayshore/leases/worker.py
+++ b/jayshore/leases/worker.py
@@ -171,7 +171,9 @@
         """When the last call that may have renewed the tasks was sent.
 
         A call without an answer counts up to its timeout, since it may have
-        arrived at any time until then.
+        arrived at any time until then. A call that was not sent does not count;
+        otherwise trying to reach a worker again would keep its task lease from
+        ever being over.
         """
         return self._renewed_at
 
@@ -287,12 +289,18 @@
     async def _post(
         self, path: str, body: _Body, timeout_ms: Millis
     ) -> Response:
-        self._renewed_at = Millis(self._clock.now() + timeout_ms)
+        before = self._renewed_at
+        arrives_by = Millis(self._clock.now() + timeout_ms)
+        self._renewed_at = arrives_by
         try:
             answer = await self._client.call(
                 _request(path, body), timeout_ms=timeout_ms
             )
-        except (ConnectFailed, ConnectionLost, CallTimedOut) as error:
+        except ConnectFailed as unsent:
+            if self._renewed_at == arrives_by:
+                self._renewed_at = before
+            raise UpstreamUnreachable(str(unsent)) from None
+        except (ConnectionLost, CallTimedOut) as error:
             raise UpstreamUnreachable(str(error)) from None
         self._renewed_at = self._clock.now()
         return answer
--- /dev/null
+++ b/tests/silent_worker_test.py
@@ -0,0 +1,99 @@
+"""A worker that falls silent while tasks are started on it.
+
+Guards against work that waits for a worker whose start was not answered while
+others have room, and against a start without an answer that is lost, doubled
+or not counted.
+"""
+
+import time
+
+import pytest
+
+from demo.history import kill_worker
+from demo.processes import wait_until
+from tests.guarantee_support import show
+from tests.support import (
+    END_S,
+    OWNED_AGAIN_S,
+    Jobs,
+    finish,
+    job,
+    small_cluster,
+    wait_runs,
+)
+
+pytestmark = pytest.mark.processes
+
+# Design, 1.3: urgent work starts within this time.
+URGENT_S = 1.6
+# Settings of the daemons, `call_timeout_ms`.
+START_TIMEOUT_S = 2
+
+
+def test_start_without_an_answer_takes_its_worker_out_of_use():
+    """Guards against placing further tasks on a silent worker.
+
+    The cell packs, so it prefers the worker that holds the silent start.
+    """
+    with small_cluster() as cluster:
+        jobs = Jobs(cluster)
+        jobs.submit(job(1, 100))
+        first = wait_runs(cluster, 1, OWNED_AGAIN_S)[0].upstream
+        jobs.wait_all()
+        silent = cluster.workers[first]
+        silent.pause()
+        silent_job = jobs.submit(job(1, 100))
+        time.sleep(START_TIMEOUT_S + 0.5)
+
+        def runs_elsewhere():
+            others = dict(cluster.workers)
+            others.pop(first)
+            return [
+                task
+                for worker in others.values()
+                for task in worker.call('GET', '/admin/history').content[
+                    'tasks'
+                ]
+            ]
+
+        for _ in range(3):
+            sent = time.monotonic()
+            before = len(runs_elsewhere())
+            jobs.submit(job(1, 100, queue='previews'))
+            wait_until(
+                lambda before=before: len(runs_elsewhere()) > before,
+                END_S,
+                'a preview starts elsewhere',
+            )
+            took = time.monotonic() - sent
+            show('preview beside a silent worker', took, URGENT_S, 's')
+            assert took <= URGENT_S
+        silent.resume()
+        runs = finish(jobs)
+        assert [r.upstream for r in runs if r.job_id == silent_job] == [first]
+
+
+def test_task_of_a_dead_worker_that_stays_listed():
+    """Guards against work that waits for a dead worker for ever.
+
+    The list never shows that the worker is gone, so that only the end of its
+    task lease proves that the task is over.
+    """
+    timing = {'task_lease_ms': 1000, 'renew_wait_ms': 200}
+    with small_cluster(timing=timing) as cluster:
+        jobs = Jobs(cluster)
+        again = jobs.submit(job(1, 3000, idempotent=True))
+        once = jobs.submit(job(1, 3000))
+        runs = wait_runs(cluster, 2, OWNED_AGAIN_S)
+        dead = {run.upstream for run in runs}
+        for name in dead:
+            kill_worker(cluster, name)
+        began = time.monotonic()
+        wait_runs(cluster, 3, OWNED_AGAIN_S)
+        show(
+            'task runs elsewhere', time.monotonic() - began, OWNED_AGAIN_S, 's'
+        )
+        shown = jobs.wait_all()
+        assert shown[again]['state'] == 'finished', shown[again]
+        assert shown[once]['state'] == 'unknown', shown[once]
+        jobs.check(shown)
