Keep requests and evidence intact when the roster changes

The test adds a daemon to the roster, removes and stops one, and replaces one under its name at another address, by `apply` and under load. It found three faults.

A former peer's client now closes after its pending calls.

A daemon that was just added was not told of the next versions until the writer had followed the roster, up to a heartbeat (2 s) later. The removed one is told as well.

A daemon replaced under its name was never sent heartbeats, because the loop for its former address went on under that name. In an outage it gave no evidence: with one more daemon paused, keyed requests were refused (503).

--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -102,15 +102,16 @@
 
     async def run(self) -> None:
         """Follow the roster and exchange heartbeats until cancelled."""
-        running: dict[str, Any] = {}
+        running: dict[Peer, Any] = {}
         try:
             while True:
                 self._follow_roster(self._keeper.snapshot.document)
                 await self._follow_peers(running)
                 await curio.sleep(to_seconds(self._interval_ms))
         finally:
-            for task in running.values():
+            for peer, task in running.items():
                 await task.cancel()
+                await peer.client.close()
 
     def leader_of(self, domain: str) -> Peer | None:
         """Find the leader of a domain among the peers that were heard.
@@ -182,13 +183,17 @@
     async def announce(self, call: msg.ConfigCommitted) -> None:
         """Send an accepted configuration to every peer.
 
-        A peer that does not get it reads the store soon after.
+        A peer that does not get it reads the store soon after; until then, one
+        that has heard of the version takes no keyed work. Daemons that were
+        just added to the roster, or removed from it, are told as well.
 
         Args:
             call: the accepted version.
         """
+        former = frozenset(self._peers.values())
+        self._follow_roster(self._keeper.snapshot.document)
         async with curio.TaskGroup(wait=all) as tasks:
-            for peer in self._peers.values():
+            for peer in former.union(self._peers.values()):
                 await tasks.spawn(self._announce_to(peer, call))
 
     async def tell_status(self) -> None:
@@ -218,14 +223,18 @@
             for name, peer in sorted(self._peers.items())
         )
 
-    async def _follow_peers(self, running: dict[str, Any]) -> None:
-        for gone in running.keys() - self._peers.keys():
+    async def _follow_peers(self, running: dict[Peer, Any]) -> None:
+        """Exchange heartbeats with exactly the present peers.
+
+        A daemon that was replaced under its name is another peer. Requests
+        that a former peer still runs are answered before it is left.
+        """
+        present = frozenset(self._peers.values())
+        for gone in running.keys() - present:
             await running.pop(gone).cancel()
-        for name, peer in self._peers.items():
-            if name not in running:
-                running[name] = await curio.spawn(
-                    self._exchange, peer, daemon=True
-                )
+            await curio.spawn(gone.client.close_when_idle, daemon=True)
+        for peer in present - running.keys():
+            running[peer] = await curio.spawn(self._exchange, peer, daemon=True)
 
     def _follow_roster(self, document: Document) -> None:
         wanted = {
@@ -251,12 +260,9 @@
         return Peer(entry=entry, client=client)
 
     async def _exchange(self, peer: Peer) -> None:
-        try:
-            while True:
-                await self._beat(peer)
-                await self._pause()
-        finally:
-            await peer.client.close()
+        while True:
+            await self._beat(peer)
+            await self._pause()
 
     async def _pause(self) -> None:
         """Wait until the next heartbeat.
--- a/jayshore/wire/client.py
+++ b/jayshore/wire/client.py
@@ -27,6 +27,8 @@
 
 _ReplyT = TypeVar('_ReplyT', bound=msg.Reply)
 
+_IDLE_CHECK_MS = Millis(50)
+
 
 class _Pending:
     """A call that waits for its answer."""
@@ -49,6 +51,11 @@
         self._pending: dict[int, _Pending] = {}
         self._reader: Any = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call waits for its answer."""
+        return bool(self._pending)
+
     async def start(self) -> None:
         """Start to read answers."""
         self._reader = await curio.spawn(self._read_answers, daemon=True)
@@ -251,6 +258,12 @@
             return reply
         raise PeerFailed(f'{type(call).__name__} answered with {reply}')
 
+    async def close_when_idle(self) -> None:
+        """End the connection after its pending calls, which have timeouts."""
+        while self._connection is not None and self._connection.is_busy:
+            await curio.sleep(to_seconds(_IDLE_CHECK_MS))
+        await self.close()
+
     async def close(self) -> None:
         """End the connection; pending calls are lost."""
         if self._connection is not None:
--- a/jayshore/wire/peer_test.py
+++ b/jayshore/wire/peer_test.py
@@ -266,6 +266,23 @@
     run(main)
 
 
+def test_running_call_ends_before_the_client_closes():
+    """Guards against a change of the roster that interrupts a running call."""
+
+    async def main():
+        async with rig() as peers:
+            call = await curio.spawn(peers.query, 'job')
+            await peers.handler.entered.get()
+            closing = await curio.spawn(peers.client.close_when_idle)
+            await client_beat(peers)
+            assert not closing.terminated
+            await peers.handler.release('job').set()
+            assert await call.join() == b'job'
+            await closing.join()
+
+    run(main)
+
+
 def test_running_call_ends_before_the_server_is_idle():
     """Guards against a stop that interrupts a running call."""
 
--- /dev/null
+++ b/tests/roster_change_test.py
@@ -0,0 +1,172 @@
+"""A daemon added to the roster and one removed, under load.
+
+Guards against requests and jobs that are lost or doubled while the majority of
+the roster changes, and against a majority that is still that of the former
+roster.
+"""
+
+import time
+
+import pytest
+
+from demo.cluster import Cluster
+from demo.processes import (
+    HOST,
+    free_ports,
+    start_daemon,
+    wait_ready,
+    wait_until,
+)
+from tests.guarantee_restart_test import (
+    DRAIN_S,
+    POLL_S,
+    Balancer,
+    judge,
+    judge_jobs,
+)
+from tests.guarantee_support import (
+    IN_FORCE_S,
+    Background,
+    send_request,
+    show,
+    small_shape,
+    status_of,
+    teams,
+)
+from tests.support import OWNED_AGAIN_S, set_faults
+
+pytestmark = pytest.mark.processes
+
+CALLERS = 12
+
+
+class ChangingCluster(Cluster):
+    """A cluster whose roster changes."""
+
+    def add_daemon(self, name, like):
+        """Start a daemon beside another one of its domain."""
+        listen, peer_listen = (f'{HOST}:{port}' for port in free_ports(2))
+        self._settings[name] = {
+            **self._settings[like],
+            'name': name,
+            'listen': listen,
+            'peer_listen': peer_listen,
+            'log_file': str(self.directory / f'{name}.log'),
+        }
+        self.domain_of[name] = self.domain_of[like]
+        self.daemons[name] = start_daemon(self._settings[name], self.directory)
+        wait_ready(self.daemons[name])
+
+    def replace_daemon(self, name):
+        """Kill a daemon and start one of its name at another address."""
+        self.daemons[name].kill()
+        self.add_daemon(name, like=name)
+
+    def drop_daemon(self, name):
+        """Leave a daemon out of the documents that follow."""
+        del self._settings[name]
+
+    def change_roster(self):
+        """Apply the roster, and measure until it is in force everywhere."""
+        answer = self.apply(self.document(), through='north-0')
+        assert answer.status == 200, answer.body
+        took = wait_until(
+            lambda: all(
+                status_of(self.daemons[name])['config_version'] == self.version
+                for name in self._settings
+            ),
+            2 * IN_FORCE_S,
+            'the roster is in force',
+        )
+        show('roster in force', took, IN_FORCE_S, 's')
+        assert took <= IN_FORCE_S
+
+
+def test_roster_changes_under_load():
+    shape = small_shape(workers=2)
+    with ChangingCluster(shape=shape, teams=teams()) as cluster:
+        balancer = Balancer(cluster=cluster)
+        accepted = []
+        with Background(pause_s=POLL_S) as looking:
+            looking.add('look', balancer.look)
+            with Background(pause_s=0.02) as background:
+                for number in range(CALLERS):
+                    background.add(f'{number}', balancer.request, number)
+                background.add('job', balancer.job, accepted)
+                cluster.add_daemon('south-1', like='south-0')
+                cluster.change_roster()
+                wait_until(
+                    lambda: balancer.is_ready('south-1'), 10, 'it is used'
+                )
+                cluster.drop_daemon('south-0')
+                cluster.change_roster()
+                stop = remove(cluster)
+        judge(background, [stop])
+        check_new_majority(cluster, 'south-1')
+        judge_jobs(cluster, accepted)
+
+
+def test_daemon_is_replaced_under_its_name():
+    """Guards against heartbeats that still go to the former address."""
+    with ChangingCluster(shape=small_shape(), teams=teams()) as cluster:
+        cluster.replace_daemon('south-0')
+        cluster.change_roster()
+        took = wait_until(
+            lambda: all(
+                status_of(daemon)['leaders'].get('south') == 'south-0'
+                and all(
+                    peer['is_reachable'] for peer in status_of(daemon)['peers']
+                )
+                for daemon in cluster.daemons.values()
+            ),
+            2 * OWNED_AGAIN_S,
+            'the new daemon is heard and leads',
+        )
+        show('replaced daemon leads', took, OWNED_AGAIN_S, 's')
+        assert took <= OWNED_AGAIN_S
+        check_new_majority(cluster, 'south-0')
+
+
+def remove(cluster):
+    """Stop the removed daemon; the added one leads its domain then."""
+    removed = cluster.daemons['south-0']
+    began = time.monotonic()
+    removed.terminate()
+    assert removed.wait(DRAIN_S + 5) == 0
+    stopped = time.monotonic()
+    took = wait_until(
+        lambda: cluster.leaders().get('south') == 'south-1',
+        OWNED_AGAIN_S,
+        'the added daemon leads',
+    )
+    show('added daemon leads', took, OWNED_AGAIN_S, 's')
+    time.sleep(1)
+    return stopped - began
+
+
+def check_new_majority(cluster, name):
+    """Check keyed work in an outage with two of the new roster of three.
+
+    Neither of the two has a majority without the other; of the former roster
+    only one daemon answers.
+    """
+    headers = cluster.key(cluster.teams[1]['name'])
+    # A domain gets no grant in an outage.
+    wait_until(
+        lambda: (
+            send_request(cluster.daemons['north-0'], headers).status == 200
+            and send_request(cluster.daemons[name], headers).status == 200
+        ),
+        OWNED_AGAIN_S,
+        'requests run at both',
+    )
+    set_faults(cluster.store, mode='down')
+    cluster.daemons['east-0'].pause()
+    time.sleep(IN_FORCE_S + 1)
+    replies = [
+        send_request(cluster.daemons[asked], headers)
+        for asked in ('north-0', name)
+    ]
+    cluster.daemons['east-0'].resume()
+    set_faults(cluster.store, mode='up')
+    assert [reply.status for reply in replies] == [200, 200], replies
