Grant parts of a limit in whole units, and return idle ones sooner

The stored grants showed two causes. Parts of 2,667 and 5,333 mCPU for tasks of 1,000: each of two domains held a fraction that no task fits in, counted it as needed because tasks were waiting, and never returned it. And a part of 11,000 for 10 tasks, taken while the last task of a cancelled job was still counted, lay idle for 5 s and up to another second. A third one was seen as a request that was not answered within its 10 s: after a limit was lowered a domain may hold no part at all while the others, always busy, return none.

Change: the ledger is told what waits in units that start together, raises a part only by whole units and counts room that fits none as surplus. Surplus is returned after 1 s when the whole limit is assigned. A request whose domain holds no part waits 0.5 s and is then tried elsewhere. The demand for tasks is taken from the queue alone, as the note of a task that was turned away may be older than its start. Teams that stay short without a change are tried each second and not at each round.

--- a/jayshore/jobs/grants.py
+++ b/jayshore/jobs/grants.py
@@ -1,6 +1,6 @@
 """Keeps a leader's parts of the team limits in step with use and demand."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Mapping
 
 import curio
@@ -13,6 +13,7 @@
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import TeamLedger
 from jayshore.jobs.placing import Placer
+from jayshore.jobs.record import JobKind
 from jayshore.platform.store import (
     Entry,
     Store,
@@ -20,6 +21,7 @@
 )
 from jayshore.platform.store import Written as StoreWritten
 from jayshore.quota.amounts import larger, surplus
+from jayshore.quota.demand import NO_DEMAND, Demand, Unit, demand_of
 from jayshore.quota.grants import (
     GrantRecord,
     Limit,
@@ -145,9 +147,9 @@
         self._short: dict[str, Resources] = defaultdict(lambda: NOTHING)
 
     @property
-    def is_short(self) -> bool:
-        """Whether a demand was turned away since the last round."""
-        return bool(self._short)
+    def short_teams(self) -> frozenset[str]:
+        """Teams of which a demand was turned away since the last round."""
+        return frozenset(self._short)
 
     def has_headroom(self, team: str, demand: Resources) -> bool:
         """Tell whether a team may take this much more.
@@ -209,6 +211,20 @@
         entry = self._snapshot().team(team)
         return entry.share if entry else 1
 
+    def may_hold(self, team: str, demand: Resources) -> bool:
+        """Tell whether a demand fits in the part once other work ends.
+
+        Args:
+            team: the team.
+            demand: what waits.
+
+        Returns:
+            False when only a larger part would help; True also before the
+            part is known.
+        """
+        account = self._ledger.account(team)
+        return account.held is None or demand.fits_in(account.startable)
+
     def collect_shortages(self) -> dict[str, Resources]:
         """Take the demands that were turned away since the last call.
 
@@ -261,6 +277,7 @@
         self._domain = domain
         self._claimed: set[str] = set()
         self._newly_claimed: set[str] = set()
+        self._stalled: frozenset[str] = frozenset()
 
     async def run(
         self,
@@ -274,7 +291,8 @@
         """Run rounds until cancelled.
 
         Args:
-            interval_ms: between two rounds while something is short, in ms.
+            interval_ms: between two rounds while something is short for which
+                the last round could still do something, in ms.
             now: monotonic time.
             fresh_snapshot: the configuration while it is fresh, else None.
             cut_off: names of the domains that cannot be reached.
@@ -285,7 +303,9 @@
         while True:
             await curio.sleep(to_seconds(interval_ms))
             quiet += 1
-            if not self._granted.is_short and quiet < _QUIET_ROUNDS:
+            # A team at its limit would otherwise cost a read each time.
+            is_due = self._granted.short_teams - self._stalled
+            if not is_due and quiet < _QUIET_ROUNDS:
                 continue
             quiet = 0
             short = self._granted.collect_shortages()
@@ -299,8 +319,9 @@
             await self._preempt(changes)
             # What is still turned away is noted as short again. Otherwise a
             # waiting request whose raise met a conflict would wait for ever.
-            teams = short.keys() | {change.team for change in changes}
-            await added(teams | self._collect_claimed())
+            changed = {change.team for change in changes}
+            self._stalled = frozenset(short.keys() & self._claimed - changed)
+            await added(short.keys() | changed | self._collect_claimed())
 
     async def _round(
         self,
@@ -317,11 +338,11 @@
         limits = {} if snapshot is None else _limits_of(snapshot)
         waiting = self._waiting()
         for team in short.keys() | waiting.keys() | self._claimed:
-            wanted = larger(
-                waiting.get(team, NOTHING),
-                _batch(short.get(team, NOTHING), limits.get(team)),
+            tasks = waiting.get(team, NO_DEMAND)
+            requests = _batch(short.get(team, NOTHING), limits.get(team))
+            self._ledger.set_waiting(
+                team, Demand(units=(*tasks.units, *requests))
             )
-            self._ledger.set_waiting(team, wanted)
         if snapshot is not None:
             await self._reclaim_lost(snapshot)
         return await self._keeper.run_round(now, limits=limits, cut_off=cut_off)
@@ -338,14 +359,23 @@
             if record.part_of(self._domain) is not None
         }
 
-    def _waiting(self) -> dict[str, Resources]:
-        """Sum what waits in the queue, for each team."""
-        sums: dict[str, Resources] = defaultdict(lambda: NOTHING)
-        for attempt in self._attempts:
-            record = self._book.find(attempt.job_id)
-            if record is not None and attempt.phase is Phase.QUEUED:
-                sums[record.team] += record.demand
-        return sums
+    def _waiting(self) -> dict[str, Demand]:
+        """Gather the tasks that wait in the queue, for each team."""
+        queued = Counter(
+            attempt.job_id
+            for attempt in self._attempts
+            if attempt.phase is Phase.QUEUED
+        )
+        pieces: dict[str, list[Resources]] = defaultdict(list)
+        for job_id, count in queued.items():
+            record = self._book.find(job_id)
+            if record is None:
+                continue
+            if record.kind is JobKind.GANG:
+                pieces[record.team].append(record.demand.scaled(count))
+            else:
+                pieces[record.team].extend([record.demand] * count)
+        return {team: demand_of(waiting) for team, waiting in pieces.items()}
 
     async def _reclaim_lost(self, snapshot: Snapshot) -> None:
         lost = frozenset(
@@ -388,9 +418,9 @@
     }
 
 
-def _batch(short: Resources, limit: Limit | None) -> Resources:
+def _batch(short: Resources, limit: Limit | None) -> tuple[Unit, ...]:
     """Ask for requests in batches, as they are short one at a time."""
     if not short.requests or limit is None:
-        return short
-    batch = max(short.requests, limit.amount.requests // 4)
-    return short + Resources(requests=batch - short.requests)
+        return ()
+    count = max(short.requests, limit.amount.requests // 4)
+    return (Unit(amount=Resources(requests=1), count=count),)
--- a/jayshore/quota/keeper_test.py
+++ b/jayshore/quota/keeper_test.py
@@ -10,6 +10,7 @@
 )
 
 from jayshore.clock import Millis
+from jayshore.quota.demand import NO_DEMAND, Demand, Unit
 from jayshore.quota.grants import NO_GRANTS, Limit, Owner
 from jayshore.quota.keeper import (
     Conflict,
@@ -20,7 +21,10 @@
     Uncertain,
     Written,
 )
-from jayshore.quota.ledger import DomainLedger
+from jayshore.quota.ledger import (
+    CONTENDED_RETURN_AFTER_MS,
+    DomainLedger,
+)
 from jayshore.resources import NOTHING, Resources, total
 
 TEAM = 'team'
@@ -37,6 +41,10 @@
     return Resources(requests=count)
 
 
+def _waiting(count):
+    return Demand(units=(Unit(amount=_amount(1), count=count),))
+
+
 def _run(coroutine):
     try:
         coroutine.send(None)
@@ -120,7 +128,7 @@
         self.former = [None, None, None]
         for at, leader in enumerate(self.leaders):
             self._open_upstreams(at)
-            leader.ledger.set_waiting(TEAM, _amount(2))
+            leader.ledger.set_waiting(TEAM, _waiting(2))
             self._round(leader, fate='prompt', fresh=True)
 
     def _open_upstreams(self, at):
@@ -175,20 +183,20 @@
 
     @rule(at=in_domain, count=strategies.integers(1, 4))
     def demand_arrives(self, at, count):
-        self.leaders[at].ledger.set_waiting(TEAM, _amount(count))
+        self.leaders[at].ledger.set_waiting(TEAM, _waiting(count))
         self._round(self.leaders[at], fate='prompt', fresh=True)
         self._fill(self.leaders[at], at)
 
     @rule(at=in_domain, fate=strategies.sampled_from(FATES))
     def surplus_is_returned(self, at, fate):
-        self.leaders[at].ledger.set_waiting(TEAM, NOTHING)
+        self.leaders[at].ledger.set_waiting(TEAM, NO_DEMAND)
         for wanted in ('prompt', fate):
             self._round(self.leaders[at], fate=wanted, fresh=True)
             self.now = Millis(self.now + IDLE)
 
     @rule(at=in_domain, count=strategies.integers(0, 5))
     def wait(self, at, count):
-        self.leaders[at].ledger.set_waiting(TEAM, _amount(count))
+        self.leaders[at].ledger.set_waiting(TEAM, _waiting(count))
 
     @rule(count=strategies.integers(0, 6))
     def change_limit(self, count):
@@ -234,9 +242,9 @@
         for at in range(3):
             if self.former[at] is not None:
                 self._open_upstreams(at)
-            self.leaders[at].ledger.set_waiting(TEAM, NOTHING)
+            self.leaders[at].ledger.set_waiting(TEAM, NO_DEMAND)
         wanted = max(0, self.store.limits[-1].amount.requests)
-        self.leaders[0].ledger.set_waiting(TEAM, _amount(wanted))
+        self.leaders[0].ledger.set_waiting(TEAM, _waiting(wanted))
         for _ in range(BOUNDED_ROUNDS):
             self.now = Millis(self.now + IDLE)
             for at in range(3):
@@ -270,11 +278,11 @@
     leader = Leader(store, 0, 1)
     leader.ledger.complete_inventory()
     limits = {TEAM: store.limits[0]}
-    leader.ledger.set_waiting(TEAM, _amount(4))
+    leader.ledger.set_waiting(TEAM, _waiting(4))
     assert _run(leader.keeper.claim(TEAM))
     _run(leader.keeper.run_round(Millis(0), limits=limits))
     assert leader.has_room()
-    leader.ledger.set_waiting(TEAM, NOTHING)
+    leader.ledger.set_waiting(TEAM, NO_DEMAND)
     _run(leader.keeper.run_round(Millis(1), limits=limits))
     store.fate = fate
     _run(leader.keeper.run_round(Millis(200), limits=limits))
@@ -295,7 +303,7 @@
         (201, 4, 'prompt'),
     ):
         store.fate = fate
-        leader.ledger.set_waiting(TEAM, _amount(waiting))
+        leader.ledger.set_waiting(TEAM, _waiting(waiting))
         _run(leader.keeper.run_round(Millis(now), limits=limits))
     while leader.has_room():
         leader.ledger.take(TEAM, _amount(1))
@@ -304,3 +312,56 @@
         store.land(record, revision)
     assert store.late
     assert store.part(0) == _amount(4)
+
+
+@pytest.mark.parametrize(
+    ('held', 'unit'),
+    [((2, 2), 4), ((3, 1), 4), ((2, 1), 2), ((1, 3), 2)],
+)
+def test_parts_that_fit_no_waiting_unit_are_returned(held, unit):
+    """Guards against domains that keep halves of what one task needs."""
+    store = LateStore()
+    limits = {TEAM: store.limits[0]}
+    leaders = [Leader(store, at, 1) for at in range(2)]
+    for leader, count in zip(leaders, held, strict=True):
+        leader.ledger.complete_inventory()
+        leader.ledger.set_waiting(TEAM, _waiting(count))
+        assert _run(leader.keeper.claim(TEAM))
+        _run(leader.keeper.run_round(Millis(0), limits=limits))
+    started = 0
+    waiting = Demand(units=(Unit(amount=_amount(unit), count=9),))
+    for now in range(0, BOUNDED_ROUNDS * IDLE, IDLE):
+        for leader in leaders:
+            leader.ledger.set_waiting(TEAM, waiting)
+            _run(leader.keeper.run_round(Millis(now), limits=limits))
+            while leader.ledger.has_headroom(TEAM, _amount(unit)):
+                leader.ledger.take(TEAM, _amount(unit))
+                started += unit
+    assert started == limits[TEAM].amount.requests
+
+
+@pytest.mark.parametrize(
+    ('other', 'is_returned'),
+    [(1, False), (2, True)],
+)
+def test_idle_part_is_returned_sooner_when_the_limit_is_assigned(
+    other, is_returned
+):
+    """Guards against a team held up by a part that lies idle elsewhere."""
+    store = LateStore()
+    limits = {TEAM: store.limits[0]}
+    leaders = [Leader(store, at, 1) for at in range(2)]
+    idle = DomainLedger(domain=DOMAINS[0])
+    leaders[0].ledger = idle
+    leaders[0].keeper = GrantKeeper(
+        store=store, ledger=idle, owner=leaders[0].owner
+    )
+    for leader, count in zip(leaders, (2, other), strict=True):
+        leader.ledger.complete_inventory()
+        leader.ledger.set_waiting(TEAM, _waiting(count))
+        assert _run(leader.keeper.claim(TEAM))
+        _run(leader.keeper.run_round(Millis(0), limits=limits))
+    idle.set_waiting(TEAM, NO_DEMAND)
+    for now in (1, 1 + CONTENDED_RETURN_AFTER_MS):
+        _run(leaders[0].keeper.run_round(Millis(now), limits=limits))
+    assert (store.part(0) == NOTHING) is is_returned
--- a/jayshore/quota/ledger.py
+++ b/jayshore/quota/ledger.py
@@ -7,6 +7,7 @@
 from jayshore.clock import Millis
 from jayshore.outcomes import JayshoreError
 from jayshore.quota.amounts import larger, smaller, surplus
+from jayshore.quota.demand import NO_DEMAND, Demand
 from jayshore.quota.grants import (
     NO_GRANTS,
     GrantRecord,
@@ -23,6 +24,12 @@
 starts does not cost two writes.
 """
 
+CONTENDED_RETURN_AFTER_MS = Millis(1000)
+"""The same when the whole limit is assigned, so that other domains may wait
+for it. A raised limit or a new demand has to be met within 3 s: this, a round
+here and a round there.
+"""
+
 _NO_DOMAINS: frozenset[str] = frozenset()
 
 
@@ -60,7 +67,7 @@
             claimed. Never more than the part in the store.
         use: what runs or may run.
         waiting: what waits for room.
-        peak: largest need since `idle_since`.
+        peak: largest part in use or usable since `idle_since`.
         ceiling: what a lowered limit leaves, or None. Nothing is started above
             it, so that the part can go down as work ends.
         idle_since: when the current surplus began, or None without a surplus.
@@ -69,7 +76,7 @@
     record: GrantRecord = NO_GRANTS
     held: Resources | None = None
     use: Resources = NOTHING
-    waiting: Resources = NOTHING
+    waiting: Demand = NO_DEMAND
     peak: Resources = NOTHING
     ceiling: Resources | None = None
     idle_since: Millis | None = None
@@ -79,18 +86,37 @@
         """What the team may use in this domain."""
         return NOTHING if self.held is None else self.held
 
+    @property
+    def startable(self) -> Resources:
+        """The part, as far as a lowered limit lets it be used."""
+        if self.ceiling is None:
+            return self.part
+        return smaller(self.part, self.ceiling)
+
     @property
     def free(self) -> Resources:
         """What can still be started; use above the part counts as none."""
-        usable = self.part
-        if self.ceiling is not None:
-            usable = smaller(usable, self.ceiling)
-        return surplus(usable, self.use)
+        return surplus(self.startable, self.use)
 
     @property
     def need(self) -> Resources:
         """What runs and what waits."""
-        return self.use + self.waiting
+        return self.use + self.waiting.total
+
+    def is_contended(self, need: Resources) -> bool:
+        """Tell whether other domains may wait for what is idle here.
+
+        Args:
+            need: what the domain can use.
+
+        Returns:
+            True when nothing of the limit is left unassigned in a component
+            that is idle.
+        """
+        remainder = surplus(self.record.limit.amount, self.record.assigned)
+        idle = surplus(self.part, need)
+        pairs = zip(idle, remainder, strict=True)
+        return any(here and not left for here, left in pairs)
 
 
 _EMPTY = Account()
@@ -191,12 +217,12 @@
             raise NotTakenError(f'{team} gives back more than it uses')
         self._update(team, use=account.use - demand)
 
-    def set_waiting(self, team: str, demand: Resources) -> None:
+    def set_waiting(self, team: str, demand: Demand) -> None:
         """Note the whole demand that waits for room.
 
         Args:
             team: whose demand.
-            demand: the sum over its waiting work.
+            demand: all of its waiting work.
         """
         self._update(team, waiting=demand)
 
@@ -224,13 +250,13 @@
             limits: the newest limits.
 
         Returns:
-            Teams that need more than their part, for which the unassigned
-            remainder matters, and teams whose limit has changed.
+            Teams that need more or less than their part, for which the
+            unassigned remainder matters, and teams whose limit has changed.
         """
         return tuple(
             team
             for team, account in sorted(self._accounts.items())
-            if not account.need.fits_in(account.part)
+            if account.need != account.part
             or team in limits
             and limits[team].version > account.record.limit.version
         )
@@ -279,22 +305,31 @@
             can_lower = self._is_inventory_complete
             return _reduction(team, account, bound, can_lower=can_lower)
         self._update(team, ceiling=None)
-        wanted = larger(account.held, account.need)
-        if wanted != account.held and limit is not None:
+        remainder = NOTHING
+        if limit is not None:
             remainder = surplus(record.limit.amount, record.assigned)
-            raised = account.held + smaller(wanted - account.held, remainder)
-            if raised != account.held:
-                return PartChange(team=team, to=raised)
-        return self._plan_return(team, now)
-
-    def _plan_return(self, team: str, now: Millis) -> PartChange | None:
+        # Room that fits no waiting unit is left to the other domains.
+        usable = account.waiting.usable(account.free + remainder)
+        need = account.use + usable
+        wanted = larger(account.held, need)
+        raised = account.held + smaller(wanted - account.held, remainder)
+        if raised != account.held:
+            return PartChange(team=team, to=raised)
+        return self._plan_return(team, now, need)
+
+    def _plan_return(
+        self, team: str, now: Millis, need: Resources
+    ) -> PartChange | None:
         account = self.account(team)
-        if surplus(account.part, account.need) == NOTHING:
+        if surplus(account.part, need) == NOTHING:
             self._update(team, idle_since=None, peak=NOTHING)
             return None
-        peak = larger(account.peak, account.need)
+        peak = larger(account.peak, need)
         since = now if account.idle_since is None else account.idle_since
-        if now - since < self._return_after_ms:
+        after = self._return_after_ms
+        if account.is_contended(need):
+            after = min(after, CONTENDED_RETURN_AFTER_MS)
+        if now - since < after:
             self._update(team, idle_since=since, peak=peak)
             return None
         self._update(team, idle_since=None, peak=NOTHING)
--- a/jayshore/routing/fake_executor_test.py
+++ b/jayshore/routing/fake_executor_test.py
@@ -172,6 +172,9 @@
         self.taken[team] -= demand.requests
         assert self.taken[team] >= 0
 
+    def may_hold(self, team, demand):
+        return demand.requests <= self.limits.get(team, 10**6)
+
 
 class FixedShares(Shares):
     """Share 1 unless set."""
--- a/jayshore/routing/headroom.py
+++ b/jayshore/routing/headroom.py
@@ -53,6 +53,18 @@
         self.give_back(team, demand)
         return True
 
+    def may_hold(self, team: str, demand: Resources) -> bool:
+        """Tell whether waiting for the team's other work to end can help.
+
+        Args:
+            team: name of the team.
+            demand: what waits.
+
+        Returns:
+            False when the domain's part is too small for it.
+        """
+        return True
+
 
 class Shares(abc.ABC):
     """The shares of the teams, which order them when slots are short."""
--- a/jayshore/routing/journey.py
+++ b/jayshore/routing/journey.py
@@ -136,8 +136,10 @@
 
     async def _wait_for_grant(self, waiter: Waiter) -> Grant | None:
         try:
-            async with curio.ignore_after(self._left()):
-                await waiter.granted.wait()
+            await self._wait_for_part(waiter)
+            if self._has_part():
+                async with curio.ignore_after(self._left()):
+                    await waiter.granted.wait()
             grant = waiter.grant
             waiter.grant = None
         finally:
@@ -145,6 +147,16 @@
             await self._context.dispatcher.withdraw(waiter)
         return grant
 
+    async def _wait_for_part(self, waiter: Waiter) -> None:
+        """Wait a bounded time while the domain holds no part of the limit."""
+        if not self._has_part():
+            bound = to_seconds(self._context.policy.part_wait_ms)
+            async with curio.ignore_after(min(bound, self._left())):
+                await waiter.granted.wait()
+
+    def _has_part(self) -> bool:
+        return self._context.headroom.may_hold(self._request.team, ONE_REQUEST)
+
     async def _attempt(self, grant: Grant) -> RequestOutcome | None:
         """Run on the granted slot; None when the request may be retried."""
         executor_id = grant.executor.executor_id
--- a/jayshore/routing/overload_test.py
+++ b/jayshore/routing/overload_test.py
@@ -2,8 +2,10 @@
 
 import random
 
+import curio
 import pytest
 
+from jayshore.clock import Millis
 from jayshore.outcomes import NotRun, NotRunReason, Ran
 from jayshore.routing.executor import RoutedRequest
 from jayshore.routing.fake_executor_test import (
@@ -18,7 +20,9 @@
 from jayshore.routing.queues import FairQueue, Waiter
 
 SHORT_QUEUE = RoutingPolicy(max_queued_per_team=2, retry_backoff=AT_ONCE)
+SHORT_PART_WAIT = RoutingPolicy(part_wait_ms=Millis(10))
 RUN_MS = 100
+BOUND_S = 0.3
 
 
 def reason_of(outcome):
@@ -66,6 +70,30 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    ('limit', 'is_refused'),
+    [(0, True), (1, False)],
+)
+def test_request_does_not_wait_long_where_its_team_holds_no_part(
+    limit, is_refused
+):
+    """Guards against a wait to the deadline while other domains have room."""
+
+    async def main():
+        async with rig(FakeExecutor(), policy=SHORT_PART_WAIT) as made:
+            made.headroom.limits['team'] = limit
+            made.headroom.taken['team'] = limit
+            task = await made.start('r')
+            async with curio.ignore_after(BOUND_S):
+                await task.wait()
+            assert task.terminated is is_refused
+            if is_refused:
+                assert reason_of(task.result) is NotRunReason.OVER_LIMIT
+            await task.cancel()
+
+    run(main)
+
+
 def test_request_that_would_miss_its_deadline_is_refused_early():
     """Guards against queueing work whose caller will have given up."""
 
