Decode the stored configuration as strictly as an operator's files

Cause: two types named StoredConfig stood side by side, a strict one that only its test used, and a lenient one in the daemon. A value that the lenient one could not decode raised an exception that ended the task that polls the store, and the daemon accepted no keyed work from then on; an unknown field, which might withdraw something, was ignored.

Ruled out: keeping the envelope as an object of its own, since the settler of lost answers finds its write by a `write_id` at the top level.

Change: one flat StoredConfig with one strict decoder, used for the store and for what peers announce. A value that is not understood counts as no answer of the store.

--- a/jayshore/config/stored.py
+++ b/jayshore/config/stored.py
@@ -1,4 +1,8 @@
-"""The value of the store key `config`."""
+"""The value of the configuration's store key, as daemons exchange it.
+
+It is decoded as strictly as an operator's files: a daemon that guessed at a
+value which it does not understand could accept a withdrawn key.
+"""
 
 import dataclasses
 from typing import Annotated
@@ -14,42 +18,42 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Envelope:
-    """What the store keeps beside the document.
+class ConfigMark:
+    """What is kept beside the document.
 
     Attributes:
-        version: version of the document.
-        write_id: random id of the write that brought the version.
-        announced: random id of a write of the next version that may follow,
-            None when no write is announced. A daemon that reads an
-            announcement attests nothing until it has read a later revision,
-            also when it had promised before it restarted.
+        version: counts the accepted documents from 1.
+        write_id: random id of the write, of at most 64 characters.
+        is_announced: whether a write of the next version may follow. A daemon
+            that reads an announcement attests nothing until it has read a
+            later revision, also when it had promised before it restarted.
     """
 
     version: Annotated[int, msgspec.Meta(ge=1)]
     write_id: Annotated[str, msgspec.Meta(max_length=_MAX_ID_CHARS)]
-    announced: Annotated[str, msgspec.Meta(max_length=_MAX_ID_CHARS)] | None = (
-        None
-    )
+    is_announced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoredConfig:
-    """The whole value: an envelope and the document in force."""
+class StoredConfig(ConfigMark):
+    """The whole value: the marks and the document in force."""
 
-    envelope: Envelope
     document: Document
 
     @property
     def snapshot(self) -> Snapshot:
         """The version in force, indexed for requests."""
         return Snapshot(
-            version=self.envelope.version,
+            version=self.version,
             document=self.document,
-            write_id=self.envelope.write_id,
+            write_id=self.write_id,
         )
 
 
+NOT_STORED = StoredConfig(version=0, write_id='', document=Document())
+"""What holds before the first configuration was applied."""
+
+
 def encode_stored(stored: StoredConfig) -> bytes:
     """Serialise the value of the store key.
 
@@ -74,16 +78,17 @@
     parsed = parse_json(raw)
     if isinstance(parsed, Faults):
         return parsed
-    if not isinstance(parsed, dict) or parsed.keys() != {
-        'envelope',
-        'document',
-    }:
-        fault = Fault(message='Expected an object of envelope and document')
-        return Faults(faults=(fault,))
-    envelope = convert_strictly(parsed['envelope'], Envelope, path='$.envelope')
-    document = document_from(parsed['document'])
-    if isinstance(envelope, Faults):
-        return envelope
+    if not isinstance(parsed, dict):
+        return Faults(faults=(Fault(message='Expected an object'),))
+    document = document_from(parsed.pop('document', None))
+    mark = convert_strictly(parsed, ConfigMark)
+    if isinstance(mark, Faults):
+        return mark
     if isinstance(document, Faults):
         return document
-    return StoredConfig(envelope=envelope, document=document)
+    return StoredConfig(
+        version=mark.version,
+        write_id=mark.write_id,
+        is_announced=mark.is_announced,
+        document=document,
+    )
--- a/jayshore/config/stored_test.py
+++ b/jayshore/config/stored_test.py
@@ -1,12 +1,12 @@
 """Tests of the value of the store key."""
 
+import msgspec
 import pytest
 
 from jayshore.config.document import MAX_DOCUMENT_BYTES, Document
 from jayshore.config.loading import load_directory
 from jayshore.config.loading_test import sections, write
 from jayshore.config.stored import (
-    Envelope,
     StoredConfig,
     decode_stored,
     encode_stored,
@@ -16,12 +16,14 @@
 MAX_VALUE_BYTES = 1_000_000
 
 
-@pytest.mark.parametrize('announced', [None, 'a' * 64])
-def test_round_trip(tmp_path, announced):
+@pytest.mark.parametrize('is_announced', [False, True])
+def test_round_trip(tmp_path, is_announced):
     """Guards against a value that changes on its way through the store."""
     write(tmp_path, sections())
     stored = StoredConfig(
-        envelope=Envelope(version=3, write_id='w', announced=announced),
+        version=3,
+        write_id='w',
+        is_announced=is_announced,
         document=load_directory(tmp_path),
     )
     assert decode_stored(encode_stored(stored)) == stored
@@ -29,25 +31,43 @@
 
 
 @pytest.mark.parametrize(
-    'raw',
+    ('changes', 'path'),
     [
-        b'',
-        b'[]',
-        b'{"envelope": {"version": 1, "write_id": "w"}}',
-        b'{"envelope": {"version": 0, "write_id": "w"}, "document": {}}',
-        b'{"envelope": {"version": 1, "write_id": "w"}, "document": {}}',
+        ({'version': 0}, '$.version'),
+        ({'version': '3'}, '$.version'),
+        ({'version': None}, '$.version'),
+        ({'write_id': 'w' * 65}, '$.write_id'),
+        ({'is_announced': 'no'}, '$.is_announced'),
+        ({'from_a_later_release': 1}, '$.from_a_later_release'),
+        ({'document': {}}, '$'),
+        ({'document': None}, '$'),
     ],
 )
+def test_value_that_is_not_understood_is_refused(tmp_path, changes, path):
+    """Guards against guesses at a value that another release wrote."""
+    write(tmp_path, sections())
+    stored = StoredConfig(
+        version=3, write_id='w', document=load_directory(tmp_path)
+    )
+    parsed = {**msgspec.json.decode(encode_stored(stored)), **changes}
+    refused = decode_stored(msgspec.json.encode(parsed))
+    assert isinstance(refused, Faults)
+    assert path in {fault.path for fault in refused.faults}
+
+
+@pytest.mark.parametrize('raw', [b'', b'[]', b'{', b'\xff'])
 def test_malformed_value_is_refused(raw):
-    """Guards against an exception on a value that another version wrote."""
+    """Guards against an exception on a value that is no configuration."""
     assert isinstance(decode_stored(raw), Faults)
 
 
-def test_envelope_fits_beside_the_largest_document():
+def test_marks_fit_beside_the_largest_document():
     """Guards against an accepted document that the store refuses."""
-    largest = Envelope(version=2**63, write_id='w' * 64, announced='a' * 64)
-    empty = Document()
-    around = len(
-        encode_stored(StoredConfig(envelope=largest, document=empty))
-    ) - len(empty.to_bytes())
+    largest = StoredConfig(
+        version=2**63,
+        write_id='w' * 64,
+        is_announced=False,
+        document=Document(),
+    )
+    around = len(encode_stored(largest)) - len(Document().to_bytes())
     assert around + MAX_DOCUMENT_BYTES <= MAX_VALUE_BYTES
--- a/jayshore/daemon/configuration.py
+++ b/jayshore/daemon/configuration.py
@@ -11,11 +11,17 @@
 
 import curio
 import eliot
-import msgspec
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.document import Document
 from jayshore.config.snapshot import Snapshot
+from jayshore.config.stored import (
+    NOT_STORED,
+    StoredConfig,
+    decode_stored,
+    encode_stored,
+)
+from jayshore.decoding import Faults
 from jayshore.freshness.evidence import StoreReading
 from jayshore.freshness.roster import Roster, may_write
 from jayshore.freshness.tracker import FreshnessTracker
@@ -38,21 +44,12 @@
 _SETTLE_PAUSE_MS = Millis(50)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoredConfig:
-    """The value of the configuration key.
-
-    Attributes:
-        version: counts the accepted documents from 1.
-        document: the accepted document.
-        is_announced: whether a write of the next version may follow.
-        write_id: random id of the write.
-    """
+class MalformedConfigError(StoreError):
+    """The store holds a value that this release does not understand.
 
-    version: int = 0
-    document: Document = Document()
-    is_announced: bool = False
-    write_id: str = ''
+    It counts as no answer: the daemon goes on with the version that it holds
+    while evidence from others lasts, and accepts no keyed work after that.
+    """
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,10 +115,10 @@
         self._clock = clock
         self._freshness_ms = freshness_ms
         self._tracker = FreshnessTracker(name=name, started_at=clock.now())
-        self._snapshot = Snapshot(version=0, document=Document(), write_id='')
+        self._snapshot = NOT_STORED.snapshot
         self._reachable = False
         self._adopted_at = clock.now()
-        self._stored = StoredConfig()
+        self._stored = NOT_STORED
         self._revision = 0
         self._seen = 0
 
@@ -188,11 +185,7 @@
             version=stored.version, roster=roster_of(stored.document)
         )
         if stored.version > self._snapshot.version:
-            self._snapshot = Snapshot(
-                version=stored.version,
-                document=stored.document,
-                write_id=stored.write_id,
-            )
+            self._snapshot = stored.snapshot
             self._adopted_at = self._clock.now()
             eliot.log_message('config:adopted', version=stored.version)
 
@@ -231,7 +224,7 @@
             write_id=self._snapshot.write_id,
         )
         return msg.ConfigCommitted(
-            version=stored.version, document=msgspec.json.encode(stored)
+            version=stored.version, document=encode_stored(stored)
         )
 
     async def _apply(
@@ -328,7 +321,7 @@
         return await self._settler.settle_write(
             Write(
                 key=CONFIG_KEY,
-                value=msgspec.json.encode(stored, order='sorted').decode(),
+                value=encode_stored(stored).decode(),
                 expect_revision=revision,
             ),
             limit_ms=self._freshness_ms,
@@ -344,13 +337,11 @@
         """
         sent_at = self._clock.now()
         listing = await self._store.list(CONFIG_KEY, since=self._seen)
-        self._reachable = True
         for entry in listing.entries:
             if entry.revision > self._revision:
-                self._stored = msgspec.json.decode(
-                    entry.value, type=StoredConfig
-                )
+                self._stored = _decode(entry.value)
                 self._revision = entry.revision
+        self._reachable = True
         # Answers of concurrent reads may arrive in any order.
         self._seen = max(self._seen, listing.revision)
         self.adopt(self._stored)
@@ -391,6 +382,15 @@
     return Roster(members=frozenset(entry.name for entry in document.instances))
 
 
+def _decode(text: str) -> StoredConfig:
+    decoded = decode_stored(text.encode())
+    if isinstance(decoded, Faults):
+        raise MalformedConfigError(
+            f'{CONFIG_KEY} is malformed: {decoded.faults[0]}'
+        )
+    return decoded
+
+
 def _marked(stored: StoredConfig, *, is_announced: bool) -> StoredConfig:
     return dataclasses.replace(
         stored, is_announced=is_announced, write_id=new_write_id()
--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -1,9 +1,11 @@
 """Answers the other daemons."""
 
+import eliot
 import msgspec
 
 from jayshore.clock import Clock, Millis
-from jayshore.daemon.configuration import ConfigKeeper, StoredConfig
+from jayshore.config.stored import StoredConfig, decode_stored
+from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.slo import SloCounts
@@ -87,9 +89,13 @@
         that begins before the next regular read would leave the promise open,
         and keyed work refused, until the store is back.
         """
-        self._keeper.adopt(
-            msgspec.json.decode(call.document, type=StoredConfig)
-        )
+        decoded = decode_stored(call.document)
+        if isinstance(decoded, StoredConfig):
+            self._keeper.adopt(decoded)
+        else:
+            eliot.log_message(
+                'config:malformed_from_peer', fault=str(decoded.faults[0])
+            )
         await self._keeper.refresh()
         return msg.ConfigCommittedReply(
             config_version=self._keeper.tracker.version
--- a/tests/guarantee_input_test.py
+++ b/tests/guarantee_input_test.py
@@ -12,12 +12,16 @@
 import pytest
 
 from demo.cluster import Cluster
+from demo.processes import wait_until
 from tests.guarantee_support import (
+    IN_FORCE_S,
     Background,
     attempt,
+    send_job,
     send_request,
     show,
     small_shape,
+    status_of,
     teams,
 )
 
@@ -164,3 +168,36 @@
     show('not refused, but missed', len(missed), len(early) / 10, 'requests')
     assert len(missed) <= len(early) / 10
     assert all(b'"unknown"' in reply.content for reply in missed)
+
+
+CONFIG_PATH = '/v1/kv/config/current'
+
+
+def replace_config(cluster, text):
+    """Write the configuration key past all daemons."""
+    entry = cluster.store.call('GET', CONFIG_PATH).content
+    body = {'value': text, 'expect_revision': entry['revision']}
+    assert cluster.store.call('PUT', CONFIG_PATH, body).status == 200
+    return entry['value']
+
+
+@pytest.mark.parametrize('text', ['', '{"version": "3"}', '[]'])
+def test_malformed_configuration_in_the_store_is_survived(cluster, text):
+    """Guards against a daemon that stops to read the store for good."""
+    version = cluster.version
+    key = cluster.key('millrace')
+    good = replace_config(cluster, text)
+    time.sleep(IN_FORCE_S)
+    for daemon in cluster.daemons.values():
+        assert status_of(daemon)['config_version'] == version
+        assert send_job(daemon, key).status == 503
+    replace_config(cluster, good)
+    took = wait_until(
+        lambda: all(
+            send_job(daemon, key).status == 202
+            for daemon in cluster.daemons.values()
+        ),
+        IN_FORCE_S,
+        'every daemon accepts jobs again',
+    )
+    show('working after a malformed configuration', took, IN_FORCE_S, 's')
