Try the entry that holds the reservation only when it may fit

Change: the seats of that entry are counted per worker, without the limits of its own reservation, and it is tried when their sum suffices. An entry that was withdrawn and enqueued anew is tried again.

--- a/jayshore/placement/walk.py
+++ b/jayshore/placement/walk.py
@@ -13,6 +13,7 @@
 from jayshore.placement.backlog import Backlog, Waiting
 from jayshore.placement.decisions import Decision, Headroom, Preempt, Wait
 from jayshore.placement.entries import Entry, Shape, fit_key
+from jayshore.placement.held_entry import HeldEntry
 from jayshore.placement.packing import (
     BestFit,
     FillInOrder,
@@ -82,7 +83,7 @@
         self._usage = usage
         self._backlog = backlog
         self._reserved = reserved
-        self._held_pending = False
+        self._held = HeldEntry(members=roster.members)
         self._next_attempt = Millis(0)
         self._skipping: int | None = None
 
@@ -92,7 +93,7 @@
         Args:
             reservation: the new one, or None.
         """
-        self._held_pending = True
+        self._held.renew()
         former = self._reserved.replace(reservation)
         self._backlog.prospects.reservation_changed(former)
 
@@ -133,12 +134,12 @@
         for worker_id in self._roster.drain_gained():
             if is_usable(self._roster.members, worker_id):
                 self._backlog.prospects.gain(worker_id)
-                self._held_pending = True
+                self._held.gain(worker_id)
         self._backlog.raise_due(now)
         self._drop_reservation()
         if now < self._next_attempt:
             return 0
-        self._held_pending = True
+        self._held.renew()
         return ATTEMPTS
 
     def _next(self) -> Waiting | None:
@@ -154,12 +155,13 @@
     def _candidate(self) -> Waiting | None:
         """Choose the entry to try: in its tier, the reserved one is first."""
         first = self._backlog.first(self._skipping)
-        if self._held_pending and self._reserved.reservation is not None:
-            held = self._backlog.waiting.get(
-                self._reserved.reservation.entry_id
-            )
-            if held is not None and (
-                first is None or held.shape.tier <= first.shape.tier
+        reservation = self._reserved.reservation
+        if reservation is not None:
+            held = self._backlog.waiting.get(reservation.entry_id)
+            if (
+                held is not None
+                and (first is None or held.shape.tier <= first.shape.tier)
+                and self._held.is_due(held.entry)
             ):
                 return held
         return first
@@ -167,7 +169,7 @@
     def _set_aside(self, waiting: Waiting, workers: tuple[str, ...]) -> None:
         is_held = self._reserved.is_for(waiting.entry)
         if is_held:
-            self._held_pending = False
+            self._held.fail(waiting.entry, workers)
         if self._skipping is not None:
             self._skipping |= waiting.bit
         self._backlog.prospects.fail(waiting.bit, workers, is_held=is_held)
