Test seats of gangs and a resubmitted head of the queue

Cause: the differential test resubmits no withdrawn task, so it did not show that an entry that holds the reservation lost its place when it was withdrawn and enqueued anew: its former failure still counted.

Change: three tests of the round, on the cell and on the full scan.

--- a/jayshore/placement/rounds_test.py
+++ b/jayshore/placement/rounds_test.py
@@ -104,6 +104,65 @@
     assert {job_id for job_id, _ in carry_out(cell, 10_000)} == {'g2'}
 
 
+@pytest.mark.parametrize(
+    ('finished', 'started'),
+    [
+        (('b0',), 0),
+        (('b0', 'b1'), 0),
+        (('b0', 'b1', 'b2'), 3),
+        (('b2', 'b0', 'b1'), 3),
+    ],
+)
+def test_a_gang_starts_once_its_seats_add_up(cell, finished, started):
+    """Guards against seats that are counted on the last worker only."""
+    for number in range(3):
+        cell.add_worker(worker(number))
+        cell.enqueue(waiting(f'b{number}', cores=15))
+    carry_out(cell)
+    for index in range(3):
+        cell.enqueue(
+            waiting('g', index=index, cores=9, kind=TaskKind.GANG, gang_size=3)
+        )
+    placed = carry_out(cell, 1)
+    for now, job_id in enumerate(finished, start=2):
+        cell.finish(TaskId(job_id=job_id, index=0))
+        placed += carry_out(cell, now)
+    assert len(placed) == started
+
+
+def test_seats_that_other_work_took_do_not_count(cell):
+    """Guards against a gang that starts on room that was free only before."""
+    for number in range(2):
+        cell.add_worker(worker(number))
+        cell.enqueue(waiting(f'b{number}', cores=15))
+    carry_out(cell)
+    for index in range(2):
+        cell.enqueue(
+            waiting('g', index=index, cores=9, kind=TaskKind.GANG, gang_size=2)
+        )
+    assert carry_out(cell, 1) == []
+    cell.finish(TaskId(job_id='b0', index=0))
+    cell.enqueue(waiting('u', cores=10, urgent=True, enqueued_at=1))
+    assert [job_id for job_id, _ in carry_out(cell, 2)] == ['u']
+    cell.finish(TaskId(job_id='b1', index=0))
+    assert carry_out(cell, 3) == []
+    cell.finish(TaskId(job_id='u', index=0))
+    assert [job_id for job_id, _ in carry_out(cell, 4)] == ['g', 'g']
+
+
+def test_a_changed_head_keeps_its_place(cell):
+    """Guards against a reserved entry that is passed over once resubmitted."""
+    cell.add_worker(worker(0))
+    cell.enqueue(waiting('long', cores=10, estimated_run_ms=20_000))
+    carry_out(cell)
+    cell.enqueue(waiting('head', cores=12, team='z', enqueued_at=1))
+    assert carry_out(cell, 1000) == []
+    cell.withdraw(TaskId(job_id='head', index=0))
+    cell.enqueue(waiting('other', cores=4, team='b', enqueued_at=2))
+    cell.enqueue(waiting('head', cores=3, team='z', enqueued_at=3))
+    assert carry_out(cell, 1001) == [('head', 'w0')]
+
+
 def test_batch_leaves_the_lane_to_previews(cell):
     """Guards against a preview that waits behind a full batch load."""
     cell.add_worker(worker(0))
