Exchange one heartbeat for each pair of daemons

Cause: every daemon asked every other one every 2 s, although an answer carries the same status as a question: 56 exchanges for the 28 pairs of 8 daemons. Ruled out: a longer interval, since a leader counts as heard for three intervals; relying on the questions of a peer for evidence, which counts only for the one who asked. Change: the daemon whose name sorts first begins the exchange; the other one steps in when no question arrived for one and a half intervals, and goes on every interval as long as none arrives. The version is compared with the one in the last heartbeat, so that a version that is adopted while a heartbeat is under way is told as well.

--- /dev/null
+++ b/jayshore/daemon/beats.py
@@ -0,0 +1,44 @@
+"""When a daemon sends its next heartbeat to a peer.
+
+An exchange of heartbeats tells both daemons the status of the other, so one
+for each pair and interval is enough. Evidence of freshness is different: it
+counts only for the daemon that asked, which therefore asks itself when it
+needs some.
+"""
+
+import dataclasses
+
+from jayshore.clock import Millis
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BeatTiming:
+    """Times of the heartbeats between this daemon and one peer.
+
+    Attributes:
+        interval_ms: between two exchanges, in ms.
+        is_first: whether this daemon is the one that begins exchanges. The
+            other one steps in half an interval after one is missing, so that
+            both do not begin at the same time.
+    """
+
+    interval_ms: Millis
+    is_first: bool
+
+    def due_at(self, *, sent_at: Millis, asked_at: Millis | None) -> Millis:
+        """Compute when the next heartbeat is sent at the latest.
+
+        Args:
+            sent_at: when this daemon last sent one.
+            asked_at: when the peer's last own heartbeat arrived, None when
+                none did. An answer of the peer does not count: it does not
+                show that the peer can reach this daemon.
+
+        Returns:
+            Time of the next heartbeat.
+        """
+        due = sent_at + self.interval_ms
+        if asked_at is not None:
+            patience = 0 if self.is_first else self.interval_ms // 2
+            due = max(due, asked_at + self.interval_ms + patience)
+        return Millis(due)
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -12,6 +12,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.document import Document
 from jayshore.config.model import Instance
+from jayshore.daemon.beats import BeatTiming
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
@@ -29,7 +30,16 @@
 
 
 class Peer:
-    """One other daemon."""
+    """One other daemon.
+
+    Attributes:
+        entry: its entry in the roster.
+        client: calls to it.
+        status: what it last said about itself.
+        heard_at: when it said so.
+        asked_at: when its last own heartbeat arrived.
+        told_version: version named in the last heartbeat to it.
+    """
 
     def __init__(self, *, entry: Instance, client: PeerClient) -> None:
         """Start without having heard from it.
@@ -42,6 +52,8 @@
         self.client = client
         self.status: msg.DaemonStatus | None = None
         self.heard_at = Millis(0)
+        self.asked_at: Millis | None = None
+        self.told_version = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -142,6 +154,7 @@
         if peer is not None:
             peer.status = status
             peer.heard_at = self._clock.now()
+            peer.asked_at = peer.heard_at
 
     async def ask_promises(
         self, old: Document, new: Document, revision: int
@@ -254,11 +267,11 @@
         try:
             while True:
                 await self._beat(peer)
-                await self._pause()
+                await self._pause(peer)
         finally:
             await peer.client.close()
 
-    async def _pause(self) -> None:
+    async def _pause(self, peer: Peer) -> None:
         """Wait until the next heartbeat.
 
         While the store gives no evidence, the peers have to, several times
@@ -266,19 +279,24 @@
         once which peers hold it.
         """
         start = self._clock.now()
-        version = self._keeper.snapshot.version
         step = Millis(self._interval_ms // _STEPS)
         shortest = start + 2 * step
-        longest = start + self._interval_ms
-        while self._clock.now() < longest:
+        timing = BeatTiming(
+            interval_ms=self._interval_ms,
+            is_first=self._name < peer.entry.name,
+        )
+        while self._clock.now() < timing.due_at(
+            sent_at=start, asked_at=peer.asked_at
+        ):
             await curio.sleep(to_seconds(step))
             if self._clock.now() >= shortest and self._keeper.needs_evidence:
                 return
-            if self._keeper.snapshot.version != version:
+            if self._keeper.tracker.version != peer.told_version:
                 return
 
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
+        peer.told_version = call.status.config_version
         asked_at = self._clock.now()
         try:
             reply = await peer.client.heartbeat(
