Pack small frames between daemons

Cause: most of a heartbeat is zero; an idle one has 120 bytes. Change: messages of one segment and at most 255 words are packed. The first bytes tell the encodings apart, and no other packed frame is read, so that none unpacks to more than 2,040 bytes. Larger messages are sent as before. Not compatible: a daemon of an earlier version refuses packed frames.

--- a/jayshore/wire/codec.py
+++ b/jayshore/wire/codec.py
@@ -33,6 +33,22 @@
 )
 _NO_MILLIS: Final = -1
 
+# Only small messages are packed, such as heartbeats, most of which is zero.
+# For a larger one the bound on the length of a frame has to bound the memory
+# of the receiver as well, which it does not when the frame unpacks to a
+# multiple of its length.
+_WORD_BYTES: Final = 8
+_MAX_PACKED_WORDS: Final = 255
+_TABLE_WORDS: Final = 1
+_MAX_PACKED_BYTES: Final = _WORD_BYTES * (_MAX_PACKED_WORDS + _TABLE_WORDS)
+
+# The first word of a message of one segment and up to 255 words has a single
+# byte that is not zero, the fifth, and this is its tag in the packed encoding.
+# A frame that is not packed begins with the number of its segments less one,
+# in four bytes, of which the second is then zero. No other packed frame is
+# read, so that one never unpacks to more than these words.
+_PACKED_TAG: Final = 0x10
+
 _Fields: TypeAlias = dict[str, Any]
 _Encoder: TypeAlias = Callable[[Any], Any]
 _Decoder: TypeAlias = Callable[[Any], msg.Message]
@@ -68,6 +84,11 @@
     except _ENCODE_ERRORS as error:
         raise MalformedMessageError(f'cannot encode {tag}') from error
     frame: bytes = builder.to_bytes()
+    if len(frame) <= _MAX_PACKED_BYTES:
+        # Otherwise capnp warns of the second serialization.
+        builder.clear_write_flag()
+        packed: bytes = builder.to_bytes_packed()
+        return packed
     return frame
 
 
@@ -84,14 +105,24 @@
         MalformedMessageError: the bytes are no message of this protocol.
     """
     try:
+        if _is_packed(frame):
+            return _read_envelope(_SCHEMA.Envelope.from_bytes_packed(frame))
         with _SCHEMA.Envelope.from_bytes(frame) as reader:
-            tag = str(reader.which())
-            message = _DECODERS[tag](getattr(reader, tag))
-            return msg.Envelope(call_id=reader.callId, message=message)
+            return _read_envelope(reader)
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MalformedMessageError('the frame is no message') from error
 
 
+def _is_packed(frame: bytes) -> bool:
+    return frame[:1] == bytes((_PACKED_TAG,)) and frame[1:2] != b'\0'
+
+
+def _read_envelope(reader: Any) -> msg.Envelope:
+    tag = str(reader.which())
+    message = _DECODERS[tag](getattr(reader, tag))
+    return msg.Envelope(call_id=reader.callId, message=message)
+
+
 def _optional_millis(number: int) -> Millis | None:
     return None if number < 0 else Millis(number)
 
--- a/jayshore/wire/codec_test.py
+++ b/jayshore/wire/codec_test.py
@@ -1,5 +1,8 @@
 """Tests of the serialization of messages."""
 
+import dataclasses
+import struct
+
 import pytest
 from hypothesis import given, seed
 from hypothesis import strategies as st
@@ -19,6 +22,9 @@
 from jayshore.wire.codec import decode, encode
 from jayshore.wire.errors import MalformedMessageError
 
+# Half of the 120 bytes that it has without packing.
+MAX_IDLE_BYTES = 60
+
 STATUS = msg.DaemonStatus(
     sender='d1',
     domain='north',
@@ -109,6 +115,57 @@
         encode(msg.Envelope(call_id=1, message=message))
 
 
+@pytest.mark.parametrize('fill', [b'\x00', b'\x07'])
+def test_messages_of_any_size_survive_the_wire(fill):
+    """Guards against a frame whose encoding is mistaken for the other one."""
+    sizes = (*range(1900, 2100), 8000, 8200, 100_000)
+    for size in sizes:
+        message = msg.SloReply(document=fill * size)
+        envelope = msg.Envelope(call_id=2**64 - 1, message=message)
+        assert decode(encode(envelope)) == envelope
+
+
+def test_status_with_many_services_survives_the_wire():
+    """Guards against a bound on unpacking that refuses a small message."""
+    for count in range(1, 80):
+        load = tuple(
+            msg.ServiceLoad(service=f's{number}', free_slots=number)
+            for number in range(count)
+        )
+        status = dataclasses.replace(STATUS, load=load)
+        envelope = msg.Envelope(
+            call_id=1, message=msg.HeartbeatReply(status=status, attests=True)
+        )
+        assert decode(encode(envelope)) == envelope
+
+
+def test_idle_heartbeat_is_packed():
+    """Guards against heartbeats that cost twice the bytes."""
+    envelope = msg.Envelope(call_id=1, message=msg.Heartbeat(status=IDLE))
+    assert len(encode(envelope)) <= MAX_IDLE_BYTES
+
+
+def test_large_frame_is_as_long_as_its_content():
+    """Guards against a bound on frames that does not bound the memory."""
+    message = msg.SloReply(document=bytes(100_000))
+    assert len(encode(msg.Envelope(call_id=1, message=message))) > 100_000
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'\x10\xff',
+        struct.pack('<BI', 0x78, 8 << 20),
+        struct.pack('<BBI', 0xF1, 1, 8 << 20),
+    ],
+)
+def test_frame_that_unpacks_to_a_multiple_is_refused(start):
+    """Guards against a short frame that takes much memory."""
+    zeros = bytes((0, 255)) * (32 << 10)
+    with pytest.raises(MalformedMessageError):
+        decode(start + zeros)
+
+
 def decodes_or_refuses(frame):
     """Decode; the only accepted failure is the typed one."""
     try:
