Wait at the store for new job records

Cause: a leader listed the job records every second to find out that none was new. Ruled out: one list of all keys for the three polls. Change: the search is a watch of up to 5 s (reconcile_wait_ms), with the same pause of 1 s after it, so that it is not more frequent under load. Cancelled jobs are still looked through every second, in a task of their own. A store that goes away without closing its connections delays the search by up to 6 s, where it was 1 s; jobs of which the accepting daemon tells the leader are not affected.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -158,6 +158,7 @@
                 follower,
                 round_ms=Millis(settings.timing.round_ms),
                 reconcile_ms=Millis(settings.timing.reconcile_ms),
+                reconcile_wait_ms=Millis(settings.timing.reconcile_wait_ms),
             )
         )
         await self._tasks.spawn(self._run_grants(epoch, grants, granted))
--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -34,7 +34,10 @@
             silent upstream is noticed when a start or request to it times
             out, not only by its renewal.
         round_ms: longest pause between two placement rounds.
-        reconcile_ms: interval of the search for job records missed so far.
+        reconcile_ms: pause between two searches for job records missed so far.
+        reconcile_wait_ms: how long such a search waits at the store for a
+            change. It bounds how late new records are found when the store
+            goes away without closing its connections.
         grant_ms: interval of changes to the grants while a team is short.
         flush_ms: how long changes to one job record are gathered.
         call_timeout_ms: timeout of a call to the store or an upstream.
@@ -54,6 +57,7 @@
     renew_wait_ms: int = 20_000
     round_ms: int = 50
     reconcile_ms: int = 1000
+    reconcile_wait_ms: int = 5000
     grant_ms: int = 100
     flush_ms: int = 20
     call_timeout_ms: int = 2000
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -111,16 +111,27 @@
         held = self._held.get(job_id)
         return held.record if held else None
 
-    async def read_changes(self) -> list[JobRecord]:
+    async def read_changes(
+        self, *, wait_ms: Millis | None = None
+    ) -> list[JobRecord]:
         """Read the records that were written since the last call.
 
+        Args:
+            wait_ms: longest wait for a change of any record, in ms; None
+                for no wait.
+
         Returns:
             Records of this domain that were not known before.
 
         Raises:
             StoreUnavailable: the store did not answer.
         """  # noqa: DAR401 raised by the store
-        listing = await self._store.list(JOB_PREFIX, since=self._seen)
+        if wait_ms is None:
+            listing = await self._store.list(JOB_PREFIX, since=self._seen)
+        else:
+            listing = await self._store.watch(
+                JOB_PREFIX, since=self._seen, wait_ms=wait_ms
+            )
         found = [self._take(entry) for entry in listing.entries]
         for key in listing.deleted:
             self._held.pop(key.removeprefix(JOB_PREFIX), None)
--- a/jayshore/jobs/book_test.py
+++ b/jayshore/jobs/book_test.py
@@ -32,6 +32,10 @@
     async def list(self, prefix, *, since=0):
         return Listing(revision=self.entry.revision, entries=(self.entry,))
 
+    async def watch(self, prefix, *, since, wait_ms):
+        self.watched_since = since
+        return await self.list(prefix, since=since)
+
     async def get(self, key):
         return self.entry
 
@@ -101,6 +105,25 @@
     curio.run(main)
 
 
+def test_waiting_search_goes_on_from_the_last_revision():
+    """Guards against a search that misses a record, or reads all of them."""
+
+    async def main():
+        store = FakeStore(sample_record())
+        book = make_book(store, FakeSettler(store), BackgroundTasks())
+        known = await book.read_changes()
+        later = dataclasses.replace(sample_record(), job_id='later')
+        store.entry = Entry(
+            key=job_key('later'), value=encode_record(later), revision=2
+        )
+        found = await book.read_changes(wait_ms=Millis(5000))
+        assert [record.job_id for record in known] == ['job']
+        assert [record.job_id for record in found] == ['later']
+        assert store.watched_since == 1
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize(
     ('state', 'age_ms', 'is_deleted'),
     [
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -75,6 +75,7 @@
         *,
         round_ms: Millis,
         reconcile_ms: Millis,
+        reconcile_wait_ms: Millis,
     ) -> None:
         """Take over, then lead until cancelled.
 
@@ -85,7 +86,8 @@
         Args:
             follower: of the platform's list, with this leader as observer.
             round_ms: longest pause between two placement rounds, in ms.
-            reconcile_ms: between two searches for new records, in ms.
+            reconcile_ms: pause between two searches for new records, in ms.
+            reconcile_wait_ms: longest wait of a search for a change, in ms.
         """
         await self._parts.admission.take_over()
         spawn = self._parts.tasks.spawn
@@ -94,10 +96,11 @@
         await spawn(self._watch_leases(follower))
         await spawn(self._parts.prober.run(_PROBE_CHECK_MS))
         await spawn(self._delete_old_records())
+        await spawn(self._enforce_cancels(reconcile_ms))
         await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
-            await self._reconcile()
+            await self._reconcile(reconcile_wait_ms)
 
     async def wait_ready(self) -> None:
         """Wait until all records of earlier leaders are claimed."""
@@ -157,16 +160,20 @@
             except StoreError as error:
                 eliot.log_message('job:not_deleted', error=str(error))
 
-    async def _reconcile(self) -> None:
+    async def _reconcile(self, wait_ms: Millis) -> None:
         try:
-            found = await self._parts.book.read_changes()
+            found = await self._parts.book.read_changes(wait_ms=wait_ms)
         except StoreError as error:
             eliot.log_message('job:not_read', error=str(error))
         else:
             await self._parts.admission.admit(found)
-        # Tasks whose start was under way when the job was cancelled.
-        for record in self._parts.book.records:
-            await self._parts.admission.enforce_cancel(record)
+
+    async def _enforce_cancels(self, interval_ms: Millis) -> None:
+        """Stop tasks whose start was under way when the job was cancelled."""
+        while True:
+            await curio.sleep(to_seconds(interval_ms))
+            for record in self._parts.book.records:
+                await self._parts.admission.enforce_cancel(record)
 
     async def _watch_leases(self, follower: InstanceFollower) -> None:
         """Find workers whose task leases have expired or that are gone."""
