Give up the renewal of a worker that does not answer a start

Cause: after a start without an answer whose lease could not be opened anew, the session stayed in its renewal, and the worker counted as usable until that wait was over. Change: the renewal is given up, so that the worker is reported lost and its lease is opened with the backoff. The renewal runs in a task of its own and hands its errors back, since curio logs an error that leaves a task as a crash.

--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -1,8 +1,8 @@
 """One task per worker that keeps its lease open and passes its news on."""
 
 import abc
-import contextlib
 import random
+from typing import Any
 
 import curio
 import eliot
@@ -94,6 +94,7 @@
         self._acknowledged: list[AttemptName] = []
         self._was_opened = False
         self._is_ended = False
+        self._renewal: Any = None
 
     @property
     def is_open(self) -> bool:
@@ -152,8 +153,10 @@
         result = await self._link.start(self._lease_id, order)
         if result is StartResult.UNCERTAIN:
             self._lease_id = 0
-            with contextlib.suppress(UpstreamError):
+            try:
                 await self.reopen()
+            except UpstreamError:
+                await self._give_up_renewal()
         return result
 
     async def stop(self, task_id: str, *, checkpoint: bool) -> None:
@@ -209,7 +212,7 @@
         # Acknowledgements go out at once; only a renewal without one waits.
         wait_ms = Millis(0) if sent else self._renew_wait_ms
         try:
-            renewed = await self._link.renew(lease_id, sent, wait_ms)
+            renewed = await self._wait_renewed(lease_id, sent, wait_ms)
         except LeaseSuperseded:
             if lease_id == self._lease_id:
                 self._lease_id = 0
@@ -218,6 +221,50 @@
         if lease_id == self._lease_id:
             await self._observer.tasks_reported(self._worker_id, renewed)
 
+    async def _wait_renewed(
+        self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
+    ) -> Renewed:
+        """Renew in a task of its own, which can be given up.
+
+        Returns:
+            The worker's answer.
+
+        Raises:
+            UpstreamUnreachable: no answer, or the renewal was given up.
+        """
+        renewal = await curio.spawn(
+            self._try_renew, lease_id, sent, wait_ms, daemon=True
+        )
+        self._renewal = renewal
+        try:
+            outcome: Renewed | UpstreamError = await renewal.join()
+        except curio.TaskError as error:
+            if isinstance(error.__cause__, curio.TaskCancelled):
+                raise UpstreamUnreachable('the renewal was given up') from None
+            raise
+        finally:
+            await renewal.cancel()
+        if isinstance(outcome, UpstreamError):
+            raise outcome
+        return outcome
+
+    async def _try_renew(
+        self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
+    ) -> Renewed | UpstreamError:
+        # An error that leaves a task is logged as a crash of it.
+        try:
+            return await self._link.renew(lease_id, sent, wait_ms)
+        except UpstreamError as error:
+            return error
+
+    async def _give_up_renewal(self) -> None:
+        """End the renewal that waits at a worker which does not answer.
+
+        Otherwise the worker counts as usable until that wait is over.
+        """
+        if self._renewal is not None and not self._lease_id:
+            await self._renewal.cancel()
+
     async def _note_lost(self, error: UpstreamError) -> None:
         if self._lease_id:
             eliot.log_message(
