Let the renewals of worker leases wait 60 s

Cause: renewals of 115 idle workers cost a leader 1,264 B/s. How a dead worker is noticed: a process that ends closes the connection, which ends the waiting renewal at once; the platform's list shows the instance as gone. A host that vanishes closes nothing and was noticed by the timeout of the renewal, after up to 22 s. A wait of 60 s alone would make this 62 s. Change: renew_wait_ms is 60 s; executors keep 20 s (executor_wait_ms), as they are few. Connections of clients are probed by the kernel and given up after 19 s without an answer. The task lease stays 300 s. News, a lease that is leaving and a newer lease end the wait at once, as before. What is later than before: a paused worker process, whose kernel answers the probes, is noticed by the next start (2 s) or after 62 s, where it was 22 s; an ended task may be acknowledged up to 60 s later when nothing else happens on its worker, where it was 20 s. The bytes exclude TCP and IP headers, and with them the probes: one of 52 bytes and its answer every 15 s and connection. Not measured: a host that vanishes, which cannot be shown on loopback; the test checks the options of the sockets.

--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -29,10 +29,12 @@
         list_poll_ms: interval of reads of the instance list.
         leadership_ttl_ms: store lease on the leadership of a domain.
         task_lease_ms: how long a worker runs a task without a renewal.
-        renew_wait_ms: how long a renewal waits for news at an upstream. The
-            bytes of idle upstreams fall in proportion to a longer wait. A
-            silent upstream is noticed when a start or request to it times
-            out, not only by its renewal.
+        renew_wait_ms: how long a renewal waits for news at a worker. The
+            bytes of idle workers fall in proportion to a longer wait. It is
+            not what a lost worker is noticed by: a process that ends closes
+            the connection, a host that vanishes answers no probe of the
+            kernel, and a paused one does not answer a start.
+        executor_wait_ms: how long a renewal waits for news at an executor.
         round_ms: longest pause between two placement rounds.
         reconcile_ms: pause between two searches for job records missed so far.
         reconcile_wait_ms: how long such a search waits at the store for a
@@ -54,7 +56,8 @@
     list_poll_ms: int = 1000
     leadership_ttl_ms: int = 3000
     task_lease_ms: int = 300_000
-    renew_wait_ms: int = 20_000
+    renew_wait_ms: int = 60_000
+    executor_wait_ms: int = 20_000
     round_ms: int = 50
     reconcile_ms: int = 1000
     reconcile_wait_ms: int = 5000
--- a/jayshore/daemon/upstreams.py
+++ b/jayshore/daemon/upstreams.py
@@ -81,7 +81,7 @@
             ),
             holder=self._holder,
             call_timeout_ms=Millis(timing.call_timeout_ms),
-            renew_wait_ms=Millis(timing.renew_wait_ms),
+            renew_wait_ms=Millis(timing.executor_wait_ms),
         )
 
 
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -221,6 +221,7 @@
             async with curio.ignore_after(to_seconds(limit_ms)):
                 await sock.connect((self._address.host, self._address.port))
                 sockets.configure(sock)
+                sockets.probe_peer(sock)
                 return
         except OSError as error:
             raise ConnectFailed(f'{self._address}: {error}') from None
--- a/jayshore/http/client_test.py
+++ b/jayshore/http/client_test.py
@@ -1,5 +1,7 @@
 """Tests of the client over loopback."""
 
+import socket
+
 import curio
 import pytest
 
@@ -14,6 +16,9 @@
 from jayshore.http.loopback_test import client_of, post, run
 from jayshore.http.server import Bounds
 
+# A renewal that waited 20 s, with a timeout of 2 s, noticed it by then.
+NOTICED_MS = 22_000
+
 
 def test_timeout_closes_the_connection():
     """Guards against a late answer that reaches the next request."""
@@ -30,6 +35,28 @@
     run(main)
 
 
+def test_vanished_host_is_noticed_while_an_answer_is_awaited():
+    """Guards against a long poll that outlives the host that it waits for."""
+
+    async def main(server, _handler):
+        client = client_of(server)
+        await client.call(post('/'), timeout_ms=Millis(1000))
+        sock = client._idle[0]._sock
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        idle, interval, limit_ms = (
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_USER_TIMEOUT,
+            )
+        )
+        assert 1000 * idle < limit_ms <= NOTICED_MS - 1000 * interval
+        await client.close()
+
+    run(main)
+
+
 def test_closed_pooled_connection_is_not_an_error():
     """Guards against an unknown outcome where nothing was sent."""
 
--- a/jayshore/http/sockets.py
+++ b/jayshore/http/sockets.py
@@ -16,6 +16,13 @@
 
 RECEIVE_BYTES = 65536
 
+# A host that vanishes without closing its connections is noticed after 19 s,
+# also while a long poll waits for its answer. The kernel of a paused process
+# still answers the probes.
+_PROBE_AFTER_S = 15
+_PROBE_INTERVAL_S = 2
+_VANISHED_AFTER_MS = 19_000
+
 
 class WaitExpired(JayshoreError):
     """A socket was not ready in time."""
@@ -30,6 +37,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def probe_peer(sock: Any) -> None:
+    """Let the kernel notice that the host at the other end has vanished.
+
+    Args:
+        sock: a connected TCP socket.
+    """
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, _PROBE_AFTER_S),
+        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+        (socket.TCP_USER_TIMEOUT, _VANISHED_AFTER_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 def is_quiet(sock: Any) -> bool:
     """Tell whether a connection is open and nothing has arrived on it.
 
