Send peers a configuration only when they cannot read it

Cause: an accepted configuration reached each peer twice, in the announcement and by the read of the store that closes its promise: 261 and 292 B per team. Change: the announcement names the version. The document follows only when the peer's answer shows an older version, or when it gives none. A peer whose store hangs adopts the version after its read has timed out (1 s), where it was at once; the bound is 3 s.

--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -83,13 +83,15 @@
     ) -> msg.ConfigCommittedReply:
         """Adopt a configuration that the peer has written.
 
-        The read closes the promise given for it. Without it, a store outage
-        that begins before the next regular read would leave the promise open,
-        and keyed work refused, until the store is back.
+        Without a document, the version is read from the store. The read also
+        closes the promise given for it. Without it, a store outage that begins
+        before the next regular read would leave the promise open, and keyed
+        work refused, until the store is back.
         """
-        self._keeper.adopt(
-            msgspec.json.decode(call.document, type=StoredConfig)
-        )
+        if call.document:
+            self._keeper.adopt(
+                msgspec.json.decode(call.document, type=StoredConfig)
+            )
         await self._keeper.refresh()
         return msg.ConfigCommittedReply(
             config_version=self._keeper.tracker.version
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -195,7 +195,7 @@
     async def announce(self, call: msg.ConfigCommitted) -> None:
         """Send an accepted configuration to every peer.
 
-        A peer that does not get it reads the store soon after.
+        A peer that does not hear of it reads the store soon after.
 
         Args:
             call: the accepted version.
@@ -349,14 +349,26 @@
         return msgspec.json.decode(reply.document, type=SloSnapshot)
 
     async def _announce_to(self, peer: Peer, call: msg.ConfigCommitted) -> None:
+        """Let a peer read a version, or send it if the peer cannot.
+
+        A peer reads the store in any case, to close its promise, and the whole
+        document may have a megabyte.
+        """
+        brief = msg.ConfigCommitted(version=call.version, document=b'')
+        if await self._commit_at(peer, brief) < call.version:
+            await self._commit_at(peer, call)
+
+    async def _commit_at(self, peer: Peer, call: msg.ConfigCommitted) -> int:
         try:
-            await peer.client.config_committed(
+            reply = await peer.client.config_committed(
                 call, timeout_ms=self._timeout_ms
             )
         except WireError as error:
             eliot.log_message(
                 'config:not_announced', peer=peer.entry.name, error=str(error)
             )
+            return 0
+        return reply.config_version
 
 
 def _epoch_of(peer: Peer) -> int:
--- /dev/null
+++ b/jayshore/daemon/peers_test.py
@@ -0,0 +1,66 @@
+"""Tests of how an accepted configuration reaches the peers."""
+
+import random
+
+import curio
+import pytest
+
+from jayshore.clock import ManualClock, Millis
+from jayshore.config.model import Instance
+from jayshore.daemon.peers import Peer, PeerGroup
+from jayshore.traffic import Traffic
+from jayshore.wire import messages as msg
+from jayshore.wire.errors import PeerTimedOut
+
+COMMITTED = msg.ConfigCommitted(version=7, document=b'{"version": 7}')
+
+
+class FakeClient:
+    """A peer that holds version 6 and may be able to read the store."""
+
+    def __init__(self, *, reads_store, hangs=False):
+        self.reads_store = reads_store
+        self.hangs = hangs
+        self.version = 6
+        self.received = []
+
+    async def config_committed(self, call, *, timeout_ms):
+        self.received.append(call.document)
+        if self.reads_store or call.document:
+            self.version = call.version
+        elif self.hangs:
+            raise PeerTimedOut('its read of the store hangs')
+        return msg.ConfigCommittedReply(config_version=self.version)
+
+
+def announce_to(client):
+    """Announce a version to one peer."""
+    group = PeerGroup(
+        name='a',
+        clock=ManualClock(),
+        source=random.Random(1),
+        interval_ms=Millis(2000),
+        timeout_ms=Millis(2000),
+        keeper=None,
+        status=lambda: None,
+        traffic=Traffic(),
+    )
+    entry = Instance(name='b', domain='north', address='127.0.0.1:1')
+    group._peers['b'] = Peer(entry=entry, client=client)
+    curio.run(group.announce, COMMITTED)
+
+
+def test_peer_with_the_store_is_not_sent_the_document():
+    """Guards against a document that crosses the network twice."""
+    client = FakeClient(reads_store=True)
+    announce_to(client)
+    assert client.received == [b'']
+
+
+@pytest.mark.parametrize('hangs', [True, False])
+def test_peer_without_the_store_is_sent_the_document(hangs):
+    """Guards against a version that is not in force during an outage."""
+    client = FakeClient(reads_store=False, hangs=hangs)
+    announce_to(client)
+    assert client.version == COMMITTED.version
+    assert client.received == [b'', COMMITTED.document]
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -41,7 +41,7 @@
 
 struct ConfigCommitted {
   version @0 :UInt64;
-  document @1 :Data;
+  document @1 :Data;            # empty: to be read from the store
 }
 
 struct ConfigCommittedReply {
