--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -1,9 +1,11 @@
 """Answers the other daemons."""
 
+import eliot
 import msgspec
 
 from jayshore.clock import Clock, Millis
-from jayshore.daemon.configuration import ConfigKeeper, StoredConfig
+from jayshore.config.stored import StoredConfig, decode_stored
+from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import PeerGroup
 from jayshore.daemon.slo import SloCounts
@@ -89,9 +91,7 @@
         work refused, until the store is back.
         """
         if call.document:
-            self._keeper.adopt(
-                msgspec.json.decode(call.document, type=StoredConfig)
-            )
+            self._adopt_sent(call.document)
         await self._keeper.refresh()
         return msg.ConfigCommittedReply(
             config_version=self._keeper.tracker.version
@@ -158,6 +158,15 @@
             result=await self._desk.cancel_held(call.job_id, call.team)
         )
 
+    def _adopt_sent(self, document: bytes) -> None:
+        decoded = decode_stored(document)
+        if isinstance(decoded, StoredConfig):
+            self._keeper.adopt(decoded)
+        else:
+            eliot.log_message(
+                'config:malformed_from_peer', fault=str(decoded.faults[0])
+            )
+
 
 def _refused(reason: NotRunReason) -> msg.RouteReply:
     return msg.RouteReply(
