Read grants every 5 s while nothing is to change

Cause: an idle leader read the grants every second to find out that no part was to be changed. Ruled out: a watch like that of the job records. An uncertain write is settled by what is read after it, which an answer that was already waited for is not. Change: a round reads unless all of this holds: nothing is short or waits, no domain is cut off or lost, the configuration is fresh and the version is the one of the last read, no write is uncertain, every part is claimed and is what its team needs, and the last read is younger than 5 s. Rounds are as frequent as before.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -24,11 +24,8 @@
     SessionTerms,
     WorkerFleet,
 )
-from jayshore.jobs.grants import (
-    GrantedLedger,
-    GrantRounds,
-    StoredGrantBook,
-)
+from jayshore.jobs.grantbook import StoredGrantBook
+from jayshore.jobs.grants import GrantedLedger, GrantRounds
 from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
--- a/jayshore/jobs/grants.py
+++ b/jayshore/jobs/grants.py
@@ -12,122 +12,22 @@
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
 from jayshore.jobs.book import JobBook
 from jayshore.jobs.context import TeamLedger
+from jayshore.jobs.grantbook import StoredGrantBook
 from jayshore.jobs.placing import Placer
 from jayshore.jobs.record import JobKind
-from jayshore.platform.store import (
-    Entry,
-    Store,
-    StoreError,
-)
-from jayshore.platform.store import Written as StoreWritten
 from jayshore.quota.amounts import larger, surplus
 from jayshore.quota.demand import NO_DEMAND, Demand, Unit, demand_of
-from jayshore.quota.grants import (
-    GrantRecord,
-    Limit,
-    decode_grants,
-    encode_grants,
-)
-from jayshore.quota.keeper import (
-    Conflict,
-    GrantKeeper,
-    GrantStore,
-    GrantStoreError,
-    StoredGrants,
-    Uncertain,
-    WriteOutcome,
-    Written,
-)
+from jayshore.quota.grants import Limit
+from jayshore.quota.keeper import GrantKeeper, GrantStoreError
 from jayshore.quota.ledger import DomainLedger, PartChange
 from jayshore.resources import NOTHING, Resources
 from jayshore.routing.headroom import Headroom, Shares
 
-GRANT_PREFIX = 'grants/'
-
 # While nothing is short of room, grants are only read for lowered limits.
 _QUIET_ROUNDS = 10
 
-
-class StoredGrantBook(GrantStore):
-    """All grants, kept up to date by reading what has changed."""
-
-    def __init__(self, *, store: Store) -> None:
-        """Start without grants.
-
-        Args:
-            store: the platform's store.
-        """
-        self._store = store
-        self._known: dict[str, StoredGrants] = {}
-        self._seen = 0
-
-    @property
-    def records(self) -> Mapping[str, GrantRecord]:
-        """The grants by team."""
-        return {team: held.record for team, held in self._known.items()}
-
-    async def sync(self) -> None:
-        """Read what has changed; one call whatever the number of teams.
-
-        Raises:
-            GrantStoreError: the store gave no answer.
-        """
-        try:
-            listing = await self._store.list(GRANT_PREFIX, since=self._seen)
-        except StoreError as error:
-            raise GrantStoreError(str(error)) from None
-        for entry in listing.entries:
-            self._note(entry)
-        self._seen = max(self._seen, listing.revision)
-
-    async def read(self, team: str) -> StoredGrants:
-        """Look up a team's grants as of the last call of `sync`.
-
-        Args:
-            team: any team.
-
-        Returns:
-            The record and its revision.
-        """
-        return self._known.get(team, StoredGrants())
-
-    async def write(
-        self, team: str, record: GrantRecord, *, expect_revision: int
-    ) -> WriteOutcome:
-        """Replace a team's grants if the revision is the expected one.
-
-        Args:
-            team: whose grants.
-            record: the new grants.
-            expect_revision: 0 when there must be none.
-
-        Returns:
-            What is known of the write.
-        """
-        key = f'{GRANT_PREFIX}{team}'
-        try:
-            result = await self._store.put(
-                key, encode_grants(record), expect_revision=expect_revision
-            )
-            if isinstance(result, StoreWritten):
-                self._known[team] = StoredGrants(
-                    record=record, revision=result.revision
-                )
-                return Written(revision=result.revision)
-            entry = await self._store.get(key)
-        except StoreError:
-            return Uncertain()
-        if entry is not None:
-            self._note(entry)
-        return Conflict()
-
-    def _note(self, entry: Entry) -> None:
-        team = entry.key.removeprefix(GRANT_PREFIX)
-        known = self._known.get(team, StoredGrants())
-        if entry.revision > known.revision:
-            self._known[team] = StoredGrants(
-                record=decode_grants(entry.value), revision=entry.revision
-            )
+# Longest time without a read while there is nothing to change.
+_CALM_READ_MS = Millis(5000)
 
 
 class GrantedLedger(TeamLedger, Headroom, Shares):
@@ -278,6 +178,8 @@
         self._claimed: set[str] = set()
         self._newly_claimed: set[str] = set()
         self._stalled: frozenset[str] = frozenset()
+        self._read_at: Millis | None = None
+        self._read_under = 0
 
     async def run(
         self,
@@ -330,7 +232,10 @@
         snapshot: Snapshot | None,
         cut_off: frozenset[str],
     ) -> tuple[PartChange, ...]:
-        await self._stored.sync()
+        if short or cut_off or not self._is_calm(snapshot, now):
+            await self._stored.sync()
+            self._read_at = now
+            self._read_under = snapshot.version if snapshot else 0
         for team in short.keys() | self._teams_with_part():
             if team not in self._claimed and await self._keeper.claim(team):
                 self._claimed.add(team)
@@ -347,6 +252,24 @@
             await self._reclaim_lost(snapshot)
         return await self._keeper.run_round(now, limits=limits, cut_off=cut_off)
 
+    def _is_calm(self, snapshot: Snapshot | None, now: Millis) -> bool:
+        """Tell whether a read of the grants can wait.
+
+        Every write is made on the revision last read, so that a late read
+        costs a conflict at most. A write that is uncertain is the exception:
+        it is settled by what is read after it.
+        """
+        if snapshot is None or self._read_at is None:
+            return False
+        is_recent = now - self._read_at < _CALM_READ_MS
+        is_same = snapshot.version == self._read_under
+        if not is_recent or not is_same or _lost_domains(snapshot):
+            return False
+        if self._keeper.has_pending or self._waiting():
+            return False
+        is_claimed = self._claimed.issuperset(self._teams_with_part())
+        return is_claimed and self._ledger.is_settled
+
     def _collect_claimed(self) -> set[str]:
         claimed = self._newly_claimed
         self._newly_claimed = set()
@@ -378,11 +301,7 @@
         return {team: demand_of(waiting) for team, waiting in pieces.items()}
 
     async def _reclaim_lost(self, snapshot: Snapshot) -> None:
-        lost = frozenset(
-            domain.name
-            for domain in snapshot.document.domains
-            if domain.state is DomainState.LOST
-        )
+        lost = _lost_domains(snapshot)
         for domain in lost:
             for team, record in self._stored.records.items():
                 if record.part_of(domain) is not None:
@@ -411,6 +330,14 @@
         return found
 
 
+def _lost_domains(snapshot: Snapshot) -> frozenset[str]:
+    return frozenset(
+        domain.name
+        for domain in snapshot.document.domains
+        if domain.state is DomainState.LOST
+    )
+
+
 def _limits_of(snapshot: Snapshot) -> dict[str, Limit]:
     return {
         team.name: Limit(version=snapshot.version, amount=team.limit)
--- a/jayshore/jobs/grants_test.py
+++ b/jayshore/jobs/grants_test.py
@@ -1,14 +1,17 @@
 """Tests of the rounds that keep a domain's parts in step with its demand."""
 
+import dataclasses
+
 import curio
 import pytest
 
 from jayshore.clock import Millis
 from jayshore.config.document import Document
-from jayshore.config.model import Team
+from jayshore.config.model import Domain, DomainState, Team
 from jayshore.config.snapshot import Snapshot
 from jayshore.jobs.attempts import AttemptTable
-from jayshore.jobs.grants import GrantedLedger, GrantRounds, StoredGrantBook
+from jayshore.jobs.grantbook import StoredGrantBook
+from jayshore.jobs.grants import GrantedLedger, GrantRounds
 from jayshore.platform.store import (
     Conflict,
     Entry,
@@ -17,7 +20,7 @@
     Written,
 )
 from jayshore.quota.grants import Owner
-from jayshore.quota.keeper import GrantKeeper
+from jayshore.quota.keeper import GrantKeeper, GrantStoreError
 from jayshore.quota.ledger import DomainLedger
 from jayshore.resources import Resources
 
@@ -33,8 +36,10 @@
         self.entry = None
         self.conflicts = conflicts
         self.failed_lists = failed_lists
+        self.lists = 0
 
     async def list(self, prefix, *, since=0):
+        self.lists += 1
         if self.failed_lists:
             self.failed_lists -= 1
             raise StoreError('down')
@@ -119,3 +124,74 @@
 def test_waiting_request_gets_headroom_after_a_failed_round(faults):
     """A lost round must not leave a waiting request without a part for ever."""
     assert curio.run(wait_for_headroom(FaultyStore(**faults)))
+
+
+class CalmRounds:
+    """Rounds of a domain with one team, one second apart."""
+
+    def __init__(self):
+        self.store = FaultyStore()
+        self.ledger = DomainLedger(domain='north')
+        self.ledger.complete_inventory()
+        self.snapshot = make_snapshot()
+        granted = GrantedLedger(
+            ledger=self.ledger, snapshot=lambda: self.snapshot
+        )
+        self.rounds = make_rounds(self.store, self.ledger, granted)
+        self.now = 0
+
+    def reads_in(self, seconds, *, short=(), cut_off=frozenset()):
+        """Run rounds and count their reads of all grants."""
+        before = self.store.lists
+        for _ in range(seconds):
+            self.now += 1000
+            curio.run(
+                self.rounds._round,
+                dict(short),
+                Millis(self.now),
+                self.snapshot,
+                cut_off,
+            )
+        return self.store.lists - before
+
+
+def test_grants_are_read_rarely_while_nothing_is_to_change():
+    """Guards against a read a second by every idle leader."""
+    calm = CalmRounds()
+    assert calm.reads_in(1) == 1
+    assert calm.reads_in(20) == 4
+
+
+def test_grants_are_read_at_once_when_something_may_change():
+    """Guards against decisions on grants that others have changed since."""
+    calm = CalmRounds()
+    calm.reads_in(1)
+    assert calm.reads_in(1, short={TEAM: ONE_REQUEST}) == 1
+    assert calm.reads_in(3, cut_off=frozenset(('south',))) == 3
+    calm.snapshot = dataclasses.replace(calm.snapshot, version=2)
+    assert calm.reads_in(1) == 1
+    calm.ledger.adopt(TEAM, ONE_REQUEST)
+    calm.reads_in(1)
+    calm.ledger.give_back(TEAM, ONE_REQUEST)
+    assert calm.reads_in(2) == 2
+
+
+def test_lost_domain_and_stale_configuration_are_not_calm():
+    """Guards against parts of a lost domain that stay assigned."""
+    calm = CalmRounds()
+    calm.reads_in(1)
+    south = Domain(name='south', region='r', state=DomainState.LOST)
+    document = dataclasses.replace(calm.snapshot.document, domains=(south,))
+    calm.snapshot = Snapshot(version=1, document=document, write_id='write')
+    assert calm.reads_in(2) == 2
+    calm.snapshot = None
+    assert calm.reads_in(2) == 2
+
+
+def test_failed_read_is_repeated_in_the_next_round():
+    """Guards against a failed read that counts as one."""
+    calm = CalmRounds()
+    calm.store.failed_lists = 1
+    with pytest.raises(GrantStoreError):
+        calm.reads_in(1)
+    assert calm.reads_in(1) == 1
--- a/jayshore/quota/keeper.py
+++ b/jayshore/quota/keeper.py
@@ -126,6 +126,11 @@
         self._revisions: dict[str, int] = {}
         self._pending: dict[str, _Pending] = {}
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether the outcome of a write is uncertain."""
+        return bool(self._pending)
+
     async def claim(self, team: str) -> bool:
         """Make the part of a team the leader's own.
 
--- a/jayshore/quota/ledger.py
+++ b/jayshore/quota/ledger.py
@@ -261,6 +261,17 @@
             and limits[team].version > account.record.limit.version
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether every part is what its team needs, and no limit is below it.
+
+        Unless limits or domains change, no part is then to be changed.
+        """
+        return all(
+            account.part == account.need and account.ceiling is None
+            for account in self._accounts.values()
+        )
+
     def plan_changes(
         self,
         now: Millis,
