Send a version to a peer that has not read it within 0.5 s

Cause: a peer whose store hangs answered an announcement without a document only after its read had timed out, and adopted the version 1 s later than before. Change: the announcement without the document waits 0.5 s for its answer. Measured: jayshore/daemon/peers_test.py checks that both calls together stay within 3 s. The delay with a hanging store was not measured.

--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -28,6 +28,10 @@
 _MISSED_HEARTBEATS = 3
 _STEPS = 8
 
+# The store answers in milliseconds. A peer that has not read a new version by
+# then is sent it, well within the 3 s in which it has to be in force.
+_OWN_READ_MS = Millis(500)
+
 
 class Peer:
     """One other daemon.
@@ -355,13 +359,16 @@
         document may have a megabyte.
         """
         brief = msg.ConfigCommitted(version=call.version, document=b'')
-        if await self._commit_at(peer, brief) < call.version:
-            await self._commit_at(peer, call)
+        limit_ms = min(self._timeout_ms, _OWN_READ_MS)
+        if await self._commit_at(peer, brief, limit_ms) < call.version:
+            await self._commit_at(peer, call, self._timeout_ms)
 
-    async def _commit_at(self, peer: Peer, call: msg.ConfigCommitted) -> int:
+    async def _commit_at(
+        self, peer: Peer, call: msg.ConfigCommitted, limit_ms: Millis
+    ) -> int:
         try:
             reply = await peer.client.config_committed(
-                call, timeout_ms=self._timeout_ms
+                call, timeout_ms=limit_ms
             )
         except WireError as error:
             eliot.log_message(
--- a/jayshore/daemon/peers_test.py
+++ b/jayshore/daemon/peers_test.py
@@ -12,6 +12,9 @@
 from jayshore.wire import messages as msg
 from jayshore.wire.errors import PeerTimedOut
 
+# Bound on the time until an accepted configuration is in force.
+IN_FORCE_MS = 3000
+
 COMMITTED = msg.ConfigCommitted(version=7, document=b'{"version": 7}')
 
 
@@ -23,9 +26,11 @@
         self.hangs = hangs
         self.version = 6
         self.received = []
+        self.limits = []
 
     async def config_committed(self, call, *, timeout_ms):
         self.received.append(call.document)
+        self.limits.append(timeout_ms)
         if self.reads_store or call.document:
             self.version = call.version
         elif self.hangs:
@@ -64,3 +69,4 @@
     announce_to(client)
     assert client.version == COMMITTED.version
     assert client.received == [b'', COMMITTED.document]
+    assert sum(client.limits) <= IN_FORCE_MS
