--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -96,7 +96,7 @@
         await spawn(self._watch_leases(follower))
         await spawn(self._parts.prober.run(_PROBE_CHECK_MS))
         await spawn(self._delete_old_records())
-        await spawn(self._enforce_cancels(reconcile_ms))
+        await spawn(self._enforce_stops(reconcile_ms))
         await self._is_ready.set()
         while True:
             await curio.sleep(to_seconds(reconcile_ms))
@@ -168,12 +168,16 @@
         else:
             await self._parts.admission.admit(found)
 
-    async def _enforce_cancels(self, interval_ms: Millis) -> None:
-        """Stop tasks whose start was under way when the job was cancelled."""
+    async def _enforce_stops(self, interval_ms: Millis) -> None:
+        """Stop tasks whose start was under way when they were to be stopped.
+
+        Their job was cancelled, or the rest of their gang was stopped.
+        """
         while True:
             await curio.sleep(to_seconds(interval_ms))
             for record in self._parts.book.records:
                 await self._parts.admission.enforce_cancel(record)
+                await self._placer.stop_partial_gang(record)
 
     async def _watch_leases(self, follower: InstanceFollower) -> None:
         """Find workers whose task leases have expired or that are gone."""
