--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -2,7 +2,6 @@
 
 import abc
 import random
-from typing import Any
 
 import curio
 import eliot
@@ -89,12 +88,11 @@
         self._observer = observer
         self._renew_wait_ms = renew_wait_ms
         self._source = source
-        self._opening = curio.Lock()
+        self._doubted = curio.Event()
         self._lease_id = 0
         self._acknowledged: list[AttemptName] = []
         self._was_opened = False
         self._is_ended = False
-        self._renewal: Any = None
 
     @property
     def is_open(self) -> bool:
@@ -138,25 +136,23 @@
     async def start(self, order: StartOrder) -> StartResult:
         """Start a task under the newest lease.
 
-        An uncertain start is settled by opening a new lease, whose inventory
-        goes to the observer.
+        Whenever the worker did not confirm a start, it gets no new work until
+        its lease is opened again. The inventory of that lease, which goes to
+        the observer, settles an uncertain start.
 
         Args:
             order: what to run.
 
         Returns:
-            Whether it was started; `UNCERTAIN` when the worker could not be
-            asked, in which case the next opened lease tells.
+            Whether it was started; `UNCERTAIN` when the next opened lease
+            tells.
         """
-        if not self._lease_id:
+        lease_id = self._lease_id
+        if not lease_id:
             return StartResult.CERTAINLY_NOT
-        result = await self._link.start(self._lease_id, order)
-        if result is StartResult.UNCERTAIN:
-            self._lease_id = 0
-            try:
-                await self.reopen()
-            except UpstreamError:
-                await self._give_up_renewal()
+        result = await self._link.start(lease_id, order)
+        if result is not StartResult.STARTED:
+            await self._doubt(lease_id)
         return result
 
     async def stop(self, task_id: str, *, checkpoint: bool) -> bool:
@@ -191,85 +187,81 @@
         """
         self._acknowledged.append(name)
 
-    async def reopen(self) -> None:
-        """Open a new lease now, to settle an uncertain start.
-
-        Raises:
-            UpstreamError: the worker did not answer.
-        """  # noqa: DAR401 raised by the link
-        async with self._opening:
-            opened = await self._link.open(self._epoch)
-            if self._is_ended:
-                return
-            self._lease_id = opened.lease_id
-            self._was_opened = True
-            await self._observer.lease_opened(self._worker_id, opened)
-
     async def _keep(self) -> None:
         if not self._lease_id:
-            await self.reopen()
+            await self._open()
         while self._lease_id:
             await self._renew()
 
+    async def _open(self) -> None:
+        opened = await self._link.open(self._epoch)
+        if self._is_ended:
+            return
+        self._doubted.clear()
+        self._lease_id = opened.lease_id
+        self._was_opened = True
+        await self._observer.lease_opened(self._worker_id, opened)
+
+    async def _doubt(self, lease_id: int) -> None:
+        """Have the lease opened again, unless a newer one was opened.
+
+        The newer one was then opened after the start was sent, so that its
+        inventory shows the start.
+        """
+        if lease_id == self._lease_id:
+            self._lease_id = 0
+            await self._observer.worker_lost(self._worker_id)
+            await self._doubted.set()
+
     async def _renew(self) -> None:
         lease_id = self._lease_id
         sent = self._acknowledged.copy()
         # Acknowledgements go out at once; only a renewal without one waits.
         wait_ms = Millis(0) if sent else self._renew_wait_ms
         try:
-            renewed = await self._wait_renewed(lease_id, sent, wait_ms)
+            renewed = await self._wait_for_news(lease_id, sent, wait_ms)
         except LeaseSuperseded:
             if lease_id == self._lease_id:
                 self._lease_id = 0
             raise
+        if renewed is None:
+            return
         del self._acknowledged[: len(sent)]
         if lease_id == self._lease_id:
             await self._observer.tasks_reported(self._worker_id, renewed)
 
-    async def _wait_renewed(
+    async def _wait_for_news(
         self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
-    ) -> Renewed:
-        """Renew in a task of its own, which can be given up.
+    ) -> Renewed | None:
+        """Renew, unless the lease is doubted meanwhile.
 
-        Returns:
-            The worker's answer.
+        A renewal waits longer than an uncertain start may stay unsettled.
 
-        Raises:
-            UpstreamUnreachable: no answer, or the renewal was given up.
+        Returns:
+            The answer, or None when a new lease has to be opened.
         """
-        renewal = await curio.spawn(
-            self._try_renew, lease_id, sent, wait_ms, daemon=True
-        )
-        self._renewal = renewal
-        try:
-            outcome: Renewed | UpstreamError = await renewal.join()
-        except curio.TaskError as error:
-            if isinstance(error.__cause__, curio.TaskCancelled):
-                raise UpstreamUnreachable('the renewal was given up') from None
-            raise
-        finally:
-            await renewal.cancel()
-        if isinstance(outcome, UpstreamError):
-            raise outcome
-        return outcome
-
-    async def _try_renew(
+        first = curio.TaskGroup(wait=any)
+        async with first:
+            renewal = await first.spawn(
+                self._try_renewal, lease_id, sent, wait_ms
+            )
+            await first.spawn(self._doubted.wait)
+        if first.completed is not renewal:
+            return None
+        renewed: Renewed | UpstreamError = renewal.result
+        if isinstance(renewed, UpstreamError):
+            raise renewed
+        return renewed
+
+    async def _try_renewal(
         self, lease_id: int, sent: list[AttemptName], wait_ms: Millis
     ) -> Renewed | UpstreamError:
-        # An error that leaves a task is logged as a crash of it.
+        """Return the error, since curio logs those that end a task."""
         try:
             return await self._link.renew(lease_id, sent, wait_ms)
         except UpstreamError as error:
             return error
 
-    async def _give_up_renewal(self) -> None:
-        """End the renewal that waits at a worker which does not answer.
-
-        Otherwise the worker counts as usable until that wait is over.
-        """
-        if self._renewal is not None and not self._lease_id:
-            await self._renewal.cancel()
-
     async def _note_lost(self, error: UpstreamError) -> None:
         if self._lease_id:
             eliot.log_message(
--- a/jayshore/placement/walk.py
+++ b/jayshore/placement/walk.py
@@ -1,7 +1,7 @@
 """One decision: try waiting entries in order until something can be done."""
 
 import types
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import TypeAlias
 
 from jayshore.clock import Millis
@@ -13,6 +13,7 @@
 from jayshore.placement.backlog import Backlog, Waiting
 from jayshore.placement.decisions import Decision, Headroom, Preempt, Wait
 from jayshore.placement.entries import Entry, Shape, fit_key
+from jayshore.placement.held_entry import HeldEntry
 from jayshore.placement.packing import (
     BestFit,
     FillInOrder,
@@ -40,7 +41,7 @@
     place,
 )
 from jayshore.placement.spreading import RackSpread
-from jayshore.placement.tasks import PendingTask, RunningTask, TaskKind
+from jayshore.placement.tasks import RunningTask, TaskKind
 from jayshore.placement.usage import TeamUsage
 
 _Chooser: TypeAlias = Policy[PlacementCase, tuple[str, ...]]
@@ -82,7 +83,7 @@
         self._usage = usage
         self._backlog = backlog
         self._reserved = reserved
-        self._held_pending = False
+        self._held = HeldEntry(members=roster.members)
         self._next_attempt = Millis(0)
         self._skipping: int | None = None
 
@@ -92,7 +93,7 @@
         Args:
             reservation: the new one, or None.
         """
-        self._held_pending = True
+        self._held.renew()
         former = self._reserved.replace(reservation)
         self._backlog.prospects.reservation_changed(former)
 
@@ -110,11 +111,10 @@
         tried: set[Shape] = set()
         for waiting in iter(self._next, None):
             shape = waiting.shape
-            workers = self._choose(waiting.entry, shape)
-            lacking = shape.size - len(workers)
-            if not lacking:
+            workers = self._choose(waiting)
+            if len(workers) == shape.size:
                 return place(waiting.entry, workers)
-            self._set_aside(waiting, lacking)
+            self._set_aside(waiting, workers)
             if len(tried) < attempts and shape not in tried:
                 tried.add(shape)
                 self._next_attempt = Millis(now + ATTEMPT_INTERVAL_MS)
@@ -134,12 +134,12 @@
         for worker_id in self._roster.drain_gained():
             if is_usable(self._roster.members, worker_id):
                 self._backlog.prospects.gain(worker_id)
-                self._held_pending = True
+                self._held.gain(worker_id)
         self._backlog.raise_due(now)
         self._drop_reservation()
         if now < self._next_attempt:
             return 0
-        self._held_pending = True
+        self._held.renew()
         return ATTEMPTS
 
     def _next(self) -> Waiting | None:
@@ -155,22 +155,24 @@
     def _candidate(self) -> Waiting | None:
         """Choose the entry to try: in its tier, the reserved one is first."""
         first = self._backlog.first(self._skipping)
-        if self._held_pending and self._reserved.reservation is not None:
-            held = self._backlog.waiting.get(
-                self._reserved.reservation.entry_id
-            )
-            if held is not None and (
-                first is None or held.shape.tier <= first.shape.tier
+        reservation = self._reserved.reservation
+        if reservation is not None:
+            held = self._backlog.waiting.get(reservation.entry_id)
+            if (
+                held is not None
+                and (first is None or held.shape.tier <= first.shape.tier)
+                and self._held.is_due(held.entry)
             ):
                 return held
         return first
 
-    def _set_aside(self, waiting: Waiting, lacking: int) -> None:
-        if self._reserved.is_for(waiting.entry):
-            self._held_pending = False
+    def _set_aside(self, waiting: Waiting, workers: tuple[str, ...]) -> None:
+        is_held = self._reserved.is_for(waiting.entry)
+        if is_held:
+            self._held.fail(waiting.entry, workers)
         if self._skipping is not None:
             self._skipping |= waiting.bit
-        self._backlog.prospects.fail(waiting.bit, lacking=lacking)
+        self._backlog.prospects.fail(waiting.bit, workers, is_held=is_held)
 
     def _drop_reservation(self) -> None:
         reservation = self._reserved.reservation
@@ -186,19 +188,21 @@
         ):
             self.reserve(None)
 
-    def _choose(self, entry: Entry, shape: Shape) -> tuple[str, ...]:
+    def _choose(self, waiting: Waiting) -> tuple[str, ...]:
+        shape = waiting.shape
         return _POLICIES[shape.kind].evaluate(
             PlacementCase(
-                offers=self._offers(entry, shape),
+                offers=self._offers(waiting),
                 demand=shape.demand,
                 size=shape.size,
-                peers=self._roster.peers(entry.entry_id.job_id),
+                peers=self._roster.peers(waiting.entry.entry_id.job_id),
             )
         )
 
-    def _offers(self, entry: Entry, shape: Shape) -> Iterator[Offer]:
-        is_held = self._reserved.is_for(entry)
-        for worker_id in self._candidates(entry.first, shape):
+    def _offers(self, waiting: Waiting) -> Iterator[Offer]:
+        shape = waiting.shape
+        is_held = self._reserved.is_for(waiting.entry)
+        for worker_id in self._candidates(waiting, is_held=is_held):
             member = self._roster.members[worker_id]
             if worker_id in shape.avoided:
                 continue
@@ -208,15 +212,22 @@
             if shape.demand.fits_in(room):
                 yield Offer(worker=member.view, room=room)
 
-    def _candidates(self, task: PendingTask, shape: Shape) -> Iterator[str]:
-        if shape.allowed is None:
+    def _candidates(self, waiting: Waiting, *, is_held: bool) -> Iterable[str]:
+        shape = waiting.shape
+        names: Iterable[str] | None = None
+        if self._skipping is None and not is_held:
+            names = self._backlog.prospects.places(waiting.bit)
+        if names is None:
+            names = shape.allowed
+        if names is None:
             rooms = self._roster.rooms(in_lane=shape.in_lane)
-            yield from rooms.fitting(shape.demand)
-            return
+            return rooms.fitting(shape.demand)
         members = self._roster.members
-        yield from sorted(
-            (name for name in shape.allowed if is_usable(members, name)),
-            key=lambda name: fit_key(members[name].load.room_for(task), name),
+        return sorted(
+            (name for name in names if is_usable(members, name)),
+            key=lambda name: fit_key(
+                members[name].load.room_of(in_lane=shape.in_lane), name
+            ),
         )
 
     def _unblock(self, waiting: Waiting) -> Preempt | None:
@@ -251,15 +262,12 @@
         team = self._usage.furthest_above(first.team)
         if team is None:
             return ()
-        stoppable = zip(
-            range(VICTIM_CANDIDATES), self._usage.stoppable(team), strict=False
-        )
         return LatestStarted().evaluate(
             PreemptionCase(
                 entry=entry,
                 owner=self._usage.case(first.team),
                 victim=self._usage.case(team),
-                candidates=(running for _, running in stoppable),
+                candidates=self._usage.stoppable(team, VICTIM_CANDIDATES),
                 loads=open_loads(self._roster.members, first),
             )
         )
