--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -24,11 +24,8 @@
     SessionTerms,
     WorkerFleet,
 )
-from jayshore.jobs.grants import (
-    GrantedLedger,
-    GrantRounds,
-    StoredGrantBook,
-)
+from jayshore.jobs.grantbook import StoredGrantBook
+from jayshore.jobs.grants import GrantedLedger, GrantRounds
 from jayshore.jobs.health import WorkerWatch
 from jayshore.jobs.inventory import InventoryReader
 from jayshore.jobs.leader import DomainLeader, LeaderParts
@@ -158,6 +155,7 @@
                 follower,
                 round_ms=Millis(settings.timing.round_ms),
                 reconcile_ms=Millis(settings.timing.reconcile_ms),
+                reconcile_wait_ms=Millis(settings.timing.reconcile_wait_ms),
             )
         )
         await self._tasks.spawn(self._run_grants(epoch, grants, granted))
--- a/jayshore/daemon/peerhandler.py
+++ b/jayshore/daemon/peerhandler.py
@@ -85,17 +85,13 @@
     ) -> msg.ConfigCommittedReply:
         """Adopt a configuration that the peer has written.
 
-        The read closes the promise given for it. Without it, a store outage
-        that begins before the next regular read would leave the promise open,
-        and keyed work refused, until the store is back.
+        Without a document, the version is read from the store. The read also
+        closes the promise given for it. Without it, a store outage that begins
+        before the next regular read would leave the promise open, and keyed
+        work refused, until the store is back.
         """
-        decoded = decode_stored(call.document)
-        if isinstance(decoded, StoredConfig):
-            self._keeper.adopt(decoded)
-        else:
-            eliot.log_message(
-                'config:malformed_from_peer', fault=str(decoded.faults[0])
-            )
+        if call.document:
+            self._adopt_sent(call.document)
         await self._keeper.refresh()
         return msg.ConfigCommittedReply(
             config_version=self._keeper.tracker.version
@@ -162,6 +158,15 @@
             result=await self._desk.cancel_held(call.job_id, call.team)
         )
 
+    def _adopt_sent(self, document: bytes) -> None:
+        decoded = decode_stored(document)
+        if isinstance(decoded, StoredConfig):
+            self._keeper.adopt(decoded)
+        else:
+            eliot.log_message(
+                'config:malformed_from_peer', fault=str(decoded.faults[0])
+            )
+
 
 def _refused(reason: NotRunReason) -> msg.RouteReply:
     return msg.RouteReply(
--- a/jayshore/daemon/peers.py
+++ b/jayshore/daemon/peers.py
@@ -12,6 +12,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.config.document import Document
 from jayshore.config.model import Instance
+from jayshore.daemon.beats import BeatTiming
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.freshness.evidence import Attestation, RelayedEvidence
 from jayshore.http.client import Address
@@ -27,9 +28,22 @@
 _MISSED_HEARTBEATS = 3
 _STEPS = 8
 
+# The store answers in milliseconds. A peer that has not read a new version by
+# then is sent it, well within the 3 s in which it has to be in force.
+_OWN_READ_MS = Millis(500)
+
 
 class Peer:
-    """One other daemon."""
+    """One other daemon.
+
+    Attributes:
+        entry: its entry in the roster.
+        client: calls to it.
+        status: what it last said about itself.
+        heard_at: when it said so.
+        asked_at: when its last own heartbeat arrived.
+        told_version: version named in the last heartbeat to it.
+    """
 
     def __init__(self, *, entry: Instance, client: PeerClient) -> None:
         """Start without having heard from it.
@@ -42,6 +56,8 @@
         self.client = client
         self.status: msg.DaemonStatus | None = None
         self.heard_at = Millis(0)
+        self.asked_at: Millis | None = None
+        self.told_version = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -143,6 +159,7 @@
         if peer is not None:
             peer.status = status
             peer.heard_at = self._clock.now()
+            peer.asked_at = peer.heard_at
 
     async def ask_promises(
         self, old: Document, new: Document, revision: int
@@ -183,8 +200,8 @@
     async def announce(self, call: msg.ConfigCommitted) -> None:
         """Send an accepted configuration to every peer.
 
-        A peer that does not get it reads the store soon after; until then, one
-        that has heard of the version takes no keyed work. Daemons that were
+        A peer that does not hear of it reads the store soon after; until then,
+        one that has heard of the version takes no keyed work. Daemons that were
         just added to the roster, or removed from it, are told as well.
 
         Args:
@@ -262,9 +279,9 @@
     async def _exchange(self, peer: Peer) -> None:
         while True:
             await self._beat(peer)
-            await self._pause()
+            await self._pause(peer)
 
-    async def _pause(self) -> None:
+    async def _pause(self, peer: Peer) -> None:
         """Wait until the next heartbeat.
 
         While the store gives no evidence, the peers have to, several times
@@ -272,19 +289,24 @@
         once which peers hold it.
         """
         start = self._clock.now()
-        version = self._keeper.snapshot.version
         step = Millis(self._interval_ms // _STEPS)
         shortest = start + 2 * step
-        longest = start + self._interval_ms
-        while self._clock.now() < longest:
+        timing = BeatTiming(
+            interval_ms=self._interval_ms,
+            is_first=self._name < peer.entry.name,
+        )
+        while self._clock.now() < timing.due_at(
+            sent_at=start, asked_at=peer.asked_at
+        ):
             await curio.sleep(to_seconds(step))
             if self._clock.now() >= shortest and self._keeper.needs_evidence:
                 return
-            if self._keeper.snapshot.version != version:
+            if self._keeper.tracker.version != peer.told_version:
                 return
 
     async def _beat(self, peer: Peer) -> None:
         call = msg.Heartbeat(status=self._status())
+        peer.told_version = call.status.config_version
         asked_at = self._clock.now()
         try:
             reply = await peer.client.heartbeat(
@@ -337,14 +359,29 @@
         return msgspec.json.decode(reply.document, type=SloSnapshot)
 
     async def _announce_to(self, peer: Peer, call: msg.ConfigCommitted) -> None:
+        """Let a peer read a version, or send it if the peer cannot.
+
+        A peer reads the store in any case, to close its promise, and the whole
+        document may have a megabyte.
+        """
+        brief = msg.ConfigCommitted(version=call.version, document=b'')
+        limit_ms = min(self._timeout_ms, _OWN_READ_MS)
+        if await self._commit_at(peer, brief, limit_ms) < call.version:
+            await self._commit_at(peer, call, self._timeout_ms)
+
+    async def _commit_at(
+        self, peer: Peer, call: msg.ConfigCommitted, limit_ms: Millis
+    ) -> int:
         try:
-            await peer.client.config_committed(
-                call, timeout_ms=self._timeout_ms
+            reply = await peer.client.config_committed(
+                call, timeout_ms=limit_ms
             )
         except WireError as error:
             eliot.log_message(
                 'config:not_announced', peer=peer.entry.name, error=str(error)
             )
+            return 0
+        return reply.config_version
 
 
 def _epoch_of(peer: Peer) -> int:
