Give tasks the configured time to checkpoint before they are stopped

preemption.checkpoint_ms was checked and not read. A checkpoint had the general timeout of a call (2 s), and one without an answer kept the stop from being sent at all.

The session now waits for the answer to the checkpoint for at most checkpoint_ms, read from the newest configuration each time, and then stops the task with its present lease. A task that is started again meanwhile is not stopped, since stops name a task and not an attempt. Checkpoints use connections of their own: ten of them at 10 s each would otherwise hold all eight connections to a worker and delay the renewal of its lease. They do not count as renewals, so that a dead worker's tasks do not wait for them. Stops with a checkpoint run beside each other, as one after the other a lowered limit of many tasks would take minutes.

Ruled out: a bound on concurrent checkpoints, behind which the later ones would lose part of their time.

The stand-in workers end a checkpoint at once, so no process test shows a slow one.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -294,6 +294,7 @@
             terms=SessionTerms(
                 epoch=epoch,
                 renew_wait_ms=Millis(timing.renew_wait_ms),
+                checkpoint_ms=context.checkpoint_ms,
                 connect=services.upstreams.worker,
                 source=services.source,
             ),
--- a/jayshore/daemon/upstreams.py
+++ b/jayshore/daemon/upstreams.py
@@ -10,6 +10,8 @@
 from jayshore.traffic import Traffic
 
 _WORKER_CONNECTIONS = 8
+_CHECKPOINT_CONNECTIONS = 32
+"""Checkpoints of one worker at a time; a small task takes one core."""
 _EXECUTOR_CONNECTIONS = 64
 
 
@@ -49,12 +51,8 @@
         """
         timing = self._timing
         return WorkerLink(
-            client=HttpClient(
-                address=Address.parse(instance.address),
-                max_connections=_WORKER_CONNECTIONS,
-                connect_timeout_ms=Millis(timing.call_timeout_ms),
-                traffic=self._workers,
-            ),
+            client=self._worker_client(instance, _WORKER_CONNECTIONS),
+            checkpoints=self._worker_client(instance, _CHECKPOINT_CONNECTIONS),
             holder=self._holder,
             clock=self._clock,
             call_timeout_ms=Millis(timing.call_timeout_ms),
@@ -84,6 +82,16 @@
             renew_wait_ms=Millis(timing.renew_wait_ms),
         )
 
+    def _worker_client(
+        self, instance: Instance, connections: int
+    ) -> HttpClient:
+        return HttpClient(
+            address=Address.parse(instance.address),
+            max_connections=connections,
+            connect_timeout_ms=Millis(self._timing.call_timeout_ms),
+            traffic=self._workers,
+        )
+
 
 def _answers_own_request(request: Request, response: Response) -> bool:
     """Keep a connection only while its answers are in step."""
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -97,6 +97,14 @@
     task_lease_ms: Millis
     job_retention_ms: Millis
 
+    def checkpoint_ms(self) -> Millis:
+        """Read how long a task may take to checkpoint before it is stopped.
+
+        Returns:
+            The limit of the newest configuration seen, in ms.
+        """
+        return self.snapshot().document.policies.preemption.checkpoint_ms
+
     @property
     def writer(self) -> Writer:
         """This leader as the writer of a change, with a new write id."""
--- a/jayshore/jobs/fleet.py
+++ b/jayshore/jobs/fleet.py
@@ -130,12 +130,15 @@
     Attributes:
         epoch: of the leader.
         renew_wait_ms: longest wait of a renewal, in ms.
+        checkpoint_ms: the present setting of how long a task may take to
+            checkpoint before it is stopped, in ms.
         connect: makes the link to a worker.
         source: random numbers for the backoff.
     """
 
     epoch: int
     renew_wait_ms: Millis
+    checkpoint_ms: Callable[[], Millis]
     connect: Callable[[Instance], WorkerLink]
     source: random.Random
 
@@ -193,6 +196,7 @@
             epoch=self._terms.epoch,
             observer=self._observer,
             renew_wait_ms=self._terms.renew_wait_ms,
+            checkpoint_ms=self._terms.checkpoint_ms,
             source=self._terms.source,
         )
         self._listed[instance.id] = instance
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -218,8 +218,14 @@
         if attempt.worker is None:
             return
         session = self._session(attempt.worker)
-        if session is not None and session.is_open:
-            await session.stop(attempt.name, checkpoint=checkpoint)
+        if session is None or not session.is_open:
+            return
+        stop = session.stop(attempt.name, checkpoint=checkpoint)
+        if checkpoint:
+            # A checkpoint may take long, and further stops must not wait.
+            await self._tasks.spawn(stop)
+        else:
+            await stop
 
     def note_running(self, record: JobRecord, attempt: Attempt) -> None:
         """Note that a starting attempt runs.
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -3,6 +3,7 @@
 import abc
 import contextlib
 import random
+from collections.abc import Callable
 
 import curio
 import eliot
@@ -71,6 +72,7 @@
         epoch: int,
         observer: WorkerObserver,
         renew_wait_ms: Millis,
+        checkpoint_ms: Callable[[], Millis],
         source: random.Random,
     ) -> None:
         """Prepare the session.
@@ -81,6 +83,8 @@
             epoch: of this leader.
             observer: gets the news.
             renew_wait_ms: longest wait of a renewal, in ms.
+            checkpoint_ms: the present setting of how long a task may take to
+                checkpoint before it is stopped, in ms.
             source: random numbers for the backoff.
         """
         self._worker_id = worker_id
@@ -88,6 +92,8 @@
         self._epoch = epoch
         self._observer = observer
         self._renew_wait_ms = renew_wait_ms
+        self._checkpoint_ms = checkpoint_ms
+        self._checkpointing: set[str] = set()
         self._source = source
         self._opening = curio.Lock()
         self._lease_id = 0
@@ -149,6 +155,7 @@
         """
         if not self._lease_id:
             return StartResult.CERTAINLY_NOT
+        self._checkpointing.discard(order.task_id)
         result = await self._link.start(self._lease_id, order)
         if result is StartResult.UNCERTAIN:
             self._lease_id = 0
@@ -159,14 +166,17 @@
     async def stop(self, task_id: str, *, checkpoint: bool) -> None:
         """Ask the worker to stop a task.
 
+        Stops name a task and not an attempt, so a task that is started again
+        while its former attempt makes a checkpoint is not stopped.
+
         Args:
             task_id: the task.
             checkpoint: whether to checkpoint it first.
         """
+        if checkpoint and not await self._checkpoint(task_id):
+            return
         try:
-            await self._link.stop(
-                self._lease_id, task_id, checkpoint=checkpoint
-            )
+            await self._link.stop(self._lease_id, task_id)
         except UpstreamUnreachable as error:
             eliot.log_message(
                 'worker:stop_failed',
@@ -197,6 +207,24 @@
             self._was_opened = True
             await self._observer.lease_opened(self._worker_id, opened)
 
+    async def _checkpoint(self, task_id: str) -> bool:
+        """Checkpoint a task; return whether it may be stopped then."""
+        if task_id in self._checkpointing:
+            return False
+        self._checkpointing.add(task_id)
+        try:
+            is_done = await self._link.checkpoint(
+                self._lease_id, task_id, limit_ms=self._checkpoint_ms()
+            )
+        finally:
+            is_same = task_id in self._checkpointing
+            self._checkpointing.discard(task_id)
+        if not is_done:
+            eliot.log_message(
+                'worker:no_checkpoint', worker=self._worker_id, task=task_id
+            )
+        return is_same
+
     async def _keep(self) -> None:
         if not self._lease_id:
             await self.reopen()
--- a/jayshore/leases/worker.py
+++ b/jayshore/leases/worker.py
@@ -145,6 +145,7 @@
         self,
         *,
         client: HttpClient,
+        checkpoints: HttpClient,
         holder: str,
         clock: Clock,
         call_timeout_ms: Millis,
@@ -154,12 +155,15 @@
 
         Args:
             client: the worker's address and connections.
+            checkpoints: further connections, as a checkpoint may take long and
+                must not delay a renewal.
             holder: name of this daemon.
             clock: time of the last renewal.
             call_timeout_ms: timeout of a call, in ms.
             task_lease_ms: how long tasks run without a renewal, in ms.
         """
         self._client = client
+        self._checkpoints = checkpoints
         self._holder = holder
         self._clock = clock
         self._call_timeout_ms = call_timeout_ms
@@ -259,30 +263,50 @@
             return StartResult.CERTAINLY_NOT
         return StartResult.UNCERTAIN
 
-    async def stop(
-        self, lease_id: int, task_id: str, *, checkpoint: bool
-    ) -> None:
+    async def checkpoint(
+        self, lease_id: int, task_id: str, *, limit_ms: Millis
+    ) -> bool:
+        """Ask a task to checkpoint and wait until it has.
+
+        The call does not renew the task lease.
+
+        Args:
+            lease_id: of the newest lease.
+            task_id: the task.
+            limit_ms: longest wait, in ms.
+
+        Returns:
+            Whether the worker answered that it is done.
+        """
+        request = _request(
+            f'/v1/tasks/{task_id}/checkpoint', {'lease_id': lease_id}
+        )
+        try:
+            answer = await self._checkpoints.call(request, timeout_ms=limit_ms)
+        except (ConnectFailed, ConnectionLost, CallTimedOut):
+            return False
+        return answer.status == _STATUS_OK
+
+    async def stop(self, lease_id: int, task_id: str) -> None:
         """Stop a task; a later renewal reports that it ended.
 
         Args:
             lease_id: of the newest lease.
             task_id: the task.
-            checkpoint: whether to checkpoint it first.
 
         Raises:
             UpstreamUnreachable: no answer; the call can be repeated.
         """  # noqa: DAR401 raised by _post
-        actions = ('checkpoint', 'stop') if checkpoint else ('stop',)
-        for action in actions:
-            await self._post(
-                f'/v1/tasks/{task_id}/{action}',
-                {'lease_id': lease_id},
-                self._call_timeout_ms,
-            )
+        await self._post(
+            f'/v1/tasks/{task_id}/stop',
+            {'lease_id': lease_id},
+            self._call_timeout_ms,
+        )
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
+        await self._checkpoints.close()
 
     async def _post(
         self, path: str, body: _Body, timeout_ms: Millis
