--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -12,6 +12,7 @@
     Scheduler,
     Wait,
 )
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
     PendingTask,
     RunningTask,
@@ -38,6 +39,9 @@
     def apply_shares(self, shares: Mapping[str, int]) -> None:
         """Ignore the shares."""
 
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Ignore the settings."""
+
     def add_worker(self, worker: WorkerView) -> None:
         """Add a worker."""
         view = dataclasses.replace(worker, free=worker.capacity)
@@ -58,6 +62,9 @@
         worker = self._workers[worker_id]
         self._workers[worker_id] = dataclasses.replace(worker, state=state)
 
+    def set_worker_failures(self, worker_id: str, failures: int) -> None:
+        """Ignore the failures."""
+
     def enqueue(self, task: PendingTask) -> None:
         """Append a task to the queue."""
         self._pending[task.task_id] = task
--- a/bench/differential.py
+++ b/bench/differential.py
@@ -14,12 +14,17 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import TypeAlias
 
+from bench.histories import (
+    TEAMS,
+    TeamLimits,
+    random_settings,
+    random_task,
+)
 from jayshore.clock import Millis
 from jayshore.outcomes import JayshoreError
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import (
     Decision,
-    Headroom,
     Place,
     Preempt,
     Scheduler,
@@ -38,45 +43,10 @@
 
 _WeightedChange: TypeAlias = tuple[Callable[[], None], int]
 ROUNDS_PER_HISTORY = 100
-_TEAMS = 5
 _MAX_PENDING = 40
-_RUNS_MS = (None, 300, 2_000, 9_000, 70_000, 1_500_000)
 _STEPS_MS = (0, 1, 20, 400, 3_000, 40_000)
 
 
-class TeamLimits(Headroom):
-    """Limits in processors, against what the history runs."""
-
-    def __init__(self) -> None:
-        """Start without limits."""
-        self.limits: dict[str, int] = {}
-        self.used: dict[str, int] = {}
-
-    def has_headroom(self, team: str, demand: Resources) -> bool:
-        """Compare with the limit.
-
-        Args:
-            team: the team.
-            demand: what it would take.
-
-        Returns:
-            True when there is no limit or it is not exceeded.
-        """
-        limit = self.limits.get(team)
-        wanted = self.used.get(team, 0) + demand.cpu_millis
-        return limit is None or wanted <= limit
-
-    def count(self, task: PendingTask, sign: int) -> None:
-        """Count a task that starts (1) or ends (-1).
-
-        Args:
-            task: the task.
-            sign: 1 or -1.
-        """
-        used = self.used.get(task.team, 0)
-        self.used[task.team] = used + sign * task.demand.cpu_millis
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Disagreement:
     """Two decisions that differ.
@@ -102,6 +72,7 @@
         rounds: rounds of decisions.
         places, preempts, waits: decisions of each kind.
         gangs: places of more than one task.
+        settings: changes of the settings.
     """
 
     rounds: int = 0
@@ -109,6 +80,7 @@
     gangs: int = 0
     preempts: int = 0
     waits: int = 0
+    settings: int = 0
 
 
 class BrokenRuleError(JayshoreError):
@@ -128,6 +100,8 @@
         self._seed = seed
         self._tally = tally
         self._random = random.Random(seed)
+        # Even seeds keep the default settings.
+        self._settings_weight = 4 if seed % 2 else 0
         self._limits = TeamLimits()
         self._cells: tuple[Scheduler, ...] = (
             Cell(headroom=self._limits),
@@ -212,6 +186,8 @@
             (self._add_worker, 2),
             (self._remove_worker, 1),
             (self._change_state, 4),
+            (self._change_settings, self._settings_weight),
+            (self._change_failures, self._settings_weight),
         )
         weights = [weight for _, weight in changes]
         self._random.choices(changes, weights)[0][0]()
@@ -253,11 +229,23 @@
         for cell in self._cells:
             cell.set_worker_state(worker_id, state)
 
+    def _change_settings(self) -> None:
+        self._tally.settings += 1
+        settings = random_settings(self._random)
+        for cell in self._cells:
+            cell.apply_settings(settings)
+
+    def _change_failures(self) -> None:
+        worker_id = self._random.choice(self._workers)
+        failures = self._random.choice((0, 1, 5, 32))
+        for cell in self._cells:
+            cell.set_worker_failures(worker_id, failures)
+
     def _submit(self) -> None:
         if len(self._pending) > _MAX_PENDING:
             return
         self._serial += 1
-        first = _random_task(self._random, self._now, self._workers)
+        first = random_task(self._random, self._now, self._workers)
         count = self._random.choice((1, 1, 2, 5))
         if first.kind is TaskKind.GANG:
             count = first.gang_size
@@ -299,7 +287,7 @@
             cell.update_usage(task_id, usage)
 
     def _change_limit(self) -> None:
-        team = f't{self._random.randrange(_TEAMS)}'
+        team = f't{self._random.randrange(TEAMS)}'
         self._limits.limits[team] = self._random.choice((4_000, 12_000, 90_000))
         for cell in self._cells:
             cell.headroom_changed(team)
@@ -307,7 +295,7 @@
     def _change_shares(self) -> None:
         shares = {
             f't{number}': self._random.choice((1, 2, 5))
-            for number in range(_TEAMS)
+            for number in range(TEAMS)
         }
         for cell in self._cells:
             cell.apply_shares(shares)
@@ -331,35 +319,6 @@
         raise BrokenRuleError(f'{running.task.task_id} must not be stopped')
 
 
-def _random_task(
-    pick: random.Random, now: int, workers: list[str]
-) -> PendingTask:
-    cores = pick.choice((1, 1, 2, 3, 8, 14))
-    kind = pick.choice((*TaskKind, TaskKind.BATCH, TaskKind.BATCH))
-    run_ms = pick.choice(_RUNS_MS)
-    deadline = now + pick.choice((500_000, 900_000, 3_000_000))
-    allowed = frozenset(pick.choices(workers, k=3))
-    return PendingTask(
-        task_id=TaskId(job_id='', index=0),
-        team=f't{pick.randrange(_TEAMS)}',
-        kind=kind,
-        demand=Resources(
-            cpu_millis=cores * 1000,
-            memory_mb=cores * pick.choice((256, 1024, 3000)),
-            accelerators=pick.choice((0, 0, 0, 1, 2)),
-        ),
-        enqueued_at=Millis(now),
-        urgent=pick.randrange(100) < 10,
-        estimated_run_ms=None if run_ms is None else Millis(run_ms),
-        deadline=Millis(deadline) if pick.randrange(100) < 30 else None,
-        idempotent=pick.randrange(100) < 70,
-        preemptible=pick.randrange(100) < 70,
-        gang_size=pick.choice((2, 3, 6)) if kind is TaskKind.GANG else 1,
-        allowed_workers=allowed if pick.randrange(100) < 15 else None,
-        avoided_workers=allowed if pick.randrange(100) < 10 else frozenset(),
-    )
-
-
 def compare(
     *, first_seed: int, rounds: int
 ) -> tuple[Tally, Disagreement | None]:
--- a/jayshore/config/model.py
+++ b/jayshore/config/model.py
@@ -139,9 +139,13 @@
 class Weights:
     """Weights of the terms of a placement score.
 
+    The 32 workers with the least room on which a task fits are compared, with
+    the formula of `jayshore.placement.scoring`.
+
     Attributes:
         packing: preference for workers that are already well filled.
-        spread: preference for racks and domains with fewer replicas.
+        spread: preference for racks, domains and workers with fewer replicas
+            of a service.
         health: preference for workers with fewer failures.
     """
 
@@ -154,13 +158,19 @@
 class Aging:
     """How waiting work rises, so that none starves.
 
+    Rising outweighs the share that a team uses: one whole share over the time
+    from `after_ms` to `full_ms`. Shares do not count among work that has waited
+    for `full_ms`, so the default exceeds the waits of an ordinary full cell.
+
     Attributes:
         after_ms: waiting time from which work rises.
-        full_ms: waiting time at which work precedes all that is younger.
+        full_ms: waiting time at which work precedes all that is younger, but
+            for previews, urgent work and work whose deadline is close. These
+            age among themselves, the last by deadline.
     """
 
     after_ms: PositiveMillis = Millis(30_000)
-    full_ms: PositiveMillis = Millis(600_000)
+    full_ms: PositiveMillis = Millis(14_400_000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -168,13 +178,15 @@
     """When running work gives way.
 
     Attributes:
-        enabled: whether work is preempted for fair share at all.
+        enabled: whether work is preempted for fair share at all; a lowered
+            limit stops work in any case.
         above_share: ratio of use to share from which a team is preempted.
-        checkpoint_ms: time a task has to checkpoint before it is stopped.
+        checkpoint_ms: time a task has to checkpoint before it is stopped, for
+            fair share or for a lowered limit.
     """
 
     enabled: bool = True
-    above_share: Annotated[float, msgspec.Meta(ge=1)] = 1.1
+    above_share: Annotated[float, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 1.1
     checkpoint_ms: PositiveMillis = Millis(10_000)
 
 
--- a/jayshore/jobs/health.py
+++ b/jayshore/jobs/health.py
@@ -38,6 +38,7 @@
         """
         if is_new_boot:
             self._health.forget(worker_id)
+        self._rate(worker_id)
         if is_leaving:
             self._set(worker_id, WorkerState.LEAVING)
         elif self._health.is_quarantined(worker_id):
@@ -72,6 +73,7 @@
             self._set(worker_id, WorkerState.USABLE)
         elif not was_quarantined:
             self._health.succeeded(worker_id)
+        self._rate(worker_id)
 
     def failed(self, worker_id: str, job_id: str) -> bool:
         """Take in a task that failed.
@@ -86,6 +88,7 @@
         quarantined = self._health.failed(worker_id, job_id, self._clock.now())
         if quarantined and worker_id in self._usable:
             self._set(worker_id, WorkerState.QUARANTINED)
+        self._rate(worker_id)
         return self._health.counts_against_job(worker_id)
 
     def choose_probe(
@@ -120,6 +123,10 @@
         """
         return self._health.is_quarantined(worker_id)
 
+    def _rate(self, worker_id: str) -> None:
+        failed = self._health.failed_part(worker_id)
+        self._cell.set_worker_failures(worker_id, failed)
+
     def _set(self, worker_id: str, state: WorkerState) -> None:
         if state is WorkerState.USABLE:
             self._usable.add(worker_id)
--- a/jayshore/jobs/placing.py
+++ b/jayshore/jobs/placing.py
@@ -16,6 +16,7 @@
 from jayshore.jobs.fleet import WorkerFleet
 from jayshore.jobs.launch import Launch
 from jayshore.jobs.pending import id_of, pending_task
+from jayshore.jobs.policies import placement_settings, shares_of
 from jayshore.jobs.record import JobKind, JobRecord, WorkerBoot
 from jayshore.leases.session import WorkerSession
 from jayshore.leases.worker import StartResult
@@ -31,9 +32,6 @@
 )
 from jayshore.resources import Resources
 
-# The cell counts shares in whole numbers.
-_SHARE_UNITS = 100
-
 
 class Placer:
     """Runs placement rounds and carries their decisions out."""
@@ -66,7 +64,7 @@
         self._views: dict[str, WorkerView] = {}
         self._wake = curio.Event()
         self._is_confined = False
-        self._shares_version = 0
+        self._applied_version = 0
 
     @property
     def boots(self) -> dict[str, WorkerBoot]:
@@ -120,7 +118,7 @@
                 await self._wake.wait()
             self._wake.clear()
             self._confine()
-            self._apply_shares()
+            self._apply_configuration()
             await self._round()
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -361,18 +359,15 @@
         sessions = self._fleet.sessions if self._fleet else {}
         return sessions.get(worker.worker_id)
 
-    def _apply_shares(self) -> None:
-        """Hand the shares of a new configuration to the cell."""
+    def _apply_configuration(self) -> None:
+        """Hand the shares and policies of a new configuration to the cell."""
         snapshot = self._context.snapshot()
-        if snapshot.version == self._shares_version:
+        if snapshot.version == self._applied_version:
             return
-        self._shares_version = snapshot.version
-        self._cell.apply_shares(
-            {
-                team.name: max(1, round(team.share * _SHARE_UNITS))
-                for team in snapshot.document.teams
-            }
-        )
+        self._applied_version = snapshot.version
+        document = snapshot.document
+        self._cell.apply_shares(shares_of(document))
+        self._cell.apply_settings(placement_settings(document.policies))
 
     def _confine(self) -> None:
         """Confine waiting tasks to their recorded intents in an outage."""
--- /dev/null
+++ b/jayshore/jobs/policies_test.py
@@ -0,0 +1,233 @@
+"""Tests that each setting of the placement policies changes a decision."""
+
+import pytest
+
+from jayshore.config.model import Policies
+from jayshore.decoding import convert_strictly
+from jayshore.jobs.policies import placement_settings
+from jayshore.placement.cell import Cell
+from jayshore.placement.decisions import Place, Preempt, UnlimitedHeadroom, Wait
+from jayshore.placement.naive import NaiveCell
+from jayshore.placement.settings import PlacementSettings
+from jayshore.placement.tasks import (
+    PendingTask,
+    TaskId,
+    TaskKind,
+    WorkerView,
+)
+from jayshore.resources import Resources
+
+CORE = Resources(cpu_millis=1000, memory_mb=1024)
+NOW = 100_000
+
+
+def read(policies):
+    """Read settings as they are read from `policies.json`."""
+    decoded = convert_strictly(policies, Policies, file='policies.json')
+    assert isinstance(decoded, Policies), decoded
+    return placement_settings(decoded)
+
+
+def task(job_id, *, index=0, cores=1, **fields):
+    defaults = {
+        'team': 'a',
+        'kind': TaskKind.BATCH,
+        'enqueued_at': 0,
+        'idempotent': True,
+        'preemptible': True,
+    }
+    return PendingTask(
+        task_id=TaskId(job_id=job_id, index=index),
+        demand=CORE.scaled(cores),
+        **(defaults | fields),
+    )
+
+
+@pytest.fixture(params=[Cell, NaiveCell], name='cell')
+def make_cell(request):
+    """Build a cell of two workers of each implementation.
+
+    By checksum `x0` comes first.
+    """
+    cell = request.param(headroom=UnlimitedHeadroom())
+    cell.apply_shares({'a': 1, 'b': 1})
+    for number in range(2):
+        cell.add_worker(
+            WorkerView(
+                worker_id=f'x{number}',
+                rack=f'r{number}',
+                failure_domain='d',
+                capacity=CORE.scaled(16),
+            )
+        )
+    return cell
+
+
+def decide(cell, now=NOW):
+    """Make one decision and name what it is about."""
+    decision = cell.decide(now)
+    if isinstance(decision, Place):
+        one = decision.assignments[0]
+        return (one.task_id.job_id, one.worker_id)
+    if isinstance(decision, Preempt):
+        return ('preempt', decision.beneficiary.job_id)
+    assert isinstance(decision, Wait)
+    return None
+
+
+def run(cell, worker_id, one):
+    cell.enqueue(one)
+    cell.start(one.task_id, worker_id, 0)
+
+
+def half_filled(cell):
+    """Fill a worker partly; the other comes first by checksum."""
+    run(cell, 'x1', task('filler', cores=4))
+    cell.enqueue(task('new'))
+
+
+def second_replica(cell):
+    """Let a second replica wait while the first fills its worker partly."""
+    replica = {'kind': TaskKind.SERVICE, 'preemptible': False}
+    run(cell, 'x1', task('service', cores=4, **replica))
+    cell.enqueue(task('service', index=1, **replica))
+
+
+def failing(cell):
+    """Let a quarter of the last tasks fail on the better filled worker."""
+    half_filled(cell)
+    cell.set_worker_failures('x1', 8)
+
+
+def old_work(cell):
+    """Let older work of a team with more use wait with that of another."""
+    run(cell, 'x1', task('running', cores=2))
+    cell.enqueue(task('old'))
+    cell.enqueue(task('young', team='b', enqueued_at=NOW - 10_000))
+
+
+def full(cell):
+    """Fill the cell with work of one team while another waits."""
+    for number in range(2):
+        run(cell, f'x{number}', task(f'full{number}', cores=15))
+    cell.enqueue(task('blocked', team='b'))
+
+
+@pytest.mark.parametrize(
+    ('scene', 'policies', 'by_default', 'then'),
+    [
+        (half_filled, {'weights': {'packing': 0}}, 'x1', 'x0'),
+        (second_replica, {'weights': {'spread': 0}}, 'x0', 'x1'),
+        (failing, {'weights': {'health': 0}}, 'x0', 'x1'),
+        (failing, {'weights': {'packing': 9}}, 'x0', 'x1'),
+        (
+            old_work,
+            {'aging': {'after_ms': 1000, 'full_ms': 610_000}},
+            'young',
+            'old',
+        ),
+        (old_work, {'aging': {'full_ms': NOW}}, 'young', 'old'),
+        (full, {'preemption': {'enabled': False}}, 'blocked', None),
+        (full, {'preemption': {'above_share': 1.9}}, 'blocked', None),
+        (full, {'preemption': {'above_share': 1.8}}, 'blocked', 'blocked'),
+    ],
+)
+def test_settings_change_decisions(cell, scene, policies, by_default, then):
+    """Guards against a setting that is accepted and has no effect.
+
+    The settings change while work waits, which must be kept.
+    """
+    scene(cell)
+    cell.apply_settings(read({}))
+    first = decide(cell, NOW)
+    assert by_default in first
+    cell.apply_settings(read(policies))
+    changed = decide(cell, NOW + 500)
+    assert changed is None if then is None else then in changed
+    cell.apply_settings(read({}))
+    assert decide(cell, NOW + 1000) == first
+
+
+def test_after_ms_alone_changes_the_order(cell):
+    """Guards against work that rises from the start of its wait."""
+    old_work(cell)
+    for after_ms, first in ((30_000, 'young'), (1000, 'old')):
+        aging = {'after_ms': after_ms, 'full_ms': 610_000}
+        cell.apply_settings(read({'aging': aging}))
+        assert decide(cell)[0] == first
+
+
+def test_aged_work_goes_by_arrival(cell):
+    """Guards against older work that waits behind that of a light team."""
+    cell.apply_settings(read({'aging': {'full_ms': 60_000}}))
+    run(cell, 'x0', task('running', cores=8))
+    waits = {'a1': ('a', 10), 'b2': ('b', 20), 'a3': ('a', 30), 'b4': ('b', 40)}
+    for job_id, (team, at) in reversed(waits.items()):
+        cell.enqueue(task(job_id, team=team, enqueued_at=at))
+    cell.enqueue(task('young', team='b', enqueued_at=NOW - 1, cores=2))
+    order = []
+    while (decision := decide(cell)) is not None:
+        order.append(decision[0])
+        cell.start(TaskId(job_id=decision[0], index=0), decision[1], NOW)
+    assert order == ['a1', 'b2', 'a3', 'b4', 'young']
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [{'kind': TaskKind.PREVIEW}, {'urgent': True}, {'deadline': NOW + 1000}],
+)
+def test_urgent_work_precedes_aged_work(cell, fields):
+    """Guards against a preview or a deadline missed behind a backlog."""
+    cell.apply_settings(read({'aging': {'full_ms': 60_000}}))
+    cell.enqueue(task('aged'))
+    cell.enqueue(task('urgent', enqueued_at=NOW - 1, **fields))
+    assert decide(cell)[0] == 'urgent'
+
+
+def test_gangs_avoid_failing_workers(cell):
+    """Guards against weights that hold for single tasks only."""
+    failing(cell)
+    cell.withdraw(TaskId(job_id='new', index=0))
+    for index in range(2):
+        cell.enqueue(task('g', index=index, kind=TaskKind.GANG, gang_size=2))
+    assert decide(cell) == ('g', 'x0')
+
+
+def test_defaults_are_those_of_the_configuration():
+    """Guards against an embedded cell that decides differently."""
+    assert placement_settings(Policies()) == PlacementSettings()
+
+
+def forty_workers(implementation, cores):
+    """Build a cell of workers, the later the fewer tasks failed there."""
+    cell = implementation(headroom=UnlimitedHeadroom())
+    for number in range(40):
+        cell.add_worker(
+            WorkerView(
+                worker_id=f'w{number}',
+                rack='r',
+                failure_domain='d',
+                capacity=CORE.scaled(cores(number)),
+            )
+        )
+        cell.set_worker_failures(f'w{number}', 40 - number)
+    return cell
+
+
+@pytest.mark.parametrize('implementation', [Cell, NaiveCell])
+def test_weights_compare_the_best_fitting_workers(implementation):
+    """Guards against a scan of all workers, or of too few."""
+    cell = forty_workers(implementation, lambda number: number + 2)
+    cell.apply_settings(read({'weights': {'packing': 0}}))
+    cell.enqueue(task('new'))
+    assert decide(cell) == ('new', 'w31')
+
+
+@pytest.mark.parametrize('implementation', [Cell, NaiveCell])
+def test_a_gang_may_need_more_workers_than_are_compared(implementation):
+    """Guards against a gang that never starts once a task has failed."""
+    cell = forty_workers(implementation, lambda number: 2)
+    for index in range(36):
+        cell.enqueue(task('g', index=index, kind=TaskKind.GANG, gang_size=36))
+    decision = cell.decide(NOW)
+    assert len({one.worker_id for one in decision.assignments}) == 36
--- a/jayshore/placement/aging.py
+++ b/jayshore/placement/aging.py
@@ -8,12 +8,13 @@
 
 from jayshore.clock import Millis
 from jayshore.placement.policy import Policy
+from jayshore.placement.settings import AgingSettings
 
-AGING_MS_PER_SHARE = 4 * 60 * 60 * 1000
-"""The wait that outweighs one whole share of the cell.
+_UNITS = 1 << 40
+"""Parts of a share that are told apart.
 
-Starvation is bounded by it, and a backlog of a minute shifts the shares by
-less than half a percent.
+Ranks are whole numbers, so that a rank that leaves out the time and one that
+includes it compare alike.
 """
 
 
@@ -24,27 +25,63 @@
     Attributes:
         share: the weighted dominant share of the team.
         enqueued_at: when that task began to wait.
+        now: the time.
     """
 
     share: float
     enqueued_at: Millis
+    now: Millis
 
 
-class LinearAging(Policy[AgingCase, float]):
-    """`share - (now - enqueued_at) / AGING_MS_PER_SHARE`, without `now`.
+class LinearAging(Policy[AgingCase, int]):
+    """`share - max(0, now - enqueued_at - after_ms) / (full_ms - after_ms)`.
 
-    The term in `now` is the same for every task, so leaving it out keeps the
-    order and makes a rank independent of time; an index need not be rebuilt as
-    time passes.
+    The rank is a multiple of this plus a term in `now` that all cases have in
+    common: `share * (full_ms - after_ms) + min(now, enqueued_at + after_ms)`.
+    Beyond `after_ms` it does not depend on time. Before that all ranks rise by
+    `elapsed`, so an index need not be rebuilt as time passes.
     """
 
-    def evaluate(self, case: AgingCase) -> float:
+    def __init__(self, *, settings: AgingSettings) -> None:
+        """Use the settings.
+
+        Args:
+            settings: from when on and how fast work rises.
+        """
+        self._after_ms = settings.after_ms
+        self._span_ms = max(1, settings.full_ms - settings.after_ms)
+
+    def evaluate(self, case: AgingCase) -> int:
         """Rank a team.
 
         Args:
-            case: its wait and its team's usage.
+            case: its wait and its usage.
 
         Returns:
             The rank; the lowest is served first.
         """
-        return case.share + case.enqueued_at / AGING_MS_PER_SHARE
+        share = round(case.share * _UNITS)
+        since = min(case.now, self.rises_at(case.enqueued_at))
+        return share * self._span_ms + since * _UNITS
+
+    def rises_at(self, enqueued_at: Millis) -> Millis:
+        """Tell when work begins to rise.
+
+        Args:
+            enqueued_at: when it began to wait.
+
+        Returns:
+            The instant.
+        """
+        return Millis(enqueued_at + self._after_ms)
+
+    def elapsed(self, now: Millis) -> int:
+        """Give the part of a rank that grows until the work rises.
+
+        Args:
+            now: the time.
+
+        Returns:
+            The same for all work that has not waited for `after_ms`.
+        """
+        return now * _UNITS
--- a/jayshore/placement/backlog.py
+++ b/jayshore/placement/backlog.py
@@ -15,11 +15,13 @@
     Tier,
     order_of,
     shape_of,
+    tier_ends_at,
     tier_of,
 )
 from jayshore.placement.prospects import Prospects
 from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import Member
+from jayshore.placement.settings import AgingSettings
 from jayshore.placement.shape_table import ShapeTable
 from jayshore.placement.tasks import TaskId
 from jayshore.placement.tier_queue import TierQueue
@@ -34,12 +36,14 @@
         order: its place within its team.
         bit: the number of its shape.
         shape: its shape, which includes its tier.
+        tier_ends_at: when it gets another tier, None when it keeps it.
     """
 
     entry: Entry
     order: Order
     bit: int
     shape: Shape
+    tier_ends_at: Millis | None
 
 
 class Backlog:
@@ -65,7 +69,8 @@
             table=self._table, members=members, reserved=reserved
         )
         self._tiers = {tier: TierQueue(tier=tier, share=share) for tier in Tier}
-        self._to_raise: SortedList = SortedList()
+        self._tier_ends: SortedList = SortedList()
+        self._full_ms = AgingSettings().full_ms
 
     def add(self, entry: Entry, now: Millis) -> None:
         """Insert an entry.
@@ -80,14 +85,19 @@
         if entry.entry_id in self.waiting:
             raise DuplicateError(f'task {entry.entry_id} waits already')
         urgency = ShortSlack().evaluate(entry.first)
-        tier = tier_of(entry.first, urgency, now)
-        if tier is Tier.ORDINARY and urgency is not None:
-            self._to_raise.add((urgency.raise_at, entry.entry_id))
+        tier = tier_of(entry.first, urgency, now, self._full_ms)
+        ends_at = tier_ends_at(entry.first, urgency, now, self._full_ms)
+        if ends_at is not None:
+            self._tier_ends.add(_end_key(ends_at, entry.entry_id))
         shape = shape_of(entry, tier)
         bit = self._table.acquire(shape)
         order = order_of(entry, urgency, tier)
         self.waiting[entry.entry_id] = Waiting(
-            entry=entry, order=order, bit=bit, shape=shape
+            entry=entry,
+            order=order,
+            bit=bit,
+            shape=shape,
+            tier_ends_at=ends_at,
         )
         self._tiers[tier].add(bit, order, entry)
 
@@ -103,6 +113,8 @@
         waiting = self.waiting.pop(entry_id, None)
         if waiting is None:
             return None
+        if waiting.tier_ends_at is not None:
+            self._tier_ends.remove(_end_key(waiting.tier_ends_at, entry_id))
         entry, tier = waiting.entry, waiting.shape.tier
         self._tiers[tier].remove(waiting.bit, waiting.order, entry.first.team)
         if self._table.release(waiting.bit):
@@ -110,16 +122,29 @@
         return entry
 
     def raise_due(self, now: Millis) -> None:
-        """Move the entries whose slack has got short to their new tier.
+        """Move the entries whose slack got short or that have aged.
 
         Args:
             now: the time.
         """
-        while self._to_raise and self._to_raise[0][0] <= now:
-            entry_id = self._to_raise.pop(0)[1]
-            entry = self.remove(entry_id)
-            if entry is not None:
-                self.add(entry, now)
+        while self._tier_ends and self._tier_ends[0][0] <= now:
+            _, job_id, index = self._tier_ends[0]
+            self._file_again(TaskId(job_id=job_id, index=index), now)
+        for queue in self._tiers.values():
+            queue.advance(now)
+
+    def replace_aging(self, settings: AgingSettings, now: Millis) -> None:
+        """Change how waiting work rises.
+
+        Args:
+            settings: the new settings.
+            now: the time of the last decision.
+        """
+        self._full_ms = settings.full_ms
+        for queue in self._tiers.values():
+            queue.replace_aging(settings)
+        for entry_id in tuple(self.waiting):
+            self._file_again(entry_id, now)
 
     def first(self, skipping: int | None) -> Waiting | None:
         """Find the first entry to try.
@@ -140,7 +165,7 @@
         for queue in self._tiers.values():
             found = queue.first(mask)
             if found is not None:
-                return self.waiting[found[1].entry_id]
+                return self.waiting[found.entry_id]
         return None
 
     def block(self, waiting: Waiting) -> None:
@@ -174,3 +199,13 @@
         """
         for queue in self._tiers.values():
             queue.unblock(team)
+
+    def _file_again(self, entry_id: TaskId, now: Millis) -> None:
+        entry = self.remove(entry_id)
+        if entry is not None:
+            self.add(entry, now)
+
+
+def _end_key(ends_at: Millis, entry_id: TaskId) -> tuple[int, str, int]:
+    # Plain tuples compare faster than task ids.
+    return (ends_at, entry_id.job_id, entry_id.index)
--- a/jayshore/placement/cell.py
+++ b/jayshore/placement/cell.py
@@ -21,6 +21,7 @@
 from jayshore.placement.reserved_rooms import ReservedRooms
 from jayshore.placement.roster import Roster
 from jayshore.placement.rounds import preemption_reservation
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
     PendingTask,
     RunningTask,
@@ -69,6 +70,17 @@
         self._usage.replace_weights(shares)
         self._backlog.all_shares_changed()
 
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Replace the settings of the policies; waiting tasks stay.
+
+        Args:
+            settings: the new settings.
+        """
+        former = self._walk.settings
+        self._walk.settings = settings
+        if settings.aging != former.aging:
+            self._backlog.replace_aging(settings.aging, self._walk.now)
+
     def add_worker(self, worker: WorkerView) -> None:
         """Add a worker.
 
@@ -104,6 +116,15 @@
         """
         self._roster.set_state(worker_id, state)
 
+    def set_worker_failures(self, worker_id: str, failures: int) -> None:
+        """Replace the evidence of failures on a worker.
+
+        Args:
+            worker_id: the worker; one that is not in the cell is passed over.
+            failures: failed part of its last tasks, in 32nds.
+        """
+        self._roster.note_failures(worker_id, failures)
+
     def enqueue(self, task: PendingTask) -> None:
         """Add a waiting task.
 
@@ -193,7 +214,10 @@
             self.adopt(dataclasses.replace(running, stopping=True))
         self._walk.reserve(
             preemption_reservation(
-                decision, waiting.entry.first, self._walk.now
+                decision,
+                waiting.entry.first,
+                waiting.shape.tier,
+                self._walk.now,
             )
         )
 
--- a/jayshore/placement/decisions.py
+++ b/jayshore/placement/decisions.py
@@ -11,6 +11,7 @@
 
 from jayshore.clock import Millis
 from jayshore.outcomes import JayshoreError
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
     PendingTask,
     RunningTask,
@@ -113,6 +114,10 @@
     def apply_shares(self, shares: Mapping[str, int]) -> None:
         """Replace the share of every team; teams not named have share 1."""
 
+    @abc.abstractmethod
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Replace the settings of the policies; waiting tasks stay."""
+
     @abc.abstractmethod
     def add_worker(self, worker: WorkerView) -> None:
         """Add a worker, or raise `DuplicateError`."""
@@ -125,6 +130,10 @@
     def set_worker_state(self, worker_id: str, state: WorkerState) -> None:
         """Allow or forbid new tasks on a worker; running tasks stay."""
 
+    @abc.abstractmethod
+    def set_worker_failures(self, worker_id: str, failures: int) -> None:
+        """Replace the failed part of a worker's last tasks, in 32nds."""
+
     @abc.abstractmethod
     def enqueue(self, task: PendingTask) -> None:
         """Add a waiting task; a gang waits until all its tasks are there."""
--- a/jayshore/placement/entries.py
+++ b/jayshore/placement/entries.py
@@ -17,11 +17,16 @@
 
 
 class Tier(enum.IntEnum):
-    """Classes of waiting work; a lower one always goes first."""
+    """Classes of waiting work; a lower one always goes first.
 
-    LANE = 0
-    RAISED = 1
-    ORDINARY = 2
+    In the aged tiers shares do not count, the longest waiting goes first.
+    """
+
+    AGED_LANE = 0
+    LANE = 1
+    RAISED = 2
+    AGED = 3
+    ORDINARY = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,22 +70,48 @@
     return task.kind is TaskKind.GANG and task.gang_size > 1
 
 
-def tier_of(task: PendingTask, urgency: Urgency | None, now: Millis) -> Tier:
+def tier_of(
+    task: PendingTask, urgency: Urgency | None, now: Millis, full_ms: Millis
+) -> Tier:
     """Classify a waiting task.
 
     Args:
         task: the task.
         urgency: when its deadline begins to matter.
         now: the time.
+        full_ms: waiting time from which a task is aged.
 
     Returns:
         Its tier at this time.
     """
+    is_aged = now >= task.enqueued_at + full_ms
     if uses_lane(task):
-        return Tier.LANE
+        return Tier.AGED_LANE if is_aged else Tier.LANE
     if urgency is not None and urgency.raise_at <= now:
         return Tier.RAISED
-    return Tier.ORDINARY
+    return Tier.AGED if is_aged else Tier.ORDINARY
+
+
+def tier_ends_at(
+    task: PendingTask, urgency: Urgency | None, now: Millis, full_ms: Millis
+) -> Millis | None:
+    """Tell when a waiting task gets another tier.
+
+    Args:
+        task: the task.
+        urgency: when its deadline begins to matter.
+        now: the time.
+        full_ms: waiting time from which a task is aged.
+
+    Returns:
+        The instant, which is later than `now`; None when there is none.
+    """
+    instants = [Millis(task.enqueued_at + full_ms)]
+    if urgency is not None and not uses_lane(task):
+        if urgency.raise_at <= now:
+            return None
+        instants.append(urgency.raise_at)
+    return min((at for at in instants if at > now), default=None)
 
 
 Order: TypeAlias = tuple[int, int, str, int]
@@ -93,7 +124,8 @@
     Ordinary entries of one minute go by run time times processors, the largest
     first, which keeps the last of many runs from ending late (after Graham,
     "Bounds on Multiprocessing Timing Anomalies", SIAM J. Appl. Math. 17(2),
-    1969). Raised entries go by least slack, those of the lane by arrival.
+    1969). Raised entries go by least slack, those of the lane and aged ones by
+    arrival.
 
     Args:
         entry: the entry.
--- a/jayshore/placement/health.py
+++ b/jayshore/placement/health.py
@@ -13,6 +13,8 @@
 from jayshore.placement.entries import is_gang
 from jayshore.placement.tasks import PendingTask
 
+FAILURE_PARTS = 32
+"""The scale of `failed_part`, as fine as the other terms of the score."""
 QUARANTINE_ABOVE = 0.6
 RELEASE_BELOW = 0.35
 MIN_JOBS = 2
@@ -119,6 +121,21 @@
         evidence = self._evidence.get(worker_id)
         return evidence is not None and evidence.quarantined
 
+    def failed_part(self, worker_id: str) -> int:
+        """Rate how much of the last tasks failed.
+
+        Args:
+            worker_id: the worker.
+
+        Returns:
+            From 0, none, to 32, all.
+        """
+        evidence = self._evidence.get(worker_id)
+        if evidence is None or not evidence.failures:
+            return 0
+        results = evidence.failures + evidence.successes
+        return round(FAILURE_PARTS * evidence.failures / results)
+
     def counts_against_job(self, worker_id: str) -> bool:
         """Tell whether a failed start uses up a retry of its job.
 
--- a/jayshore/placement/naive.py
+++ b/jayshore/placement/naive.py
@@ -18,15 +18,18 @@
     Wait,
 )
 from jayshore.placement.entries import (
+    Entry,
     Shape,
     shape_of,
 )
+from jayshore.placement.naive_choice import choose
 from jayshore.placement.rounds import (
     ATTEMPT_INTERVAL_MS,
     ATTEMPTS,
     place,
     preemption_reservation,
 )
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
     PendingTask,
     RunningTask,
@@ -52,6 +55,10 @@
         """Replace the shares."""
         self._state.shares = dict(shares)
 
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Replace the settings."""
+        self._state.settings = settings
+
     def add_worker(self, worker: WorkerView) -> None:
         """Add a worker."""
         self._state.workers[worker.worker_id] = worker
@@ -59,6 +66,7 @@
     def remove_worker(self, worker_id: str) -> tuple[RunningTask, ...]:
         """Remove a worker and its tasks."""
         self._state.workers.pop(worker_id)
+        self._state.failures.pop(worker_id, None)
         lost = tuple(
             one
             for one in self._state.running.values()
@@ -75,6 +83,11 @@
             worker, state=state
         )
 
+    def set_worker_failures(self, worker_id: str, failures: int) -> None:
+        """Replace the evidence of failures on a worker."""
+        if worker_id in self._state.workers:
+            self._state.failures[worker_id] = failures
+
     def enqueue(self, task: PendingTask) -> None:
         """Add a waiting task."""
         self._state.pending[task.task_id] = task
@@ -104,8 +117,9 @@
                 running, stopping=True
             )
         wanted = self._state.pending[decision.beneficiary]
+        tier = scan.current_tier(self._state, Entry(tasks=(wanted,)))
         self._state.reservation = preemption_reservation(
-            decision, wanted, self._state.now
+            decision, wanted, tier, self._state.now
         )
 
     def update_usage(self, task_id: TaskId, usage: Resources) -> None:
@@ -125,7 +139,7 @@
         for entry in scan.in_order(self._state):
             if not scan.allows(self._state, entry):
                 continue
-            workers = scan.choose(self._state, entry, now)
+            workers = choose(self._state, entry, now)
             if workers:
                 return place(entry, workers)
             shape = shape_of(entry, scan.current_tier(self._state, entry))
--- /dev/null
+++ b/jayshore/placement/naive_choice.py
@@ -0,0 +1,93 @@
+"""The choice of workers by full scan, part of `jayshore.placement.naive`."""
+
+import collections
+
+from jayshore.clock import Millis
+from jayshore.placement import naive_scan as scan
+from jayshore.placement.entries import Entry, fit_key
+from jayshore.placement.feasible import slots
+from jayshore.placement.scoring import (
+    SCORED_WORKERS,
+    PlacementScore,
+    ScoreCase,
+)
+from jayshore.placement.spreading import places_of
+from jayshore.placement.tasks import TaskKind, WorkerView
+from jayshore.resources import Resources
+
+
+def choose(
+    state: scan.NaiveState, entry: Entry, now: Millis
+) -> tuple[str, ...]:
+    """Choose the workers of an entry.
+
+    Args:
+        state: the cell.
+        entry: a waiting entry.
+        now: the time.
+
+    Returns:
+        One worker id per task, or none.
+    """
+    demand, size = entry.first.demand, len(entry.tasks)
+    workers = [
+        worker
+        for worker in scan.open_to(state, entry.first)
+        if slots(demand, scan.available(state, entry, worker, now), 1)
+    ]
+    workers.sort(
+        key=lambda one: fit_key(_room(state, entry, one), one.worker_id)
+    )
+    compared = workers[:SCORED_WORKERS]
+    scores = _scores(state, entry, compared)
+    compared.sort(
+        key=lambda one: (
+            scores[one.worker_id],
+            fit_key(Resources(), one.worker_id),
+        )
+    )
+    chosen: list[str] = []
+    for worker in compared + workers[SCORED_WORKERS:]:
+        room = scan.available(state, entry, worker, now)
+        count = slots(demand, room, size - len(chosen))
+        chosen.extend([worker.worker_id] * count)
+    return tuple(chosen) if len(chosen) == size else ()
+
+
+def _room(
+    state: scan.NaiveState, entry: Entry, worker: WorkerView
+) -> Resources:
+    return scan.load_of(state, worker).room_for(entry.first)
+
+
+def _scores(
+    state: scan.NaiveState, entry: Entry, workers: list[WorkerView]
+) -> dict[str, float]:
+    counts = _crowding(state, entry.entry_id.job_id)
+    is_service = entry.first.kind is TaskKind.SERVICE
+    scores = PlacementScore().evaluate(
+        ScoreCase(
+            weights=state.settings.weights,
+            rooms=[
+                fit_key(_room(state, entry, one), '')[:3] for one in workers
+            ],
+            crowding=[
+                tuple(counts[place] for place in places_of(one))
+                if is_service
+                else ()
+                for one in workers
+            ],
+            failures=[state.failures.get(one.worker_id, 0) for one in workers],
+        )
+    )
+    names = [worker.worker_id for worker in workers]
+    return dict(zip(names, scores, strict=True))
+
+
+def _crowding(state: scan.NaiveState, job_id: str) -> collections.Counter[str]:
+    return collections.Counter(
+        place_key
+        for running in state.running.values()
+        if running.task.task_id.job_id == job_id
+        for place_key in places_of(state.workers[running.worker_id])
+    )
--- a/jayshore/placement/naive_scan.py
+++ b/jayshore/placement/naive_scan.py
@@ -25,14 +25,12 @@
     Entry,
     Order,
     Tier,
-    fit_key,
     is_gang,
     order_of,
     run_bound,
     tier_of,
 )
 from jayshore.placement.fairness import DominantShare, ShareCase
-from jayshore.placement.feasible import slots
 from jayshore.placement.lane import ReservedLane
 from jayshore.placement.loads import Load
 from jayshore.placement.preemption import (
@@ -46,12 +44,11 @@
     may_preempt,
     may_reserve,
 )
-from jayshore.placement.spreading import SPREAD_CANDIDATES, places_of
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
     PendingTask,
     RunningTask,
     TaskId,
-    TaskKind,
     WorkerState,
     WorkerView,
 )
@@ -68,6 +65,8 @@
         workers: by id.
         pending: waiting tasks by id.
         running: running tasks by id.
+        settings: of the policies.
+        failures: failed part of the last tasks in 32nds, by worker.
         reservation: the only reservation, if any.
         next_attempt: when blocked entries are looked at again.
         now: the time of the last decision.
@@ -78,6 +77,8 @@
     workers: dict[str, WorkerView] = dataclasses.field(default_factory=dict)
     pending: dict[TaskId, PendingTask] = dataclasses.field(default_factory=dict)
     running: dict[TaskId, RunningTask] = dataclasses.field(default_factory=dict)
+    settings: PlacementSettings = PlacementSettings()
+    failures: dict[str, int] = dataclasses.field(default_factory=dict)
     reservation: Reservation | None = None
     next_attempt: Millis = Millis(0)
     now: Millis = Millis(0)
@@ -106,37 +107,43 @@
         The entries, the first to be tried first.
     """
     entries = list(_entries(state))
-    teams: dict[tuple[Tier, str], int] = {}
+    teams: dict[tuple[Tier, str], list[Entry]] = {}
     for one in entries:
         place_key = (current_tier(state, one), one.first.team)
-        key = _order(state, one)[0]
-        teams[place_key] = min(key, teams.get(place_key, key))
+        teams.setdefault(place_key, []).append(one)
+    team_ranks = {
+        place_key: _team_rank(state, place_key[0], members)
+        for place_key, members in teams.items()
+    }
     reservation = state.reservation
 
     def rank(entry: Entry) -> tuple[object, ...]:  # noqa: WPS430
         tier, team = current_tier(state, entry), entry.first.team
-        first_key = teams[tier, team]
         held = reservation is not None and (
             reservation.entry_id == entry.entry_id
         )
-        return (
-            tier,
-            not held,
-            first_key
-            if tier is Tier.RAISED
-            else LinearAging().evaluate(
-                AgingCase(
-                    share=DominantShare().evaluate(_share_case(state, team)),
-                    enqueued_at=Millis(first_key),
-                )
-            ),
-            team,
-            _order(state, entry),
-        )
+        team_rank = (team_ranks[tier, team], team)
+        if tier in {Tier.AGED_LANE, Tier.AGED}:
+            team_rank = (0, '')
+        return (tier, not held, team_rank, _order(state, entry))
 
     return sorted(entries, key=rank)
 
 
+def _team_rank(state: NaiveState, tier: Tier, members: list[Entry]) -> int:
+    """Rank a team in a tier by its entries there."""
+    if tier is Tier.RAISED:
+        return min(_order(state, entry)[0] for entry in members)
+    first = min(members, key=lambda entry: entry.first.enqueued_at).first
+    return LinearAging(settings=state.settings.aging).evaluate(
+        AgingCase(
+            share=DominantShare().evaluate(_share_case(state, first.team)),
+            enqueued_at=first.enqueued_at,
+            now=state.now,
+        )
+    )
+
+
 def _order(state: NaiveState, entry: Entry) -> Order:
     urgency = ShortSlack().evaluate(entry.first)
     return order_of(entry, urgency, current_tier(state, entry))
@@ -168,10 +175,19 @@
     return state.headroom.has_headroom(entry.first.team, entry.demand)
 
 
-def _load_of(
+def load_of(
     state: NaiveState, worker: WorkerView, without: Millis | None = None
 ) -> Load:
-    """Sum up a worker, less what has ended by an instant if given."""
+    """Sum up a worker.
+
+    Args:
+        state: the cell.
+        worker: the worker.
+        without: leaves out what has ended by this instant.
+
+    Returns:
+        Its accounts.
+    """
     load = Load(
         capacity=worker.capacity,
         lane=ReservedLane().evaluate(worker.capacity),
@@ -187,7 +203,16 @@
     return load
 
 
-def _open_to(state: NaiveState, task: PendingTask) -> list[WorkerView]:
+def open_to(state: NaiveState, task: PendingTask) -> list[WorkerView]:
+    """List the workers on which a task may start if there is room.
+
+    Args:
+        state: the cell.
+        task: a waiting task.
+
+    Returns:
+        Usable workers that the task allows.
+    """
     return [
         worker
         for worker in state.workers.values()
@@ -200,18 +225,29 @@
     ]
 
 
-def _available(
+def available(
     state: NaiveState, entry: Entry, worker: WorkerView, now: Millis
 ) -> Resources:
+    """Compute what an entry may use of a worker.
+
+    Args:
+        state: the cell.
+        entry: a waiting entry.
+        worker: the worker.
+        now: the time.
+
+    Returns:
+        The room, less what is reserved for another entry.
+    """
     task = entry.first
-    room = _load_of(state, worker).room_for(task)
+    room = load_of(state, worker).room_for(task)
     reservation = state.reservation
     if reservation is None or reservation.entry_id == entry.entry_id:
         return room
     reserved = reservation.rooms.get(worker.worker_id)
     if current_tier(state, entry) < reservation.tier or reserved is None:
         return room
-    projected = _load_of(state, worker, reservation.start_at)
+    projected = load_of(state, worker, reservation.start_at)
     return EasyBackfill().evaluate(
         BackfillCase(
             room=room,
@@ -223,49 +259,6 @@
     )
 
 
-def choose(state: NaiveState, entry: Entry, now: Millis) -> tuple[str, ...]:
-    """Choose the workers of an entry.
-
-    Args:
-        state: the cell.
-        entry: a waiting entry.
-        now: the time.
-
-    Returns:
-        One worker id per task, or none.
-    """
-    demand, size = entry.first.demand, len(entry.tasks)
-    workers = [
-        worker
-        for worker in _open_to(state, entry.first)
-        if slots(demand, _available(state, entry, worker, now), 1)
-    ]
-    workers.sort(
-        key=lambda worker: fit_key(
-            _load_of(state, worker).room_for(entry.first), worker.worker_id
-        )
-    )
-    if entry.first.kind is TaskKind.SERVICE:
-        del workers[SPREAD_CANDIDATES:]
-        crowding = _crowding(state, entry.entry_id.job_id)
-        workers.sort(key=lambda one: [crowding[p] for p in places_of(one)])
-    chosen: list[str] = []
-    for worker in workers:
-        room = _available(state, entry, worker, now)
-        count = slots(demand, room, size - len(chosen))
-        chosen.extend([worker.worker_id] * count)
-    return tuple(chosen) if len(chosen) == size else ()
-
-
-def _crowding(state: NaiveState, job_id: str) -> collections.Counter[str]:
-    return collections.Counter(
-        place_key
-        for running in state.running.values()
-        if running.task.task_id.job_id == job_id
-        for place_key in places_of(state.workers[running.worker_id])
-    )
-
-
 def current_tier(state: NaiveState, entry: Entry) -> Tier:
     """Classify an entry at the time of the state.
 
@@ -277,7 +270,12 @@
         Its tier.
     """
     first = entry.first
-    return tier_of(first, ShortSlack().evaluate(first), state.now)
+    return tier_of(
+        first,
+        ShortSlack().evaluate(first),
+        state.now,
+        state.settings.aging.full_ms,
+    )
 
 
 def drop_reservation(state: NaiveState, now: Millis) -> None:
@@ -346,15 +344,18 @@
 
 def _open_loads(state: NaiveState, entry: Entry) -> dict[str, Load]:
     return {
-        worker.worker_id: _load_of(state, worker)
-        for worker in _open_to(state, entry.first)
+        worker.worker_id: load_of(state, worker)
+        for worker in open_to(state, entry.first)
     }
 
 
 def _find_victims(state: NaiveState, entry: Entry) -> tuple[RunningTask, ...]:
     first = entry.first
+    settings = state.settings.preemption
     stopping = any(one.stopping for one in state.running.values())
-    if stopping or state.now - first.enqueued_at < patience_ms(first):
+    if not settings.enabled or stopping:
+        return ()
+    if state.now - first.enqueued_at < patience_ms(first):
         return ()
     stoppable = [
         one
@@ -370,6 +371,8 @@
         cases,
         key=lambda name: (DominantShare().evaluate(cases[name]), name),
     )
+    if DominantShare().evaluate(cases[team]) < settings.above_share:
+        return ()
     stoppable = [one for one in stoppable if one.task.team == team]
     stoppable.sort(key=lambda one: (-one.started_at, one.task.task_id))
     return LatestStarted().evaluate(
--- a/jayshore/placement/packing.py
+++ b/jayshore/placement/packing.py
@@ -6,20 +6,38 @@
 """
 
 import dataclasses
-from collections.abc import Iterator, Mapping
+import itertools
+from collections.abc import Callable, Iterator, Mapping
+from typing import TypeAlias
 
+from jayshore.placement.entries import fit_key
 from jayshore.placement.feasible import slots
 from jayshore.placement.policy import Policy
+from jayshore.placement.scoring import (
+    SCORED_WORKERS,
+    PlacementScore,
+    ScoreCase,
+)
+from jayshore.placement.settings import ScoreWeights
 from jayshore.placement.tasks import WorkerView
 from jayshore.resources import Resources
 
+Crowding: TypeAlias = Callable[[WorkerView], tuple[int, ...]]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Offer:
-    """A worker on which at least one task fits, and the room it has."""
+    """A worker on which at least one task fits.
+
+    Attributes:
+        worker: the worker.
+        room: what the task may use now.
+        free: the room regardless of any reservation, by which best fit goes.
+    """
 
     worker: WorkerView
     room: Resources
+    free: Resources
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,16 +50,21 @@
         size: the number of tasks.
         peers: how many tasks of the job run per failure domain, rack and
             worker; given for services only. Absent names count as 0.
+        weights: of the terms of the score.
+        failures: failed part of the last tasks of a worker, in 32nds; absent
+            workers count as 0.
     """
 
     offers: Iterator[Offer]
     demand: Resources
     size: int
     peers: Mapping[str, int]
+    weights: ScoreWeights
+    failures: Mapping[str, int]
 
 
 class BestFit(Policy[PlacementCase, tuple[str, ...]]):
-    """The worker that the task fills best."""
+    """The worker with the best score, by default the one filled best."""
 
     def evaluate(self, case: PlacementCase) -> tuple[str, ...]:
         """Choose a worker.
@@ -52,12 +75,12 @@
         Returns:
             One worker id, or none.
         """
-        offer = next(case.offers, None)
+        offer = next(in_preference(case), None)
         return () if offer is None else (offer.worker.worker_id,)
 
 
 class FillInOrder(Policy[PlacementCase, tuple[str, ...]]):
-    """Workers for a gang, the fullest first.
+    """Workers for a gang, the best score first, by default the fullest.
 
     The answer is shorter than the gang when not all of it fits. The caller
     places all tasks or none; the length tells it how many are lacking.
@@ -73,10 +96,64 @@
             At most as many worker ids as there are tasks.
         """
         chosen: list[str] = []
-        for offer in case.offers:
+        for offer in in_preference(case):
             missing = case.size - len(chosen)
             count = slots(case.demand, offer.room, missing)
             chosen.extend([offer.worker.worker_id] * count)
             if len(chosen) == case.size:
                 break
         return tuple(chosen)
+
+
+def in_preference(case: PlacementCase) -> Iterator[Offer]:
+    """Sort the offers for work that is not spread.
+
+    Without failures the score keeps the order of best fit, and then only as
+    many offers are produced as are used.
+
+    Args:
+        case: the entry and its offers.
+
+    Returns:
+        The offers, the preferred first.
+    """
+    weights = case.weights
+    if weights.packing and not (weights.health and case.failures):
+        return case.offers
+    return by_score(case, _uncrowded)
+
+
+def by_score(case: PlacementCase, crowding: Crowding) -> Iterator[Offer]:
+    """Sort the first offers by their score.
+
+    Args:
+        case: the entry and its offers.
+        crowding: counts the tasks of the service around a worker.
+
+    Yields:
+        The best fitting offers in the order of the score, ties by checksum,
+        then the rest in the order of best fit.
+    """
+    sample = list(itertools.islice(case.offers, SCORED_WORKERS))
+    keys = [fit_key(offer.free, offer.worker.worker_id) for offer in sample]
+    scores = PlacementScore().evaluate(
+        ScoreCase(
+            weights=case.weights,
+            rooms=[key[:3] for key in keys],
+            crowding=[crowding(offer.worker) for offer in sample],
+            failures=[
+                case.failures.get(offer.worker.worker_id, 0) for offer in sample
+            ],
+        )
+    )
+    order = [
+        (score, key[3:], index)
+        for index, (score, key) in enumerate(zip(scores, keys, strict=True))
+    ]
+    for _, _, best in sorted(order):
+        yield sample[best]
+    yield from case.offers
+
+
+def _uncrowded(_: WorkerView) -> tuple[int, ...]:
+    return ()
--- a/jayshore/placement/roster.py
+++ b/jayshore/placement/roster.py
@@ -53,6 +53,7 @@
         """Start empty."""
         self.capacity = NOTHING
         self.members: dict[str, Member] = {}
+        self.failures: dict[str, int] = {}
         self._running: dict[TaskId, RunningTask] = {}
         self._gained: set[str] = set()
         self._ending: SortedDict = SortedDict()
@@ -89,6 +90,7 @@
         member = self.member(worker_id)
         lost = tuple(self.release(task_id) for task_id in tuple(member.tasks))
         self.members.pop(worker_id)
+        self.failures.pop(worker_id, None)
         self.capacity -= member.view.capacity
         self._reindex(worker_id)
         return lost
@@ -104,6 +106,18 @@
         member.view = dataclasses.replace(member.view, state=state)
         self._reindex(worker_id)
 
+    def note_failures(self, worker_id: str, failures: int) -> None:
+        """Replace the evidence of failures on a worker.
+
+        Args:
+            worker_id: the worker; one that is not there is passed over.
+            failures: failed part of its last tasks, in 32nds.
+        """
+        if failures and worker_id in self.members:
+            self.failures[worker_id] = failures
+        else:
+            self.failures.pop(worker_id, None)
+
     def member(self, worker_id: str) -> Member:
         """Find a worker.
 
--- a/jayshore/placement/rounds.py
+++ b/jayshore/placement/rounds.py
@@ -2,9 +2,8 @@
 
 from jayshore.clock import Millis
 from jayshore.placement.backfill import Reservation
-from jayshore.placement.deadlines import ShortSlack
 from jayshore.placement.decisions import Assignment, Place, Preempt
-from jayshore.placement.entries import Entry, Tier, tier_of
+from jayshore.placement.entries import Entry, Tier
 from jayshore.placement.tasks import PendingTask
 
 ATTEMPT_INTERVAL_MS = 500
@@ -42,13 +41,14 @@
 
 
 def preemption_reservation(
-    decision: Preempt, wanted: PendingTask, now: Millis
+    decision: Preempt, wanted: PendingTask, tier: Tier, now: Millis
 ) -> Reservation:
     """Keep the room of stopped tasks for the task they are stopped for.
 
     Args:
         decision: the preemption.
         wanted: its beneficiary.
+        tier: the tier of the beneficiary.
         now: the time of the decision.
 
     Returns:
@@ -56,7 +56,7 @@
     """
     return Reservation(
         entry_id=wanted.task_id,
-        tier=tier_of(wanted, ShortSlack().evaluate(wanted), now),
+        tier=tier,
         start_at=Millis(now + PREEMPTION_GRACE_MS),
         rooms={decision.worker_id: wanted.demand},
     )
--- a/jayshore/placement/rounds_test.py
+++ b/jayshore/placement/rounds_test.py
@@ -163,6 +163,7 @@
 )
 def test_only_harmless_stops_are_made(cell, fields, stopped):
     """Guards against a preempted dispatch that then runs twice."""
+    cell.apply_shares({'a': 1, 'b': 1})
     cell.add_worker(worker(0))
     for index in range(15):
         cell.enqueue(waiting('b', index=index, estimated_run_ms=None, **fields))
--- a/jayshore/placement/spreading.py
+++ b/jayshore/placement/spreading.py
@@ -1,22 +1,16 @@
-"""Where service tasks start: spread over failure domains, racks and workers.
+"""Where service tasks start: spread over failure domains, racks and workers."""
 
-Source: power-of-d-choices sampling (Mitzenmacher, IEEE TPDS 12(10), 2001): the
-least loaded of a bounded sample is close to the least loaded of all.
-"""
-
-import itertools
-from collections.abc import Iterator
-
-from jayshore.placement.packing import Offer, PlacementCase
+from jayshore.placement.packing import PlacementCase, by_score
 from jayshore.placement.policy import Policy
 from jayshore.placement.tasks import WorkerView
 
-SPREAD_CANDIDATES = 32
-"""How many workers are compared; four times the workers of a usual rack."""
-
 
 class RackSpread(Policy[PlacementCase, tuple[str, ...]]):
-    """The worker with the fewest peers per failure domain, rack and worker."""
+    """The worker with the best score.
+
+    By default this is the one with the fewest peers per failure domain, rack
+    and worker.
+    """
 
     def evaluate(self, case: PlacementCase) -> tuple[str, ...]:
         """Choose a worker.
@@ -27,19 +21,13 @@
         Returns:
             One worker id, or none.
         """
-        sample: Iterator[Offer] = itertools.islice(
-            case.offers, SPREAD_CANDIDATES
-        )
-        best: tuple[str, ...] = ()
-        lowest: tuple[int, ...] | None = None
-        for offer in sample:
-            crowding = tuple(
-                case.peers.get(place, 0) for place in places_of(offer.worker)
-            )
-            if lowest is None or crowding < lowest:
-                lowest = crowding
-                best = (offer.worker.worker_id,)
-        return best
+        peers = case.peers
+
+        def crowding(worker: WorkerView) -> tuple[int, ...]:  # noqa: WPS430
+            return tuple(peers.get(place, 0) for place in places_of(worker))
+
+        offer = next(by_score(case, crowding), None)
+        return () if offer is None else (offer.worker.worker_id,)
 
 
 def places_of(worker: WorkerView) -> tuple[str, str, str]:
--- a/jayshore/placement/team_queue.py
+++ b/jayshore/placement/team_queue.py
@@ -2,6 +2,9 @@
 
 import bisect
 
+from sortedcontainers import SortedList
+
+from jayshore.clock import Millis
 from jayshore.placement.entries import Entry, Order
 from jayshore.placement.shape_table import single_bits
 
@@ -20,6 +23,7 @@
         self._orders: dict[int, list[Order]] = {}
         self._entries: dict[Order, Entry] = {}
         self._first_key: int | None = None
+        self._arrivals: SortedList = SortedList()
 
     def add(self, bit: int, order: Order, entry: Entry) -> None:
         """Insert an entry.
@@ -30,6 +34,7 @@
             entry: the entry.
         """
         self._entries[order] = entry
+        self._arrivals.add(entry.first.enqueued_at)
         bisect.insort(self._orders.setdefault(bit, []), order)
         self.waiting |= bit
         if self._first_key is not None:
@@ -42,7 +47,8 @@
             bit: its shape.
             order: its place.
         """
-        self._entries.pop(order)
+        entry = self._entries.pop(order)
+        self._arrivals.remove(entry.first.enqueued_at)
         orders = self._orders[bit]
         orders.pop(bisect.bisect_left(orders, order))
         if not orders:
@@ -63,19 +69,25 @@
             self._first_key = lowest[0]
         return self._first_key
 
-    def first(self, mask: int) -> tuple[int, Entry] | None:
+    def oldest(self) -> Millis:
+        """Find the longest waiting entry; there must be one.
+
+        Returns:
+            When it was enqueued, which its order shows only roughly.
+        """
+        return Millis(self._arrivals[0])
+
+    def first(self, mask: int) -> tuple[Order, Entry] | None:
         """Find the first entry of some shapes that has headroom.
 
         Args:
             mask: the shapes.
 
         Returns:
-            The shape and the entry, or None.
+            Its place and the entry, or None.
         """
         open_bits = self.waiting & mask & ~self.blocked
         if not open_bits:
             return None
-        order, bit = min(
-            (self._orders[bit][0], bit) for bit in single_bits(open_bits)
-        )
-        return bit, self._entries[order]
+        order = min(self._orders[bit][0] for bit in single_bits(open_bits))
+        return order, self._entries[order]
--- /dev/null
+++ b/jayshore/placement/team_ranks.py
@@ -0,0 +1,92 @@
+"""The order of teams, of which some ranks move with time.
+
+The ranks of all teams that do not rise yet grow alike, so they are kept without
+the time, apart from those of the other teams. Only the instant at which a team
+begins to rise moves it.
+"""
+
+import heapq
+from collections.abc import Iterator
+from typing import TypeAlias
+
+from sortedcontainers import SortedList
+
+Rank: TypeAlias = tuple[int, str]
+"""A key, of which the lowest is served first, and a team."""
+
+
+class TeamRanks:
+    """Teams by rank."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._placed: dict[str, tuple[int, int | None]] = {}
+        self._fixed: SortedList = SortedList()
+        self._moving: SortedList = SortedList()
+        self._rising: SortedList = SortedList()
+
+    def place(self, team: str, key: int, rises_at: int | None = None) -> None:
+        """Insert or move a team.
+
+        Args:
+            team: the team.
+            key: its key, without the time if it moves.
+            rises_at: until when the rank moves with time, None when it does
+                not.
+        """
+        placed = (key, rises_at)
+        if self._placed.get(team) == placed:
+            return
+        self.remove(team)
+        self._placed[team] = placed
+        if rises_at is None:
+            self._fixed.add((key, team))
+        else:
+            self._moving.add((key, team))
+            self._rising.add((rises_at, team))
+
+    def remove(self, team: str) -> None:
+        """Remove a team if it is there.
+
+        Args:
+            team: the team.
+        """
+        placed = self._placed.pop(team, None)
+        if placed is None:
+            return
+        key, rises_at = placed
+        if rises_at is None:
+            self._fixed.remove((key, team))
+        else:
+            self._moving.remove((key, team))
+            self._rising.remove((rises_at, team))
+
+    def due(self, now: int) -> list[str]:
+        """List the teams that have begun to rise.
+
+        Args:
+            now: the time.
+
+        Returns:
+            The teams, which have to be placed again.
+        """
+        rising = self._rising
+        if not rising or rising[0][0] > now:
+            return []
+        return [team for _, team in rising[: rising.bisect_left((now + 1,))]]
+
+    def in_order(self, elapsed: int) -> Iterator[Rank]:
+        """Go through the teams.
+
+        Args:
+            elapsed: what the time adds to the keys that move.
+
+        Returns:
+            The ranks, the lowest first; without the time if all move.
+        """
+        if not self._fixed:
+            return iter(self._moving)
+        if not self._moving:
+            return iter(self._fixed)
+        moving = ((key + elapsed, team) for key, team in self._moving)
+        return heapq.merge(self._fixed, moving)
--- a/jayshore/placement/tier_queue.py
+++ b/jayshore/placement/tier_queue.py
@@ -1,16 +1,18 @@
 """The teams that have entries in one tier, in the order of service."""
 
 from collections.abc import Callable
-from typing import TypeAlias
-
-from sortedcontainers import SortedList
 
 from jayshore.clock import Millis
 from jayshore.placement.aging import AgingCase, LinearAging
 from jayshore.placement.entries import Entry, Order, Tier
+from jayshore.placement.settings import AgingSettings
 from jayshore.placement.team_queue import TeamQueue
+from jayshore.placement.team_ranks import TeamRanks
 
-_Rank: TypeAlias = tuple[float, str]
+BY_ARRIVAL = frozenset((Tier.AGED_LANE, Tier.AGED))
+"""Tiers in which entries go by arrival, whatever their team."""
+BY_SHARE = frozenset((Tier.LANE, Tier.ORDINARY))
+"""Tiers in which teams go by share and waiting time."""
 
 
 class TierQueue:
@@ -25,10 +27,10 @@
         """
         self._tier = tier
         self._share = share
-        self._aging = LinearAging()
+        self._aging = LinearAging(settings=AgingSettings())
+        self._now = Millis(0)
         self._teams: dict[str, TeamQueue] = {}
-        self._ranks: dict[str, _Rank] = {}
-        self._order: SortedList = SortedList()
+        self._ranks = TeamRanks()
 
     def add(self, bit: int, order: Order, entry: Entry) -> None:
         """Insert an entry.
@@ -60,21 +62,25 @@
             self._teams.pop(team)
         self.refresh(team)
 
-    def first(self, mask: int) -> tuple[int, Entry] | None:
+    def first(self, mask: int) -> Entry | None:
         """Find the first entry of some shapes that has headroom.
 
         Args:
             mask: the shapes.
 
         Returns:
-            The shape and the entry, or None.
+            The entry, or None.
         """
-        for _, team in self._order:
+        if not self._teams:
+            return None
+        if self._tier in BY_ARRIVAL:
+            return self._first_arrived(mask)
+        for _, team in self._ranks.in_order(self._aging.elapsed(self._now)):
             queue = self._teams[team]
             if queue.waiting & mask:
                 found = queue.first(mask)
                 if found is not None:
-                    return found
+                    return found[1]
         return None
 
     def block(self, team: str, bit: int) -> None:
@@ -96,36 +102,62 @@
         if queue is not None:
             queue.blocked = 0
 
+    def advance(self, now: Millis) -> None:
+        """Take note of the time.
+
+        Args:
+            now: the time, never earlier than before.
+        """
+        self._now = now
+        for team in self._ranks.due(now):
+            self.refresh(team)
+
+    def replace_aging(self, settings: AgingSettings) -> None:
+        """Change how waiting work rises.
+
+        Args:
+            settings: the new settings.
+        """
+        self._aging = LinearAging(settings=settings)
+        self.refresh_all()
+
     def refresh(self, team: str) -> None:
         """Recompute the rank of a team.
 
         Args:
             team: a team whose share or queue changed.
         """
-        known = self._ranks.get(team)
-        if known is None and team not in self._teams:
-            return
-        rank = self._rank(team)
-        if rank == known:
-            return
-        if known is not None:
-            self._order.remove(known)
-            self._ranks.pop(team)
-        if rank is not None:
-            self._order.add(rank)
-            self._ranks[team] = rank
+        queue = self._teams.get(team)
+        if queue is None:
+            self._ranks.remove(team)
+        elif self._tier in BY_SHARE:
+            self._rank_by_share(team, queue.oldest())
+        else:
+            self._ranks.place(team, queue.first_key())
 
     def refresh_all(self) -> None:
         """Recompute all ranks, after all shares changed."""
         for team in self._teams:
             self.refresh(team)
 
-    def _rank(self, team: str) -> _Rank | None:
-        queue = self._teams.get(team)
-        if queue is None:
-            return None
-        key = queue.first_key()
-        if self._tier is Tier.RAISED:
-            return (key, team)
-        case = AgingCase(share=self._share(team), enqueued_at=Millis(key))
-        return (self._aging.evaluate(case), team)
+    def _first_arrived(self, mask: int) -> Entry | None:
+        """Compare the first entries of the teams that may have the first."""
+        best: tuple[Order, Entry] | None = None
+        for key, team in self._ranks.in_order(0):
+            if best is not None and best[0][0] < key:
+                break
+            found = self._teams[team].first(mask)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = found
+        return None if best is None else best[1]
+
+    def _rank_by_share(self, team: str, oldest: Millis) -> None:
+        aging, now = self._aging, self._now
+        rank = aging.evaluate(
+            AgingCase(share=self._share(team), enqueued_at=oldest, now=now)
+        )
+        rises_at = aging.rises_at(oldest)
+        if rises_at > now:
+            self._ranks.place(team, rank - aging.elapsed(now), rises_at)
+        else:
+            self._ranks.place(team, rank)
--- a/jayshore/placement/walk.py
+++ b/jayshore/placement/walk.py
@@ -39,6 +39,7 @@
     may_reserve,
     place,
 )
+from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.spreading import RackSpread
 from jayshore.placement.tasks import PendingTask, RunningTask, TaskKind
 from jayshore.placement.usage import TeamUsage
@@ -77,6 +78,7 @@
         """
         self.now = Millis(0)
         self.stopping = 0
+        self.settings = PlacementSettings()
         self._headroom = headroom
         self._roster = roster
         self._usage = usage
@@ -193,6 +195,8 @@
                 demand=shape.demand,
                 size=shape.size,
                 peers=self._roster.peers(entry.entry_id.job_id),
+                weights=self.settings.weights,
+                failures=self._roster.failures,
             )
         )
 
@@ -202,11 +206,12 @@
             member = self._roster.members[worker_id]
             if worker_id in shape.avoided:
                 continue
-            room = member.load.room_of(in_lane=shape.in_lane)
+            free = member.load.room_of(in_lane=shape.in_lane)
+            room = free
             if not is_held and self._reserved.limits(member):
                 room = self._reserved.room(member, shape)
             if shape.demand.fits_in(room):
-                yield Offer(worker=member.view, room=room)
+                yield Offer(worker=member.view, room=room, free=free)
 
     def _candidates(self, task: PendingTask, shape: Shape) -> Iterator[str]:
         if shape.allowed is None:
@@ -245,11 +250,13 @@
 
     def _victims(self, entry: Entry) -> tuple[RunningTask, ...]:
         first = entry.first
+        settings = self.settings.preemption
         waited_ms = self.now - first.enqueued_at
-        if self.stopping or waited_ms < patience_ms(first):
+        is_busy = self.stopping > 0
+        if is_busy or not settings.enabled or waited_ms < patience_ms(first):
             return ()
         team = self._usage.furthest_above(first.team)
-        if team is None:
+        if team is None or self._usage.share(team) < settings.above_share:
             return ()
         stoppable = zip(
             range(VICTIM_CANDIDATES), self._usage.stoppable(team), strict=False
--- /dev/null
+++ b/tests/policies_test.py
@@ -0,0 +1,78 @@
+"""A change of the policies while a cell runs, with separate processes."""
+
+import time
+
+import pytest
+
+from demo.cluster import Cluster
+from demo.history import task_runs
+from demo.processes import wait_until
+from tests.guarantee_support import IN_FORCE_S
+from tests.support import job, small_cluster
+
+pytestmark = pytest.mark.processes
+
+FULL_TEAM = 'riverbend'
+WAITING_TEAM = 'millrace'
+RUN_MS = 60_000
+# Urgent work waits for 500 ms before others give way, and the search for what
+# to stop is repeated every 500 ms.
+PATIENCE_S = 1.0
+
+
+def _apply(cluster, **preemption):
+    document = cluster.document()
+    document['policies'] = {'preemption': preemption}
+    answer = cluster.apply(document)
+    assert answer.status == 200, answer.body
+
+
+def _job(tasks, run_ms, **fields):
+    """Describe a job, of which 3 tasks fill a worker but for the lane."""
+    demand = {'cpu_millis': 10_000, 'memory_mb': 1024}
+    return job(tasks, run_ms, idempotent=True, demand=demand, **fields)
+
+
+def _submit(cluster, team, body):
+    answer = cluster.submit(team, body)
+    assert answer.status == 202, answer.body
+    return answer.content['job_id']
+
+
+def _starts(cluster, job_id):
+    return sum(run.job_id == job_id for run in task_runs(cluster))
+
+
+def test_changed_policies_are_in_force_in_a_running_cell():
+    """Guards against a setting that only the next leader takes up.
+
+    One team fills the cell and another has an urgent task, of a size that the
+    reserved lane has no room for. It starts only once others may be stopped,
+    and what waits must not be lost by the change.
+    """
+    planned = small_cluster()
+    both = [
+        {**planned.teams[0], 'name': name} for name in (FULL_TEAM, WAITING_TEAM)
+    ]
+    with Cluster(shape=planned.shape, teams=both) as cluster:
+        _apply(cluster, enabled=False)
+        time.sleep(IN_FORCE_S)
+        full = _submit(cluster, FULL_TEAM, _job(20, RUN_MS))
+        wait_until(lambda: _starts(cluster, full) == 12, 10, 'the cell is full')
+        urgent = _submit(
+            cluster,
+            WAITING_TEAM,
+            _job(1, 100, queue='previews'),
+        )
+        time.sleep(IN_FORCE_S + PATIENCE_S)
+        assert not _starts(cluster, urgent)
+        assert _starts(cluster, full) == 12
+        _apply(cluster, enabled=True)
+        took = wait_until(
+            lambda: _starts(cluster, urgent) == 1,
+            IN_FORCE_S + PATIENCE_S,
+            'the urgent task started',
+        )
+        print(f'in force and started after {took:.2f} s')
+        # The rest of the batch job still waits, and gets the room back.
+        wait_until(lambda: _starts(cluster, full) == 13, 10, 'the next starts')
