--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -163,7 +163,7 @@
                 await self.reopen()
         return result
 
-    async def stop(self, task_id: str, *, checkpoint: bool) -> None:
+    async def stop(self, task_id: str, *, checkpoint: bool) -> bool:
         """Ask the worker to stop a task.
 
         Stops name a task and not an attempt, so a task that is started again
@@ -172,9 +172,12 @@
         Args:
             task_id: the task.
             checkpoint: whether to checkpoint it first.
+
+        Returns:
+            Whether the worker answered; only its inventory shows the end.
         """
         if checkpoint and not await self._checkpoint(task_id):
-            return
+            return True
         try:
             await self._link.stop(self._lease_id, task_id)
         except UpstreamUnreachable as error:
@@ -184,6 +187,8 @@
                 task=task_id,
                 error=str(error),
             )
+            return False
+        return True
 
     def acknowledge(self, name: AttemptName) -> None:
         """Let the worker forget an ended task with the next renewal.
