Keep ranks and ends of tiers in plain lists and a heap

The ends of tiers are now a heap from which entries that started are dropped in bulk; arrivals and ranks of teams are plain lists with binary search, as in the queue of a team.

--- a/jayshore/placement/backlog.py
+++ b/jayshore/placement/backlog.py
@@ -1,10 +1,9 @@
 """All waiting entries, sorted so that the next one to try is at hand."""
 
 import dataclasses
+import heapq
 from collections.abc import Callable, Mapping
 
-from sortedcontainers import SortedList
-
 from jayshore.clock import Millis
 from jayshore.placement.deadlines import ShortSlack
 from jayshore.placement.decisions import DuplicateError
@@ -26,6 +25,9 @@
 from jayshore.placement.tasks import TaskId
 from jayshore.placement.tier_queue import TierQueue
 
+_MIN_ENDS = 1000
+"""Instants that are kept at least, so that few entries are not sorted often."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Waiting:
@@ -69,7 +71,7 @@
             table=self._table, members=members, reserved=reserved
         )
         self._tiers = {tier: TierQueue(tier=tier, share=share) for tier in Tier}
-        self._tier_ends: SortedList = SortedList()
+        self._tier_ends: list[tuple[Millis, str, int]] = []
         self._full_ms = AgingSettings().full_ms
 
     def add(self, entry: Entry, now: Millis) -> None:
@@ -88,7 +90,7 @@
         tier = tier_of(entry.first, urgency, now, self._full_ms)
         ends_at = tier_ends_at(entry.first, urgency, now, self._full_ms)
         if ends_at is not None:
-            self._tier_ends.add(_end_key(ends_at, entry.entry_id))
+            self._note_end(ends_at, entry.entry_id)
         shape = shape_of(entry, tier)
         bit = self._table.acquire(shape)
         order = order_of(entry, urgency, tier)
@@ -113,8 +115,6 @@
         waiting = self.waiting.pop(entry_id, None)
         if waiting is None:
             return None
-        if waiting.tier_ends_at is not None:
-            self._tier_ends.remove(_end_key(waiting.tier_ends_at, entry_id))
         entry, tier = waiting.entry, waiting.shape.tier
         self._tiers[tier].remove(waiting.bit, waiting.order, entry.first.team)
         if self._table.release(waiting.bit):
@@ -128,8 +128,11 @@
             now: the time.
         """
         while self._tier_ends and self._tier_ends[0][0] <= now:
-            _, job_id, index = self._tier_ends[0]
-            self._file_again(TaskId(job_id=job_id, index=index), now)
+            ends_at, job_id, index = heapq.heappop(self._tier_ends)
+            entry_id = TaskId(job_id=job_id, index=index)
+            waiting = self.waiting.get(entry_id)
+            if waiting is not None and waiting.tier_ends_at == ends_at:
+                self._file_again(entry_id, now)
         for queue in self._tiers.values():
             queue.advance(now)
 
@@ -205,7 +208,18 @@
         if entry is not None:
             self.add(entry, now)
 
+    def _note_end(self, ends_at: Millis, entry_id: TaskId) -> None:
+        """Note when an entry gets another tier.
 
-def _end_key(ends_at: Millis, entry_id: TaskId) -> tuple[int, str, int]:
-    # Plain tuples compare faster than task ids.
-    return (ends_at, entry_id.job_id, entry_id.index)
+        Most entries start long before. What they leave behind is dropped once
+        it exceeds what waits, which costs little per entry.
+        """
+        new = (ends_at, entry_id.job_id, entry_id.index)
+        if len(self._tier_ends) > 2 * len(self.waiting) + _MIN_ENDS:
+            self._tier_ends = [
+                (waiting.tier_ends_at, name.job_id, name.index)
+                for name, waiting in self.waiting.items()
+                if waiting.tier_ends_at is not None
+            ]
+            heapq.heapify(self._tier_ends)
+        heapq.heappush(self._tier_ends, new)
--- a/jayshore/placement/entries.py
+++ b/jayshore/placement/entries.py
@@ -106,12 +106,15 @@
     Returns:
         The instant, which is later than `now`; None when there is none.
     """
-    instants = [Millis(task.enqueued_at + full_ms)]
+    aged_at = Millis(task.enqueued_at + full_ms)
+    raise_at = None
     if urgency is not None and not uses_lane(task):
-        if urgency.raise_at <= now:
+        raise_at = urgency.raise_at
+        if raise_at <= now:
             return None
-        instants.append(urgency.raise_at)
-    return min((at for at in instants if at > now), default=None)
+    if aged_at <= now:
+        return raise_at
+    return aged_at if raise_at is None else min(aged_at, raise_at)
 
 
 Order: TypeAlias = tuple[int, int, str, int]
--- a/jayshore/placement/team_queue.py
+++ b/jayshore/placement/team_queue.py
@@ -2,8 +2,6 @@
 
 import bisect
 
-from sortedcontainers import SortedList
-
 from jayshore.clock import Millis
 from jayshore.placement.entries import Entry, Order
 from jayshore.placement.shape_table import single_bits
@@ -23,7 +21,7 @@
         self._orders: dict[int, list[Order]] = {}
         self._entries: dict[Order, Entry] = {}
         self._first_key: int | None = None
-        self._arrivals: SortedList = SortedList()
+        self._arrivals: list[Millis] = []
 
     def add(self, bit: int, order: Order, entry: Entry) -> None:
         """Insert an entry.
@@ -34,7 +32,7 @@
             entry: the entry.
         """
         self._entries[order] = entry
-        self._arrivals.add(entry.first.enqueued_at)
+        bisect.insort(self._arrivals, entry.first.enqueued_at)
         bisect.insort(self._orders.setdefault(bit, []), order)
         self.waiting |= bit
         if self._first_key is not None:
@@ -48,7 +46,8 @@
             order: its place.
         """
         entry = self._entries.pop(order)
-        self._arrivals.remove(entry.first.enqueued_at)
+        arrived = bisect.bisect_left(self._arrivals, entry.first.enqueued_at)
+        self._arrivals.pop(arrived)
         orders = self._orders[bit]
         orders.pop(bisect.bisect_left(orders, order))
         if not orders:
@@ -75,7 +74,7 @@
         Returns:
             When it was enqueued, which its order shows only roughly.
         """
-        return Millis(self._arrivals[0])
+        return self._arrivals[0]
 
     def first(self, mask: int) -> tuple[Order, Entry] | None:
         """Find the first entry of some shapes that has headroom.
--- a/jayshore/placement/team_ranks.py
+++ b/jayshore/placement/team_ranks.py
@@ -5,25 +5,24 @@
 begins to rise moves it.
 """
 
+import bisect
 import heapq
 from collections.abc import Iterator
 from typing import TypeAlias
 
-from sortedcontainers import SortedList
-
 Rank: TypeAlias = tuple[int, str]
 """A key, of which the lowest is served first, and a team."""
 
 
 class TeamRanks:
-    """Teams by rank."""
+    """Teams by rank, in plain lists, as there are some hundred teams."""
 
     def __init__(self) -> None:
         """Start empty."""
         self._placed: dict[str, tuple[int, int | None]] = {}
-        self._fixed: SortedList = SortedList()
-        self._moving: SortedList = SortedList()
-        self._rising: SortedList = SortedList()
+        self._fixed: list[Rank] = []
+        self._moving: list[Rank] = []
+        self._rising: list[Rank] = []
 
     def place(self, team: str, key: int, rises_at: int | None = None) -> None:
         """Insert or move a team.
@@ -40,10 +39,10 @@
         self.remove(team)
         self._placed[team] = placed
         if rises_at is None:
-            self._fixed.add((key, team))
+            bisect.insort(self._fixed, (key, team))
         else:
-            self._moving.add((key, team))
-            self._rising.add((rises_at, team))
+            bisect.insort(self._moving, (key, team))
+            bisect.insort(self._rising, (rises_at, team))
 
     def remove(self, team: str) -> None:
         """Remove a team if it is there.
@@ -56,10 +55,10 @@
             return
         key, rises_at = placed
         if rises_at is None:
-            self._fixed.remove((key, team))
+            _discard(self._fixed, (key, team))
         else:
-            self._moving.remove((key, team))
-            self._rising.remove((rises_at, team))
+            _discard(self._moving, (key, team))
+            _discard(self._rising, (rises_at, team))
 
     def due(self, now: int) -> list[str]:
         """List the teams that have begun to rise.
@@ -73,7 +72,8 @@
         rising = self._rising
         if not rising or rising[0][0] > now:
             return []
-        return [team for _, team in rising[: rising.bisect_left((now + 1,))]]
+        end = bisect.bisect_left(rising, (now + 1, ''))
+        return [team for _, team in rising[:end]]
 
     def in_order(self, elapsed: int) -> Iterator[Rank]:
         """Go through the teams.
@@ -90,3 +90,7 @@
             return iter(self._fixed)
         moving = ((key + elapsed, team) for key, team in self._moving)
         return heapq.merge(self._fixed, moving)
+
+
+def _discard(ranks: list[Rank], rank: Rank) -> None:
+    ranks.pop(bisect.bisect_left(ranks, rank))
