--- a/jayshore/leases/checkpoint_test.py
+++ b/jayshore/leases/checkpoint_test.py
@@ -47,6 +47,8 @@
         self._calls.append((action, self._clock.now()))
         if action == 'open':
             return Response(status=200, body=msgspec.json.encode(OPENED))
+        if action == 'renew':
+            await curio.Event().wait()
         if action == 'tasks':
             return Response(status=201)
         if action == 'checkpoint':
@@ -140,9 +142,12 @@
     worker = Worker(4000, 10_000)
 
     async def main():
-        await worker.session.reopen()
+        running = await curio.spawn(worker.session.run)
+        while not worker.session.is_open:
+            await curio.sleep(0)
         worker.client.during = getattr(worker, during)
         await worker.stop()
+        await running.cancel()
 
     curio.run(main)
     actions = [action for action, _ in worker.calls]
