--- a/jayshore/daemon/peers_test.py
+++ b/jayshore/daemon/peers_test.py
@@ -1,12 +1,15 @@
 """Tests of how an accepted configuration reaches the peers."""
 
 import random
+import types
 
 import curio
 import pytest
 
 from jayshore.clock import ManualClock, Millis
+from jayshore.config.document import Document
 from jayshore.config.model import Instance
+from jayshore.config.snapshot import Snapshot
 from jayshore.daemon.peers import Peer, PeerGroup
 from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
@@ -40,17 +43,20 @@
 
 def announce_to(client):
     """Announce a version to one peer."""
+    entry = Instance(name='b', domain='north', address='127.0.0.1:1')
+    snapshot = Snapshot(
+        version=1, document=Document(instances=(entry,)), write_id='w'
+    )
     group = PeerGroup(
         name='a',
         clock=ManualClock(),
         source=random.Random(1),
         interval_ms=Millis(2000),
         timeout_ms=Millis(2000),
-        keeper=None,
+        keeper=types.SimpleNamespace(snapshot=snapshot),
         status=lambda: None,
         traffic=Traffic(),
     )
-    entry = Instance(name='b', domain='north', address='127.0.0.1:1')
     group._peers['b'] = Peer(entry=entry, client=client)
     curio.run(group.announce, COMMITTED)
 
--- a/jayshore/leases/renewal_test.py
+++ b/jayshore/leases/renewal_test.py
@@ -92,6 +92,7 @@
         epoch=1,
         observer=observer,
         renew_wait_ms=LONG_MS,
+        checkpoint_ms=lambda: LONG_MS,
         source=random.Random(1),
     )
 
--- a/jayshore/leases/session.py
+++ b/jayshore/leases/session.py
@@ -2,6 +2,7 @@
 
 import abc
 import random
+from collections.abc import Callable
 
 import curio
 import eliot
@@ -70,6 +71,7 @@
         epoch: int,
         observer: WorkerObserver,
         renew_wait_ms: Millis,
+        checkpoint_ms: Callable[[], Millis],
         source: random.Random,
     ) -> None:
         """Prepare the session.
@@ -80,6 +82,8 @@
             epoch: of this leader.
             observer: gets the news.
             renew_wait_ms: longest wait of a renewal, in ms.
+            checkpoint_ms: the present setting of how long a task may take to
+                checkpoint before it is stopped, in ms.
             source: random numbers for the backoff.
         """
         self._worker_id = worker_id
@@ -87,6 +91,8 @@
         self._epoch = epoch
         self._observer = observer
         self._renew_wait_ms = renew_wait_ms
+        self._checkpoint_ms = checkpoint_ms
+        self._checkpointing: set[str] = set()
         self._source = source
         self._doubted = curio.Event()
         self._lease_id = 0
@@ -150,6 +156,7 @@
         lease_id = self._lease_id
         if not lease_id:
             return StartResult.CERTAINLY_NOT
+        self._checkpointing.discard(order.task_id)
         result = await self._link.start(lease_id, order)
         if result is not StartResult.STARTED:
             await self._doubt(lease_id)
@@ -158,6 +165,9 @@
     async def stop(self, task_id: str, *, checkpoint: bool) -> bool:
         """Ask the worker to stop a task.
 
+        Stops name a task and not an attempt, so a task that is started again
+        while its former attempt makes a checkpoint is not stopped.
+
         Args:
             task_id: the task.
             checkpoint: whether to checkpoint it first.
@@ -165,10 +175,10 @@
         Returns:
             Whether the worker answered; only its inventory shows the end.
         """
+        if checkpoint and not await self._checkpoint(task_id):
+            return True
         try:
-            await self._link.stop(
-                self._lease_id, task_id, checkpoint=checkpoint
-            )
+            await self._link.stop(self._lease_id, task_id)
         except UpstreamUnreachable as error:
             eliot.log_message(
                 'worker:stop_failed',
@@ -187,6 +197,24 @@
         """
         self._acknowledged.append(name)
 
+    async def _checkpoint(self, task_id: str) -> bool:
+        """Checkpoint a task; return whether it may be stopped then."""
+        if task_id in self._checkpointing:
+            return False
+        self._checkpointing.add(task_id)
+        try:
+            is_done = await self._link.checkpoint(
+                self._lease_id, task_id, limit_ms=self._checkpoint_ms()
+            )
+        finally:
+            is_same = task_id in self._checkpointing
+            self._checkpointing.discard(task_id)
+        if not is_done:
+            eliot.log_message(
+                'worker:no_checkpoint', worker=self._worker_id, task=task_id
+            )
+        return is_same
+
     async def _keep(self) -> None:
         if not self._lease_id:
             await self._open()
--- a/jayshore/leases/session_test.py
+++ b/jayshore/leases/session_test.py
@@ -104,6 +104,7 @@
             epoch=1,
             observer=observer,
             renew_wait_ms=Millis(20_000),
+            checkpoint_ms=lambda: Millis(10_000),
             source=random.Random(3),
         )
         running = await curio.spawn(session.run)
@@ -217,6 +218,7 @@
         clock = ManualClock()
         link = WorkerLink(
             client=FailingClient(error),
+            checkpoints=FailingClient(error),
             holder='north-0',
             clock=clock,
             call_timeout_ms=Millis(2000),
--- a/jayshore/placement/team_queue.py
+++ b/jayshore/placement/team_queue.py
@@ -2,6 +2,7 @@
 
 import bisect
 
+from jayshore.clock import Millis
 from jayshore.placement.entries import Entry, Order
 from jayshore.placement.shape_table import single_bits
 
@@ -27,6 +28,7 @@
         self._orders: dict[int, list[Order]] = {}
         self._entries: dict[Order, Entry] = {}
         self._sorted: list[tuple[Order, int]] = []
+        self._arrivals: list[Millis] = []
 
     def add(self, bit: int, order: Order, entry: Entry) -> None:
         """Insert an entry.
@@ -37,6 +39,7 @@
             entry: the entry.
         """
         self._entries[order] = entry
+        bisect.insort(self._arrivals, entry.first.enqueued_at)
         bisect.insort(self._orders.setdefault(bit, []), order)
         bisect.insort(self._sorted, (order, bit))
         self.waiting |= bit
@@ -48,8 +51,10 @@
             bit: its shape.
             order: its place.
         """
-        self._entries.pop(order)
+        entry = self._entries.pop(order)
         self._sorted.pop(bisect.bisect_left(self._sorted, (order, bit)))
+        arrived = bisect.bisect_left(self._arrivals, entry.first.enqueued_at)
+        self._arrivals.pop(arrived)
         orders = self._orders[bit]
         orders.pop(bisect.bisect_left(orders, order))
         if not orders:
@@ -65,22 +70,28 @@
         """
         return self._sorted[0][0][0]
 
-    def first(self, mask: int) -> tuple[int, Entry] | None:
+    def oldest(self) -> Millis:
+        """Find the longest waiting entry; there must be one.
+
+        Returns:
+            When it was enqueued, which its order shows only roughly.
+        """
+        return self._arrivals[0]
+
+    def first(self, mask: int) -> tuple[Order, Entry] | None:
         """Find the first entry of some shapes that has headroom.
 
         Args:
             mask: the shapes.
 
         Returns:
-            The shape and the entry, or None.
+            Its place and the entry, or None.
         """
         open_bits = self.waiting & mask & ~self.blocked
         if not open_bits:
             return None
         if open_bits.bit_count() > _FEW_SHAPES:
-            order, bit = next(one for one in self._sorted if one[1] & open_bits)
+            order, _ = next(one for one in self._sorted if one[1] & open_bits)
         else:
-            order, bit = min(
-                (self._orders[bit][0], bit) for bit in single_bits(open_bits)
-            )
-        return bit, self._entries[order]
+            order = min(self._orders[bit][0] for bit in single_bits(open_bits))
+        return order, self._entries[order]
--- a/jayshore/placement/tier_queue.py
+++ b/jayshore/placement/tier_queue.py
@@ -1,16 +1,19 @@
 """The teams that have entries in one tier, in the order of service."""
 
-import bisect
 from collections.abc import Callable, Iterable
-from typing import TypeAlias
 
 from jayshore.clock import Millis
 from jayshore.placement.aging import AgingCase, LinearAging
 from jayshore.placement.entries import Entry, Order, Tier
+from jayshore.placement.settings import AgingSettings
 from jayshore.placement.shape_table import single_bits
 from jayshore.placement.team_queue import TeamQueue
+from jayshore.placement.team_ranks import Rank, TeamRanks
 
-_Rank: TypeAlias = tuple[float, str]
+BY_ARRIVAL = frozenset((Tier.AGED_LANE, Tier.AGED))
+"""Tiers in which entries go by arrival, whatever their team."""
+BY_SHARE = frozenset((Tier.LANE, Tier.ORDINARY))
+"""Tiers in which teams go by share and waiting time."""
 _FEW_SHAPES = 8
 """Up to here the teams that have such entries are looked up by shape.
 
@@ -31,10 +34,10 @@
         """
         self._tier = tier
         self._share = share
-        self._aging = LinearAging()
+        self._aging = LinearAging(settings=AgingSettings())
+        self._now = Millis(0)
         self._teams: dict[str, TeamQueue] = {}
-        self._ranks: dict[str, _Rank] = {}
-        self._order: list[_Rank] = []
+        self._ranks = TeamRanks()
         self._stale: set[str] = set()
         self._holders: dict[int, set[str]] = {}
 
@@ -73,24 +76,26 @@
             self._teams.pop(team)
         self._stale.add(team)
 
-    def first(self, mask: int) -> tuple[int, Entry] | None:
+    def first(self, mask: int) -> Entry | None:
         """Find the first entry of some shapes that has headroom.
 
         Args:
             mask: the shapes.
 
         Returns:
-            The shape and the entry, or None.
+            The entry, or None.
         """
-        if not mask:
+        if not (mask and self._teams):
             return None
-        self._sort_stale()
-        for team in self._in_order(mask):
+        self._rank_stale()
+        if self._tier in BY_ARRIVAL:
+            return self._first_arrived(mask)
+        for _, team in self._in_order(mask):
             queue = self._teams[team]
             if queue.waiting & mask:
                 found = queue.first(mask)
                 if found is not None:
-                    return found
+                    return found[1]
         return None
 
     def block(self, team: str, bit: int) -> None:
@@ -112,6 +117,24 @@
         if queue is not None:
             queue.blocked = 0
 
+    def advance(self, now: Millis) -> None:
+        """Take note of the time.
+
+        Args:
+            now: the time, never earlier than before.
+        """
+        self._now = now
+        self._stale.update(self._ranks.due(now))
+
+    def replace_aging(self, settings: AgingSettings) -> None:
+        """Change how waiting work rises.
+
+        Args:
+            settings: the new settings.
+        """
+        self._aging = LinearAging(settings=settings)
+        self.refresh_all()
+
     def refresh(self, team: str) -> None:
         """Take note that the rank of a team may have changed.
 
@@ -125,35 +148,45 @@
         """Take note that all shares changed."""
         self._stale.update(self._teams)
 
-    def _in_order(self, mask: int) -> Iterable[str]:
+    def _in_order(self, mask: int) -> Iterable[Rank]:
         """List at least the teams that have entries of some shapes."""
+        elapsed = self._aging.elapsed(self._now)
         if mask.bit_count() > _FEW_SHAPES:
-            return (team for _, team in self._order)
+            return self._ranks.in_order(elapsed)
         teams: set[str] = set()
         for bit in single_bits(mask):
             teams |= self._holders.get(bit, teams)
-        return sorted(teams, key=self._ranks.__getitem__)
+        return self._ranks.in_order_of(teams, elapsed)
 
-    def _sort_stale(self) -> None:
+    def _rank_stale(self) -> None:
         for team in self._stale:
-            known = self._ranks.get(team)
-            rank = self._rank(team)
-            if rank == known:
-                continue
-            if known is not None:
-                self._order.pop(bisect.bisect_left(self._order, known))
-                self._ranks.pop(team)
-            if rank is not None:
-                bisect.insort(self._order, rank)
-                self._ranks[team] = rank
+            queue = self._teams.get(team)
+            if queue is None:
+                self._ranks.remove(team)
+            elif self._tier in BY_SHARE:
+                self._rank_by_share(team, queue.oldest())
+            else:
+                self._ranks.place(team, queue.first_key())
         self._stale.clear()
 
-    def _rank(self, team: str) -> _Rank | None:
-        queue = self._teams.get(team)
-        if queue is None:
-            return None
-        key = queue.first_key()
-        if self._tier is Tier.RAISED:
-            return (key, team)
-        case = AgingCase(share=self._share(team), enqueued_at=Millis(key))
-        return (self._aging.evaluate(case), team)
+    def _first_arrived(self, mask: int) -> Entry | None:
+        """Compare the first entries of the teams that may have the first."""
+        best: tuple[Order, Entry] | None = None
+        for key, team in self._in_order(mask):
+            if best is not None and best[0][0] < key:
+                break
+            found = self._teams[team].first(mask)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = found
+        return None if best is None else best[1]
+
+    def _rank_by_share(self, team: str, oldest: Millis) -> None:
+        aging, now = self._aging, self._now
+        rank = aging.evaluate(
+            AgingCase(share=self._share(team), enqueued_at=oldest, now=now)
+        )
+        rises_at = aging.rises_at(oldest)
+        if rises_at > now:
+            self._ranks.place(team, rank - aging.elapsed(now), rises_at)
+        else:
+            self._ranks.place(team, rank)
