--- a/jayshore/daemon/peers_test.py
+++ b/jayshore/daemon/peers_test.py
@@ -1,7 +1,7 @@
 """Tests of how an accepted configuration reaches the peers."""
 
 import random
-import types
+from types import SimpleNamespace
 
 import curio
 import pytest
@@ -44,16 +44,16 @@
 def announce_to(client):
     """Announce a version to one peer."""
     entry = Instance(name='b', domain='north', address='127.0.0.1:1')
-    snapshot = Snapshot(
-        version=1, document=Document(instances=(entry,)), write_id='w'
-    )
+    document = Document(instances=(entry,))
     group = PeerGroup(
         name='a',
         clock=ManualClock(),
         source=random.Random(1),
         interval_ms=Millis(2000),
         timeout_ms=Millis(2000),
-        keeper=types.SimpleNamespace(snapshot=snapshot),
+        keeper=SimpleNamespace(
+            snapshot=Snapshot(version=7, document=document, write_id='w')
+        ),
         status=lambda: None,
         traffic=Traffic(),
     )
--- a/jayshore/leases/renewal_test.py
+++ b/jayshore/leases/renewal_test.py
@@ -12,6 +12,7 @@
     LeaseSuperseded,
     OpenedLease,
     Renewed,
+    StartOrder,
     StartResult,
     UpstreamUnreachable,
 )
@@ -19,6 +20,14 @@
 
 LONG_MS = Millis(3_600_000)
 BOUND_S = 5
+ORDER = StartOrder(
+    task_id='job.0',
+    attempt=1,
+    job_id='job',
+    team='team',
+    resources=Resources(),
+    payload='{}',
+)
 
 
 class SilentLink:
@@ -106,7 +115,7 @@
         session = make_session(link, observer)
         running = await curio.spawn(session.run)
         await link.renewing.wait()
-        assert await session.start(None) is StartResult.UNCERTAIN
+        assert await session.start(ORDER) is StartResult.UNCERTAIN
         await curio.timeout_after(BOUND_S, observer.lost.wait)
         assert not session.is_open
         link.is_silent = False
