Stop a cancelled task without waiting for its checkpoint

Cause: a stop that is repeated waits for the answer to a checkpoint, for up to `checkpoint_ms` (10 s). A cancellation of the same task only noted that no further checkpoint is wanted, and took effect after that time.

Ruled out: ending the call under way, since its connection would be lost.

Change: a stop without a checkpoint is sent beside the one under way.

--- a/jayshore/jobs/stopping.py
+++ b/jayshore/jobs/stopping.py
@@ -89,7 +89,10 @@
         """
         known = self._stops.get(attempt.name)
         if known is not None and known.is_of_present:
-            known.checkpoint = known.checkpoint and checkpoint
+            if known.checkpoint and not checkpoint:
+                # The call under way may wait long for the checkpoint.
+                known.checkpoint = False
+                await self._tasks.spawn(self._send_at_once(known))
             return
         wanted = _Stop(
             attempt=attempt,
@@ -100,6 +103,9 @@
         self._stops[attempt.name] = wanted
         await self._tasks.spawn(self._repeat(wanted))
 
+    async def _send_at_once(self, wanted: _Stop) -> None:
+        await self._send(wanted, checkpoint=False)
+
     async def _repeat(self, wanted: _Stop) -> None:
         failures = 0
         tries = 0
--- a/jayshore/jobs/stopping_test.py
+++ b/jayshore/jobs/stopping_test.py
@@ -119,6 +119,34 @@
     assert len(curio.run(scenario)) == 2
 
 
+class SlowCheckpoint(FakeSession):
+    """A worker whose checkpoint takes longer than any test."""
+
+    async def stop(self, task_id, *, checkpoint):
+        """Wait for the checkpoint, if there is one."""
+        if checkpoint:
+            self.calls.append((task_id, self.attempt.number, checkpoint))
+            await curio.sleep(3600)
+        return await super().stop(task_id, checkpoint=checkpoint)
+
+
+def test_cancellation_does_not_wait_for_a_checkpoint():
+    """A cancelled task must not run on for the time of a checkpoint."""
+
+    async def scenario():
+        attempt = make_attempt()
+        session = SlowCheckpoint(attempt=attempt, fates=())
+        placer = make_placer(session)
+        await placer.stop(attempt, checkpoint=True)
+        while not session.calls:
+            await curio.sleep(0.01)
+        await placer.stop(attempt, checkpoint=False)
+        await wait_ended(attempt)
+        return attempt.phase
+
+    assert curio.run(scenario) is Phase.ENDED
+
+
 def test_stop_waits_for_a_closed_lease():
     """A stop asked for while the worker is out of reach must not be dropped."""
 
