Ask a leader that was just elected before a job is called unknown

Change: a daemon that does not lead answers "standby" to a cancellation, and one that takes a call asks until a leader of each active domain has answered, bounded by `call_timeout_ms` (2 s) and one round of heartbeats.

The new tests `pytest jayshore/daemon/cancelling_test.py` cover a leader that is not known, does not lead yet or is not reached, and the bound.

--- /dev/null
+++ b/jayshore/daemon/cancelling_test.py
@@ -0,0 +1,82 @@
+"""Tests of cancellations that meet a change of leader."""
+
+from types import SimpleNamespace
+
+import curio
+import pytest
+
+from jayshore.clock import ManualClock, Millis
+from jayshore.daemon.cancelling import LeaderSearch
+from jayshore.wire import messages as msg
+from jayshore.wire.errors import PeerUnreachable
+
+CALL = msg.CancelJob(job_id='job', team='team')
+LIMIT_MS = Millis(2000)
+ROUND_MS = Millis(500)
+
+
+class FakePeers:
+    """Leaders whose answers to one call after the other are scripted.
+
+    None is a leader that is not known.
+    """
+
+    def __init__(self, clock, answers):
+        self.clock = clock
+        self.answers = {name: list(script) for name, script in answers.items()}
+        self.asked = []
+
+    def leader_of(self, domain):
+        script = self.answers[domain]
+        answer = script.pop(0) if len(script) > 1 else script[0]
+        if answer is None:
+            return None
+
+        async def cancel_job(call, *, timeout_ms):
+            self.asked.append(domain)
+            if isinstance(answer, Exception):
+                raise answer
+            return msg.CancelJobReply(result=answer)
+
+        return SimpleNamespace(client=SimpleNamespace(cancel_job=cancel_job))
+
+    async def tell_status(self):
+        self.clock.advance(ROUND_MS)
+
+
+def cancel(answers):
+    """Cancel a job with scripted leaders; return the result and the time."""
+    clock = ManualClock()
+    peers = FakePeers(clock, answers)
+    search = LeaderSearch(peers=peers, clock=clock, limit_ms=LIMIT_MS)
+    began = clock.now()
+    result = curio.run(search.cancel, CALL, tuple(answers))
+    return result, clock.now() - began, peers.asked
+
+
+@pytest.mark.parametrize(
+    'before',
+    [None, msg.CancelResult.STANDBY, PeerUnreachable('cut off')],
+)
+def test_leader_that_was_just_elected_is_found(before):
+    """A job must not be called unknown before its leader was asked."""
+    unknown = msg.CancelResult.UNKNOWN
+    answers = {'east': (before, msg.CancelResult.CANCELLED), 'west': (unknown,)}
+    result, _, asked = cancel(answers)
+    assert result is msg.CancelResult.CANCELLED
+    assert asked.count('west') == 1
+
+
+@pytest.mark.parametrize(
+    ('east', 'longest_ms'),
+    [
+        (msg.CancelResult.UNKNOWN, 0),
+        (msg.CancelResult.STANDBY, LIMIT_MS + ROUND_MS),
+        (None, LIMIT_MS + ROUND_MS),
+    ],
+)
+def test_search_is_bounded(east, longest_ms):
+    """A domain without a leader must not hold a caller for ever."""
+    result, took, _ = cancel({'east': (east,)})
+    assert result is msg.CancelResult.UNKNOWN
+    assert took <= longest_ms
--- a/jayshore/daemon/submissions.py
+++ b/jayshore/daemon/submissions.py
@@ -4,9 +4,10 @@
 import eliot
 
 from jayshore.clock import Clock, Millis, to_seconds
-from jayshore.config.model import Queue
+from jayshore.config.model import DomainState, Queue
 from jayshore.daemon.access import Access, Granted, NotFresh
 from jayshore.daemon.answers import JobView, job_view
+from jayshore.daemon.cancelling import LeaderSearch
 from jayshore.daemon.configuration import ConfigKeeper
 from jayshore.daemon.leading import LeaderSeat
 from jayshore.daemon.peers import Peer, PeerGroup
@@ -212,22 +213,23 @@
             What became of it; unknown when no leader holds such a job.
         """
         outcome = await self.cancel_held(job_id, team)
-        for domain in self._keeper.snapshot.document.domains:
-            if outcome is not msg.CancelResult.UNKNOWN:
-                break
-            peer = self._peers.leader_of(domain.name)
-            if peer is None:
-                continue
-            try:
-                reply = await peer.client.cancel_job(
-                    msg.CancelJob(job_id=job_id, team=team),
-                    timeout_ms=Millis(self._settings.timing.call_timeout_ms),
-                )
-            except WireError as error:
-                eliot.log_message('job:no_cancel', job=job_id, why=str(error))
-            else:
-                outcome = reply.result
-        return outcome
+        if outcome not in {msg.CancelResult.UNKNOWN, msg.CancelResult.STANDBY}:
+            return outcome
+        is_leading = outcome is msg.CancelResult.UNKNOWN
+        domains = [
+            domain.name
+            for domain in self._keeper.snapshot.document.domains
+            if domain.state is DomainState.ACTIVE
+            and not (is_leading and domain.name == self._settings.domain)
+        ]
+        search = LeaderSearch(
+            peers=self._peers,
+            clock=self._clock,
+            limit_ms=Millis(self._settings.timing.call_timeout_ms),
+        )
+        return await search.cancel(
+            msg.CancelJob(job_id=job_id, team=team), domains
+        )
 
     async def cancel_held(self, job_id: str, team: str) -> msg.CancelResult:
         """Cancel a job that this daemon holds as leader.
@@ -240,8 +242,10 @@
             What became of it.
         """
         leader = self._seat.leader
-        record = leader.parts.book.find(job_id) if leader else None
-        if leader is None or record is None or record.team != team:
+        if leader is None:
+            return msg.CancelResult.STANDBY
+        record = leader.parts.book.find(job_id)
+        if record is None or record.team != team:
             return msg.CancelResult.UNKNOWN
         if record.is_final:
             return msg.CancelResult.FINISHED
--- a/jayshore/wire/messages.py
+++ b/jayshore/wire/messages.py
@@ -21,11 +21,16 @@
 
 
 class CancelResult(enum.StrEnum):
-    """What became of the cancellation of a job."""
+    """What became of the cancellation of a job.
+
+    A daemon that does not lead its domain answers `STANDBY`: whether there is
+    such a job is for the leader to say.
+    """
 
     CANCELLED = 'cancelled'
     FINISHED = 'finished'
     UNKNOWN = 'unknown'
+    STANDBY = 'standby'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/wire/protocol.capnp
+++ b/jayshore/wire/protocol.capnp
@@ -125,6 +125,7 @@
   cancelled @0;
   finished @1;
   unknown @2;
+  standby @3;                   # does not lead its domain
 }
 
 struct CancelJobReply {
