Keep the tests of a worker's session in one file

Change: the tests of failed renewals move to session_test.py and now state all that the observer is told.

--- a/jayshore/leases/session_test.py
+++ b/jayshore/leases/session_test.py
@@ -1,4 +1,4 @@
-"""Tests of a lease that is in doubt after a start."""
+"""Tests of a lease that is in doubt after a start or a renewal."""
 
 import random
 
@@ -9,6 +9,8 @@
 from jayshore.http.client import CallTimedOut, ConnectFailed, ConnectionLost
 from jayshore.leases.session import WorkerObserver, WorkerSession
 from jayshore.leases.worker import (
+    EpochSuperseded,
+    LeaseSuperseded,
     OpenedLease,
     Renewed,
     StartOrder,
@@ -37,6 +39,7 @@
         self.lost_opens = 0
         self.starts = []
         self.results = []
+        self.renewal_failures = []
         self.news = curio.Queue()
         self.renewals = 0
 
@@ -55,6 +58,8 @@
 
     async def renew(self, lease_id, acknowledged, wait_ms):
         self.renewals += 1
+        if self.renewal_failures:
+            raise self.renewal_failures.pop(0)
         return await self.news.get()
 
     async def start(self, lease_id, order):
@@ -93,11 +98,12 @@
             await curio.sleep(0.001)
 
 
-def run_session(scenario):
+def run_session(scenario, *, renewal_failures=()):
     """Run a scenario beside a session whose first lease is open."""
 
     async def run():
         link, observer = FakeLink(), RecordingObserver()
+        link.renewal_failures.extend(renewal_failures)
         session = WorkerSession(
             worker_id='w0',
             link=link,
@@ -136,6 +142,37 @@
     assert observer.seen[-1] == 'opened 2'
 
 
+@pytest.mark.parametrize(
+    ('failure', 'seen'),
+    [
+        (LeaseSuperseded('lease 1'), ['opened 1', 'opened 2']),
+        (UpstreamUnreachable('closed'), ['opened 1', 'lost', 'opened 2']),
+    ],
+)
+def test_failed_renewal_opens_a_new_lease(failure, seen):
+    """An error of the renewal must not end the session."""
+
+    async def scenario(session, link, _observer):
+        await wait_for(lambda: link.renewals == 2)
+        assert session.is_open
+
+    _, observer = run_session(scenario, renewal_failures=[failure])
+    assert observer.seen == seen
+
+
+def test_superseded_epoch_ends_the_session():
+    """A former leader must not go on."""
+
+    async def scenario(_session, _link, observer):
+        await wait_for(lambda: 'superseded' in observer.seen)
+
+    link, observer = run_session(
+        scenario, renewal_failures=[EpochSuperseded('epoch 1')]
+    )
+    assert observer.seen == ['opened 1', 'superseded']
+    assert link.renewals == 1
+
+
 def test_success_keeps_the_lease():
     """A start that worked must not cost a new lease."""
 
