Keep the lease of the stand-ins and the tests' load in one place

Cause: read as a whole, the change wrote some things twice. The stand-ins of worker and executor each had open, renew, wait and reboot of the same lease. A test of the roster imported the balancer and the judgement of replies from another test file and repeated its set-up. Two tests submitted the same endless work, and two built the same waiting task.

Change: standins/leasing.py holds the lease, with hooks for what runs; tests/balancer.py the balancer, its load and its judgement; submit_endless and sample_task are shared. No bound or assertion changed.

--- a/jayshore/jobs/policies_test.py
+++ b/jayshore/jobs/policies_test.py
@@ -8,16 +8,14 @@
 from jayshore.placement.cell import Cell
 from jayshore.placement.decisions import Place, Preempt, UnlimitedHeadroom, Wait
 from jayshore.placement.naive import NaiveCell
+from jayshore.placement.sample_task_test import CORE, sample_task
 from jayshore.placement.settings import PlacementSettings
 from jayshore.placement.tasks import (
-    PendingTask,
     TaskId,
     TaskKind,
     WorkerView,
 )
-from jayshore.resources import Resources
 
-CORE = Resources(cpu_millis=1000, memory_mb=1024)
 NOW = 100_000
 
 
@@ -28,21 +26,6 @@
     return placement_settings(decoded)
 
 
-def task(job_id, *, index=0, cores=1, **fields):
-    defaults = {
-        'team': 'a',
-        'kind': TaskKind.BATCH,
-        'enqueued_at': 0,
-        'idempotent': True,
-        'preemptible': True,
-    }
-    return PendingTask(
-        task_id=TaskId(job_id=job_id, index=index),
-        demand=CORE.scaled(cores),
-        **(defaults | fields),
-    )
-
-
 @pytest.fixture(params=[Cell, NaiveCell], name='cell')
 def make_cell(request):
     """Build a cell of two workers of each implementation.
@@ -82,15 +65,15 @@
 
 def half_filled(cell):
     """Fill a worker partly; the other comes first by checksum."""
-    run(cell, 'x1', task('filler', cores=4))
-    cell.enqueue(task('new'))
+    run(cell, 'x1', sample_task('filler', cores=4))
+    cell.enqueue(sample_task('new'))
 
 
 def second_replica(cell):
     """Let a second replica wait while the first fills its worker partly."""
     replica = {'kind': TaskKind.SERVICE, 'preemptible': False}
-    run(cell, 'x1', task('service', cores=4, **replica))
-    cell.enqueue(task('service', index=1, **replica))
+    run(cell, 'x1', sample_task('service', cores=4, **replica))
+    cell.enqueue(sample_task('service', index=1, **replica))
 
 
 def failing(cell):
@@ -101,16 +84,16 @@
 
 def old_work(cell):
     """Let older work of a team with more use wait with that of another."""
-    run(cell, 'x1', task('running', cores=2))
-    cell.enqueue(task('old'))
-    cell.enqueue(task('young', team='b', enqueued_at=NOW - 10_000))
+    run(cell, 'x1', sample_task('running', cores=2))
+    cell.enqueue(sample_task('old'))
+    cell.enqueue(sample_task('young', team='b', enqueued_at=NOW - 10_000))
 
 
 def full(cell):
     """Fill the cell with work of one team while another waits."""
     for number in range(2):
-        run(cell, f'x{number}', task(f'full{number}', cores=15))
-    cell.enqueue(task('blocked', team='b'))
+        run(cell, f'x{number}', sample_task(f'full{number}', cores=15))
+    cell.enqueue(sample_task('blocked', team='b'))
 
 
 @pytest.mark.parametrize(
@@ -160,11 +143,11 @@
 def test_aged_work_goes_by_arrival(cell):
     """Guards against older work that waits behind that of a light team."""
     cell.apply_settings(read({'aging': {'full_ms': 60_000}}))
-    run(cell, 'x0', task('running', cores=8))
+    run(cell, 'x0', sample_task('running', cores=8))
     waits = {'a1': ('a', 10), 'b2': ('b', 20), 'a3': ('a', 30), 'b4': ('b', 40)}
     for job_id, (team, at) in reversed(waits.items()):
-        cell.enqueue(task(job_id, team=team, enqueued_at=at))
-    cell.enqueue(task('young', team='b', enqueued_at=NOW - 1, cores=2))
+        cell.enqueue(sample_task(job_id, team=team, enqueued_at=at))
+    cell.enqueue(sample_task('young', team='b', enqueued_at=NOW - 1, cores=2))
     order = []
     while (decision := decide(cell)) is not None:
         order.append(decision[0])
@@ -179,8 +162,8 @@
 def test_urgent_work_precedes_aged_work(cell, fields):
     """Guards against a preview or a deadline missed behind a backlog."""
     cell.apply_settings(read({'aging': {'full_ms': 60_000}}))
-    cell.enqueue(task('aged'))
-    cell.enqueue(task('urgent', enqueued_at=NOW - 1, **fields))
+    cell.enqueue(sample_task('aged'))
+    cell.enqueue(sample_task('urgent', enqueued_at=NOW - 1, **fields))
     assert decide(cell)[0] == 'urgent'
 
 
@@ -189,7 +172,9 @@
     failing(cell)
     cell.withdraw(TaskId(job_id='new', index=0))
     for index in range(2):
-        cell.enqueue(task('g', index=index, kind=TaskKind.GANG, gang_size=2))
+        cell.enqueue(
+            sample_task('g', index=index, kind=TaskKind.GANG, gang_size=2)
+        )
     assert decide(cell) == ('g', 'x0')
 
 
@@ -219,7 +204,7 @@
     """Guards against a scan of all workers, or of too few."""
     cell = forty_workers(implementation, lambda number: number + 2)
     cell.apply_settings(read({'weights': {'packing': 0}}))
-    cell.enqueue(task('new'))
+    cell.enqueue(sample_task('new'))
     assert decide(cell) == ('new', 'w31')
 
 
@@ -228,6 +213,8 @@
     """Guards against a gang that never starts once a task has failed."""
     cell = forty_workers(implementation, lambda number: 2)
     for index in range(36):
-        cell.enqueue(task('g', index=index, kind=TaskKind.GANG, gang_size=36))
+        cell.enqueue(
+            sample_task('g', index=index, kind=TaskKind.GANG, gang_size=36)
+        )
     decision = cell.decide(NOW)
     assert len({one.worker_id for one in decision.assignments}) == 36
--- a/jayshore/jobs/stopping_test.py
+++ b/jayshore/jobs/stopping_test.py
@@ -10,8 +10,8 @@
 from jayshore.clock import ManualClock
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
-from jayshore.jobs.placing import Placer
 from jayshore.jobs.changes import Writer
+from jayshore.jobs.placing import Placer
 from jayshore.jobs.record import JobKind, WorkerBoot
 from jayshore.jobs.sample_record_test import TASKS, sample_record
 
--- a/jayshore/placement/rounds_test.py
+++ b/jayshore/placement/rounds_test.py
@@ -10,8 +10,8 @@
 )
 from jayshore.placement.feasible import never_fits
 from jayshore.placement.naive import NaiveCell
+from jayshore.placement.sample_task_test import CORE, sample_task
 from jayshore.placement.tasks import (
-    PendingTask,
     TaskId,
     TaskKind,
     WorkerState,
@@ -19,8 +19,6 @@
 )
 from jayshore.resources import Resources
 
-CORE = Resources(cpu_millis=1000, memory_mb=1024)
-
 
 def worker(number, *, cores=16):
     """Build a worker; every second one stands in the same rack."""
@@ -32,21 +30,9 @@
     )
 
 
-def waiting(job_id, *, index=0, cores=1, **fields):
-    """Build a waiting task of so many cores."""
-    defaults = {
-        'team': 'a',
-        'kind': TaskKind.BATCH,
-        'enqueued_at': 0,
-        'estimated_run_ms': 10_000,
-        'idempotent': True,
-        'preemptible': True,
-    }
-    return PendingTask(
-        task_id=TaskId(job_id=job_id, index=index),
-        demand=CORE.scaled(cores),
-        **(defaults | fields),
-    )
+def waiting(job_id, **fields):
+    """Build a waiting task whose run time is known."""
+    return sample_task(job_id, **({'estimated_run_ms': 10_000} | fields))
 
 
 @pytest.fixture(params=[Cell, NaiveCell], name='cell')
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -23,19 +23,15 @@
 )
 from jayshore.http.serverconnection import DropConnection
 from standins.crossing import Crossing
-from standins.faults import FaultGate, Faults
 from standins.fencing import (
-    EpochTooLow,
     LeaseNotCurrent,
-    LeaseState,
-    OpenBody,
     refusal,
 )
+from standins.leasing import LeasingStandIn, UpstreamFaults
 from standins.runs import RunTable
 from standins.serving import (
     ADMIN,
     Route,
-    StandIn,
     decode_settings,
     read_arguments,
     route,
@@ -67,11 +63,10 @@
     record_history: bool = True
 
 
-class ExecutorFaults(Faults, kw_only=True):
+class ExecutorFaults(UpstreamFaults, kw_only=True):
     """Faults of an executor.
 
     Attributes:
-        leaving: whether the executor reports that it leaves.
         drop_next_before_run: for how many requests the connection ends
             without a run.
         delay_next_answers: how many answers are held back.
@@ -80,23 +75,17 @@
             their connections.
     """
 
-    leaving: bool = False
     drop_next_before_run: int = 0
     delay_next_answers: int = 0
     answer_delay_ms: int = 0
     cross_next_pairs: int = 0
 
 
-class _Renew(msgspec.Struct, kw_only=True):
-    lease_id: int
-    wait_ms: int = 0
-
-
 class _Work(msgspec.Struct, kw_only=True):
     service_ms: int | None = None
 
 
-class ExecutorStandIn(StandIn):
+class ExecutorStandIn(LeasingStandIn):
     """Answers the executor's calls of section 8.3 of the design page."""
 
     def __init__(self, *, settings: ExecutorSettings, clock: Clock) -> None:
@@ -107,14 +96,10 @@
             clock: time of leases and runs.
         """
         self._settings = settings
-        self._clock = clock
         self._faults = ExecutorFaults()
-        self._lease = LeaseState(clock=clock)
         self._runs = RunTable(clock=clock, keep=settings.record_history)
         self._crossing = Crossing()
-        self._changed = curio.Event()
-        self._leaving_shown = False
-        super().__init__(gate=FaultGate(self._faults))
+        super().__init__(clock=clock, faults=self._faults)
 
     def routes(self) -> list[Route]:
         """List the calls.
@@ -124,66 +109,22 @@
         """
         return [
             route('POST', '/v1/run', 'run', self._run_request),
-            route('POST', '/v1/lease/open', 'lease_open', self._open),
-            route('POST', '/v1/lease/renew', 'lease_renew', self._renew),
             route('GET', '/v1/runs/(.+)', 'query', self._query),
             route('GET', '/admin/history', ADMIN, self._read_history),
-            route('POST', '/admin/reboot', ADMIN, self._reboot),
+            *self._lease_routes(),
         ]
 
-    async def change_faults(self, request: Request) -> Response:
-        """Set faults and wake the renewals that wait.
-
-        Args:
-            request: the call with a JSON object.
-
-        Returns:
-            All faults.
-        """
-        answer = await super().change_faults(request)
-        await self._announce()
-        return answer
-
-    async def _open(self, request: Request) -> Response:
-        try:
-            lease_id = self._lease.open(decode_json(request.body, OpenBody))
-        except EpochTooLow as error:
-            return refusal(error)
-        await self._announce()
-        self._gate.leave_write('lease_open')
-        return json_response(
-            _STATUS_OK,
-            {
-                'lease_id': lease_id,
-                'boot_id': self._lease.boot_id,
-                'capacity': {
-                    'slots': self._settings.slots,
-                    'connections': self._settings.connections,
-                },
-                **self._inventory(),
-            },
-        )
-
-    async def _renew(self, request: Request) -> Response:
-        body = decode_json(request.body, _Renew)
-        try:
-            self._lease.renew(body.lease_id)
-            if body.wait_ms > 0:
-                await self._wait_for_news(body)
-            self._lease.check(body.lease_id)
-        except LeaseNotCurrent as error:
-            return refusal(error)
-        self._gate.leave_wait(request)
-        return json_response(_STATUS_OK, self._inventory())
+    def _capacity(self) -> object:
+        return {
+            'slots': self._settings.slots,
+            'connections': self._settings.connections,
+        }
 
-    async def _wait_for_news(self, body: _Renew) -> None:
-        async with curio.ignore_after(to_seconds(Millis(body.wait_ms))):
-            await self._wait_for_change(body.lease_id)
+    def _report_all(self) -> object:
+        return self._runs.running()
 
-    async def _wait_for_change(self, lease_id: int) -> None:
-        while self._leaving_shown == self._faults.leaving:
-            await self._changed.wait()
-            self._lease.check(lease_id)
+    def _forget_all(self) -> None:
+        self._runs.forget_all()
 
     async def _run_request(self, request: Request) -> Response:
         request_id = request.headers[REQUEST_ID_HEADER]
@@ -246,24 +187,6 @@
             },
         )
 
-    async def _reboot(self, _request: Request) -> Response:
-        self._lease.reboot()
-        self._runs.forget_all()
-        await self._announce()
-        return json_response(_STATUS_OK, {'boot_id': self._lease.boot_id})
-
-    async def _announce(self) -> None:
-        changed = self._changed
-        self._changed = curio.Event()
-        await changed.set()
-
-    def _inventory(self) -> dict[str, object]:
-        self._leaving_shown = self._faults.leaving
-        return {
-            'leaving': self._leaving_shown,
-            'tasks': self._runs.running(),
-        }
-
 
 def _read_service_ms(body: bytes, otherwise_ms: int) -> Millis:
     if body.startswith(b'{'):
--- /dev/null
+++ b/standins/leasing.py
@@ -0,0 +1,168 @@
+"""What the stand-ins of workers and executors share: the lease they grant."""
+
+import abc
+
+import curio
+import msgspec
+
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.http.messages import (
+    Request,
+    Response,
+    decode_json,
+    json_response,
+)
+from standins.faults import FaultGate, Faults
+from standins.fencing import (
+    EpochTooLow,
+    LeaseNotCurrent,
+    LeaseState,
+    OpenBody,
+    refusal,
+)
+from standins.serving import ADMIN, Route, StandIn, route
+from standins.tasktable import TaskName
+
+_STATUS_OK = 200
+
+
+class UpstreamFaults(Faults, kw_only=True):
+    """Faults that workers and executors share.
+
+    Attributes:
+        leaving: whether the upstream reports that it leaves.
+    """
+
+    leaving: bool = False
+
+
+class _Renew(msgspec.Struct, kw_only=True):
+    lease_id: int
+    ack: list[TaskName] = []
+    wait_ms: int = 0
+
+
+class LeasingStandIn(StandIn):
+    """Opens and renews the lease of section 4.1 of the design page."""
+
+    def __init__(self, *, clock: Clock, faults: UpstreamFaults) -> None:
+        """Boot without a lease.
+
+        Args:
+            clock: time of leases and of what runs.
+            faults: changed by the administration interface.
+        """
+        self._clock = clock
+        self._lease = LeaseState(clock=clock)
+        self._upstream_faults = faults
+        self._changed = curio.Event()
+        self._leaving_shown = False
+        super().__init__(gate=FaultGate(faults))
+
+    async def change_faults(self, request: Request) -> Response:
+        """Set faults and wake the renewals that wait.
+
+        Args:
+            request: the call with a JSON object.
+
+        Returns:
+            All faults.
+        """
+        answer = await super().change_faults(request)
+        await self._wake()
+        return answer
+
+    @abc.abstractmethod
+    def _capacity(self) -> object:
+        """Tell the capacity that is reported."""
+
+    @abc.abstractmethod
+    def _report_all(self) -> object:
+        """Report all that runs, or has ended and is not acknowledged."""
+
+    def _report_news(self) -> object:
+        """Report what a renewal has to tell."""
+        return self._report_all()
+
+    @abc.abstractmethod
+    def _forget_all(self) -> None:
+        """Forget all that runs, as a restarted process does."""
+
+    async def _advance(self) -> None:
+        """Let time pass for what runs."""
+
+    def _acknowledge(self, names: list[TaskName]) -> None:
+        """Forget what has ended and was acknowledged."""
+
+    def _has_news(self) -> bool:
+        """Tell whether a renewal that waits has to be answered."""
+        return self._leaving_shown != self._upstream_faults.leaving
+
+    async def _wake(self) -> None:
+        """Let the renewals that wait look for news."""
+        changed = self._changed
+        self._changed = curio.Event()
+        await changed.set()
+
+    def _lease_routes(self) -> list[Route]:
+        """List the calls of the lease and the reboot."""
+        return [
+            route('POST', '/v1/lease/open', 'lease_open', self._open),
+            route('POST', '/v1/lease/renew', 'lease_renew', self._renew),
+            route('POST', '/admin/reboot', ADMIN, self._reboot),
+        ]
+
+    async def _open(self, request: Request) -> Response:
+        try:
+            lease_id = self._lease.open(decode_json(request.body, OpenBody))
+        except EpochTooLow as error:
+            return refusal(error)
+        await self._advance()
+        # A renewal that waits under the older lease has to be refused.
+        await self._wake()
+        self._gate.leave_write('lease_open')
+        return json_response(
+            _STATUS_OK,
+            {
+                'lease_id': lease_id,
+                'boot_id': self._lease.boot_id,
+                'capacity': self._capacity(),
+                'leaving': self._show_leaving(),
+                'tasks': self._report_all(),
+            },
+        )
+
+    async def _renew(self, request: Request) -> Response:
+        body = decode_json(request.body, _Renew)
+        try:
+            self._lease.renew(body.lease_id)
+            self._acknowledge(body.ack)
+            await self._advance()
+            await self._wait_for_news(body)
+            self._lease.check(body.lease_id)
+        except LeaseNotCurrent as error:
+            return refusal(error)
+        self._gate.leave_wait(request)
+        return json_response(
+            _STATUS_OK,
+            {'leaving': self._show_leaving(), 'tasks': self._report_news()},
+        )
+
+    async def _wait_for_news(self, body: _Renew) -> None:
+        if body.wait_ms <= 0:
+            return
+        async with curio.ignore_after(to_seconds(Millis(body.wait_ms))):
+            while not self._has_news():
+                await self._changed.wait()
+                self._lease.check(body.lease_id)
+
+    async def _reboot(self, _request: Request) -> Response:
+        await self._advance()
+        self._forget_all()
+        self._lease.reboot()
+        await self._wake()
+        return json_response(_STATUS_OK, {'boot_id': self._lease.boot_id})
+
+    def _show_leaving(self) -> bool:
+        self._leaving_shown = self._upstream_faults.leaving
+        return self._leaving_shown
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,18 +23,14 @@
 )
 from jayshore.http.serverconnection import DropConnection
 from jayshore.resources import Resources
-from standins.faults import FaultGate, Faults
 from standins.fencing import (
-    EpochTooLow,
     LeaseNotCurrent,
-    LeaseState,
-    OpenBody,
     refusal,
 )
+from standins.leasing import LeasingStandIn, UpstreamFaults
 from standins.serving import (
     ADMIN,
     Route,
-    StandIn,
     decode_settings,
     read_arguments,
     route,
@@ -67,29 +63,21 @@
     usage_lag_ms: int = 1000
 
 
-class WorkerFaults(Faults, kw_only=True):
+class WorkerFaults(UpstreamFaults, kw_only=True):
     """Faults of a worker.
 
     Attributes:
         fail_starts: whether every task that is started fails.
         fail_after_ms: run time of these tasks, in ms.
-        leaving: whether the worker reports that it leaves.
         drop_next_stops: for how many stops the connection ends without an
             effect.
     """
 
     fail_starts: bool = False
     fail_after_ms: int = 0
-    leaving: bool = False
     drop_next_stops: int = 0
 
 
-class _Renew(msgspec.Struct, kw_only=True):
-    lease_id: int
-    ack: list[TaskName] = []
-    wait_ms: int = 0
-
-
 class _Start(msgspec.Struct, kw_only=True):
     lease_id: int
     task: TaskOrder
@@ -100,7 +88,7 @@
     percent: int = 100
 
 
-class WorkerStandIn(StandIn):
+class WorkerStandIn(LeasingStandIn):
     """Answers the worker's calls of section 8.3 of the design page."""
 
     def __init__(self, *, settings: WorkerSettings, clock: Clock) -> None:
@@ -111,14 +99,10 @@
             clock: time of tasks and leases.
         """
         self._settings = settings
-        self._clock = clock
         self._faults = WorkerFaults()
-        self._lease = LeaseState(clock=clock)
         self._tasks = TaskTable(clock=clock, usage_lag_ms=settings.usage_lag_ms)
-        self._changed = curio.Event()
-        self._has_news = False
-        self._leaving_shown = False
-        super().__init__(gate=FaultGate(self._faults))
+        self._has_task_news = False
+        super().__init__(clock=clock, faults=self._faults)
 
     def routes(self) -> list[Route]:
         """List the calls.
@@ -127,8 +111,6 @@
             The table of routes.
         """
         return [
-            route('POST', '/v1/lease/open', 'lease_open', self._open),
-            route('POST', '/v1/lease/renew', 'lease_renew', self._renew),
             route('POST', '/v1/tasks', 'start', self._start),
             route(
                 'POST',
@@ -137,7 +119,7 @@
                 self._change,
             ),
             route('GET', '/admin/history', ADMIN, self._read_history),
-            route('POST', '/admin/reboot', ADMIN, self._reboot),
+            *self._lease_routes(),
         ]
 
     async def background(self) -> None:
@@ -146,55 +128,32 @@
             await curio.sleep(to_seconds(_TICK_MS))
             await self._advance()
 
-    async def _open(self, request: Request) -> Response:
-        try:
-            lease_id = self._lease.open(decode_json(request.body, OpenBody))
-        except EpochTooLow as error:
-            return refusal(error)
-        await self._advance()
-        # A renewal that waits under the older lease has to be refused.
-        await self._announce()
-        self._gate.leave_write('lease_open')
-        self._has_news = False
-        return json_response(
-            _STATUS_OK,
-            {
-                'lease_id': lease_id,
-                'boot_id': self._lease.boot_id,
-                'capacity': self._settings.capacity,
-                **self._inventory(),
-            },
-        )
+    async def _advance(self) -> None:
+        changed = self._tasks.advance()
+        if self._lease.is_task_lease_over():
+            changed = self._tasks.end_all(Outcome.LEASE_EXPIRED) or changed
+        if changed:
+            await self._announce()
 
-    async def _renew(self, request: Request) -> Response:
-        body = decode_json(request.body, _Renew)
-        try:
-            self._lease.renew(body.lease_id)
-            self._tasks.acknowledge(body.ack)
-            await self._advance()
-            if body.wait_ms > 0:
-                await self._wait_for_news(body)
-            self._lease.check(body.lease_id)
-        except LeaseNotCurrent as error:
-            return refusal(error)
-        self._gate.leave_wait(request)
-        self._has_news = False
-        self._leaving_shown = self._faults.leaving
-        return json_response(
-            _STATUS_OK,
-            {'leaving': self._leaving_shown, 'tasks': self._tasks.news()},
-        )
+    def _capacity(self) -> object:
+        return self._settings.capacity
+
+    def _has_news(self) -> bool:
+        return self._has_task_news or super()._has_news()
+
+    def _acknowledge(self, names: list[TaskName]) -> None:
+        self._tasks.acknowledge(names)
 
-    async def _wait_for_news(self, body: _Renew) -> None:
-        async with curio.ignore_after(to_seconds(Millis(body.wait_ms))):
-            await self._wait_for_change(body.lease_id)
+    def _report_all(self) -> object:
+        self._has_task_news = False
+        return self._tasks.reports()
 
-    async def _wait_for_change(self, lease_id: int) -> None:
-        while not self._has_news:
-            if self._leaving_shown != self._faults.leaving:
-                return
-            await self._changed.wait()
-            self._lease.check(lease_id)
+    def _report_news(self) -> object:
+        self._has_task_news = False
+        return self._tasks.news()
+
+    def _forget_all(self) -> None:
+        self._tasks.forget_all()
 
     async def _start(self, request: Request) -> Response:
         body = decode_json(request.body, _Start)
@@ -254,32 +213,9 @@
             },
         )
 
-    async def _reboot(self, _request: Request) -> Response:
-        await self._advance()
-        self._tasks.forget_all()
-        self._lease.reboot()
-        await self._announce()
-        return json_response(_STATUS_OK, {'boot_id': self._lease.boot_id})
-
-    async def _advance(self) -> None:
-        changed = self._tasks.advance()
-        if self._lease.is_task_lease_over():
-            changed = self._tasks.end_all(Outcome.LEASE_EXPIRED) or changed
-        if changed or self._leaving_shown != self._faults.leaving:
-            await self._announce()
-
     async def _announce(self) -> None:
-        self._has_news = True
-        changed = self._changed
-        self._changed = curio.Event()
-        await changed.set()
-
-    def _inventory(self) -> dict[str, object]:
-        self._leaving_shown = self._faults.leaving
-        return {
-            'leaving': self._leaving_shown,
-            'tasks': self._tasks.reports(),
-        }
+        self._has_task_news = True
+        await self._wake()
 
 
 def _apply(action: str, task: RunningTask, body: _Change) -> None:
--- a/tests/domain_lost_test.py
+++ b/tests/domain_lost_test.py
@@ -20,10 +20,12 @@
 from demo.processes import start_stand_in, wait_until
 from tests.guarantee_support import (
     IN_FORCE_S,
+    TASK_CPU,
     Background,
     send_request,
     show,
     small_shape,
+    submit_endless,
     teams,
 )
 from tests.support import END_S, OWNED_AGAIN_S
@@ -31,7 +33,6 @@
 pytestmark = pytest.mark.processes
 
 TEAM = 'millrace'
-TASK_CPU = 1000
 LIMIT_TASKS = 18
 LOST = 'east'
 HELD_TASKS = 10
@@ -64,20 +65,6 @@
         self.list_instances({f'{LOST}-w0': None, f'{LOST}-x0': None})
 
 
-def submit(cluster, through, tasks, *, idempotent=True):
-    """Submit work that runs until it is stopped."""
-    job = {
-        'queue': 'night',
-        'tasks': tasks,
-        'demand': {'cpu_millis': TASK_CPU, 'memory_mb': 64},
-        'payload': {},
-        'idempotent': idempotent,
-    }
-    answer = cluster.submit(TEAM, job, through=through)
-    assert answer.status == 202, answer.body
-    return answer
-
-
 def running(cluster, *, domain='', submitted=None):
     job_id = submitted.content['job_id'] if submitted else None
     return sum(
@@ -97,10 +84,13 @@
 def test_domain_lost_and_declared_lost():
     limit = {'cpu_millis': LIMIT_TASKS * TASK_CPU}
     with LosingCluster(shape=small_shape(), teams=teams(**limit)) as cluster:
-        again = submit(cluster, 'east-0', HELD_TASKS - 2)
-        once = submit(cluster, 'east-0', 2, idempotent=False)
+        again = submit_endless(cluster, TEAM, 'east-0', HELD_TASKS - 2)
+        once = submit_endless(cluster, TEAM, 'east-0', 2, idempotent=False)
         wait_running(cluster, HELD_TASKS)
-        rest = [submit(cluster, name, 30) for name in ('north-0', 'south-0')]
+        rest = [
+            submit_endless(cluster, TEAM, name, 30)
+            for name in ('north-0', 'south-0')
+        ]
         wait_running(cluster, LIMIT_TASKS)
         with Background(pause_s=0.02) as background:
             for name in ('north-0', 'south-0'):
--- a/tests/guarantee_limits_test.py
+++ b/tests/guarantee_limits_test.py
@@ -12,6 +12,7 @@
 from demo.processes import wait_until
 from tests.guarantee_support import (
     IN_FORCE_S,
+    TASK_CPU,
     Background,
     CuttableCluster,
     heal,
@@ -19,6 +20,7 @@
     show,
     small_shape,
     status_of,
+    submit_endless,
     teams,
 )
 
@@ -27,7 +29,7 @@
 TEAM = 'millrace'
 CUT_TEAM = 'fenland'
 CUT_TASKS = 10
-TASK_CPU = 1000
+WANTED_TASKS = 30
 LOW = {'cpu_millis': 6000, 'memory_mb': 384_000, 'requests': 6}
 HIGH = {'cpu_millis': 18_000, 'memory_mb': 384_000, 'requests': 18}
 CALLERS = 30
@@ -59,20 +61,6 @@
     )
 
 
-def submit_tasks(cluster, team, through, count=30):
-    """Submit idempotent work that runs until it is stopped."""
-    job = {
-        'queue': 'night',
-        'tasks': count,
-        'demand': {'cpu_millis': TASK_CPU, 'memory_mb': 64},
-        'payload': {},
-        'idempotent': True,
-    }
-    answer = cluster.submit(team, job, through=through)
-    assert answer.status == 202, answer.body
-    return answer.content['job_id']
-
-
 def load(background, cluster):
     headers = cluster.key(TEAM)
     daemons = list(cluster.daemons.values())
@@ -130,7 +118,7 @@
 def test_limit_holds_while_it_changes(cluster):
     began = 1000 * time.monotonic()
     for name in cluster.daemons:
-        submit_tasks(cluster, TEAM, name)
+        submit_endless(cluster, TEAM, name, WANTED_TASKS)
     with Background(pause_s=0.005) as background:
         load(background, cluster)
         wait_used(cluster, LOW)
@@ -162,11 +150,11 @@
 def test_limit_holds_beside_a_domain_that_is_cut_off(cluster, seen):
     heal(cluster)
     apply_limit(cluster, HIGH, CUT_TEAM)
-    jobs = [submit_tasks(cluster, CUT_TEAM, 'east-0', CUT_TASKS)]
+    jobs = [submit_endless(cluster, CUT_TEAM, 'east-0', CUT_TASKS)]
     held = {'cpu_millis': CUT_TASKS * TASK_CPU}
     wait_used(cluster, held, CUT_TEAM)
     for name in ('north-0', 'south-0'):
-        jobs.append(submit_tasks(cluster, CUT_TEAM, name))
+        jobs.append(submit_endless(cluster, CUT_TEAM, name, WANTED_TASKS))
     wait_used(cluster, HIGH, CUT_TEAM)
     cluster.cut_off('east-0')
     if seen == 'cut seen':
@@ -191,8 +179,8 @@
         'the lowered limit holds again',
     )
     show('limit holds after the cut', took, IN_FORCE_S, 's')
-    for job_id in jobs:
-        path = f'/v1/jobs/{job_id}/cancel'
+    for submitted in jobs:
+        path = f'/v1/jobs/{submitted.content["job_id"]}/cancel'
         headers = cluster.key(CUT_TEAM)
         cluster.daemons['north-0'].call('POST', path, headers=headers)
     wait_until(
--- a/tests/guarantee_restart_test.py
+++ b/tests/guarantee_restart_test.py
@@ -4,106 +4,28 @@
 job, for callers behind a load balancer that honours `/readyz`.
 """
 
-import itertools
-import json
-import threading
 import time
 
 import pytest
 
 from demo.cluster import Cluster
-from demo.history import check_all, finished_runs, task_runs
 from demo.processes import wait_until
-from tests.guarantee_support import (
-    Background,
-    attempt,
-    send_request,
-    show,
-    small_shape,
-    teams,
-)
+from tests.balancer import DRAIN_S, judge, judge_jobs, load
+from tests.guarantee_support import small_shape, teams
 
 pytestmark = pytest.mark.processes
 
 CALLERS = 8
-POLL_S = 0.2
-JOBS_LIMIT_S = 30
-
-# Longer than a stopping daemon waits for the load balancer (1 s).
-LONG_MS = 1500
-
-# Settings of the daemons, `drain_ms`.
-DRAIN_S = 15
-
-
-class Balancer:
-    """Sends calls to daemons that were ready when it last looked."""
-
-    def __init__(self, *, cluster):
-        self._cluster = cluster
-        self._ready = list(cluster.daemons)
-        self._turn = itertools.count()
-        self._lock = threading.Lock()
-
-    def look(self):
-        """Ask all daemons; one that does not answer is not ready."""
-        ready = []
-        for name, daemon in list(self._cluster.daemons.items()):
-            reply = attempt(daemon, 'GET', '/readyz', timeout_s=1)
-            if reply.status == 200:
-                ready.append(name)
-        with self._lock:
-            self._ready = ready
-        return reply
-
-    def is_ready(self, name):
-        with self._lock:
-            return name in self._ready
-
-    def pick(self):
-        with self._lock:
-            return self._cluster.daemons[
-                self._ready[next(self._turn) % len(self._ready)]
-            ]
-
-    def request(self, number):
-        team = self._cluster.teams[number % 3]['name']
-        headers = self._cluster.key(team)
-        work = {'service_ms': LONG_MS if number % 2 else 20}
-        return send_request(self.pick(), headers, json.dumps(work).encode())
-
-    def job(self, accepted):
-        team = self._cluster.teams[0]['name']
-        body = {
-            'queue': 'night',
-            'demand': {'cpu_millis': 100, 'memory_mb': 1},
-            'payload': {'run_ms': 300},
-            'idempotent': False,
-        }
-        headers = self._cluster.key(team)
-        reply = attempt(self.pick(), 'POST', '/v1/jobs', body, headers)
-        if reply.status == 202:
-            accepted.append(json.loads(reply.content))
-        return reply
 
 
 def test_rolling_restart_cuts_nothing_off():
     shape = small_shape(daemons=2)
     with Cluster(shape=shape, teams=teams()) as cluster:
-        balancer = Balancer(cluster=cluster)
-        accepted = []
-        with Background(pause_s=POLL_S) as looking:
-            looking.add('look', balancer.look)
-            with Background(pause_s=0.02) as background:
-                for number in range(CALLERS):
-                    background.add(
-                        f'request {number}', balancer.request, number
-                    )
-                background.add('job', balancer.job, accepted)
-                stops = [
-                    restart(cluster, balancer, name)
-                    for name in list(cluster.daemons)
-                ]
+        with load(cluster, CALLERS) as (balancer, background, accepted):
+            stops = [
+                restart(cluster, balancer, name)
+                for name in list(cluster.daemons)
+            ]
         judge(background, stops)
         judge_jobs(cluster, accepted)
 
@@ -117,42 +39,3 @@
     cluster.restart_daemon(name)
     wait_until(lambda: balancer.is_ready(name), 10, f'{name} is ready again')
     return took
-
-
-def judge(background, stops):
-    replies = background.all()
-    cut_off = [reply for reply in replies if not reply.status]
-    unanswered = [
-        reply
-        for name, own in background.replies.items()
-        for reply in own
-        if name != 'job' and reply.status != 200
-    ]
-    show('longest stop', max(stops), DRAIN_S, 's')
-    show('calls cut off', len(cut_off), 0, f'of {len(replies)}')
-    show('requests not run', len(unanswered), 0, f'of {len(replies)}')
-    assert len(replies) > 500
-    assert not cut_off, cut_off[0]
-    unknown = [reply for reply in unanswered if reply.status == 504]
-    assert not unknown, unknown[0]
-    assert not unanswered, unanswered[0]
-
-
-def judge_jobs(cluster, accepted):
-    ids = {job['job_id'] for job in accepted}
-    assert len(ids) > 20
-
-    def are_done():
-        runs = task_runs(cluster)
-        return all(finished_runs(runs, job_id) for job_id in ids)
-
-    wait_until(are_done, JOBS_LIMIT_S, 'every accepted job ran')
-    runs = task_runs(cluster)
-    doubled = [
-        job_id
-        for job_id in ids
-        if len([run for run in runs if run.job_id == job_id]) != 1
-    ]
-    show('jobs doubled', len(doubled), 0, f'of {len(ids)}')
-    assert not doubled
-    assert not check_all(cluster)
--- a/tests/guarantee_support.py
+++ b/tests/guarantee_support.py
@@ -14,6 +14,9 @@
 IN_FORCE_S = 3.0
 """Design, 1.2: an accepted configuration is in force within this time."""
 
+TASK_CPU = 1000
+"""Demand of the tasks of `submit_endless`, in thousandths of a core."""
+
 TEAMS = ('fenland', 'millrace', 'riverbend')
 _SETTLE_S = 12
 
@@ -197,6 +200,38 @@
     return attempt(process, 'POST', '/v1/jobs', job, headers)
 
 
+def submit_endless(
+    cluster: Cluster,
+    team: str,
+    through: str,
+    tasks: int,
+    *,
+    idempotent: bool = True,
+) -> Answer:
+    """Submit tasks of one core that run until they are stopped.
+
+    Args:
+        cluster: the cluster.
+        team: whose work.
+        through: name of the daemon that is called.
+        tasks: how many.
+        idempotent: whether a task may run again.
+
+    Returns:
+        The answer that accepted the job.
+    """
+    job = {
+        'queue': 'night',
+        'tasks': tasks,
+        'demand': {'cpu_millis': TASK_CPU, 'memory_mb': 64},
+        'payload': {},
+        'idempotent': idempotent,
+    }
+    answer: Answer = cluster.submit(team, job, through=through)
+    assert answer.status == 202, answer.body
+    return answer
+
+
 class Background:
     """Repeats calls in threads until stopped."""
 
--- a/tests/roster_change_test.py
+++ b/tests/roster_change_test.py
@@ -17,16 +17,9 @@
     wait_ready,
     wait_until,
 )
-from tests.guarantee_restart_test import (
-    DRAIN_S,
-    POLL_S,
-    Balancer,
-    judge,
-    judge_jobs,
-)
+from tests.balancer import DRAIN_S, judge, judge_jobs, load
 from tests.guarantee_support import (
     IN_FORCE_S,
-    Background,
     send_request,
     show,
     small_shape,
@@ -85,22 +78,13 @@
 def test_roster_changes_under_load():
     shape = small_shape(workers=2)
     with ChangingCluster(shape=shape, teams=teams()) as cluster:
-        balancer = Balancer(cluster=cluster)
-        accepted = []
-        with Background(pause_s=POLL_S) as looking:
-            looking.add('look', balancer.look)
-            with Background(pause_s=0.02) as background:
-                for number in range(CALLERS):
-                    background.add(f'{number}', balancer.request, number)
-                background.add('job', balancer.job, accepted)
-                cluster.add_daemon('south-1', like='south-0')
-                cluster.change_roster()
-                wait_until(
-                    lambda: balancer.is_ready('south-1'), 10, 'it is used'
-                )
-                cluster.drop_daemon('south-0')
-                cluster.change_roster()
-                stop = remove(cluster)
+        with load(cluster, CALLERS) as (balancer, background, accepted):
+            cluster.add_daemon('south-1', like='south-0')
+            cluster.change_roster()
+            wait_until(lambda: balancer.is_ready('south-1'), 10, 'it is used')
+            cluster.drop_daemon('south-0')
+            cluster.change_roster()
+            stop = remove(cluster)
         judge(background, [stop])
         check_new_majority(cluster, 'south-1')
         judge_jobs(cluster, accepted)
