Name the package of the store client after the store

Cause: the adapter of the users' platform stands in a folder named platform at the root, and jayshore.platform held the client of our own store protocol. One word stood for two things.

No code changed.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -36,9 +36,9 @@
 from jayshore.placement.cell import Cell
 from jayshore.placement.estimates import Estimates
 from jayshore.placement.health import WorkerHealth
-from jayshore.platform.instances import Instance, InstanceKind, InstanceList
-from jayshore.platform.settling import WriteSettler
-from jayshore.platform.store import Store
+from jayshore.store.instances import Instance, InstanceKind, InstanceList
+from jayshore.store.settling import WriteSettler
+from jayshore.store.store import Store
 from jayshore.quota.grants import Owner
 from jayshore.quota.keeper import GrantKeeper
 from jayshore.quota.ledger import DomainLedger
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -28,9 +28,9 @@
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import HttpServer
 from jayshore.leases.leadership import Leadership
-from jayshore.platform.httpcalls import PlatformCaller
-from jayshore.platform.httpstore import HttpInstanceList, HttpStore
-from jayshore.platform.settling import WriteSettler
+from jayshore.store.httpcalls import PlatformCaller
+from jayshore.store.httpstore import HttpInstanceList, HttpStore
+from jayshore.store.settling import WriteSettler
 from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
--- a/jayshore/daemon/upstreams.py
+++ b/jayshore/daemon/upstreams.py
@@ -6,7 +6,7 @@
 from jayshore.http.messages import Request, Response
 from jayshore.leases.executor import REQUEST_ID_HEADER, HttpExecutorPort
 from jayshore.leases.worker import WorkerLink
-from jayshore.platform.instances import Instance
+from jayshore.store.instances import Instance
 from jayshore.traffic import Traffic
 
 _WORKER_CONNECTIONS = 8
--- a/jayshore/jobs/acceptance.py
+++ b/jayshore/jobs/acceptance.py
@@ -26,8 +26,8 @@
     SubmitOutcome,
     Unconfirmed,
 )
-from jayshore.platform.settling import Write, WriteSettler, new_write_id
-from jayshore.platform.store import (
+from jayshore.store.settling import Write, WriteSettler, new_write_id
+from jayshore.store.store import (
     MUST_NOT_EXIST,
     Store,
     StoreError,
--- a/jayshore/jobs/admission.py
+++ b/jayshore/jobs/admission.py
@@ -24,7 +24,7 @@
 from jayshore.placement.feasible import never_fits
 from jayshore.placement.lane import NoLane, ReservedLane
 from jayshore.placement.tasks import WorkerView
-from jayshore.platform.store import StoreError
+from jayshore.store.store import StoreError
 
 _WAIT_FOR_WORKERS_MS = Millis(50)
 _RETRY_PAUSE_MS = Millis(500)
--- a/jayshore/jobs/book.py
+++ b/jayshore/jobs/book.py
@@ -23,8 +23,8 @@
     encode_record,
     job_key,
 )
-from jayshore.platform.settling import Write, WriteSettler, new_write_id
-from jayshore.platform.store import (
+from jayshore.store.settling import Write, WriteSettler, new_write_id
+from jayshore.store.store import (
     Entry,
     Store,
     StoreError,
--- a/jayshore/jobs/book_test.py
+++ b/jayshore/jobs/book_test.py
@@ -15,7 +15,7 @@
     job_key,
 )
 from jayshore.jobs.sample_record_test import sample_record
-from jayshore.platform.store import Conflict, Entry, Listing, Written
+from jayshore.store.store import Conflict, Entry, Listing, Written
 
 
 class FakeStore:
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -11,7 +11,7 @@
 from jayshore.jobs.record import JobRecord
 from jayshore.placement.decisions import Headroom
 from jayshore.placement.estimates import Estimates
-from jayshore.platform.settling import new_write_id
+from jayshore.store.settling import new_write_id
 from jayshore.resources import Resources
 
 
--- a/jayshore/jobs/fleet.py
+++ b/jayshore/jobs/fleet.py
@@ -12,13 +12,13 @@
 from jayshore.clock import Millis, to_seconds
 from jayshore.leases.session import WorkerObserver, WorkerSession
 from jayshore.leases.worker import WorkerLink
-from jayshore.platform.instances import (
+from jayshore.store.instances import (
     Instance,
     InstanceKind,
     InstanceList,
     InstanceState,
 )
-from jayshore.platform.store import StoreError
+from jayshore.store.store import StoreError
 
 
 class FleetObserver(abc.ABC):
--- a/jayshore/jobs/grantbook.py
+++ b/jayshore/jobs/grantbook.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Mapping
 
-from jayshore.platform.store import (
+from jayshore.store.store import (
     Entry,
     Store,
     StoreError,
 )
-from jayshore.platform.store import Written as StoreWritten
+from jayshore.store.store import Written as StoreWritten
 from jayshore.quota.grants import (
     GrantRecord,
     decode_grants,
--- a/jayshore/jobs/grants_test.py
+++ b/jayshore/jobs/grants_test.py
@@ -12,7 +12,7 @@
 from jayshore.jobs.attempts import AttemptTable
 from jayshore.jobs.grantbook import StoredGrantBook
 from jayshore.jobs.grants import GrantedLedger, GrantRounds
-from jayshore.platform.store import (
+from jayshore.store.store import (
     Conflict,
     Entry,
     Listing,
--- a/jayshore/jobs/leader.py
+++ b/jayshore/jobs/leader.py
@@ -19,8 +19,8 @@
 from jayshore.jobs.proofs import InstanceGone, LeaseExpired, Proof
 from jayshore.jobs.record import WorkerBoot
 from jayshore.placement.cell import Cell
-from jayshore.platform.instances import Instance
-from jayshore.platform.store import StoreError
+from jayshore.store.instances import Instance
+from jayshore.store.store import StoreError
 
 # A worker's clock may run this much slower than the leader's.
 _CLOCK_RATE_PERCENT = 102
--- a/jayshore/leases/leadership.py
+++ b/jayshore/leases/leadership.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from jayshore.clock import Millis, to_seconds
-from jayshore.platform.settling import Write, WriteSettler, new_write_id
-from jayshore.platform.store import (
+from jayshore.store.settling import Write, WriteSettler, new_write_id
+from jayshore.store.store import (
     MUST_NOT_EXIST,
     LeaseGone,
     Store,
--- a/jayshore/platform/httpcalls.py
+++ b/jayshore/store/httpcalls.py
@@ -18,7 +18,7 @@
     decode_json,
     encode_json,
 )
-from jayshore.platform.store import (
+from jayshore.store.store import (
     StoreRejected,
     StoreUnavailable,
     StoreUncertain,
--- a/jayshore/platform/httpstore.py
+++ b/jayshore/store/httpstore.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 from jayshore.clock import Millis
-from jayshore.platform.httpcalls import Call, PlatformCaller, decode_answer
-from jayshore.platform.instances import Instance, InstanceList
-from jayshore.platform.store import (  # noqa: WPS235
+from jayshore.store.httpcalls import Call, PlatformCaller, decode_answer
+from jayshore.store.instances import Instance, InstanceList
+from jayshore.store.store import (  # noqa: WPS235
     Conflict,
     DeleteResult,
     Entry,
--- a/jayshore/platform/platform_test.py
+++ b/jayshore/store/httpstore_test.py
@@ -10,10 +10,10 @@
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.messages import Request, encode_json
 from jayshore.http.server import Bounds, HttpServer
-from jayshore.platform.httpcalls import PlatformCaller
-from jayshore.platform.httpstore import HttpInstanceList, HttpStore
-from jayshore.platform.instances import InstanceKind, InstanceState
-from jayshore.platform.settling import (
+from jayshore.store.httpcalls import PlatformCaller
+from jayshore.store.httpstore import HttpInstanceList, HttpStore
+from jayshore.store.instances import InstanceKind, InstanceState
+from jayshore.store.settling import (
     MissingWriteId,
     Superseded,
     Write,
@@ -21,7 +21,7 @@
     new_write_id,
     read_write_id,
 )
-from jayshore.platform.store import (
+from jayshore.store.store import (
     Conflict,
     Entry,
     LeaseGone,
--- a/jayshore/platform/settling.py
+++ b/jayshore/store/settling.py
@@ -18,7 +18,7 @@
     to_seconds,
 )
 from jayshore.outcomes import JayshoreError
-from jayshore.platform.store import (
+from jayshore.store.store import (
     Conflict,
     Entry,
     PutResult,
