--- a/jayshore/clock.py
+++ b/jayshore/clock.py
@@ -64,6 +64,23 @@
         return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
 
 
+class BootClock(Clock):
+    """The clock since boot, which also counts while a host is suspended.
+
+    For decisions that rest on how long others may have waited: the monotonic
+    clock stands still while its host is suspended, and others go on.
+    """
+
+    def now(self) -> Millis:
+        """Read the clock since boot.
+
+        Returns:
+            Milliseconds since an arbitrary origin.
+        """
+        nanos = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return Millis(nanos // _NANOS_PER_MILLI)
+
+
 class WallClock(Clock):
     """Time of day, for records that people read; never for decisions."""
 
--- /dev/null
+++ b/jayshore/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of a whole deployment by one elected leader."""
--- /dev/null
+++ b/jayshore/fleet/desk.py
@@ -0,0 +1,271 @@
+"""Accepts jobs, and answers what became of them, at any instance.
+
+A job is accepted when the store holds it. The leader learns of it from the
+store, so that a caller's instance and the leader need not reach each other.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Callable
+from typing import TypeAlias
+
+import eliot
+
+from jayshore.clock import Millis
+from jayshore.fleet.book import JobState
+from jayshore.fleet.model import Job
+from jayshore.fleet.peering import (
+    LeaderUnavailable,
+    Peers,
+    StateAnswer,
+    StateQuestion,
+    state_answer,
+)
+from jayshore.fleet.records import (
+    InvalidRecord,
+    cancel_key,
+    decode_job,
+    decode_progress,
+    encode_job,
+    job_key,
+    progress_key,
+)
+from jayshore.fleet.scheduler import Scheduler
+from jayshore.outcomes import JayshoreError
+from jayshore.store.store import (
+    Entry,
+    StoreError,
+    StoreUncertain,
+    Written,
+)
+from jayshore.store.transactions import (
+    Put,
+    Transaction,
+    TransactionStore,
+)
+
+RETRY_AFTER_MS = Millis(1000)
+"""When callers are asked to come back while the store is away, in ms."""
+
+_NO_VALUE = '{}'
+
+
+class RefusedReason(enum.StrEnum):
+    """Why a job certainly was not accepted."""
+
+    STORE_UNAVAILABLE = 'store_unavailable'
+    OTHER_JOB = 'other_job'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Accepted:
+    """The store holds the job.
+
+    Attributes:
+        repeated: it held the same job before.
+    """
+
+    repeated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """The job was not accepted and never runs.
+
+    Attributes:
+        reason: why.
+        retry_after_ms: when to try again, None when that is useless.
+    """
+
+    reason: RefusedReason
+    retry_after_ms: Millis | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Uncertain:
+    """The store gave no answer, and may hold the job."""
+
+
+SubmitResult: TypeAlias = Accepted | Refused | Uncertain
+
+
+class DeskUnavailable(JayshoreError):
+    """Neither the leader nor the store answered."""
+
+
+class Desk:
+    """The desk of one instance."""
+
+    def __init__(
+        self,
+        *,
+        store: TransactionStore,
+        peers: Peers,
+        scheduler: Callable[[], Scheduler | None],
+    ) -> None:
+        """Use the parts of this instance.
+
+        Args:
+            store: the store.
+            peers: reaches the leader.
+            scheduler: None while this instance does not lead.
+        """
+        self._store = store
+        self._peers = peers
+        self._scheduler = scheduler
+
+    async def submit(self, job: Job) -> SubmitResult:
+        """Accept a job.
+
+        Args:
+            job: the job; one with the same id is accepted only once.
+
+        Returns:
+            What the caller may be told.
+        """
+        key = job_key(job.job_id)
+        put = Put(key=key, value=encode_job(job))
+        transaction = Transaction(expected=((key, 0),), puts=(put,))
+        uncertain = False
+        for _ in range(2):
+            try:
+                written = await self._store.transact(transaction)
+            except StoreUncertain:
+                uncertain = True
+                continue
+            except StoreError as error:
+                eliot.log_message(
+                    'job:not_stored', job=job.job_id, error=str(error)
+                )
+                break
+            if isinstance(written, Written):
+                return Accepted()
+            return await self._compare(job, uncertain)
+        if uncertain:
+            return Uncertain()
+        return Refused(
+            reason=RefusedReason.STORE_UNAVAILABLE,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    async def cancel(self, job_id: str, workspace: str | None) -> bool:
+        """Cancel a job.
+
+        Args:
+            job_id: the job.
+            workspace: of the caller, None in a queue that is open to all.
+
+        Returns:
+            False when there is no such job of this workspace.
+
+        Raises:
+            DeskUnavailable: the store did not answer.
+        """
+        try:
+            entry = await self._store.get(job_key(job_id))
+            if entry is None or not _is_owner(entry, workspace):
+                return False
+            key = cancel_key(job_id)
+            await self._store.transact(
+                Transaction(
+                    expected=((key, 0),),
+                    puts=(Put(key=key, value=_NO_VALUE),),
+                )
+            )
+        except StoreError as error:
+            raise DeskUnavailable(str(error)) from None
+        eliot.log_message('job:cancelled', job=job_id)
+        return True
+
+    async def state(
+        self, job_id: str, workspace: str | None
+    ) -> JobState | None:
+        """Look up the state of a job.
+
+        Args:
+            job_id: the job.
+            workspace: of the caller, None in a queue that is open to all.
+
+        Returns:
+            The state, or None when there is no such job of this workspace.
+
+        Raises:
+            DeskUnavailable: neither the leader nor the store answered.
+        """
+        answer = await self._ask_state(job_id)
+        if answer is None or answer.state is None:
+            # The leader may not have seen a job that was just accepted.
+            answer = await self._read_state(job_id)
+        if answer.state is None:
+            return None
+        if workspace is not None and answer.workspace != workspace:
+            return None
+        return answer.state
+
+    async def pending(self, queue: str) -> int:
+        """Count the jobs of a queue of which no task has started.
+
+        Args:
+            queue: its name.
+
+        Returns:
+            The count.
+
+        Raises:
+            DeskUnavailable: the leader did not answer.
+        """
+        scheduler = self._scheduler()
+        if scheduler is not None:
+            return scheduler.pending(queue)
+        try:
+            return await self._peers.ask_pending(queue)
+        except LeaderUnavailable as error:
+            raise DeskUnavailable(str(error)) from None
+
+    async def _compare(self, job: Job, uncertain: bool) -> SubmitResult:
+        """Find out whether the job that the store holds is the same."""
+        try:
+            entry = await self._store.get(job_key(job.job_id))
+        except StoreError:
+            return Uncertain()
+        if entry is None:
+            return Uncertain()
+        held = decode_job(entry.value)
+        if (held.workspace, held.digest) == (job.workspace, job.digest):
+            return Accepted(repeated=not uncertain)
+        return Refused(reason=RefusedReason.OTHER_JOB)
+
+    async def _ask_state(self, job_id: str) -> StateAnswer | None:
+        scheduler = self._scheduler()
+        if scheduler is not None:
+            return state_answer(scheduler, StateQuestion(job_id=job_id))
+        try:
+            return await self._peers.ask_state(job_id)
+        except LeaderUnavailable as error:
+            eliot.log_message(
+                'job:leader_silent', job=job_id, error=str(error)
+            )
+            return None
+
+    async def _read_state(self, job_id: str) -> StateAnswer:
+        try:
+            entry = await self._store.get(job_key(job_id))
+            if entry is None:
+                return StateAnswer()
+            job = decode_job(entry.value)
+            progress = await self._store.get(progress_key(job_id))
+            state = JobState.QUEUED
+            if progress is not None:
+                state = decode_progress(progress.value).state
+        except (StoreError, InvalidRecord) as error:
+            raise DeskUnavailable(str(error)) from None
+        return StateAnswer(state=state, workspace=job.workspace)
+
+
+def _is_owner(entry: Entry, workspace: str | None) -> bool:
+    try:
+        job = decode_job(entry.value)
+    except InvalidRecord:
+        return False
+    return workspace is None or job.workspace == workspace
+
--- /dev/null
+++ b/jayshore/fleet/instance.py
@@ -0,0 +1,276 @@
+"""One instance of the deployment: wires the parts and shuts them down."""
+
+import dataclasses
+import random
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import eliot
+
+from jayshore.clock import BootClock, Millis, WallClock, to_seconds
+from jayshore.daemon.signals import wait_for_signal
+from jayshore.fleet.configuration import ConfigHolder
+from jayshore.fleet.desk import Desk
+from jayshore.fleet.interfaces import AdviceService, WorkerConnector
+from jayshore.fleet.members import DEPLOYMENT, Membership
+from jayshore.fleet.model import FleetConfig, WorkerEntry
+from jayshore.fleet.peering import PeerHandler, Peers
+from jayshore.fleet.seat import LeaderSeat
+from jayshore.http.client import Address
+from jayshore.http.messages import Request, Response
+from jayshore.http.requestreader import Bounds
+from jayshore.http.server import Handler, HttpServer
+from jayshore.leases.leadership import Leadership
+from jayshore.retry import PLATFORM_BACKOFF
+from jayshore.store.mirror import Mirror
+from jayshore.store.settling import WriteSettler
+from jayshore.store.transactions import TransactionStore
+
+FRESH_MS = Millis(2500)
+"""Age in ms up to which the configuration may be acted on."""
+
+_LEADER_TTL_MS = Millis(2000)
+_CONFIG_WATCH_MS = Millis(1000)
+
+# The balancer asks for readiness once a second and takes two misses.
+_UNREADY_MS = Millis(1500)
+_DRAIN_MS = Millis(3000)
+_STATUS_OK = 200
+_STATUS_UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceSettings:
+    """Settings of an instance.
+
+    Attributes:
+        name: unique name.
+        front: where callers connect.
+        readiness: where the balancer asks whether to send callers.
+        inner: where the other instances connect.
+        max_connections: connections of callers that are open at once.
+    """
+
+    name: str
+    front: Address
+    readiness: Address
+    inner: Address
+    max_connections: int = 1500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """What an adapter provides.
+
+    Attributes:
+        store: the store.
+        connector: makes clients of workers.
+        advice: the placement advice service.
+        config_key: key of the configuration in the store.
+        decode_config: decodes its value.
+        worker_prefix: start of the keys of registrations of workers.
+        decode_worker: decodes the id and the value of a registration.
+        make_front: makes what answers callers.
+    """
+
+    store: TransactionStore
+    connector: WorkerConnector
+    advice: AdviceService
+    config_key: str
+    decode_config: Callable[[str], FleetConfig]
+    worker_prefix: str
+    decode_worker: Callable[[str, str], WorkerEntry | None]
+    make_front: Callable[['FrontParts'], Handler]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FrontParts:
+    """What answers callers may use.
+
+    Attributes:
+        desk: accepts jobs.
+        config: the configuration in force.
+        is_fresh: tells whether it may be acted on.
+    """
+
+    desk: Desk
+    config: ConfigHolder
+    is_fresh: Callable[[], bool]
+
+
+class ReadinessHandler(Handler):
+    """Tells the balancer whether to send callers here."""
+
+    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
+        """Use a condition.
+
+        Args:
+            is_ready: tells whether this instance can serve.
+        """
+        self._is_ready = is_ready
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a question of the balancer.
+
+        Args:
+            request: the question.
+
+        Returns:
+            200 while this instance can serve.
+        """
+        if self._is_ready():
+            return Response(status=_STATUS_OK)
+        return Response(status=_STATUS_UNAVAILABLE)
+
+
+class Instance:
+    """One process of the deployment."""
+
+    def __init__(
+        self, *, settings: InstanceSettings, surroundings: Surroundings
+    ) -> None:
+        """Wire the parts; nothing is sent or bound yet.
+
+        Args:
+            settings: of this instance.
+            surroundings: what the adapter provides.
+        """
+        clock = BootClock()
+        store = surroundings.store
+        self._settings = settings
+        self._draining = False
+        self._holder = ConfigHolder(
+            key=surroundings.config_key, decode=surroundings.decode_config
+        )
+        self._config_mirror = Mirror(
+            store=store,
+            clock=clock,
+            prefix=surroundings.config_key,
+            observer=self._holder,
+            wait_ms=_CONFIG_WATCH_MS,
+        )
+        self._membership = Membership(
+            store=store,
+            clock=clock,
+            name=settings.name,
+            address=settings.inner,
+        )
+        peers = Peers(
+            membership=self._membership,
+            name=settings.name,
+            advice=surroundings.advice,
+        )
+        self._seat = LeaderSeat(
+            store=store,
+            clock=clock,
+            wall_clock=WallClock(),
+            connector=surroundings.connector,
+            relay=peers,
+            config=lambda: self._holder.config,
+            worker_prefix=surroundings.worker_prefix,
+            decode_worker=surroundings.decode_worker,
+        )
+        self._leadership = Leadership(
+            store=store,
+            settler=WriteSettler(
+                store=store,
+                clock=clock,
+                backoff=PLATFORM_BACKOFF,
+                source=random.Random(),  # noqa: S311 jitter, not a secret
+            ),
+            domain=DEPLOYMENT,
+            holder=settings.name,
+            ttl_ms=_LEADER_TTL_MS,
+            observer=self._seat,
+            clock=clock,
+        )
+        self._seat.attach(self._leadership)
+        desk = Desk(
+            store=store, peers=peers, scheduler=lambda: self._seat.scheduler
+        )
+        self._front = _server(
+            settings.front,
+            surroundings.make_front(
+                FrontParts(
+                    desk=desk, config=self._holder, is_fresh=self._is_fresh
+                )
+            ),
+            settings.max_connections,
+        )
+        self._inner = _server(
+            settings.inner,
+            PeerHandler(
+                scheduler=lambda: self._seat.scheduler,
+                advice=surroundings.advice,
+            ),
+            settings.max_connections,
+        )
+        self._readiness = _server(
+            settings.readiness,
+            ReadinessHandler(is_ready=self._is_ready),
+            settings.max_connections,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        servers = (self._front, self._inner, self._readiness)
+        for server in servers:
+            server.listen()
+        running = [
+            await curio.spawn(part, daemon=True)
+            for part in (
+                *(server.serve for server in servers),
+                self._config_mirror.run,
+                self._membership.follow,
+                self._membership.register,
+            )
+        ]
+        leading = await curio.spawn(self._lead, daemon=True)
+        eliot.log_message('instance:started', name=self._settings.name)
+        await wait_for_signal((signal.SIGTERM, signal.SIGINT))
+        await self._shut_down(leading)
+        for task in running:
+            await task.cancel()
+        eliot.log_message('instance:stopped', name=self._settings.name)
+
+    async def _shut_down(self, leading: Any) -> None:
+        """Hand the leadership over, then answer what is in progress."""
+        eliot.log_message('instance:draining', name=self._settings.name)
+        self._draining = True
+        await leading.cancel()
+        await curio.sleep(to_seconds(_UNREADY_MS))
+        await self._front.drain(_DRAIN_MS)
+
+    async def _lead(self) -> None:
+        """Compete again after another leader has taken over."""
+        while True:
+            competing = await curio.spawn(self._leadership.run, daemon=True)
+            try:
+                await self._seat.wait_fenced()
+            finally:
+                await competing.cancel()
+                await self._leadership.resign()
+
+    def _is_fresh(self) -> bool:
+        age = self._config_mirror.age_ms
+        return age is not None and age < FRESH_MS
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._draining
+            and self._holder.config.version > 0
+            and self._is_fresh()
+        )
+
+
+def _server(
+    address: Address, handler: Handler, max_connections: int
+) -> HttpServer:
+    return HttpServer(
+        host=address.host,
+        port=address.port,
+        handler=handler,
+        bounds=Bounds(max_connections=max_connections),
+    )
--- /dev/null
+++ b/jayshore/fleet/peering.py
@@ -0,0 +1,322 @@
+"""Calls between the instances of a deployment.
+
+Any instance answers callers, and asks the leader for the state of jobs; the
+leader asks for placement advice through any instance.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from jayshore.clock import Millis
+from jayshore.fleet.advising import AdviceRelay
+from jayshore.fleet.book import JobState
+from jayshore.fleet.interfaces import Advice, AdviceService, AdviceUnavailable
+from jayshore.fleet.members import Membership
+from jayshore.fleet.model import GroupId
+from jayshore.fleet.scheduler import Scheduler
+from jayshore.http.client import (
+    Address,
+    CallTimedOut,
+    ConnectFailed,
+    ConnectionLost,
+    HttpClient,
+)
+from jayshore.http.messages import (
+    InvalidJson,
+    Request,
+    Response,
+    decode_json,
+    encode_json,
+    error_response,
+    json_response,
+)
+from jayshore.http.server import Handler
+from jayshore.outcomes import JayshoreError
+
+STATE_PATH = '/v1/state'
+PENDING_PATH = '/v1/pending'
+ADVICE_PATH = '/v1/advice'
+
+_CONNECTIONS = 16
+_CONNECT_MS = Millis(400)
+_CALL_MS = Millis(500)
+_STATUS_OK = 200
+_STATUS_BAD = 400
+_STATUS_NOT_FOUND = 404
+_STATUS_NOT_LEADING = 409
+_STATUS_UNAVAILABLE = 503
+
+
+class LeaderUnavailable(JayshoreError):
+    """No leader that knows all jobs answered."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StateQuestion:
+    """Asks for the state of a job."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StateAnswer:
+    """The state of a job; both None when the job is unknown."""
+
+    state: JobState | None = None
+    workspace: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PendingQuestion:
+    """Asks how many jobs of a queue have no task that has started."""
+
+    queue: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PendingAnswer:
+    """The count of pending jobs."""
+
+    pending: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceQuestion:
+    """Asks for placement advice; times in ms."""
+
+    group: tuple[str, int, int]
+    workers: tuple[str, ...]
+    timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceAnswer:
+    """The advice; tickets by worker, validity in ms."""
+
+    tickets: dict[str, str]
+    validity_ms: int
+
+
+class PeerHandler(Handler):
+    """Answers the calls of other instances."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Callable[[], Scheduler | None],
+        advice: AdviceService,
+    ) -> None:
+        """Use the parts of this instance.
+
+        Args:
+            scheduler: None while this instance does not lead.
+            advice: the advice service.
+        """
+        self._scheduler = scheduler
+        self._advice = advice
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            The answer.
+        """
+        try:
+            return await self._answer(request)
+        except InvalidJson as error:
+            return error_response(_STATUS_BAD, 'malformed', str(error))
+
+    async def _answer(self, request: Request) -> Response:
+        if request.path == ADVICE_PATH:
+            return await self._advise(
+                decode_json(request.body, AdviceQuestion)
+            )
+        scheduler = self._scheduler()
+        if scheduler is None:
+            return error_response(
+                _STATUS_NOT_LEADING, 'no_leader', 'this instance leads nothing'
+            )
+        if request.path == STATE_PATH:
+            asked = decode_json(request.body, StateQuestion)
+            return json_response(_STATUS_OK, state_answer(scheduler, asked))
+        if request.path == PENDING_PATH:
+            question = decode_json(request.body, PendingQuestion)
+            return json_response(
+                _STATUS_OK,
+                PendingAnswer(pending=scheduler.pending(question.queue)),
+            )
+        return error_response(_STATUS_NOT_FOUND, 'not_found', request.path)
+
+    async def _advise(self, question: AdviceQuestion) -> Response:
+        try:
+            advice = await self._advice.advise(
+                GroupId(*question.group),
+                question.workers,
+                Millis(question.timeout_ms),
+            )
+        except AdviceUnavailable as error:
+            return error_response(
+                _STATUS_UNAVAILABLE, 'no_advice', str(error)
+            )
+        return json_response(
+            _STATUS_OK,
+            AdviceAnswer(
+                tickets=advice.tickets, validity_ms=advice.validity_ms
+            ),
+        )
+
+
+class Peers(AdviceRelay):
+    """Calls the other instances."""
+
+    def __init__(
+        self, *, membership: Membership, name: str, advice: AdviceService
+    ) -> None:
+        """Use the membership.
+
+        Args:
+            membership: names and addresses.
+            name: of this instance.
+            advice: the advice service, called directly for this instance.
+        """
+        self._membership = membership
+        self._name = name
+        self._advice = advice
+        self._clients: dict[Address, HttpClient] = {}
+
+    async def ask_state(self, job_id: str) -> StateAnswer:
+        """Ask the leader for the state of a job.
+
+        Args:
+            job_id: the job.
+
+        Returns:
+            What the leader knows.
+
+        Raises:
+            LeaderUnavailable: there is none, or it did not answer.
+        """  # noqa: DAR401 raised by the call
+        answer = await self._ask_leader(
+            STATE_PATH, StateQuestion(job_id=job_id)
+        )
+        return decode_json(answer.body, StateAnswer)
+
+    async def ask_pending(self, queue: str) -> int:
+        """Ask the leader how many jobs of a queue are pending.
+
+        Args:
+            queue: its name.
+
+        Returns:
+            The count.
+
+        Raises:
+            LeaderUnavailable: there is none, or it did not answer.
+        """  # noqa: DAR401 raised by the call
+        answer = await self._ask_leader(
+            PENDING_PATH, PendingQuestion(queue=queue)
+        )
+        return decode_json(answer.body, PendingAnswer).pending
+
+    def callers(self) -> tuple[str, ...]:
+        """List the instances that can call the advice service.
+
+        Returns:
+            The others before this one, which also leads.
+        """
+        others = sorted(
+            name for name in self._membership.members if name != self._name
+        )
+        return (*others, self._name)
+
+    async def advise_through(
+        self,
+        caller: str,
+        group: GroupId,
+        workers: tuple[str, ...],
+        timeout_ms: Millis,
+    ) -> Advice:
+        """Ask for advice through an instance.
+
+        Args:
+            caller: name of the instance.
+            group: the task group.
+            workers: ids of the workers to judge.
+            timeout_ms: the longest wait, in ms.
+
+        Returns:
+            The advice.
+
+        Raises:
+            AdviceUnavailable: no answer, or a refusal.
+        """
+        if caller == self._name:
+            return await self._advice.advise(group, workers, timeout_ms)
+        address = self._membership.members.get(caller)
+        if address is None:
+            raise AdviceUnavailable(f'{caller} is not registered')
+        question = AdviceQuestion(
+            group=tuple(group), workers=workers, timeout_ms=timeout_ms
+        )
+        try:
+            answer = await self._call(
+                address, ADVICE_PATH, question, timeout_ms
+            )
+            decoded = decode_json(answer.body, AdviceAnswer)
+        except (LeaderUnavailable, InvalidJson) as error:
+            raise AdviceUnavailable(f'{caller}: {error}') from None
+        return Advice(
+            tickets=decoded.tickets, validity_ms=Millis(decoded.validity_ms)
+        )
+
+    async def _ask_leader(self, path: str, question: object) -> Response:
+        leader = self._membership.leader
+        address = self._membership.members.get(leader)
+        if address is None:
+            raise LeaderUnavailable('no leader is known')
+        return await self._call(address, path, question, _CALL_MS)
+
+    async def _call(
+        self,
+        address: Address,
+        path: str,
+        question: object,
+        timeout_ms: Millis,
+    ) -> Response:
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(
+                address=address,
+                max_connections=_CONNECTIONS,
+                connect_timeout_ms=_CONNECT_MS,
+            )
+            self._clients[address] = client
+        request = Request(
+            method='POST', path=path, body=encode_json(question)
+        )
+        try:
+            answer = await client.call(request, timeout_ms=timeout_ms)
+        except (ConnectFailed, ConnectionLost, CallTimedOut) as error:
+            raise LeaderUnavailable(str(error)) from None
+        if answer.status != _STATUS_OK:
+            raise LeaderUnavailable(f'status {answer.status}')
+        return answer
+
+
+def state_answer(scheduler: Scheduler, asked: StateQuestion) -> StateAnswer:
+    """Look a job up at the leader.
+
+    Args:
+        scheduler: of the leader.
+        asked: the question.
+
+    Returns:
+        The answer.
+    """
+    found = scheduler.state_of(asked.job_id)
+    if found is None:
+        return StateAnswer()
+    return StateAnswer(state=found[0], workspace=found[1])
--- /dev/null
+++ b/jayshore/fleet/placing.py
@@ -0,0 +1,358 @@
+"""Chooses which waiting tasks start, and where.
+
+A round is a function of its inputs: the rooms of the workers, what each
+workspace may still start, and the demands in their order. It answers a full
+fleet: tasks are packed tightly so that wide gangs find room, and the best
+ranked gangs that find none keep workers free of lower ranked work.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from jayshore.clock import Millis
+from jayshore.fleet.model import GroupId
+from jayshore.fleet.ranking import Rank
+from jayshore.resources import NOTHING, Resources
+
+TICKET_MARGIN_MS: Final = Millis(150)
+"""How long a ticket has to be valid still when a start is decided, in ms.
+
+Covers the record of the start and the way to the worker.
+"""
+
+_MAX_KEPT_SHARE: Final = 0.4
+"""Share of the workers that may be kept free for gangs that wait."""
+
+_UNLIMITED: Final = 1 << 60
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Room:
+    """What is free at a worker; a round uses it up.
+
+    Attributes:
+        worker_id: the worker.
+        service: whose tasks it runs.
+        rack: rack, empty when unknown.
+        labels: all labels.
+        capacity: what it holds when nothing runs.
+        free: what is free.
+        kept_by: rank of the gang for which it is kept free.
+    """
+
+    worker_id: str
+    service: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    free: Resources
+    kept_by: GroupId | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """Waiting tasks of a group.
+
+    Attributes:
+        group_id: the group.
+        rank: its place in the order.
+        indexes: positions of the waiting tasks.
+        need: what one task takes.
+        service: whose workers run it.
+        workspace: its owner, empty for none.
+        gang: all or none.
+        same_rack: on one rack if possible.
+        required_label: label that a worker must have, empty for any.
+        data_rack: preferred rack, empty for none.
+        max_per_worker: tasks of the group on one worker, 0 for any number.
+        placed: tasks of the group by worker.
+        advised: the workers need a ticket.
+        tickets: end of validity by worker, on the leader's clock.
+        judged: workers on which advice was given.
+        asking: advice is on its way.
+    """
+
+    group_id: GroupId
+    rank: Rank
+    indexes: tuple[int, ...]
+    need: Resources
+    service: str
+    workspace: str = ''
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = 0
+    placed: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    advised: bool = False
+    tickets: Mapping[str, Millis] = dataclasses.field(default_factory=dict)
+    judged: frozenset[str] = frozenset()
+    asking: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Placement:
+    """A task that starts.
+
+    Attributes:
+        group_id: its group.
+        index: its position in the group.
+        worker_id: where.
+    """
+
+    group_id: GroupId
+    index: int
+    worker_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceWish:
+    """Advice that is needed before tasks can start.
+
+    Attributes:
+        group_id: the group.
+        rank: its place in the order.
+        workers: workers to judge.
+    """
+
+    group_id: GroupId
+    rank: Rank
+    workers: tuple[str, ...]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Decisions:
+    """The result of a round.
+
+    Attributes:
+        placements: tasks that start.
+        wishes: advice to ask for, best ranked first.
+    """
+
+    placements: list[Placement] = dataclasses.field(default_factory=list)
+    wishes: list[AdviceWish] = dataclasses.field(default_factory=list)
+
+
+class PlacementRound:
+    """One round over all demands."""
+
+    def __init__(
+        self,
+        *,
+        rooms: Iterable[Room],
+        allowances: dict[str, Resources],
+        now: Millis,
+    ) -> None:
+        """Prepare a round.
+
+        Args:
+            rooms: of the workers that may be used; the round uses them up.
+            allowances: what each workspace may still start; those that are
+                missing have no limit. The round uses them up.
+            now: on the leader's clock.
+        """
+        self._rooms = list(rooms)
+        self._allowances = allowances
+        self._now = now
+        self._kept = 0
+        self._decisions = Decisions()
+
+    def decide(self, demands: Iterable[Demand]) -> Decisions:
+        """Decide on all demands.
+
+        Args:
+            demands: in any order.
+
+        Returns:
+            What starts, and which advice is missing.
+        """
+        for demand in sorted(demands, key=_demand_rank):
+            self._consider(demand)
+        return self._decisions
+
+    def _consider(self, demand: Demand) -> None:
+        usable = [room for room in self._rooms if _may_host(room, demand)]
+        if demand.advised and not demand.judged:
+            if not demand.asking and usable:
+                self._wish(demand, [room.worker_id for room in usable])
+            return
+        if demand.advised:
+            usable = [
+                room for room in usable if room.worker_id in demand.tickets
+            ]
+        count = min(len(demand.indexes), self._allowed(demand))
+        if not count or (demand.gang and count < len(demand.indexes)):
+            return
+        seats = self._find_seats(demand, usable, count)
+        if demand.gang and len(seats) < count:
+            self._keep_free(demand, usable)
+            return
+        self._take(demand, seats)
+
+    def _take(self, demand: Demand, seats: list[Room]) -> None:
+        """Use seats up, also those whose ticket has to be renewed first."""
+        soon = self._now + TICKET_MARGIN_MS
+        expired = [
+            room.worker_id
+            for room in seats
+            if demand.advised and demand.tickets[room.worker_id] < soon
+        ]
+        for _ in seats:
+            self._charge(demand)
+        if expired and not demand.asking:
+            unjudged = [
+                room.worker_id
+                for room in self._rooms
+                if _may_host(room, demand)
+                and room.worker_id not in demand.judged
+            ]
+            self._wish(demand, [*demand.tickets, *unjudged])
+        if expired and demand.gang:
+            return
+        unusable = frozenset(expired)
+        for index, seat in zip(demand.indexes, seats, strict=False):
+            if seat.worker_id not in unusable:
+                self._decisions.placements.append(
+                    Placement(
+                        group_id=demand.group_id,
+                        index=index,
+                        worker_id=seat.worker_id,
+                    )
+                )
+
+    def _find_seats(
+        self, demand: Demand, usable: list[Room], count: int
+    ) -> list[Room]:
+        if demand.same_rack:
+            for rack in {room.rack for room in usable}:
+                beside = [room for room in usable if room.rack == rack]
+                seats = self._fill(demand, beside, count)
+                if len(seats) == count:
+                    return seats
+                _give_back(demand, seats)
+        seats = self._fill(demand, usable, count)
+        if demand.gang and len(seats) < count:
+            _give_back(demand, seats)
+            return []
+        return seats
+
+    def _fill(
+        self, demand: Demand, usable: list[Room], count: int
+    ) -> list[Room]:
+        """Fill the tightest rooms first, those near the data before others."""
+        need = demand.need
+        order = sorted(
+            (
+                room
+                for room in usable
+                if room.kept_by in {None, demand.group_id}
+                and need.fits_in(room.free)
+            ),
+            key=lambda room: (
+                room.rack != demand.data_rack if demand.data_rack else False,
+                room.free.cpu_millis,
+                room.worker_id,
+            ),
+        )
+        seats: list[Room] = []
+        for room in order:
+            limit = _seat_limit(room, demand)
+            while limit and len(seats) < count and need.fits_in(room.free):
+                room.free -= need
+                seats.append(room)
+                limit -= 1
+        return seats
+
+    def _keep_free(self, demand: Demand, usable: list[Room]) -> None:
+        """Keep the workers that will soonest have room for a gang."""
+        wanted = len(demand.indexes)
+        most = round(_MAX_KEPT_SHARE * len(self._rooms))
+        by_room = sorted(
+            (room for room in usable if room.kept_by is None),
+            key=lambda room: (-room.free.cpu_millis, room.worker_id),
+        )
+        for room in by_room:
+            if wanted <= 0 or self._kept >= most:
+                return
+            room.kept_by = demand.group_id
+            self._kept += 1
+            wanted -= min(
+                _seat_limit(room, demand), _count_fits(demand, room.capacity)
+            )
+
+    def _wish(self, demand: Demand, workers: list[str]) -> None:
+        self._decisions.wishes.append(
+            AdviceWish(
+                group_id=demand.group_id,
+                rank=demand.rank,
+                workers=tuple(workers),
+            )
+        )
+
+    def _allowed(self, demand: Demand) -> int:
+        allowance = self._allowances.get(demand.workspace)
+        if allowance is None:
+            return len(demand.indexes)
+        return _count_fits(demand, allowance)
+
+    def _charge(self, demand: Demand) -> None:
+        allowance = self._allowances.get(demand.workspace)
+        if allowance is not None:
+            self._allowances[demand.workspace] = allowance - demand.need
+
+
+def limit_allowance(maximum: Resources, used: Resources) -> Resources:
+    """Compute what a workspace may still start.
+
+    Args:
+        maximum: its limit; a component of 0 has no limit.
+        used: what it has running.
+
+    Returns:
+        The rest, which is negative above a limit that was lowered.
+    """
+    limit = Resources(
+        cpu_millis=maximum.cpu_millis or _UNLIMITED,
+        memory_mb=maximum.memory_mb or _UNLIMITED,
+        accelerators=maximum.accelerators or _UNLIMITED,
+    )
+    return limit - used
+
+
+def _demand_rank(demand: Demand) -> tuple[Rank, GroupId]:
+    return demand.rank, demand.group_id
+
+
+def _may_host(room: Room, demand: Demand) -> bool:
+    return (
+        room.service == demand.service
+        and (
+            not demand.required_label or demand.required_label in room.labels
+        )
+        and demand.need.fits_in(room.capacity)
+    )
+
+
+def _seat_limit(room: Room, demand: Demand) -> int:
+    if not demand.max_per_worker:
+        return len(demand.indexes)
+    placed = demand.placed.get(room.worker_id, 0)
+    return max(0, demand.max_per_worker - placed)
+
+
+def _count_fits(demand: Demand, room: Resources) -> int:
+    """Count how often a task fits."""
+    if not NOTHING.fits_in(room):
+        return 0
+    counts = [
+        free // wanted
+        for wanted, free in zip(demand.need, room, strict=True)
+        if wanted
+    ]
+    return min(counts, default=len(demand.indexes))
+
+
+def _give_back(demand: Demand, seats: list[Room]) -> None:
+    for room in seats:
+        room.free += demand.need
--- /dev/null
+++ b/jayshore/fleet/records.py
@@ -0,0 +1,241 @@
+"""The durable form of jobs and of their progress.
+
+A job is written once, when it is accepted. Its progress is a second record that
+only the leader writes, before it acts on it.
+"""
+
+import dataclasses
+
+import msgspec
+
+from jayshore.fleet.book import HELD, JobEntry, JobState, Phase, TaskEntry
+from jayshore.fleet.model import Job, TaskId
+from jayshore.outcomes import JayshoreError
+
+JOB_PREFIX = 'jobs/in/'
+"""Start of the keys of accepted jobs and of cancellations."""
+
+PROGRESS_PREFIX = 'jobs/run/'
+"""Start of the keys of progress records."""
+
+HEAD_KEY = 'jobs/head'
+"""Key that fences the writes of leaders."""
+
+_CANCEL_SUFFIX = '/cancel'
+_PLACED = 'p'
+_ENDED_DONE = 'd'
+_IDLE = 'w'
+
+
+class InvalidRecord(JayshoreError):
+    """A stored value is not a record of this project."""
+
+
+class TaskRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Progress of one task, as an array to keep records small.
+
+    Attributes:
+        occurrence: of the task's name.
+        group: of the task's name.
+        index: of the task's name.
+        phase: `p` placed, `d` done, `w` waiting.
+        run: highest number of a run that may have been used.
+        worker: where that run was placed.
+        failures: runs that ended as failed.
+        checkpoint: where the next run resumes.
+    """
+
+    occurrence: int
+    group: int
+    index: int
+    phase: str
+    run: int
+    worker: str
+    failures: int
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProgressRecord:
+    """Progress of a job.
+
+    Attributes:
+        state: what callers are told.
+        tasks: tasks that have been placed at least once.
+    """
+
+    state: JobState
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+def job_key(job_id: str) -> str:
+    """Name the key of an accepted job.
+
+    Args:
+        job_id: the job.
+
+    Returns:
+        The key.
+    """
+    return f'{JOB_PREFIX}{job_id}'
+
+
+def cancel_key(job_id: str) -> str:
+    """Name the key of a cancellation.
+
+    Args:
+        job_id: the job.
+
+    Returns:
+        The key.
+    """
+    return f'{JOB_PREFIX}{job_id}{_CANCEL_SUFFIX}'
+
+
+def progress_key(job_id: str) -> str:
+    """Name the key of a progress record.
+
+    Args:
+        job_id: the job.
+
+    Returns:
+        The key.
+    """
+    return f'{PROGRESS_PREFIX}{job_id}'
+
+
+def split_job_key(key: str) -> tuple[str, bool]:
+    """Read a key below `JOB_PREFIX`.
+
+    Args:
+        key: the key.
+
+    Returns:
+        The job, and whether the key is that of its cancellation.
+    """
+    name = key.removeprefix(JOB_PREFIX)
+    return name.removesuffix(_CANCEL_SUFFIX), name.endswith(_CANCEL_SUFFIX)
+
+
+def encode_job(job: Job) -> str:
+    """Encode an accepted job.
+
+    Args:
+        job: the job.
+
+    Returns:
+        JSON text.
+    """
+    return msgspec.json.encode(job).decode()
+
+
+def decode_job(text: str) -> Job:
+    """Decode an accepted job.
+
+    Args:
+        text: JSON text.
+
+    Returns:
+        The job.
+
+    Raises:
+        InvalidRecord: the text is something else.
+    """
+    try:
+        return msgspec.json.decode(text, type=Job)
+    except msgspec.DecodeError as error:
+        raise InvalidRecord(str(error)) from None
+
+
+def encode_progress(entry: JobEntry) -> str:
+    """Encode the progress of a job.
+
+    Args:
+        entry: the job.
+
+    Returns:
+        JSON text.
+    """
+    record = ProgressRecord(
+        state=entry.state,
+        tasks=tuple(
+            _task_record(task)
+            for task in entry.tasks()
+            if task.run or task.phase is Phase.DONE
+        ),
+    )
+    return msgspec.json.encode(record).decode()
+
+
+def decode_progress(text: str) -> ProgressRecord:
+    """Decode the progress of a job.
+
+    Args:
+        text: JSON text.
+
+    Returns:
+        The record.
+
+    Raises:
+        InvalidRecord: the text is something else.
+    """
+    try:
+        return msgspec.json.decode(text, type=ProgressRecord)
+    except msgspec.DecodeError as error:
+        raise InvalidRecord(str(error)) from None
+
+
+def restore_progress(entry: JobEntry, record: ProgressRecord) -> None:
+    """Bring a job to the state that a former leader recorded.
+
+    Placed tasks become `Phase.UNKNOWN`, since only their workers know more.
+
+    Args:
+        entry: the job, with entries of its first occurrence.
+        record: the recorded progress.
+    """
+    entry.state = record.state
+    entry.shown = record.state
+    for stored in record.tasks:
+        while entry.next_occurrence <= stored.occurrence:
+            entry.add_occurrence()
+    groups = list(entry.groups.values())
+    width = len(entry.job.groups)
+    for row in record.tasks:
+        group = groups[row.occurrence * width + row.group]
+        _restore_task(group.tasks[row.index], row)
+    for restored in groups:
+        restored.done = sum(
+            task.phase is Phase.DONE for task in restored.tasks
+        )
+
+
+def _task_record(task: TaskEntry) -> TaskRecord:
+    name: TaskId = task.task_id
+    phase = _IDLE
+    if task.phase is Phase.DONE:
+        phase = _ENDED_DONE
+    elif task.phase in HELD:
+        phase = _PLACED
+    return TaskRecord(
+        occurrence=name.occurrence,
+        group=name.group,
+        index=name.index,
+        phase=phase,
+        run=task.run,
+        worker=task.worker if phase == _PLACED else '',
+        failures=task.failures,
+        checkpoint=task.checkpoint,
+    )
+
+
+def _restore_task(task: TaskEntry, row: TaskRecord) -> None:
+    task.run = row.run
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    task.confirmed = bool(row.failures or row.checkpoint)
+    if row.phase == _ENDED_DONE:
+        task.phase = Phase.DONE
+    elif row.phase == _PLACED:
+        task.phase = Phase.UNKNOWN
+        task.worker = row.worker
--- /dev/null
+++ b/jayshore/fleet/rounds.py
@@ -0,0 +1,162 @@
+"""Turns the leader's memory into the inputs of a placement round."""
+
+from collections.abc import Iterable
+
+from jayshore.clock import Millis
+from jayshore.fleet.book import Book, GroupEntry, Phase
+from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.model import FleetConfig, Queue
+from jayshore.fleet.placing import (
+    Decisions,
+    Demand,
+    PlacementRound,
+    Room,
+    limit_allowance,
+)
+from jayshore.fleet.ranking import rank_group
+from jayshore.fleet.sessions import WorkerSession
+from jayshore.resources import Resources
+
+
+class RoundMaker:
+    """Makes placement rounds."""
+
+    def __init__(self, *, book: Book, ledger: Ledger) -> None:
+        """Use the leader's memory.
+
+        Args:
+            book: the jobs.
+            ledger: what runs.
+        """
+        self._book = book
+        self._ledger = ledger
+
+    def decide(
+        self,
+        *,
+        config: FleetConfig,
+        sessions: Iterable[WorkerSession],
+        now: Millis,
+        wall_ms: int,
+    ) -> Decisions:
+        """Play a round.
+
+        Args:
+            config: the configuration in force.
+            sessions: of all workers that may be used.
+            now: on our clock, in ms.
+            wall_ms: time of day, in ms since the Unix epoch.
+
+        Returns:
+            What starts, and which advice is missing.
+        """
+        demands = self._demands(config, now, wall_ms)
+        if not demands:
+            return Decisions()
+        return PlacementRound(
+            rooms=[self._room(session) for session in sessions],
+            allowances={
+                workspace.name: limit_allowance(
+                    workspace.maximum, self._ledger.used_by(workspace.name)
+                )
+                for workspace in config.workspaces
+            },
+            now=now,
+        ).decide(demands)
+
+    def _demands(
+        self, config: FleetConfig, now: Millis, wall_ms: int
+    ) -> list[Demand]:
+        queues = {queue.name: queue for queue in config.queues}
+        found = []
+        for group in self._book.open_groups():
+            queue = queues.get(group.job.job.queue)
+            if queue is None or group.due_at_ms > wall_ms:
+                continue
+            demand = self._demand(group, queue, now)
+            if demand is not None:
+                found.append(demand)
+        return found
+
+    def _demand(
+        self, group: GroupEntry, queue: Queue, now: Millis
+    ) -> Demand | None:
+        waiting = group.waiting()
+        if not waiting or not group.job.is_ready(group):
+            return None
+        shape = group.shape
+        placed: dict[str, int] = {}
+        if shape.max_per_worker:
+            for task in group.tasks:
+                if self._ledger.holds(task):
+                    placed[task.worker] = placed.get(task.worker, 0) + 1
+        if shape.gang and any(map(self._ledger.holds, group.tasks)):
+            return None
+        return Demand(
+            group_id=group.group_id,
+            rank=rank_group(group, group.job, queue, now),
+            indexes=tuple(task.task_id.index for task in waiting),
+            need=shape.reserved,
+            service=queue.service,
+            workspace=group.job.job.workspace,
+            gang=shape.gang,
+            same_rack=shape.same_rack,
+            required_label=shape.required_label,
+            data_rack=shape.data_rack,
+            max_per_worker=shape.max_per_worker,
+            placed=placed,
+            advised=queue.advice is not None,
+            tickets={
+                worker: ticket.valid_until
+                for worker, ticket in group.tickets.items()
+            },
+            judged=frozenset(group.judged),
+            asking=group.asking,
+        )
+
+    def _room(self, session: WorkerSession) -> Room:
+        entry = session.entry
+        return Room(
+            worker_id=entry.worker_id,
+            service=entry.service,
+            rack=entry.rack,
+            labels=entry.labels,
+            capacity=entry.capacity,
+            free=_at_least_nothing(
+                entry.capacity - self._ledger.used_at(entry.worker_id)
+            ),
+        )
+
+
+def count_pending(book: Book, queue: str) -> int:
+    """Count the jobs of a queue of which no task has started.
+
+    Args:
+        book: the jobs.
+        queue: name of the queue.
+
+    Returns:
+        The count.
+    """
+    return sum(
+        1
+        for entry in book.jobs.values()
+        if entry.job.queue == queue
+        and not entry.ended
+        and not any(_has_begun(group) for group in entry.groups.values())
+    )
+
+
+def _has_begun(group: GroupEntry) -> bool:
+    return any(
+        task.confirmed or task.phase is Phase.DONE
+        for task in group.tasks
+    )
+
+
+def _at_least_nothing(free: Resources) -> Resources:
+    return Resources(
+        cpu_millis=max(0, free.cpu_millis),
+        memory_mb=max(0, free.memory_mb),
+        accelerators=max(0, free.accelerators),
+    )
--- /dev/null
+++ b/jayshore/fleet/scheduler.py
@@ -0,0 +1,507 @@
+"""The leader's work: what it knows, decides, records and orders.
+
+Every decision is recorded before it is acted on: a start before it is ordered,
+an end before the worker is told to forget it and before a caller is told of it.
+"""
+
+from collections.abc import Callable, Mapping
+from functools import partial
+
+import curio
+import eliot
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.fleet.advising import AdviceRelay, Advisor
+from jayshore.fleet.book import ENDED, Book, JobEntry, JobState, Phase, TaskEntry
+from jayshore.fleet.interfaces import (
+    EndedTask,
+    EndKind,
+    Inventory,
+    WorkerConnector,
+)
+from jayshore.fleet.leasing import MAX_LEASE_MS, surely_over_at
+from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.model import (
+    FleetConfig,
+    Job,
+    Queue,
+    WorkerEntry,
+    format_task_id,
+)
+from jayshore.fleet.orders import OrderObserver, Orders
+from jayshore.fleet.placing import Placement
+from jayshore.fleet.records import (
+    ProgressRecord,
+    cancel_key,
+    encode_progress,
+    job_key,
+    progress_key,
+    restore_progress,
+)
+from jayshore.fleet.rounds import RoundMaker, count_pending
+from jayshore.fleet.sessions import SessionObserver, WorkerSession
+from jayshore.fleet.transitions import (
+    Consequence,
+    end_job,
+    end_run,
+    lose_run,
+)
+from jayshore.fleet.weights import WeightMeter
+from jayshore.store.journal import Journal
+
+_ROUND_MS = Millis(15)
+_SWEEP_MS = Millis(250)
+_RETENTION_MS = Millis(180_000)
+
+
+class Scheduler(SessionObserver, OrderObserver):
+    """Schedules all jobs under one epoch."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        wall_clock: Clock,
+        journal: Journal,
+        epoch: int,
+        connector: WorkerConnector,
+        relay: AdviceRelay,
+        config: Callable[[], FleetConfig],
+        confirmed_at: Callable[[], Millis],
+    ) -> None:
+        """Start without jobs and workers.
+
+        Args:
+            clock: our clock.
+            wall_clock: time of day, for due times and ages of jobs.
+            journal: whose head has been claimed.
+            epoch: of this leader; the fence of its orders.
+            connector: makes clients of workers.
+            relay: reaches the advice service.
+            config: the configuration in force.
+            confirmed_at: when the store last confirmed the leadership.
+        """
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._journal = journal
+        self._epoch = epoch
+        self._connector = connector
+        self._config = config
+        self._confirmed_at = confirmed_at
+        self._inherited_until = surely_over_at(clock.now(), MAX_LEASE_MS)
+        self._book = Book()
+        self._ledger = Ledger()
+        self._rounds = RoundMaker(book=self._book, ledger=self._ledger)
+        self._orders = Orders(
+            clock=clock, ledger=self._ledger, observer=self
+        )
+        self._advisor = Advisor(
+            relay=relay, clock=clock, changed=self._touch
+        )
+        self._weights = WeightMeter()
+        self._sessions: dict[str, WorkerSession] = {}
+        self._tasks = BackgroundTasks()
+        self._changed = True
+
+    @property
+    def sessions(self) -> Mapping[str, WorkerSession]:
+        """Sessions by worker."""
+        return self._sessions
+
+    def state_of(self, job_id: str) -> tuple[JobState, str] | None:
+        """Look a job up.
+
+        Args:
+            job_id: the job.
+
+        Returns:
+            Its durable state and its workspace, or None when it is unknown.
+        """
+        entry = self._book.jobs.get(job_id)
+        if entry is None:
+            return None
+        return entry.shown, entry.job.workspace
+
+    def pending(self, queue: str) -> int:
+        """Count the jobs of a queue of which no task has started.
+
+        Args:
+            queue: its name.
+
+        Returns:
+            The count.
+        """
+        return count_pending(self._book, queue)
+
+    def add_job(
+        self, job: Job, progress: ProgressRecord | None = None
+    ) -> None:
+        """Add an accepted job.
+
+        Args:
+            job: the job; one that is known is ignored.
+            progress: what a former leader recorded, None for nothing.
+        """
+        if job.job_id in self._book.jobs:
+            return
+        age = max(0, self._wall_clock.now() - job.accepted_at_ms)
+        entry = JobEntry(
+            job=job,
+            accepted_at=Millis(self._clock.now() - age),
+            over_weight=not self._weights.admit(
+                self._config(), job.workspace, job.accepted_at_ms
+            ),
+        )
+        self._book.add(entry)
+        self._touch()
+        if progress is not None:
+            self._restore(entry, progress)
+
+    async def cancel_job(self, job_id: str) -> None:
+        """Cancel a job whose cancellation is stored.
+
+        Args:
+            job_id: the job.
+        """
+        entry = self._book.jobs.get(job_id)
+        if entry is None or entry.cancelled:
+            return
+        entry.cancelled = True
+        if entry.state not in ENDED:
+            await self._follow(entry, end_job(entry, JobState.CANCELLED))
+            self._record(entry)
+
+    async def set_worker(
+        self, worker_id: str, entry: WorkerEntry | None
+    ) -> None:
+        """Take a registration over.
+
+        Args:
+            worker_id: the worker.
+            entry: its registration, None when it is gone.
+        """
+        session = self._sessions.get(worker_id)
+        if entry is None:
+            if session is not None:
+                session.listed = False
+            return
+        if session is not None and not session.over:
+            former = session.update(entry)
+            if former is not None:
+                await former.close()
+            return
+        self._sessions[worker_id] = WorkerSession(
+            entry=entry,
+            connector=self._connector,
+            clock=self._clock,
+            observer=self,
+            fence=self._epoch,
+            inherited_until=self._inherited_until,
+        )
+        await self._tasks.spawn(self._sessions[worker_id].run())
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        swept_at = self._clock.now()
+        try:
+            while True:
+                if self._changed:
+                    self._changed = False
+                    await self._decide()
+                if self._clock.now() - swept_at >= _SWEEP_MS:
+                    swept_at = self._clock.now()
+                    await self._sweep()
+                await curio.sleep(to_seconds(_ROUND_MS))
+        finally:
+            await self._advisor.close()
+            await self._orders.close()
+            await self._tasks.close()
+
+    def leader_until(self) -> Millis:
+        """Tell how long leases may last.
+
+        Returns:
+            The instant up to which a successor waits at least.
+        """
+        return Millis(self._confirmed_at() + MAX_LEASE_MS)
+
+    def session_of(self, worker_id: str) -> WorkerSession | None:
+        """Find the session of a worker.
+
+        Args:
+            worker_id: the worker.
+
+        Returns:
+            The session, or None when there is none.
+        """
+        return self._sessions.get(worker_id)
+
+    async def not_started(self, task: TaskEntry, result: str) -> None:
+        """Take over that a run did not start and never will.
+
+        Args:
+            task: the task.
+            result: why.
+        """
+        eliot.log_message(
+            'task:not_started',
+            task=format_task_id(task.task_id),
+            run=task.run,
+            worker=task.worker,
+            result=result,
+        )
+        task.group.tickets.pop(task.worker, None)
+        await self._lose(task)
+
+    async def lapse(self, session: WorkerSession) -> None:
+        """Take over that nothing runs at a worker any more.
+
+        Args:
+            session: of the worker.
+        """
+        worker_id = session.entry.worker_id
+        for task in self._ledger.tasks_at(worker_id):
+            await self._lose(task)
+        if session.over and self._sessions.get(worker_id) is session:
+            self._sessions.pop(worker_id)
+
+    async def observe(
+        self, session: WorkerSession, inventory: Inventory, asked_at: Millis
+    ) -> None:
+        """Take an inventory over.
+
+        Args:
+            session: of the worker.
+            inventory: what it lists.
+            asked_at: when it was asked, on our clock.
+        """
+        worker_id = session.entry.worker_id
+        for ended in inventory.ended:
+            if session.note_end(ended.number):
+                await self._take_end(session, ended)
+        listed = set()
+        for running in inventory.running:
+            task = self._book.find(running.task)
+            if task is not None and _is_run(task, running.run, worker_id):
+                listed.add(task)
+                await self._confirm(task, running.checkpoint)
+            elif running.task is not None:
+                await self._orders.stop_unwanted(
+                    session, running.task, running.run
+                )
+        for absent in self._ledger.tasks_at(worker_id):
+            if absent not in listed and _is_over(absent, asked_at):
+                await self._lose(absent)
+        self._touch()
+
+    def _restore(self, entry: JobEntry, progress: ProgressRecord) -> None:
+        restore_progress(entry, progress)
+        for task in entry.tasks():
+            if task.phase is Phase.UNKNOWN:
+                self._ledger.hold(task)
+        if entry.ended:
+            entry.ended_at = self._clock.now()
+
+    def _touch(self) -> None:
+        self._changed = True
+
+    async def _confirm(self, task: TaskEntry, checkpoint: str) -> None:
+        task.confirmed = True
+        if checkpoint and task.group.shape.checkpoints:
+            task.checkpoint = checkpoint
+        if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
+            task.phase = Phase.RUNNING
+            task.settled_at = self._clock.now()
+            if task.group.job.ended:
+                await self._orders.stop(task)
+
+    async def _take_end(
+        self, session: WorkerSession, ended: EndedTask
+    ) -> None:
+        worker_id = session.entry.worker_id
+        recorded = partial(_note_recorded, session, ended.number)
+        task = self._book.find(ended.task)
+        if task is None or not _is_run(task, ended.run, worker_id):
+            await recorded()
+            return
+        self._ledger.release(task)
+        if ended.checkpoint and task.group.shape.checkpoints:
+            task.checkpoint = ended.checkpoint
+        entry = task.group.job
+        queue = self._queue_of(entry)
+        consequence = end_run(
+            task,
+            ended.kind,
+            max_attempts=1 if queue is None else queue.max_attempts,
+        )
+        _log_end(task, ended)
+        await self._follow(entry, consequence)
+        self._record(entry, recorded)
+
+    async def _lose(self, task: TaskEntry) -> None:
+        """Take over that a run is over without an end being seen."""
+        self._ledger.release(task)
+        entry = task.group.job
+        await self._follow(entry, lose_run(task))
+        self._record(entry)
+        self._touch()
+
+    async def _follow(
+        self, entry: JobEntry, consequence: Consequence
+    ) -> None:
+        for task in consequence.stop:
+            await self._orders.stop(task)
+        if consequence.job_ended:
+            entry.ended_at = self._clock.now()
+            eliot.log_message(
+                'job:ended',
+                job=entry.job.job_id,
+                state=entry.state,
+                age_ms=self._clock.now() - entry.accepted_at,
+            )
+
+    def _record(
+        self,
+        entry: JobEntry,
+        callback: Callable[[], object] | None = None,
+    ) -> None:
+        async def recorded(state: JobState = entry.state) -> None:
+            if entry.shown not in ENDED:
+                entry.shown = state
+            if callback is not None:
+                await callback()  # type: ignore[misc]
+
+        self._journal.write(
+            progress_key(entry.job.job_id),
+            partial(encode_progress, entry),
+            recorded,
+        )
+
+    async def _decide(self) -> None:
+        config = self._config()
+        decisions = self._rounds.decide(
+            config=config,
+            sessions=[
+                session
+                for session in self._sessions.values()
+                if session.usable
+            ],
+            now=self._clock.now(),
+            wall_ms=self._wall_clock.now(),
+        )
+        self._place(decisions.placements)
+        queues = {queue.name: queue for queue in config.queues}
+        for wish in decisions.wishes:
+            entry = self._book.jobs[wish.group_id.job_id]
+            policy = queues[entry.job.queue].advice
+            if policy is not None:
+                await self._advisor.ask(
+                    wish, entry.groups[wish.group_id], policy
+                )
+
+    def _place(self, placements: list[Placement]) -> None:
+        starting: dict[str, list[TaskEntry]] = {}
+        for placement in placements:
+            entry = self._book.jobs[placement.group_id.job_id]
+            task = entry.groups[placement.group_id].tasks[placement.index]
+            task.phase = Phase.STARTING
+            task.worker = placement.worker_id
+            task.settled_at = None
+            task.run += 1
+            self._ledger.hold(task)
+            starting.setdefault(entry.job.job_id, []).append(task)
+        for job_id, tasks in starting.items():
+            entry = self._book.jobs[job_id]
+            _align_gangs(tasks)
+            if entry.state is JobState.QUEUED:
+                entry.state = JobState.RUNNING
+            eliot.log_message(
+                'job:placed',
+                job=job_id,
+                age_ms=self._clock.now() - entry.accepted_at,
+                tasks=[
+                    (*task.task_id[1:], task.run, task.worker)
+                    for task in tasks
+                ],
+            )
+            runs = [(task, task.run) for task in tasks]
+            self._record(entry, partial(self._start, runs))
+
+    async def _start(self, runs: list[tuple[TaskEntry, int]]) -> None:
+        for task, run in runs:
+            if task.phase is Phase.STARTING and task.run == run:
+                await self._orders.start(task)
+
+    async def _sweep(self) -> None:
+        """Make due occurrences, drop old jobs, give up vanished workers."""
+        now = self._clock.now()
+        wall_ms = self._wall_clock.now()
+        for entry in tuple(self._book.jobs.values()):
+            if entry.ended_at is not None:
+                if now - entry.ended_at > _RETENTION_MS:
+                    self._forget(entry)
+            elif entry.next_occurrence < entry.occurrences:
+                if entry.due_at_ms(entry.next_occurrence) <= wall_ms:
+                    entry.add_occurrence()
+        if now >= self._inherited_until:
+            for worker_id in self._ledger.workers():
+                if worker_id not in self._sessions:
+                    for task in self._ledger.tasks_at(worker_id):
+                        await self._lose(task)
+        self._touch()
+
+    def _forget(self, entry: JobEntry) -> None:
+        job_id = entry.job.job_id
+        self._book.jobs.pop(job_id)
+        for key in (job_key(job_id), progress_key(job_id), cancel_key(job_id)):
+            self._journal.write(key, _no_value)
+
+    def _queue_of(self, entry: JobEntry) -> Queue | None:
+        for queue in self._config().queues:
+            if queue.name == entry.job.queue:
+                return queue
+        return None
+
+
+def _is_run(task: TaskEntry, run: int, worker_id: str) -> bool:
+    return task.run == run and task.worker == worker_id
+
+
+def _is_over(task: TaskEntry, asked_at: Millis) -> bool:
+    """Tell whether a run that an inventory lacks is over."""
+    if task.phase is Phase.UNKNOWN:
+        return True
+    return task.settled_at is not None and task.settled_at < asked_at
+
+
+def _align_gangs(tasks: list[TaskEntry]) -> None:
+    """Give the members of a gang one run and one checkpoint."""
+    gangs = [task for task in tasks if task.group.shape.gang]
+    for task in gangs:
+        members = task.group.tasks
+        task.run = max(member.run for member in members)
+        task.checkpoint = max(member.checkpoint for member in members)
+
+
+async def _note_recorded(session: WorkerSession, number: int) -> None:
+    session.note_recorded(number)
+
+
+def _no_value() -> str | None:
+    return None
+
+
+def _log_end(task: TaskEntry, ended: EndedTask) -> None:
+    if ended.kind is not EndKind.DONE:
+        eliot.log_message(
+            'task:ended',
+            task=format_task_id(task.task_id),
+            run=ended.run,
+            worker=task.worker,
+            kind=ended.kind,
+            failures=task.failures,
+        )
+
+
+
--- a/jayshore/leases/leadership.py
+++ b/jayshore/leases/leadership.py
@@ -13,7 +13,7 @@
 import eliot
 import msgspec
 
-from jayshore.clock import Millis, to_seconds
+from jayshore.clock import Clock, Millis, MonotonicClock, to_seconds
 from jayshore.store.settling import Write, WriteSettler, new_write_id
 from jayshore.store.store import (
     MUST_NOT_EXIST,
@@ -80,6 +80,7 @@
         holder: str,
         ttl_ms: Millis,
         observer: LeadershipObserver,
+        clock: Clock | None = None,
     ) -> None:
         """Prepare to compete.
 
@@ -90,6 +91,7 @@
             holder: name of this daemon in the roster.
             ttl_ms: time to live of the store lease, in ms.
             observer: is told of elections.
+            clock: tells when the store confirmed the leadership.
         """
         self._store = store
         self._settler = settler
@@ -99,6 +101,18 @@
         self._observer = observer
         self._epoch = 0
         self._lease: StoreLease | None = None
+        self._clock = clock or MonotonicClock()
+        self._confirmed_at = Millis(0)
+
+    @property
+    def confirmed_at(self) -> Millis:
+        """When a call that the store answered with the leadership was sent."""
+        return self._confirmed_at
+
+    @property
+    def ttl_ms(self) -> Millis:
+        """Time to live of the store lease, in ms."""
+        return self._ttl_ms
 
     @property
     def epoch(self) -> int:
@@ -109,10 +123,12 @@
         """Compete and lead until cancelled."""
         while True:
             try:
-                await self._compete()
+                changed = await self._compete()
             except StoreError as error:
                 eliot.log_message('leadership:store_error', error=str(error))
-            await curio.sleep(self._interval)
+                changed = False
+            if not changed:
+                await curio.sleep(self._interval)
 
     async def resign(self) -> None:
         """Give the leadership up, so that another daemon is elected at once.
@@ -144,13 +160,14 @@
     def _interval(self) -> float:
         return to_seconds(Millis(self._ttl_ms // _RENEWALS_PER_TTL))
 
-    async def _compete(self) -> None:
+    async def _compete(self) -> bool:
         listing = await self._store.list(self._key)
         if listing.entries:
-            await self._store.watch(
+            change = await self._store.watch(
                 self._key, since=listing.revision, wait_ms=self._ttl_ms
             )
-            return
+            return bool(change.deleted)
+        asked_at = self._clock.now()
         lease = await self._store.grant_lease(self._ttl_ms)
         self._lease = lease
         entry = LeaderEntry(holder=self._holder, write_id=new_write_id())
@@ -164,7 +181,9 @@
             limit_ms=self._ttl_ms,
         )
         if isinstance(written, Written):
+            self._confirmed_at = asked_at
             await self._lead(lease, written.revision)
+        return False
 
     async def _lead(self, lease: StoreLease, epoch: int) -> None:
         self._epoch = epoch
@@ -173,10 +192,14 @@
         renewed: StoreLease | LeaseGone = lease
         while not isinstance(renewed, LeaseGone):
             await curio.sleep(self._interval)
+            asked_at = self._clock.now()
             try:
                 renewed = await self._store.renew_lease(lease.lease_id)
             except StoreError as error:
                 eliot.log_message('leadership:not_renewed', error=str(error))
+                continue
+            if not isinstance(renewed, LeaseGone):
+                self._confirmed_at = asked_at
         eliot.log_message('leadership:deposed', epoch=epoch)
         self._epoch = 0
         await self._observer.deposed()
--- a/jayshore/store/httpcalls.py
+++ b/jayshore/store/httpcalls.py
@@ -35,7 +35,7 @@
 
 _STATUS_OK = range(200, 300)
 _STATUS_REJECTED = frozenset((400, 405, 413, 422, 431))
-_STATUS_UNAVAILABLE = 503
+_STATUS_UNAVAILABLE = frozenset((429, 503))
 _READ_METHOD = 'GET'
 
 _Decoded = TypeVar('_Decoded')
@@ -69,18 +69,18 @@
         self,
         *,
         client: HttpClient,
-        sender: str,
+        sender: str = '',
         call_timeout_ms: Millis = CALL_TIMEOUT_MS,
     ) -> None:
         """Use a client.
 
         Args:
             client: the platform's address and connections.
-            sender: name of this process, sent with each call.
+            sender: name of this process, sent with each call unless empty.
             call_timeout_ms: longest wait for an answer, in ms.
         """
         self._client = client
-        self._headers = {SENDER_HEADER: sender}
+        self._headers = {SENDER_HEADER: sender} if sender else {}
         self._call_timeout_ms = call_timeout_ms
 
     async def call(self, call: Call) -> Response:
@@ -109,7 +109,7 @@
         if answer.status in _STATUS_OK or answer.status in call.answered:
             return answer
         complaint = f'{call.method} {call.path}: status {answer.status}'
-        if answer.status == _STATUS_UNAVAILABLE:
+        if answer.status in _STATUS_UNAVAILABLE:
             raise StoreUnavailable(complaint)
         if answer.status in _STATUS_REJECTED:
             raise StoreRejected(complaint)
--- /dev/null
+++ b/jayshore/store/journal.py
@@ -0,0 +1,225 @@
+"""A writer of records that at most one process uses with effect.
+
+All writes of a leader go through one key, the head. Every transaction
+expects the head's revision and writes the head, so that the transactions form a
+chain: a copy that is applied late finds another head and has no effect, and
+once a successor has claimed the head nothing of the former leader is applied.
+"""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import curio
+import eliot
+import msgspec
+
+from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.outcomes import JayshoreError
+from jayshore.store.store import (
+    LeaseGone,
+    StoreError,
+    StoreRejected,
+    Written,
+)
+from jayshore.store.transactions import (
+    MAX_TRANSACTION_ENTRIES,
+    Put,
+    Transaction,
+    TransactionStore,
+)
+
+_IDLE_MS = Millis(5)
+_RETRY_MS = Millis(60)
+
+# The condition on the head and the new head take two entries.
+_RECORDS_PER_TRANSACTION = MAX_TRANSACTION_ENTRIES - 2
+
+
+class JournalFenced(JayshoreError):
+    """Another process has claimed the head."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Head:
+    epoch: int
+    count: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Pending:
+    encode: Callable[[], str | None]
+    callbacks: list[Callable[[], Awaitable[None]]]
+
+
+class Journal:
+    """Writes records in groups, one transaction at a time.
+
+    A record is encoded when its transaction is made, so that several changes
+    of one record in quick succession cost one write.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: TransactionStore,
+        clock: Clock,
+        head_key: str,
+        epoch: int,
+        pause_ms: Millis,
+    ) -> None:
+        """Prepare a journal.
+
+        Args:
+            store: the store.
+            clock: measures the age of confirmations.
+            head_key: key of the head.
+            epoch: epoch of this leader, higher than that of any earlier one.
+            pause_ms: time to gather changes before a transaction.
+        """
+        self._store = store
+        self._clock = clock
+        self._head_key = head_key
+        self._epoch = epoch
+        self._pause_ms = pause_ms
+        self._count = 0
+        self._revision = 0
+        self._pending: dict[str, _Pending] = {}
+
+    @property
+    def backlog(self) -> int:
+        """Number of records that wait to be written."""
+        return len(self._pending)
+
+    async def claim(self) -> None:
+        """Take the head over; nothing of a former leader is applied later.
+
+        Raises:
+            JournalFenced: a leader with a higher epoch has claimed it.
+        """
+        claimed = False
+        while not claimed:
+            try:
+                claimed = await self._try_claim()
+            except StoreError as error:
+                eliot.log_message('journal:claim_failed', error=str(error))
+                await curio.sleep(to_seconds(_RETRY_MS))
+
+    def write(
+        self,
+        key: str,
+        encode: Callable[[], str | None],
+        callback: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Write a record with the next transaction.
+
+        Args:
+            key: key of the record.
+            encode: makes the value when the transaction is made, or None to
+                remove the key.
+            callback: awaited when a value made after this call is durable.
+        """
+        pending = self._pending.get(key)
+        if pending is None:
+            pending = _Pending(encode=encode, callbacks=[])
+            self._pending[key] = pending
+        if callback is not None:
+            pending.callbacks.append(callback)
+
+    async def run(self) -> None:
+        """Write what is pending until cancelled.
+
+        Raises:
+            JournalFenced: another process has claimed the head.
+        """
+        while True:
+            if self._pending:
+                await self._write_group()
+                await curio.sleep(to_seconds(self._pause_ms))
+            else:
+                await curio.sleep(to_seconds(_IDLE_MS))
+
+    async def flush(self) -> None:
+        """Write all that is pending.
+
+        Raises:
+            JournalFenced: another process has claimed the head.
+        """
+        while self._pending:
+            await self._write_group()
+
+    async def _write_group(self) -> None:
+        keys = tuple(self._pending)[:_RECORDS_PER_TRANSACTION]
+        group = {key: self._pending.pop(key) for key in keys}
+        values = {key: record.encode() for key, record in group.items()}
+        self._count += 1
+        await self._settle(
+            Transaction(
+                expected=((self._head_key, self._revision),),
+                puts=(
+                    self._head_put(),
+                    *(
+                        Put(key=key, value=text)
+                        for key, text in values.items()
+                        if text is not None
+                    ),
+                ),
+                removals=tuple(
+                    key for key, text in values.items() if text is None
+                ),
+            )
+        )
+        for record in group.values():
+            for callback in record.callbacks:
+                await callback()
+
+    async def _settle(self, transaction: Transaction) -> None:
+        """Send the same transaction until it is known to be applied."""
+        revision = None
+        while revision is None:
+            try:
+                revision = await self._try_transact(transaction)
+            except StoreRejected:
+                raise
+            except StoreError as error:
+                eliot.log_message('journal:write_failed', error=str(error))
+                await curio.sleep(to_seconds(_RETRY_MS))
+        self._revision = revision
+
+    async def _try_transact(self, transaction: Transaction) -> int | None:
+        written = await self._store.transact(transaction)
+        if isinstance(written, Written):
+            return written.revision
+        if isinstance(written, LeaseGone):
+            raise JournalFenced('records have no lease')
+        head, revision = await self._read_head()
+        if head.epoch == self._epoch and head.count == self._count:
+            return revision
+        raise JournalFenced(f'the head belongs to epoch {head.epoch}')
+
+    async def _try_claim(self) -> bool:
+        head, revision = await self._read_head()
+        if head.epoch > self._epoch:
+            raise JournalFenced(f'the head belongs to epoch {head.epoch}')
+        if head.epoch == self._epoch:
+            self._revision = revision
+            return True
+        written = await self._store.transact(
+            Transaction(
+                expected=((self._head_key, revision),),
+                puts=(self._head_put(),),
+            )
+        )
+        if not isinstance(written, Written):
+            return False
+        self._revision = written.revision
+        return True
+
+    async def _read_head(self) -> tuple[_Head, int]:
+        entry = await self._store.get(self._head_key)
+        if entry is None:
+            return _Head(epoch=0, count=0), 0
+        return msgspec.json.decode(entry.value, type=_Head), entry.revision
+
+    def _head_put(self) -> Put:
+        head = _Head(epoch=self._epoch, count=self._count)
+        return Put(key=self._head_key, value=msgspec.json.encode(head).decode())
