Relay store calls through other instances, keep advice after a refused start

Instances that the store turned away refused all callers.

Ruled out: a queue that was removed from the configuration (jobs now carry their queue all the same), workers kept free for gangs that cannot fit (also mended; the log now says why a group waits).

Change: a refused ticket is asked for again; RelayedStore reaches the store through another instance; a new leader election needs no watch of its own; Retry-After grows with the outage.

--- a/jayshore/fleet/book.py
+++ b/jayshore/fleet/book.py
@@ -240,6 +240,22 @@
         )
 
 
+def expire_ticket(group: GroupEntry, worker: str) -> None:
+    """Let a ticket be asked for again before the next start.
+
+    The worker stays known as one that may run the group.
+
+    Args:
+        group: the group.
+        worker: whose ticket was refused or is too old.
+    """
+    ticket = group.tickets.get(worker)
+    if ticket is not None:
+        group.tickets[worker] = dataclasses.replace(
+            ticket, valid_until=Millis(0)
+        )
+
+
 class Book:
     """All jobs that the leader knows."""
 
--- a/jayshore/fleet/desk.py
+++ b/jayshore/fleet/desk.py
@@ -32,6 +32,7 @@
 )
 from jayshore.fleet.scheduler import Scheduler
 from jayshore.outcomes import JayshoreError
+from jayshore.store.relay import RelayedStore
 from jayshore.store.store import (
     Entry,
     StoreError,
@@ -41,11 +42,13 @@
 from jayshore.store.transactions import (
     Put,
     Transaction,
-    TransactionStore,
 )
 
-RETRY_AFTER_MS = Millis(1000)
-"""When callers are asked to come back while the store is away, in ms."""
+MIN_RETRY_MS = Millis(2000)
+"""The shortest time after which a caller is asked to come back, in ms."""
+
+MAX_RETRY_MS = Millis(4000)
+"""The longest time after which a caller is asked to come back, in ms."""
 
 _NO_VALUE = '{}'
 
@@ -99,7 +102,7 @@
     def __init__(
         self,
         *,
-        store: TransactionStore,
+        store: RelayedStore,
         peers: Peers,
         scheduler: Callable[[], Scheduler | None],
     ) -> None:
@@ -114,6 +117,19 @@
         self._peers = peers
         self._scheduler = scheduler
 
+    def retry_after(self) -> Millis:
+        """Choose when callers that are refused now should come back.
+
+        Callers make a few attempts only. In an outage of the store they are
+        spread over a time that grows with it, since an outage that has lasted
+        for some time is likely to last as long again.
+
+        Returns:
+            Milliseconds.
+        """
+        lost = self._store.lost_for_ms
+        return Millis(min(MAX_RETRY_MS, max(MIN_RETRY_MS, lost)))
+
     async def submit(self, job: Job) -> SubmitResult:
         """Accept a job.
 
@@ -145,7 +161,7 @@
             return Uncertain()
         return Refused(
             reason=RefusedReason.STORE_UNAVAILABLE,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=self.retry_after(),
         )
 
     async def cancel(self, job_id: str, workspace: str | None) -> bool:
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -25,6 +25,7 @@
 from jayshore.leases.leadership import Leadership
 from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.store.mirror import Mirror
+from jayshore.store.relay import RelayedStore
 from jayshore.store.settling import WriteSettler
 from jayshore.store.transactions import TransactionStore
 
@@ -138,7 +139,10 @@
             surroundings: what the adapter provides.
         """
         clock = BootClock()
-        store = surroundings.store
+        peers = Peers(name=settings.name, advice=surroundings.advice)
+        store = RelayedStore(
+            direct=surroundings.store, relay=peers, clock=clock
+        )
         self._settings = settings
         self._draining = False
         self._holder = ConfigHolder(
@@ -157,11 +161,7 @@
             name=settings.name,
             address=settings.inner,
         )
-        peers = Peers(
-            membership=self._membership,
-            name=settings.name,
-            advice=surroundings.advice,
-        )
+        peers.attach(self._membership)
         self._seat = LeaderSeat(
             store=store,
             clock=clock,
@@ -185,6 +185,7 @@
             ttl_ms=_LEADER_TTL_MS,
             observer=self._seat,
             clock=clock,
+            vacancy=self._membership,
         )
         self._seat.attach(self._leadership)
         desk = Desk(
@@ -204,6 +205,8 @@
             PeerHandler(
                 scheduler=lambda: self._seat.scheduler,
                 advice=surroundings.advice,
+                store=surroundings.store,
+                is_cut_off=lambda: store.cut_off,
             ),
             settings.max_connections,
         )
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -11,7 +11,7 @@
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.http.client import Address, InvalidAddress
-from jayshore.leases.leadership import LeaderEntry, leader_key
+from jayshore.leases.leadership import LeaderEntry, Vacancy, leader_key
 from jayshore.store.mirror import Mirror, MirrorObserver
 from jayshore.store.store import (
     MUST_NOT_EXIST,
@@ -38,7 +38,7 @@
     address: str
 
 
-class Membership(MirrorObserver):
+class Membership(MirrorObserver, Vacancy):
     """Registers this instance, and knows the others and the leader."""
 
     def __init__(
@@ -57,6 +57,8 @@
         self._address = address
         self._members: dict[str, Address] = {}
         self._leader = ''
+        self._leader_seen = False
+        self._vacant = curio.Event()
         self._mirror = Mirror(
             store=store,
             clock=clock,
@@ -88,7 +90,7 @@
             entry: its new entry, None when the key is gone.
         """
         if key == leader_key(DEPLOYMENT):
-            self._set_leader(entry)
+            await self._set_leader(entry)
         elif key.startswith(_MEMBERS):
             self._set_member(key.removeprefix(_MEMBERS), entry)
 
@@ -96,6 +98,12 @@
         """Follow the registrations until cancelled."""
         await self._mirror.run()
 
+    async def wait_vacant(self) -> None:
+        """Wait until the store shows no leader."""
+        await self._mirror.wait_loaded()
+        if self._leader_seen:
+            await self._vacant.wait()
+
     async def register(self) -> None:
         """Keep this instance registered until cancelled."""
         while True:
@@ -131,7 +139,7 @@
             await curio.sleep(to_seconds(_RENEW_MS))
             renewed = await self._store.renew_lease(lease.lease_id)
 
-    def _set_leader(self, entry: Entry | None) -> None:
+    async def _set_leader(self, entry: Entry | None) -> None:
         self._leader = ''
         if entry is not None:
             try:
@@ -140,6 +148,11 @@
                 eliot.log_message('members:invalid', error=str(error))
             else:
                 self._leader = decoded.holder
+        self._leader_seen = True
+        if entry is None:
+            await self._vacant.set()
+        else:
+            self._vacant.clear()
         eliot.log_message('members:leader', leader=self._leader)
 
     def _set_member(self, name: str, entry: Entry | None) -> None:
--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -98,31 +98,6 @@
     repeats: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
-    """A job as it is stored.
-
-    Attributes:
-        job_id: chosen by the caller.
-        queue: name of the queue.
-        workspace: owner, empty in a queue that is open to all.
-        payload: opaque text for the workers.
-        groups: the task groups.
-        accepted_at_ms: in ms since the Unix epoch.
-        schedule: due times.
-        digest: of the body, to recognise a repeated submission.
-    """
-
-    job_id: str
-    queue: str
-    workspace: str
-    payload: str
-    groups: tuple[TaskGroup, ...]
-    accepted_at_ms: int
-    schedule: Schedule = Schedule()
-    digest: str = ''
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AdvicePolicy:
     """How placement advice is given for a queue.
@@ -167,6 +142,31 @@
     advice: AdvicePolicy | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A job as it is stored.
+
+    Attributes:
+        job_id: chosen by the caller.
+        queue: the queue as it was; it counts while no newer one has its name.
+        workspace: owner, empty in a queue that is open to all.
+        payload: opaque text for the workers.
+        groups: the task groups.
+        accepted_at_ms: in ms since the Unix epoch.
+        schedule: due times.
+        digest: of the body, to recognise a repeated submission.
+    """
+
+    job_id: str
+    queue: Queue
+    workspace: str
+    payload: str
+    groups: tuple[TaskGroup, ...]
+    accepted_at_ms: int
+    schedule: Schedule = Schedule()
+    digest: str = ''
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Workspace:
     """A tenant of the fleet.
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -120,6 +120,9 @@
             session = self._observer.session_of(task.worker)
             if session is None or session.over:
                 return
+            if not uncertain and self._lacks_ticket(task):
+                await self._refuse(task, run, 'old_ticket')
+                return
             lease_until = session.grant()
             if lease_until is None:
                 await curio.sleep(to_seconds(_RETRY_MS))
@@ -143,6 +146,11 @@
             await self._settle(task, run, answer, uncertain > 0)
             return
 
+    def _lacks_ticket(self, task: TaskEntry) -> bool:
+        """Tell whether the ticket expired while the start was recorded."""
+        ticket = task.group.tickets.get(task.worker)
+        return ticket is not None and ticket.valid_until < self._clock.now()
+
     async def _settle(
         self, task: TaskEntry, run: int, answer: StartAnswer, uncertain: bool
     ) -> None:
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -32,14 +32,26 @@
 )
 from jayshore.http.server import Handler
 from jayshore.outcomes import JayshoreError
+from jayshore.store.relay import (
+    StoreCall,
+    StoreRelay,
+    StoreReply,
+    Watch,
+    execute,
+)
+from jayshore.store.store import StoreUnavailable, StoreUncertain
+from jayshore.store.transactions import TransactionStore
 
 STATE_PATH = '/v1/state'
 PENDING_PATH = '/v1/pending'
 ADVICE_PATH = '/v1/advice'
+STORE_PATH = '/v1/store'
 
 _CONNECTIONS = 16
 _CONNECT_MS = Millis(400)
 _CALL_MS = Millis(500)
+_STORE_CALL_MS = Millis(1300)
+_STORE_ATTEMPTS = 3
 _STATUS_OK = 200
 _STATUS_BAD = 400
 _STATUS_NOT_FOUND = 404
@@ -51,6 +63,24 @@
     """No leader that knows all jobs answered."""
 
 
+class PeerUnavailable(JayshoreError):
+    """An instance gave no answer.
+
+    Attributes:
+        sent: False when the call certainly did not reach it.
+    """
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        """Describe the failure.
+
+        Args:
+            detail: what happened.
+            sent: False when the call certainly was not sent.
+        """
+        super().__init__(detail)
+        self.sent = sent
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StateQuestion:
     """Asks for the state of a job."""
@@ -105,15 +135,21 @@
         *,
         scheduler: Callable[[], Scheduler | None],
         advice: AdviceService,
+        store: TransactionStore,
+        is_cut_off: Callable[[], bool],
     ) -> None:
         """Use the parts of this instance.
 
         Args:
             scheduler: None while this instance does not lead.
             advice: the advice service.
+            store: reaches the store directly.
+            is_cut_off: tells whether the store did not answer this instance.
         """
         self._scheduler = scheduler
         self._advice = advice
+        self._store = store
+        self._is_cut_off = is_cut_off
 
     async def handle(self, request: Request) -> Response:
         """Answer a call.
@@ -134,6 +170,10 @@
             return await self._advise(
                 decode_json(request.body, AdviceQuestion)
             )
+        if request.path == STORE_PATH:
+            return await self._relay(
+                decode_json(request.body, StoreCall)  # type: ignore[arg-type]
+            )
         scheduler = self._scheduler()
         if scheduler is None:
             return error_response(
@@ -150,6 +190,13 @@
             )
         return error_response(_STATUS_NOT_FOUND, 'not_found', request.path)
 
+    async def _relay(self, call: StoreCall) -> Response:
+        if self._is_cut_off():
+            return error_response(
+                _STATUS_UNAVAILABLE, 'store_unavailable', 'cut off as well'
+            )
+        return json_response(_STATUS_OK, await execute(self._store, call))
+
     async def _advise(self, question: AdviceQuestion) -> Response:
         try:
             advice = await self._advice.advise(
@@ -169,23 +216,29 @@
         )
 
 
-class Peers(AdviceRelay):
+class Peers(AdviceRelay, StoreRelay):
     """Calls the other instances."""
 
-    def __init__(
-        self, *, membership: Membership, name: str, advice: AdviceService
-    ) -> None:
-        """Use the membership.
+    def __init__(self, *, name: str, advice: AdviceService) -> None:
+        """Start without knowledge of other instances.
 
         Args:
-            membership: names and addresses.
             name: of this instance.
             advice: the advice service, called directly for this instance.
         """
-        self._membership = membership
+        self._membership: Membership | None = None
         self._name = name
         self._advice = advice
         self._clients: dict[Address, HttpClient] = {}
+        self._relaying = ''
+
+    def attach(self, membership: Membership) -> None:
+        """Name what knows the other instances.
+
+        Args:
+            membership: names and addresses.
+        """
+        self._membership = membership
 
     async def ask_state(self, job_id: str) -> StateAnswer:
         """Ask the leader for the state of a job.
@@ -227,10 +280,7 @@
         Returns:
             The others before this one, which also leads.
         """
-        others = sorted(
-            name for name in self._membership.members if name != self._name
-        )
-        return (*others, self._name)
+        return (*self._others(), self._name)
 
     async def advise_through(
         self,
@@ -255,7 +305,7 @@
         """
         if caller == self._name:
             return await self._advice.advise(group, workers, timeout_ms)
-        address = self._membership.members.get(caller)
+        address = self._address(caller)
         if address is None:
             raise AdviceUnavailable(f'{caller} is not registered')
         question = AdviceQuestion(
@@ -266,18 +316,70 @@
                 address, ADVICE_PATH, question, timeout_ms
             )
             decoded = decode_json(answer.body, AdviceAnswer)
-        except (LeaderUnavailable, InvalidJson) as error:
+        except (PeerUnavailable, InvalidJson) as error:
             raise AdviceUnavailable(f'{caller}: {error}') from None
         return Advice(
             tickets=decoded.tickets, validity_ms=Millis(decoded.validity_ms)
         )
 
+    async def carry(self, call: StoreCall) -> StoreReply:
+        """Carry a call to the store through another instance.
+
+        Args:
+            call: the call.
+
+        Returns:
+            What the store answered.
+
+        Raises:
+            StoreUnavailable: no instance took the call.
+            StoreUncertain: an instance took it and did not answer.
+        """
+        others = self._others()
+        if self._relaying in others:
+            others.remove(self._relaying)
+            others.insert(0, self._relaying)
+        timeout = _STORE_CALL_MS
+        if isinstance(call, Watch):
+            timeout = Millis(timeout + call.wait_ms)
+        for name in others[:_STORE_ATTEMPTS]:
+            address = self._address(name)
+            if address is None:
+                continue
+            try:
+                answer = await self._call(address, STORE_PATH, call, timeout)
+            except PeerUnavailable as error:
+                if error.sent:
+                    raise StoreUncertain(f'{name}: {error}') from None
+                continue
+            self._relaying = name
+            try:
+                return decode_json(answer.body, StoreReply)
+            except InvalidJson as invalid:
+                raise StoreUncertain(f'{name}: {invalid}') from None
+        raise StoreUnavailable('no instance reaches the store')
+
     async def _ask_leader(self, path: str, question: object) -> Response:
-        leader = self._membership.leader
-        address = self._membership.members.get(leader)
+        leader = '' if self._membership is None else self._membership.leader
+        address = self._address(leader)
         if address is None:
             raise LeaderUnavailable('no leader is known')
-        return await self._call(address, path, question, _CALL_MS)
+        try:
+            return await self._call(address, path, question, _CALL_MS)
+        except PeerUnavailable as error:
+            raise LeaderUnavailable(str(error)) from None
+
+    def _others(self) -> list[str]:
+        if self._membership is None:
+            return []
+        return sorted(
+            name for name in self._membership.members if name != self._name
+        )
+
+    def _address(self, name: str) -> Address | None:
+        if self._membership is None:
+            return None
+        return self._membership.members.get(name)
 
     async def _call(
         self,
@@ -299,10 +401,12 @@
         )
         try:
             answer = await client.call(request, timeout_ms=timeout_ms)
-        except (ConnectFailed, ConnectionLost, CallTimedOut) as error:
-            raise LeaderUnavailable(str(error)) from None
+        except ConnectFailed as error:
+            raise PeerUnavailable(str(error), sent=False) from None
+        except (ConnectionLost, CallTimedOut) as unclear:
+            raise PeerUnavailable(str(unclear), sent=True) from None
         if answer.status != _STATUS_OK:
-            raise LeaderUnavailable(f'status {answer.status}')
+            raise PeerUnavailable(f'status {answer.status}', sent=False)
         return answer
 
 
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -7,12 +7,13 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterable, Mapping
 from typing import Final
 
 from jayshore.clock import Millis
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.ranking import Rank
+from jayshore.fleet.ranking import Rank, Standing
 from jayshore.resources import NOTHING, Resources
 
 TICKET_MARGIN_MS: Final = Millis(150)
@@ -27,6 +28,17 @@
 _UNLIMITED: Final = 1 << 60
 
 
+class WaitReason(enum.StrEnum):
+    """Why tasks do not start."""
+
+    NO_WORKER = 'no_worker'
+    NO_ADVICE = 'no_advice'
+    NOT_ADVISED = 'not_advised'
+    LIMIT = 'limit'
+    NO_ROOM = 'no_room'
+    OLD_TICKET = 'old_ticket'
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Room:
     """What is free at a worker; a round uses it up.
@@ -128,10 +140,14 @@
     Attributes:
         placements: tasks that start.
         wishes: advice to ask for, best ranked first.
+        waiting: why tasks of a group do not start.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
     wishes: list[AdviceWish] = dataclasses.field(default_factory=list)
+    waiting: dict[GroupId, WaitReason] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class PlacementRound:
@@ -173,46 +189,57 @@
 
     def _consider(self, demand: Demand) -> None:
         usable = [room for room in self._rooms if _may_host(room, demand)]
+        reason = self._try_place(demand, usable)
+        if reason is not None:
+            self._decisions.waiting[demand.group_id] = reason
+
+    def _try_place(
+        self, demand: Demand, usable: list[Room]
+    ) -> WaitReason | None:
+        if not usable:
+            return WaitReason.NO_WORKER
         if demand.advised and not demand.judged:
-            if not demand.asking and usable:
+            if not demand.asking:
                 self._wish(demand, [room.worker_id for room in usable])
-            return
+            return WaitReason.NO_ADVICE
+        good = usable
         if demand.advised:
-            usable = [
-                room for room in usable if room.worker_id in demand.tickets
-            ]
-        count = min(len(demand.indexes), self._allowed(demand))
-        if not count or (demand.gang and count < len(demand.indexes)):
-            return
-        seats = self._find_seats(demand, usable, count)
+            good = [room for room in usable if room.worker_id in demand.tickets]
+            if not good:
+                self._ask_about_new(demand, usable)
+                return WaitReason.NOT_ADVISED
+        wanted = len(demand.indexes)
+        count = min(wanted, self._allowed(demand))
+        if not count or (demand.gang and count < wanted):
+            return WaitReason.LIMIT
+        seats = self._find_seats(demand, good, count)
         if demand.gang and len(seats) < count:
-            self._keep_free(demand, usable)
-            return
-        self._take(demand, seats)
-
-    def _take(self, demand: Demand, seats: list[Room]) -> None:
+            self._keep_free(demand, good)
+            self._ask_about_new(demand, usable)
+            return WaitReason.NO_ROOM
+        complete = self._take(demand, seats, usable)
+        if not complete:
+            return WaitReason.OLD_TICKET
+        return None if len(seats) == wanted else WaitReason.NO_ROOM
+
+    def _take(
+        self, demand: Demand, seats: list[Room], usable: list[Room]
+    ) -> bool:
         """Use seats up, also those whose ticket has to be renewed first."""
         soon = self._now + TICKET_MARGIN_MS
-        expired = [
+        expired = {
             room.worker_id
             for room in seats
             if demand.advised and demand.tickets[room.worker_id] < soon
-        ]
+        }
         for _ in seats:
             self._charge(demand)
         if expired and not demand.asking:
-            unjudged = [
-                room.worker_id
-                for room in self._rooms
-                if _may_host(room, demand)
-                and room.worker_id not in demand.judged
-            ]
-            self._wish(demand, [*demand.tickets, *unjudged])
+            self._wish(demand, [*demand.tickets, *_unjudged(demand, usable)])
         if expired and demand.gang:
-            return
-        unusable = frozenset(expired)
+            return False
         for index, seat in zip(demand.indexes, seats, strict=False):
-            if seat.worker_id not in unusable:
+            if seat.worker_id not in expired:
                 self._decisions.placements.append(
                     Placement(
                         group_id=demand.group_id,
@@ -220,6 +247,13 @@
                         worker_id=seat.worker_id,
                     )
                 )
+        return not expired
+
+    def _ask_about_new(self, demand: Demand, usable: list[Room]) -> None:
+        """Ask about workers that have come since advice was given."""
+        unjudged = _unjudged(demand, usable)
+        if unjudged and not demand.asking:
+            self._wish(demand, unjudged)
 
     def _find_seats(
         self, demand: Demand, usable: list[Room], count: int
@@ -265,8 +299,18 @@
         return seats
 
     def _keep_free(self, demand: Demand, usable: list[Room]) -> None:
-        """Keep the workers that will soonest have room for a gang."""
+        """Keep the workers that will soonest have room for a gang.
+
+        Not for a gang that even empty workers could not hold, nor for one
+        that is late: others would wait for it in vain.
+        """
         wanted = len(demand.indexes)
+        seats = sum(
+            min(_seat_limit(room, demand), _count_fits(demand, room.capacity))
+            for room in usable
+        )
+        if seats < wanted or demand.rank.standing is not Standing.IN_TIME:
+            return
         most = round(_MAX_KEPT_SHARE * len(self._rooms))
         by_room = sorted(
             (room for room in usable if room.kept_by is None),
@@ -353,6 +397,14 @@
     return min(counts, default=len(demand.indexes))
 
 
+def _unjudged(demand: Demand, usable: list[Room]) -> list[str]:
+    return [
+        room.worker_id
+        for room in usable
+        if demand.advised and room.worker_id not in demand.judged
+    ]
+
+
 def _give_back(demand: Demand, seats: list[Room]) -> None:
     for room in seats:
         room.free += demand.need
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -70,9 +70,10 @@
         queues = {queue.name: queue for queue in config.queues}
         found = []
         for group in self._book.open_groups():
-            queue = queues.get(group.job.job.queue)
-            if queue is None or group.due_at_ms > wall_ms:
+            if group.due_at_ms > wall_ms:
                 continue
+            accepted = group.job.job.queue
+            queue = queues.get(accepted.name, accepted)
             demand = self._demand(group, queue, now)
             if demand is not None:
                 found.append(demand)
@@ -141,7 +142,7 @@
     return sum(
         1
         for entry in book.jobs.values()
-        if entry.job.queue == queue
+        if entry.job.queue.name == queue
         and not entry.ended
         and not any(_has_begun(group) for group in entry.groups.values())
     )
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -13,11 +13,20 @@
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
-from jayshore.fleet.book import ENDED, Book, JobEntry, JobState, Phase, TaskEntry
+from jayshore.fleet.book import (
+    ENDED,
+    Book,
+    JobEntry,
+    JobState,
+    Phase,
+    TaskEntry,
+    expire_ticket,
+)
 from jayshore.fleet.interfaces import (
     EndedTask,
     EndKind,
     Inventory,
+    StartResult,
     WorkerConnector,
 )
 from jayshore.fleet.leasing import MAX_LEASE_MS, surely_over_at
@@ -47,9 +56,11 @@
     end_run,
     lose_run,
 )
+from jayshore.fleet.waits import WaitLog
 from jayshore.fleet.weights import WeightMeter
 from jayshore.store.journal import Journal
 
+_TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
 _ROUND_MS = Millis(15)
 _SWEEP_MS = Millis(250)
 _RETENTION_MS = Millis(180_000)
@@ -100,6 +111,7 @@
             relay=relay, clock=clock, changed=self._touch
         )
         self._weights = WeightMeter()
+        self._waits = WaitLog()
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = BackgroundTasks()
         self._changed = True
@@ -251,7 +263,8 @@
             worker=task.worker,
             result=result,
         )
-        task.group.tickets.pop(task.worker, None)
+        if result in _TICKET_RESULTS:
+            expire_ticket(task.group, task.worker)
         await self._lose(task)
 
     async def lapse(self, session: WorkerSession) -> None:
@@ -329,11 +342,10 @@
         if ended.checkpoint and task.group.shape.checkpoints:
             task.checkpoint = ended.checkpoint
         entry = task.group.job
-        queue = self._queue_of(entry)
         consequence = end_run(
             task,
             ended.kind,
-            max_attempts=1 if queue is None else queue.max_attempts,
+            max_attempts=self._queue_of(entry).max_attempts,
         )
         _log_end(task, ended)
         await self._follow(entry, consequence)
@@ -391,10 +403,10 @@
             wall_ms=self._wall_clock.now(),
         )
         self._place(decisions.placements)
-        queues = {queue.name: queue for queue in config.queues}
+        self._waits.note(decisions.waiting, self._clock.now())
         for wish in decisions.wishes:
             entry = self._book.jobs[wish.group_id.job_id]
-            policy = queues[entry.job.queue].advice
+            policy = self._queue_of(entry).advice
             if policy is not None:
                 await self._advisor.ask(
                     wish, entry.groups[wish.group_id], policy
@@ -457,11 +469,12 @@
         for key in (job_key(job_id), progress_key(job_id), cancel_key(job_id)):
             self._journal.write(key, _no_value)
 
-    def _queue_of(self, entry: JobEntry) -> Queue | None:
+    def _queue_of(self, entry: JobEntry) -> Queue:
+        accepted = entry.job.queue
         for queue in self._config().queues:
-            if queue.name == entry.job.queue:
+            if queue.name == accepted.name:
                 return queue
-        return None
+        return accepted
 
 
 def _is_run(task: TaskEntry, run: int, worker_id: str) -> bool:
--- a/jayshore/fleet/seat.py
+++ b/jayshore/fleet/seat.py
@@ -29,7 +29,8 @@
 
 _WATCH_MS = Millis(2000)
 _WORKER_PAUSE_MS = Millis(50)
-_JOURNAL_PAUSE_MS = Millis(8)
+_JOB_PAUSE_MS = Millis(20)
+_JOURNAL_PAUSE_MS = Millis(20)
 _RETRY_MS = Millis(100)
 
 
@@ -223,7 +224,9 @@
         )
         self._scheduler = scheduler
         jobs = self._mirror(
-            JOB_PREFIX, JobIntake(scheduler=scheduler, progress=progress)
+            JOB_PREFIX,
+            JobIntake(scheduler=scheduler, progress=progress),
+            pause_ms=_JOB_PAUSE_MS,
         )
         workers = self._mirror(
             self._worker_prefix,
--- a/jayshore/leases/leadership.py
+++ b/jayshore/leases/leadership.py
@@ -56,6 +56,14 @@
         """Stop to lead; another daemon may have been elected."""
 
 
+class Vacancy(abc.ABC):
+    """Knows from elsewhere whether the leader key exists."""
+
+    @abc.abstractmethod
+    async def wait_vacant(self) -> None:
+        """Wait until no leader is known."""
+
+
 def leader_key(domain: str) -> str:
     """Name the store key of a domain's leader.
 
@@ -81,6 +89,7 @@
         ttl_ms: Millis,
         observer: LeadershipObserver,
         clock: Clock | None = None,
+        vacancy: Vacancy | None = None,
     ) -> None:
         """Prepare to compete.
 
@@ -92,6 +101,7 @@
             ttl_ms: time to live of the store lease, in ms.
             observer: is told of elections.
             clock: tells when the store confirmed the leadership.
+            vacancy: saves reads of the leader key of its own.
         """
         self._store = store
         self._settler = settler
@@ -102,6 +112,7 @@
         self._epoch = 0
         self._lease: StoreLease | None = None
         self._clock = clock or MonotonicClock()
+        self._vacancy = vacancy
         self._confirmed_at = Millis(0)
 
     @property
@@ -161,12 +172,20 @@
         return to_seconds(Millis(self._ttl_ms // _RENEWALS_PER_TTL))
 
     async def _compete(self) -> bool:
-        listing = await self._store.list(self._key)
-        if listing.entries:
-            change = await self._store.watch(
-                self._key, since=listing.revision, wait_ms=self._ttl_ms
-            )
-            return bool(change.deleted)
+        """Lead if there is no leader.
+
+        Returns:
+            True when it should be tried again without a pause.
+        """
+        if self._vacancy is None:
+            listing = await self._store.list(self._key)
+            if listing.entries:
+                change = await self._store.watch(
+                    self._key, since=listing.revision, wait_ms=self._ttl_ms
+                )
+                return bool(change.deleted)
+        else:
+            await self._vacancy.wait_vacant()
         asked_at = self._clock.now()
         lease = await self._store.grant_lease(self._ttl_ms)
         self._lease = lease
--- /dev/null
+++ b/jayshore/store/relay.py
@@ -0,0 +1,366 @@
+"""A store that is reached through other instances when it cannot be directly.
+
+The store may turn single instances away, or be cut off from them, while it
+serves others. An instance then sends its calls through one that is served.
+"""
+
+import abc
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeAlias, TypeVar
+
+import eliot
+import msgspec
+
+from jayshore.clock import Clock, Millis
+from jayshore.store.store import (
+    Entry,
+    LeaseGone,
+    Listing,
+    RenewResult,
+    StoreError,
+    StoreLease,
+    StoreRejected,
+    StoreUnavailable,
+    StoreUncertain,
+    Written,
+)
+from jayshore.store.transactions import (
+    HistoryLost,
+    Mismatch,
+    Transaction,
+    TransactionResult,
+    TransactionStore,
+)
+
+_PROBE_MS: Final = Millis(1000)
+"""How long calls go through others before the store is tried again, in ms."""
+
+
+class Get(msgspec.Struct, tag='get', frozen=True):
+    """Reads one key."""
+
+    key: str
+
+
+class List(msgspec.Struct, tag='list', frozen=True):
+    """Reads a prefix."""
+
+    prefix: str
+
+
+class Watch(msgspec.Struct, tag='watch', frozen=True):
+    """Waits for changes under a prefix."""
+
+    prefix: str
+    since: int
+    wait_ms: int
+
+
+class Transact(msgspec.Struct, tag='transact', frozen=True):
+    """Applies a transaction."""
+
+    transaction: Transaction
+
+
+class Grant(msgspec.Struct, tag='grant', frozen=True):
+    """Obtains a lease."""
+
+    ttl_ms: int
+
+
+class Renew(msgspec.Struct, tag='renew', frozen=True):
+    """Renews a lease."""
+
+    lease_id: int
+
+
+class Revoke(msgspec.Struct, tag='revoke', frozen=True):
+    """Ends a lease."""
+
+    lease_id: int
+
+
+StoreCall: TypeAlias = Get | List | Watch | Transact | Grant | Renew | Revoke
+
+_ERRORS: Final[dict[str, type[StoreError]]] = {
+    'unavailable': StoreUnavailable,
+    'uncertain': StoreUncertain,
+    'rejected': StoreRejected,
+    'history_lost': HistoryLost,
+}
+_NAMES: Final = {error: name for name, error in _ERRORS.items()}
+
+_Result = TypeVar('_Result')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreReply:
+    """The result of a call; at most one field is set.
+
+    Attributes:
+        error: name of the error, empty for none.
+        detail: of the error.
+        entry: of a read.
+        listing: of a list or a watch.
+        written: of a transaction that was applied.
+        mismatch: of a transaction whose condition failed.
+        lease_gone: the lease of the call has ended.
+        lease: of a grant or a renewal.
+    """
+
+    error: str = ''
+    detail: str = ''
+    entry: Entry | None = None
+    listing: Listing | None = None
+    written: Written | None = None
+    mismatch: Mismatch | None = None
+    lease_gone: LeaseGone | None = None
+    lease: StoreLease | None = None
+
+
+class StoreRelay(abc.ABC):
+    """Carries a call to an instance that may reach the store."""
+
+    @abc.abstractmethod
+    async def carry(self, call: StoreCall) -> StoreReply:
+        """Carry a call.
+
+        Args:
+            call: the call.
+
+        Returns:
+            What the store answered.
+
+        Raises:
+            StoreUnavailable: no instance took the call.
+            StoreUncertain: an instance took it and did not answer.
+        """  # noqa: DAR401 raised by implementations
+
+
+async def execute(store: TransactionStore, call: StoreCall) -> StoreReply:
+    """Execute a call that another instance sent.
+
+    Args:
+        store: reaches the store directly.
+        call: the call.
+
+    Returns:
+        The result, also when it is an error.
+    """
+    try:
+        return await _execute(store, call)
+    except StoreError as error:
+        name = _NAMES.get(type(error), 'uncertain')
+        return StoreReply(error=name, detail=str(error))
+
+
+class RelayedStore(TransactionStore):
+    """Calls the store directly, and through others while that fails."""
+
+    def __init__(
+        self, *, direct: TransactionStore, relay: StoreRelay, clock: Clock
+    ) -> None:
+        """Use both ways.
+
+        Args:
+            direct: the store.
+            relay: reaches it through others.
+            clock: spaces the attempts to reach it directly again.
+        """
+        self._direct = direct
+        self._relay = relay
+        self._clock = clock
+        self._probe_at: Millis | None = None
+        self._lost_at = Millis(0)
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the store did not answer this instance the last time."""
+        return self._probe_at is not None
+
+    @property
+    def lost_for_ms(self) -> Millis:
+        """How long the store has not answered this instance, 0 if it does."""
+        if self._probe_at is None:
+            return Millis(0)
+        return Millis(self._clock.now() - self._lost_at)
+
+    async def get(self, key: str) -> Entry | None:
+        """Read one key.
+
+        Args:
+            key: the key.
+
+        Returns:
+            The entry, or None when the key does not exist.
+        """
+        reply = await self._call(Get(key))
+        return reply.entry
+
+    async def list(self, prefix: str, *, since: int = 0) -> Listing:
+        """Read what stands under a prefix.
+
+        Args:
+            prefix: start of the keys.
+            since: not used; everything is read.
+
+        Returns:
+            All entries.
+        """
+        reply = await self._call(List(prefix))
+        return _expect(reply.listing)
+
+    async def watch(
+        self, prefix: str, *, since: int, wait_ms: Millis
+    ) -> Listing:
+        """Wait until something changes under a prefix.
+
+        Args:
+            prefix: start of the keys.
+            since: wait for a change after this revision.
+            wait_ms: the longest wait, in ms.
+
+        Returns:
+            The changes, none when the wait ended without one.
+        """
+        reply = await self._call(Watch(prefix, since, wait_ms))
+        return _expect(reply.listing)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Apply changes if all conditions hold.
+
+        Args:
+            transaction: conditions and changes.
+
+        Returns:
+            Whether it was applied, and at which revision.
+        """
+        reply = await self._call(Transact(transaction))
+        return _expect(reply.written or reply.mismatch or reply.lease_gone)
+
+    async def grant_lease(self, ttl_ms: Millis) -> StoreLease:
+        """Obtain a new lease.
+
+        Args:
+            ttl_ms: time to live after each renewal, in ms.
+
+        Returns:
+            The lease.
+        """
+        reply = await self._call(Grant(ttl_ms))
+        return _expect(reply.lease)
+
+    async def renew_lease(self, lease_id: int) -> RenewResult:
+        """Keep a lease for another time to live.
+
+        Args:
+            lease_id: the lease.
+
+        Returns:
+            The lease, or that it is gone.
+        """
+        reply = await self._call(Renew(lease_id))
+        return _expect(reply.lease or reply.lease_gone)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; a lease that is gone is ignored.
+
+        Args:
+            lease_id: the lease.
+        """
+        await self._call(Revoke(lease_id))
+
+    async def _call(self, call: StoreCall) -> StoreReply:
+        if self._probe_at is not None and self._clock.now() < self._probe_at:
+            return await self._carry(call)
+        try:
+            reply = await _execute(self._direct, call)
+        except (HistoryLost, StoreRejected):
+            raise
+        except StoreUnavailable as error:
+            self._lose(error)
+            return await self._carry(call)
+        except StoreError as error:
+            self._lose(error)
+            raise
+        if self._probe_at is not None:
+            eliot.log_message('store:regained')
+            self._probe_at = None
+        return reply
+
+    def _lose(self, error: StoreError) -> None:
+        if self._probe_at is None:
+            self._lost_at = self._clock.now()
+            eliot.log_message('store:lost', error=str(error))
+        self._probe_at = Millis(self._clock.now() + _PROBE_MS)
+
+    async def _carry(self, call: StoreCall) -> StoreReply:
+        reply = await self._relay.carry(call)
+        if reply.error:
+            raise _ERRORS.get(reply.error, StoreUncertain)(reply.detail)
+        return reply
+
+
+async def _execute(store: TransactionStore, call: StoreCall) -> StoreReply:
+    perform = _PERFORM[type(call)]
+    return await perform(store, call)
+
+
+async def _get(store: TransactionStore, call: Any) -> StoreReply:
+    return StoreReply(entry=await store.get(call.key))
+
+
+async def _list(store: TransactionStore, call: Any) -> StoreReply:
+    return StoreReply(listing=await store.list(call.prefix))
+
+
+async def _watch(store: TransactionStore, call: Any) -> StoreReply:
+    listing = await store.watch(
+        call.prefix, since=call.since, wait_ms=Millis(call.wait_ms)
+    )
+    return StoreReply(listing=listing)
+
+
+async def _transact(store: TransactionStore, call: Any) -> StoreReply:
+    result = await store.transact(call.transaction)
+    if isinstance(result, Written):
+        return StoreReply(written=result)
+    if isinstance(result, Mismatch):
+        return StoreReply(mismatch=result)
+    return StoreReply(lease_gone=result)
+
+
+async def _grant(store: TransactionStore, call: Any) -> StoreReply:
+    return StoreReply(lease=await store.grant_lease(Millis(call.ttl_ms)))
+
+
+async def _renew(store: TransactionStore, call: Any) -> StoreReply:
+    result = await store.renew_lease(call.lease_id)
+    if isinstance(result, LeaseGone):
+        return StoreReply(lease_gone=result)
+    return StoreReply(lease=result)
+
+
+async def _revoke(store: TransactionStore, call: Any) -> StoreReply:
+    await store.revoke_lease(call.lease_id)
+    return StoreReply()
+
+
+_PERFORM: Final[
+    dict[type, Callable[[TransactionStore, Any], Awaitable[StoreReply]]]
+] = {
+    Get: _get,
+    List: _list,
+    Watch: _watch,
+    Transact: _transact,
+    Grant: _grant,
+    Renew: _renew,
+    Revoke: _revoke,
+}
+
+
+def _expect(result: _Result | None) -> _Result:
+    if result is None:
+        raise StoreUncertain('the relayed answer holds no result')
+    return result
