Split the scheduler, read registrations less often

Change: jayshore/fleet/runs.py holds what happens to runs. Watches of registrations pause 400 ms, of jobs 40 ms, transactions 35 ms.

--- a/jayshore/fleet/advising.py
+++ b/jayshore/fleet/advising.py
@@ -173,9 +173,7 @@
         for worker in call.wish.workers:
             group.tickets.pop(worker, None)
         for good, text in advice.tickets.items():
-            group.tickets[good] = Ticket(
-                text=text, valid_until=Millis(until)
-            )
+            group.tickets[good] = Ticket(text=text, valid_until=Millis(until))
 
 
 def _call_rank(call: _Call) -> tuple[object, ...]:
--- a/jayshore/fleet/book.py
+++ b/jayshore/fleet/book.py
@@ -30,9 +30,7 @@
     DONE = _DONE
 
 
-HELD = frozenset(
-    (Phase.STARTING, Phase.RUNNING, Phase.STOPPING, Phase.UNKNOWN)
-)
+HELD = frozenset((Phase.STARTING, Phase.RUNNING, Phase.STOPPING, Phase.UNKNOWN))
 """Phases in which a task takes room at its worker."""
 
 
@@ -188,6 +186,31 @@
             return 0
         return schedule.start_at_ms + occurrence * schedule.interval_ms
 
+    def is_due(self, wall_ms: int) -> bool:
+        """Tell whether the next occurrence is due.
+
+        Args:
+            wall_ms: time of day, in ms since the Unix epoch.
+
+        Returns:
+            True when its groups may start.
+        """
+        return (
+            self.next_occurrence < self.occurrences
+            and self.due_at_ms(self.next_occurrence) <= wall_ms
+        )
+
+    def unfinished(self) -> Iterator['GroupEntry']:
+        """Iterate over the groups with tasks that are not done.
+
+        Yields:
+            The groups, none for a job that has ended.
+        """
+        if not self.ended:
+            for group in self.groups.values():
+                if not group.finished:
+                    yield group
+
     def add_occurrence(self) -> None:
         """Make the entries of the next occurrence."""
         occurrence = self.next_occurrence
@@ -291,9 +314,9 @@
             return None
         job = self._jobs[task_id.job_id]
         group = job.groups.get(GroupId(*task_id[:3]))
-        if group is None or task_id.index >= len(group.tasks):
+        if group is None or task_id.position >= len(group.tasks):
             return None
-        return group.tasks[task_id.index]
+        return group.tasks[task_id.position]
 
     def open_groups(self) -> Iterator[GroupEntry]:
         """Iterate over the groups of jobs that have not ended.
@@ -302,7 +325,4 @@
             Groups with tasks that are not done.
         """
         for job in self._jobs.values():
-            if not job.ended:
-                for group in job.groups.values():
-                    if not group.finished:
-                        yield group
+            yield from job.unfinished()
--- a/jayshore/fleet/desk.py
+++ b/jayshore/fleet/desk.py
@@ -258,9 +258,7 @@
         try:
             return await self._peers.ask_state(job_id)
         except LeaderUnavailable as error:
-            eliot.log_message(
-                'job:leader_silent', job=job_id, error=str(error)
-            )
+            eliot.log_message('job:leader_silent', job=job_id, error=str(error))
             return None
 
     async def _read_state(self, job_id: str) -> StateAnswer:
@@ -284,4 +282,3 @@
     except InvalidRecord:
         return False
     return workspace is None or job.workspace == workspace
-
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -219,8 +219,8 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         servers = (self._front, self._inner, self._readiness)
-        for server in servers:
-            server.listen()
+        for listening in servers:
+            listening.listen()
         running = [
             await curio.spawn(part, daemon=True)
             for part in (
--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -18,13 +18,13 @@
         job_id: the job.
         occurrence: number of the due time, 0 for a job without due times.
         group: position of the task group in the job.
-        index: position of the task in its group.
+        position: of the task in its group.
     """
 
     job_id: str
     occurrence: int
     group: int
-    index: int
+    position: int
 
 
 class GroupId(NamedTuple):
@@ -237,7 +237,7 @@
     Returns:
         `job.occurrence.group.index`.
     """
-    return f'{task.job_id}.{task.occurrence}.{task.group}.{task.index}'
+    return f'{task.job_id}.{task.occurrence}.{task.group}.{task.position}'
 
 
 def parse_task_id(text: str) -> TaskId | None:
@@ -252,5 +252,4 @@
     job_id, *numbers = text.split('.')
     if len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
         return None
-    occurrence, group, index = map(int, numbers)
-    return TaskId(job_id, occurrence, group, index)
+    return TaskId(job_id, *map(int, numbers))
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -115,36 +115,37 @@
         await self._tasks.close()
 
     async def _start(self, task: TaskEntry, run: int) -> None:
-        uncertain = 0
+        if self._lacks_ticket(task):
+            await self._refuse(task, run, 'old_ticket')
+        attempts = 0
         while _is_starting(task, run):
             session = self._observer.session_of(task.worker)
             if session is None or session.over:
                 return
-            if not uncertain and self._lacks_ticket(task):
-                await self._refuse(task, run, 'old_ticket')
-                return
             lease_until = session.grant()
             if lease_until is None:
                 await curio.sleep(to_seconds(_RETRY_MS))
                 continue
+            order = _start_order(task, session, lease_until)
             try:
-                answer = await session.client.start(
-                    _start_order(task, session, lease_until)
-                )
+                answer = await session.client.start(order)
             except WorkerUnreachable as error:
                 session.suspect()
-                if not error.sent and not uncertain:
-                    await self._refuse(task, run, 'not_sent')
-                    return
-                uncertain += 1
-                if uncertain < _START_ATTEMPTS:
-                    continue
-                if _is_starting(task, run):
-                    task.phase = Phase.STOPPING
-                    await self._stop(task, run, look=True)
+                attempts += 1
+                await self._miss(task, run, attempts, sent=error.sent)
+            else:
+                await self._settle(task, run, answer, uncertain=attempts > 0)
                 return
-            await self._settle(task, run, answer, uncertain > 0)
-            return
+
+    async def _miss(
+        self, task: TaskEntry, run: int, attempts: int, *, sent: bool
+    ) -> None:
+        """Act on a start without an answer: repeat it, or give it up."""
+        if attempts == 1 and not sent:
+            await self._refuse(task, run, 'not_sent')
+        elif attempts >= _START_ATTEMPTS and _is_starting(task, run):
+            task.phase = Phase.STOPPING
+            await self._stop(task, run, look=True)
 
     def _lacks_ticket(self, task: TaskEntry) -> bool:
         """Tell whether the ticket expired while the start was recorded."""
@@ -152,7 +153,7 @@
         return ticket is not None and ticket.valid_until < self._clock.now()
 
     async def _settle(
-        self, task: TaskEntry, run: int, answer: StartAnswer, uncertain: bool
+        self, task: TaskEntry, run: int, answer: StartAnswer, *, uncertain: bool
     ) -> None:
         if not _is_starting(task, run):
             return
@@ -211,15 +212,21 @@
             run=run,
             worker=session.entry.worker_id,
         )
+        stopped = False
+        for _ in range(_UNWANTED_ATTEMPTS):
+            if not stopped:
+                stopped = await self._try_stop(session, name, run)
+        self._unwanted.discard(key)
+
+    async def _try_stop(
+        self, session: WorkerSession, name: TaskId, run: int
+    ) -> bool:
         try:
-            for _ in range(_UNWANTED_ATTEMPTS):
-                try:
-                    await session.client.stop(name, run, session.fence)
-                    return
-                except WorkerUnreachable:
-                    await curio.sleep(to_seconds(_RETRY_MS))
-        finally:
-            self._unwanted.discard(key)
+            await session.client.stop(name, run, session.fence)
+        except WorkerUnreachable:
+            await curio.sleep(to_seconds(_RETRY_MS))
+            return False
+        return True
 
 
 def _is_starting(task: TaskEntry, run: int) -> bool:
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -167,9 +167,7 @@
 
     async def _answer(self, request: Request) -> Response:
         if request.path == ADVICE_PATH:
-            return await self._advise(
-                decode_json(request.body, AdviceQuestion)
-            )
+            return await self._advise(decode_json(request.body, AdviceQuestion))
         if request.path == STORE_PATH:
             return await self._relay(
                 decode_json(request.body, StoreCall)  # type: ignore[arg-type]
@@ -205,9 +203,7 @@
                 Millis(question.timeout_ms),
             )
         except AdviceUnavailable as error:
-            return error_response(
-                _STATUS_UNAVAILABLE, 'no_advice', str(error)
-            )
+            return error_response(_STATUS_UNAVAILABLE, 'no_advice', str(error))
         return json_response(
             _STATUS_OK,
             AdviceAnswer(
@@ -309,7 +305,9 @@
         if address is None:
             raise AdviceUnavailable(f'{caller} is not registered')
         question = AdviceQuestion(
-            group=tuple(group), workers=workers, timeout_ms=timeout_ms
+            group=(group.job_id, group.occurrence, group.group),
+            workers=workers,
+            timeout_ms=timeout_ms,
         )
         try:
             answer = await self._call(
@@ -335,29 +333,33 @@
             StoreUnavailable: no instance took the call.
             StoreUncertain: an instance took it and did not answer.
         """
-        others = self._others()
-        if self._relaying in others:
-            others.remove(self._relaying)
-            others.insert(0, self._relaying)
+        others = sorted(self._others(), key=lambda name: name != self._relaying)
+        for name in others[:_STORE_ATTEMPTS]:
+            reply = await self._carry_through(name, call)
+            if reply is not None:
+                self._relaying = name
+                return reply
+        raise StoreUnavailable('no instance reaches the store')
+
+    async def _carry_through(
+        self, name: str, call: StoreCall
+    ) -> StoreReply | None:
+        """Carry a call, or return None when it certainly was not taken."""
+        address = self._address(name)
+        if address is None:
+            return None
         timeout = _STORE_CALL_MS
         if isinstance(call, Watch):
             timeout = Millis(timeout + call.wait_ms)
-        for name in others[:_STORE_ATTEMPTS]:
-            address = self._address(name)
-            if address is None:
-                continue
-            try:
-                answer = await self._call(address, STORE_PATH, call, timeout)
-            except PeerUnavailable as error:
-                if error.sent:
-                    raise StoreUncertain(f'{name}: {error}') from None
-                continue
-            self._relaying = name
-            try:
-                return decode_json(answer.body, StoreReply)
-            except InvalidJson as invalid:
-                raise StoreUncertain(f'{name}: {invalid}') from None
-        raise StoreUnavailable('no instance reaches the store')
+        try:
+            answer = await self._call(address, STORE_PATH, call, timeout)
+            return decode_json(answer.body, StoreReply)
+        except PeerUnavailable as error:
+            if error.sent:
+                raise StoreUncertain(f'{name}: {error}') from None
+            return None
+        except InvalidJson as invalid:
+            raise StoreUncertain(f'{name}: {invalid}') from None
 
     async def _ask_leader(self, path: str, question: object) -> Response:
         leader = '' if self._membership is None else self._membership.leader
@@ -396,9 +398,7 @@
                 connect_timeout_ms=_CONNECT_MS,
             )
             self._clients[address] = client
-        request = Request(
-            method='POST', path=path, body=encode_json(question)
-        )
+        request = Request(method='POST', path=path, body=encode_json(question))
         try:
             answer = await client.call(request, timeout_ms=timeout_ms)
         except ConnectFailed as error:
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -145,9 +145,7 @@
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
     wishes: list[AdviceWish] = dataclasses.field(default_factory=list)
-    waiting: dict[GroupId, WaitReason] = dataclasses.field(
-        default_factory=dict
-    )
+    waiting: dict[GroupId, WaitReason] = dataclasses.field(default_factory=dict)
 
 
 class PlacementRound:
@@ -371,9 +369,7 @@
 def _may_host(room: Room, demand: Demand) -> bool:
     return (
         room.service == demand.service
-        and (
-            not demand.required_label or demand.required_label in room.labels
-        )
+        and (not demand.required_label or demand.required_label in room.labels)
         and demand.need.fits_in(room.capacity)
     )
 
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -205,9 +205,7 @@
         group = groups[row.occurrence * width + row.group]
         _restore_task(group.tasks[row.index], row)
     for restored in groups:
-        restored.done = sum(
-            task.phase is Phase.DONE for task in restored.tasks
-        )
+        restored.done = sum(task.phase is Phase.DONE for task in restored.tasks)
 
 
 def _task_record(task: TaskEntry) -> TaskRecord:
@@ -220,7 +218,7 @@
     return TaskRecord(
         occurrence=name.occurrence,
         group=name.group,
-        index=name.index,
+        index=name.position,
         phase=phase,
         run=task.run,
         worker=task.worker if phase == _PLACED else '',
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -1,5 +1,6 @@
 """Turns the leader's memory into the inputs of a placement round."""
 
+import collections
 from collections.abc import Iterable
 
 from jayshore.clock import Millis
@@ -86,17 +87,13 @@
         if not waiting or not group.job.is_ready(group):
             return None
         shape = group.shape
-        placed: dict[str, int] = {}
-        if shape.max_per_worker:
-            for task in group.tasks:
-                if self._ledger.holds(task):
-                    placed[task.worker] = placed.get(task.worker, 0) + 1
-        if shape.gang and any(map(self._ledger.holds, group.tasks)):
+        held = [task for task in group.tasks if self._ledger.holds(task)]
+        if shape.gang and held:
             return None
         return Demand(
             group_id=group.group_id,
             rank=rank_group(group, group.job, queue, now),
-            indexes=tuple(task.task_id.index for task in waiting),
+            indexes=tuple(entry.task_id.position for entry in waiting),
             need=shape.reserved,
             service=queue.service,
             workspace=group.job.job.workspace,
@@ -105,7 +102,7 @@
             required_label=shape.required_label,
             data_rack=shape.data_rack,
             max_per_worker=shape.max_per_worker,
-            placed=placed,
+            placed=collections.Counter(task.worker for task in held),
             advised=queue.advice is not None,
             tickets={
                 worker: ticket.valid_until
@@ -124,7 +121,9 @@
             labels=entry.labels,
             capacity=entry.capacity,
             free=_at_least_nothing(
-                entry.capacity - self._ledger.used_at(entry.worker_id)
+                entry.capacity
+                - self._ledger.used_at(entry.worker_id)
+                - session.unwanted
             ),
         )
 
@@ -150,8 +149,7 @@
 
 def _has_begun(group: GroupEntry) -> bool:
     return any(
-        task.confirmed or task.phase is Phase.DONE
-        for task in group.tasks
+        task.confirmed or task.phase is Phase.DONE for task in group.tasks
     )
 
 
--- /dev/null
+++ b/jayshore/fleet/runs.py
@@ -0,0 +1,302 @@
+"""What happened to runs: takes over what workers list, and records it."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import eliot
+
+from jayshore.clock import Clock, Millis
+from jayshore.fleet.book import (
+    ENDED,
+    Book,
+    JobEntry,
+    JobState,
+    Phase,
+    TaskEntry,
+    expire_ticket,
+)
+from jayshore.fleet.interfaces import (
+    EndedTask,
+    EndKind,
+    Inventory,
+    RunningTask,
+    StartResult,
+)
+from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.model import Queue, format_task_id
+from jayshore.fleet.orders import Orders
+from jayshore.fleet.placing import Placement
+from jayshore.fleet.records import encode_progress, progress_key
+from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.transitions import (
+    Consequence,
+    end_job,
+    end_run,
+    lose_run,
+)
+from jayshore.resources import total
+from jayshore.store.journal import Journal
+
+_TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
+
+
+class Runs:
+    """Starts, follows and ends the runs of one leader."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        book: Book,
+        ledger: Ledger,
+        journal: Journal,
+        orders: Orders,
+        queue_of: Callable[[JobEntry], Queue],
+    ) -> None:
+        """Use the leader's memory.
+
+        Args:
+            clock: our clock.
+            book: the jobs.
+            ledger: what takes room.
+            journal: makes progress durable.
+            orders: reach the workers.
+            queue_of: tells the queue of a job as it is now.
+        """
+        self._clock = clock
+        self._book = book
+        self._ledger = ledger
+        self._journal = journal
+        self._orders = orders
+        self._queue_of = queue_of
+
+    def place(self, placements: list[Placement]) -> None:
+        """Record placements, and start the tasks once that is durable.
+
+        Args:
+            placements: of a round.
+        """
+        starting: dict[str, list[TaskEntry]] = {}
+        for placement in placements:
+            entry = self._book.jobs[placement.group_id.job_id]
+            task = entry.groups[placement.group_id].tasks[placement.index]
+            task.phase = Phase.STARTING
+            task.worker = placement.worker_id
+            task.settled_at = None
+            task.run += 1
+            self._ledger.hold(task)
+            starting.setdefault(entry.job.job_id, []).append(task)
+        for job_id, tasks in starting.items():
+            self._start_together(self._book.jobs[job_id], tasks)
+
+    async def observe(
+        self, session: WorkerSession, inventory: Inventory, asked_at: Millis
+    ) -> None:
+        """Take an inventory over.
+
+        Args:
+            session: of the worker.
+            inventory: what it lists.
+            asked_at: when it was asked, on our clock.
+        """
+        for ended in inventory.ended:
+            if session.note_end(ended.number):
+                await self._take_end(session, ended)
+        listed = set()
+        unwanted = []
+        for running in inventory.running:
+            task = self._book.find(running.task)
+            if task is not None and _is_run(task, running.run, session):
+                listed.add(task)
+                await self._confirm(task, running.checkpoint)
+            elif running.task is not None:
+                unwanted.append(running)
+                await self._orders.stop_unwanted(
+                    session, running.task, running.run
+                )
+        self._count_unwanted(session, unwanted)
+        for absent in self._ledger.tasks_at(session.entry.worker_id):
+            if absent not in listed and _is_over(absent, asked_at):
+                await self.lose(absent)
+
+    async def cancel(self, entry: JobEntry) -> None:
+        """Cancel a job.
+
+        Args:
+            entry: the job; one that has ended stays as it is.
+        """
+        entry.cancelled = True
+        if entry.state not in ENDED:
+            await self._follow(entry, end_job(entry, JobState.CANCELLED))
+            self._record(entry)
+
+    async def refuse(self, task: TaskEntry, result: str) -> None:
+        """Take over that a run did not start and never will.
+
+        Args:
+            task: the task.
+            result: why.
+        """
+        eliot.log_message(
+            'task:not_started',
+            task=format_task_id(task.task_id),
+            run=task.run,
+            worker=task.worker,
+            result=result,
+        )
+        if result in _TICKET_RESULTS:
+            expire_ticket(task.group, task.worker)
+        await self.lose(task)
+
+    async def lose(self, task: TaskEntry) -> None:
+        """Take over that a run is over without an end being seen.
+
+        Args:
+            task: the task.
+        """
+        self._ledger.release(task)
+        entry = task.group.job
+        await self._follow(entry, lose_run(task))
+        self._record(entry)
+
+    async def lose_all(self, worker_id: str) -> None:
+        """Take over that nothing runs at a worker any more.
+
+        Args:
+            worker_id: the worker.
+        """
+        for task in self._ledger.tasks_at(worker_id):
+            await self.lose(task)
+
+    def _start_together(self, entry: JobEntry, tasks: list[TaskEntry]) -> None:
+        _align_gangs(tasks)
+        if entry.state is JobState.QUEUED:
+            entry.state = JobState.RUNNING
+        eliot.log_message(
+            'job:placed',
+            job=entry.job.job_id,
+            age_ms=self._clock.now() - entry.accepted_at,
+            tasks=[
+                (*task.task_id[1:], task.run, task.worker) for task in tasks
+            ],
+        )
+        runs = [(task, task.run) for task in tasks]
+        self._record(entry, partial(self._start, runs))
+
+    async def _start(self, runs: list[tuple[TaskEntry, int]]) -> None:
+        for task, run in runs:
+            if task.phase is Phase.STARTING and task.run == run:
+                await self._orders.start(task)
+
+    async def _confirm(self, task: TaskEntry, checkpoint: str) -> None:
+        task.confirmed = True
+        if checkpoint and task.group.shape.checkpoints:
+            task.checkpoint = checkpoint
+        if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
+            task.phase = Phase.RUNNING
+            task.settled_at = self._clock.now()
+            if task.group.job.ended:
+                await self._orders.stop(task)
+
+    async def _take_end(self, session: WorkerSession, ended: EndedTask) -> None:
+        recorded = partial(_note_recorded, session, ended.number)
+        task = self._book.find(ended.task)
+        if task is None or not _is_run(task, ended.run, session):
+            await recorded()
+            return
+        self._ledger.release(task)
+        if ended.checkpoint and task.group.shape.checkpoints:
+            task.checkpoint = ended.checkpoint
+        entry = task.group.job
+        consequence = end_run(
+            task, ended.kind, max_attempts=self._queue_of(entry).max_attempts
+        )
+        _log_end(task, ended)
+        await self._follow(entry, consequence)
+        self._record(entry, recorded)
+
+    def _count_unwanted(
+        self, session: WorkerSession, unwanted: list[RunningTask]
+    ) -> None:
+        """Count runs that are being stopped and stand in no ledger."""
+        tasks = [self._book.find(running.task) for running in unwanted]
+        session.unwanted = total(
+            task.group.shape.reserved
+            for task in tasks
+            if task is not None
+            and not (
+                self._ledger.holds(task)
+                and task.worker == session.entry.worker_id
+            )
+        )
+
+    async def _follow(self, entry: JobEntry, consequence: Consequence) -> None:
+        for task in consequence.stop:
+            await self._orders.stop(task)
+        if consequence.job_ended:
+            entry.ended_at = self._clock.now()
+            eliot.log_message(
+                'job:ended',
+                job=entry.job.job_id,
+                state=entry.state,
+                age_ms=self._clock.now() - entry.accepted_at,
+            )
+
+    def _record(
+        self,
+        entry: JobEntry,
+        callback: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        self._journal.write(
+            progress_key(entry.job.job_id),
+            partial(encode_progress, entry),
+            partial(_show, entry, entry.state, callback),
+        )
+
+
+async def _show(
+    entry: JobEntry,
+    state: JobState,
+    callback: Callable[[], Awaitable[None]] | None,
+) -> None:
+    """Show a state to callers, now that it is durable."""
+    if entry.shown not in ENDED:
+        entry.shown = state
+    if callback is not None:
+        await callback()
+
+
+def _is_run(task: TaskEntry, run: int, session: WorkerSession) -> bool:
+    return task.run == run and task.worker == session.entry.worker_id
+
+
+def _is_over(task: TaskEntry, asked_at: Millis) -> bool:
+    """Tell whether a run that an inventory lacks is over."""
+    if task.phase is Phase.UNKNOWN:
+        return True
+    return task.settled_at is not None and task.settled_at < asked_at
+
+
+def _align_gangs(tasks: list[TaskEntry]) -> None:
+    """Give the members of a gang one run and one checkpoint."""
+    for task in tasks:
+        if task.group.shape.gang:
+            members = task.group.tasks
+            task.run = max(member.run for member in members)
+            task.checkpoint = max(member.checkpoint for member in members)
+
+
+async def _note_recorded(session: WorkerSession, number: int) -> None:
+    session.note_recorded(number)
+
+
+def _log_end(task: TaskEntry, ended: EndedTask) -> None:
+    if ended.kind is not EndKind.DONE:
+        eliot.log_message(
+            'task:ended',
+            task=format_task_id(task.task_id),
+            run=ended.run,
+            worker=task.worker,
+            kind=ended.kind,
+            failures=task.failures,
+        )
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -5,62 +5,32 @@
 """
 
 from collections.abc import Callable, Mapping
-from functools import partial
 
 import curio
-import eliot
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
-from jayshore.fleet.book import (
-    ENDED,
-    Book,
-    JobEntry,
-    JobState,
-    Phase,
-    TaskEntry,
-    expire_ticket,
-)
-from jayshore.fleet.interfaces import (
-    EndedTask,
-    EndKind,
-    Inventory,
-    StartResult,
-    WorkerConnector,
-)
+from jayshore.fleet.book import Book, JobEntry, JobState, Phase, TaskEntry
+from jayshore.fleet.interfaces import Inventory, WorkerConnector
 from jayshore.fleet.leasing import MAX_LEASE_MS, surely_over_at
 from jayshore.fleet.ledger import Ledger
-from jayshore.fleet.model import (
-    FleetConfig,
-    Job,
-    Queue,
-    WorkerEntry,
-    format_task_id,
-)
+from jayshore.fleet.model import FleetConfig, Job, Queue, WorkerEntry
 from jayshore.fleet.orders import OrderObserver, Orders
-from jayshore.fleet.placing import Placement
 from jayshore.fleet.records import (
     ProgressRecord,
     cancel_key,
-    encode_progress,
     job_key,
     progress_key,
     restore_progress,
 )
 from jayshore.fleet.rounds import RoundMaker, count_pending
+from jayshore.fleet.runs import Runs
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
-from jayshore.fleet.transitions import (
-    Consequence,
-    end_job,
-    end_run,
-    lose_run,
-)
 from jayshore.fleet.waits import WaitLog
 from jayshore.fleet.weights import WeightMeter
 from jayshore.store.journal import Journal
 
-_TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
 _ROUND_MS = Millis(15)
 _SWEEP_MS = Millis(250)
 _RETENTION_MS = Millis(180_000)
@@ -104,12 +74,16 @@
         self._book = Book()
         self._ledger = Ledger()
         self._rounds = RoundMaker(book=self._book, ledger=self._ledger)
-        self._orders = Orders(
-            clock=clock, ledger=self._ledger, observer=self
-        )
-        self._advisor = Advisor(
-            relay=relay, clock=clock, changed=self._touch
+        self._orders = Orders(clock=clock, ledger=self._ledger, observer=self)
+        self._runs = Runs(
+            clock=clock,
+            book=self._book,
+            ledger=self._ledger,
+            journal=journal,
+            orders=self._orders,
+            queue_of=self._queue_of,
         )
+        self._advisor = Advisor(relay=relay, clock=clock, changed=self._touch)
         self._weights = WeightMeter()
         self._waits = WaitLog()
         self._sessions: dict[str, WorkerSession] = {}
@@ -146,9 +120,7 @@
         """
         return count_pending(self._book, queue)
 
-    def add_job(
-        self, job: Job, progress: ProgressRecord | None = None
-    ) -> None:
+    def add_job(self, job: Job, progress: ProgressRecord | None = None) -> None:
         """Add an accepted job.
 
         Args:
@@ -179,10 +151,8 @@
         entry = self._book.jobs.get(job_id)
         if entry is None or entry.cancelled:
             return
-        entry.cancelled = True
-        if entry.state not in ENDED:
-            await self._follow(entry, end_job(entry, JobState.CANCELLED))
-            self._record(entry)
+        await self._runs.cancel(entry)
+        self._touch()
 
     async def set_worker(
         self, worker_id: str, entry: WorkerEntry | None
@@ -226,9 +196,7 @@
                     await self._sweep()
                 await curio.sleep(to_seconds(_ROUND_MS))
         finally:
-            await self._advisor.close()
-            await self._orders.close()
-            await self._tasks.close()
+            await self._close()
 
     def leader_until(self) -> Millis:
         """Tell how long leases may last.
@@ -256,16 +224,8 @@
             task: the task.
             result: why.
         """
-        eliot.log_message(
-            'task:not_started',
-            task=format_task_id(task.task_id),
-            run=task.run,
-            worker=task.worker,
-            result=result,
-        )
-        if result in _TICKET_RESULTS:
-            expire_ticket(task.group, task.worker)
-        await self._lose(task)
+        await self._runs.refuse(task, result)
+        self._touch()
 
     async def lapse(self, session: WorkerSession) -> None:
         """Take over that nothing runs at a worker any more.
@@ -274,8 +234,8 @@
             session: of the worker.
         """
         worker_id = session.entry.worker_id
-        for task in self._ledger.tasks_at(worker_id):
-            await self._lose(task)
+        await self._runs.lose_all(worker_id)
+        self._touch()
         if session.over and self._sessions.get(worker_id) is session:
             self._sessions.pop(worker_id)
 
@@ -289,23 +249,7 @@
             inventory: what it lists.
             asked_at: when it was asked, on our clock.
         """
-        worker_id = session.entry.worker_id
-        for ended in inventory.ended:
-            if session.note_end(ended.number):
-                await self._take_end(session, ended)
-        listed = set()
-        for running in inventory.running:
-            task = self._book.find(running.task)
-            if task is not None and _is_run(task, running.run, worker_id):
-                listed.add(task)
-                await self._confirm(task, running.checkpoint)
-            elif running.task is not None:
-                await self._orders.stop_unwanted(
-                    session, running.task, running.run
-                )
-        for absent in self._ledger.tasks_at(worker_id):
-            if absent not in listed and _is_over(absent, asked_at):
-                await self._lose(absent)
+        await self._runs.observe(session, inventory, asked_at)
         self._touch()
 
     def _restore(self, entry: JobEntry, progress: ProgressRecord) -> None:
@@ -316,93 +260,25 @@
         if entry.ended:
             entry.ended_at = self._clock.now()
 
+    async def _close(self) -> None:
+        await self._advisor.close()
+        await self._orders.close()
+        await self._tasks.close()
+
     def _touch(self) -> None:
         self._changed = True
 
-    async def _confirm(self, task: TaskEntry, checkpoint: str) -> None:
-        task.confirmed = True
-        if checkpoint and task.group.shape.checkpoints:
-            task.checkpoint = checkpoint
-        if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
-            task.phase = Phase.RUNNING
-            task.settled_at = self._clock.now()
-            if task.group.job.ended:
-                await self._orders.stop(task)
-
-    async def _take_end(
-        self, session: WorkerSession, ended: EndedTask
-    ) -> None:
-        worker_id = session.entry.worker_id
-        recorded = partial(_note_recorded, session, ended.number)
-        task = self._book.find(ended.task)
-        if task is None or not _is_run(task, ended.run, worker_id):
-            await recorded()
-            return
-        self._ledger.release(task)
-        if ended.checkpoint and task.group.shape.checkpoints:
-            task.checkpoint = ended.checkpoint
-        entry = task.group.job
-        consequence = end_run(
-            task,
-            ended.kind,
-            max_attempts=self._queue_of(entry).max_attempts,
-        )
-        _log_end(task, ended)
-        await self._follow(entry, consequence)
-        self._record(entry, recorded)
-
-    async def _lose(self, task: TaskEntry) -> None:
-        """Take over that a run is over without an end being seen."""
-        self._ledger.release(task)
-        entry = task.group.job
-        await self._follow(entry, lose_run(task))
-        self._record(entry)
-        self._touch()
-
-    async def _follow(
-        self, entry: JobEntry, consequence: Consequence
-    ) -> None:
-        for task in consequence.stop:
-            await self._orders.stop(task)
-        if consequence.job_ended:
-            entry.ended_at = self._clock.now()
-            eliot.log_message(
-                'job:ended',
-                job=entry.job.job_id,
-                state=entry.state,
-                age_ms=self._clock.now() - entry.accepted_at,
-            )
-
-    def _record(
-        self,
-        entry: JobEntry,
-        callback: Callable[[], object] | None = None,
-    ) -> None:
-        async def recorded(state: JobState = entry.state) -> None:
-            if entry.shown not in ENDED:
-                entry.shown = state
-            if callback is not None:
-                await callback()  # type: ignore[misc]
-
-        self._journal.write(
-            progress_key(entry.job.job_id),
-            partial(encode_progress, entry),
-            recorded,
-        )
-
     async def _decide(self) -> None:
         config = self._config()
         decisions = self._rounds.decide(
             config=config,
             sessions=[
-                session
-                for session in self._sessions.values()
-                if session.usable
+                session for session in self._sessions.values() if session.usable
             ],
             now=self._clock.now(),
             wall_ms=self._wall_clock.now(),
         )
-        self._place(decisions.placements)
+        self._runs.place(decisions.placements)
         self._waits.note(decisions.waiting, self._clock.now())
         for wish in decisions.wishes:
             entry = self._book.jobs[wish.group_id.job_id]
@@ -412,39 +288,6 @@
                     wish, entry.groups[wish.group_id], policy
                 )
 
-    def _place(self, placements: list[Placement]) -> None:
-        starting: dict[str, list[TaskEntry]] = {}
-        for placement in placements:
-            entry = self._book.jobs[placement.group_id.job_id]
-            task = entry.groups[placement.group_id].tasks[placement.index]
-            task.phase = Phase.STARTING
-            task.worker = placement.worker_id
-            task.settled_at = None
-            task.run += 1
-            self._ledger.hold(task)
-            starting.setdefault(entry.job.job_id, []).append(task)
-        for job_id, tasks in starting.items():
-            entry = self._book.jobs[job_id]
-            _align_gangs(tasks)
-            if entry.state is JobState.QUEUED:
-                entry.state = JobState.RUNNING
-            eliot.log_message(
-                'job:placed',
-                job=job_id,
-                age_ms=self._clock.now() - entry.accepted_at,
-                tasks=[
-                    (*task.task_id[1:], task.run, task.worker)
-                    for task in tasks
-                ],
-            )
-            runs = [(task, task.run) for task in tasks]
-            self._record(entry, partial(self._start, runs))
-
-    async def _start(self, runs: list[tuple[TaskEntry, int]]) -> None:
-        for task, run in runs:
-            if task.phase is Phase.STARTING and task.run == run:
-                await self._orders.start(task)
-
     async def _sweep(self) -> None:
         """Make due occurrences, drop old jobs, give up vanished workers."""
         now = self._clock.now()
@@ -453,14 +296,12 @@
             if entry.ended_at is not None:
                 if now - entry.ended_at > _RETENTION_MS:
                     self._forget(entry)
-            elif entry.next_occurrence < entry.occurrences:
-                if entry.due_at_ms(entry.next_occurrence) <= wall_ms:
-                    entry.add_occurrence()
+            elif entry.is_due(wall_ms):
+                entry.add_occurrence()
         if now >= self._inherited_until:
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
-                    for task in self._ledger.tasks_at(worker_id):
-                        await self._lose(task)
+                    await self._runs.lose_all(worker_id)
         self._touch()
 
     def _forget(self, entry: JobEntry) -> None:
@@ -477,44 +318,5 @@
         return accepted
 
 
-def _is_run(task: TaskEntry, run: int, worker_id: str) -> bool:
-    return task.run == run and task.worker == worker_id
-
-
-def _is_over(task: TaskEntry, asked_at: Millis) -> bool:
-    """Tell whether a run that an inventory lacks is over."""
-    if task.phase is Phase.UNKNOWN:
-        return True
-    return task.settled_at is not None and task.settled_at < asked_at
-
-
-def _align_gangs(tasks: list[TaskEntry]) -> None:
-    """Give the members of a gang one run and one checkpoint."""
-    gangs = [task for task in tasks if task.group.shape.gang]
-    for task in gangs:
-        members = task.group.tasks
-        task.run = max(member.run for member in members)
-        task.checkpoint = max(member.checkpoint for member in members)
-
-
-async def _note_recorded(session: WorkerSession, number: int) -> None:
-    session.note_recorded(number)
-
-
 def _no_value() -> str | None:
-    return None
-
-
-def _log_end(task: TaskEntry, ended: EndedTask) -> None:
-    if ended.kind is not EndKind.DONE:
-        eliot.log_message(
-            'task:ended',
-            task=format_task_id(task.task_id),
-            run=ended.run,
-            worker=task.worker,
-            kind=ended.kind,
-            failures=task.failures,
-        )
-
-
-
+    """Make the journal remove a key."""
--- a/jayshore/fleet/seat.py
+++ b/jayshore/fleet/seat.py
@@ -28,9 +28,9 @@
 from jayshore.store.transactions import TransactionStore
 
 _WATCH_MS = Millis(2000)
-_WORKER_PAUSE_MS = Millis(50)
-_JOB_PAUSE_MS = Millis(20)
-_JOURNAL_PAUSE_MS = Millis(20)
+_WORKER_PAUSE_MS = Millis(400)
+_JOB_PAUSE_MS = Millis(40)
+_JOURNAL_PAUSE_MS = Millis(35)
 _RETRY_MS = Millis(100)
 
 
@@ -237,7 +237,8 @@
             ),
             pause_ms=_WORKER_PAUSE_MS,
         )
-        async with curio.TaskGroup(wait=any) as group:
+        group = curio.TaskGroup(wait=any)
+        async with group:
             await group.spawn(journal.run)
             await group.spawn(jobs.run)
             await jobs.wait_loaded()
@@ -249,7 +250,7 @@
             )
             await group.spawn(workers.run)
             await group.spawn(scheduler.run)
-        group.result  # noqa: B018 raises what ended the group
+        _raise_failure(group)
 
     async def _read_progress(self) -> dict[str, ProgressRecord]:
         listing: Listing | None = None
@@ -265,7 +266,7 @@
         self,
         prefix: str,
         observer: MirrorObserver,
-        pause_ms: Millis = Millis(0),
+        pause_ms: Millis,
     ) -> Mirror:
         return Mirror(
             store=self._store,
@@ -277,6 +278,12 @@
         )
 
 
+def _raise_failure(group: Any) -> None:
+    """Raise what ended the first task of a group."""
+    if group.exception is not None:
+        raise group.exception
+
+
 def _decode_progress(listing: Listing) -> dict[str, ProgressRecord]:
     found: dict[str, ProgressRecord] = {}
     for entry in listing.entries:
@@ -286,5 +293,3 @@
         except InvalidRecord as error:
             eliot.log_message('job:invalid', job=job_id, error=str(error))
     return found
-
-
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -15,6 +15,7 @@
 )
 from jayshore.fleet.leasing import WorkerLease
 from jayshore.fleet.model import WorkerEntry
+from jayshore.resources import NOTHING
 
 WAIT_MS = Millis(1000)
 """How long a worker waits for an end before it answers, in ms."""
@@ -65,6 +66,7 @@
     Attributes:
         listed: the worker is registered.
         over: the session has ended.
+        unwanted: what runs there that no ledger counts.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         """
         self.listed = True
         self.over = False
+        self.unwanted = NOTHING
         self._entry = entry
         self._connector = connector
         self._client = connector.connect(entry)
@@ -258,9 +261,7 @@
 
     async def _end(self) -> None:
         """End, since another life of the worker answers at its address."""
-        eliot.log_message(
-            'worker:other_life', worker=self._entry.worker_id
-        )
+        eliot.log_message('worker:other_life', worker=self._entry.worker_id)
         self.over = True
         await self._observer.lapse(self)
 
--- a/jayshore/fleet/transitions.py
+++ b/jayshore/fleet/transitions.py
@@ -47,7 +47,7 @@
     if kind is EndKind.FAILED:
         _count_failure(task)
         exhausted = task.failures >= max_attempts
-        if exhausted and not group.shape.long_running:
+        if exhausted and not (group.shape.long_running or group.job.ended):
             task.phase = Phase.WAITING
             return end_job(group.job, JobState.FAILED)
     return lose_run(task)
@@ -72,8 +72,7 @@
         stop=tuple(
             member
             for member in task.group.tasks
-            if member.phase
-            in {Phase.STARTING, Phase.RUNNING, Phase.UNKNOWN}
+            if member.phase in {Phase.STARTING, Phase.RUNNING, Phase.UNKNOWN}
         )
     )
 
--- a/jayshore/fleet/weights.py
+++ b/jayshore/fleet/weights.py
@@ -32,10 +32,10 @@
         Returns:
             False when the workspace has exceeded its rate.
         """
-        weight = 0.0
-        for candidate in config.workspaces:
-            if candidate.name == workspace:
-                weight = candidate.weight
+        weights = {
+            candidate.name: candidate.weight for candidate in config.workspaces
+        }
+        weight = weights.get(workspace)
         if not weight:
             return True
         most = max(1.0, weight * _BURST_S)
--- a/jayshore/logs.py
+++ b/jayshore/logs.py
@@ -81,7 +81,9 @@
     def _report(self) -> None:
         now = self._clock.now()
         if self._unreported and now - self._reported_at >= _REPORT_MS:
-            text = f'{{"message_type":"log:dropped","lines":{self._unreported}}}'
+            text = (
+                f'{{"message_type":"log:dropped","lines":{self._unreported}}}'
+            )
             self._unreported = 0
             self._reported_at = now
             self._send(f'{text}\n'.encode())
--- a/jayshore/store/httpstore_test.py
+++ b/jayshore/store/httpstore_test.py
@@ -10,6 +10,7 @@
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.messages import Request, encode_json
 from jayshore.http.server import Bounds, HttpServer
+from jayshore.retry import Backoff
 from jayshore.store.httpcalls import PlatformCaller
 from jayshore.store.httpstore import HttpInstanceList, HttpStore
 from jayshore.store.instances import InstanceKind, InstanceState
@@ -30,7 +31,6 @@
     StoreUncertain,
     Written,
 )
-from jayshore.retry import Backoff
 from standins.store import StoreSettings, StoreStandIn
 
 TIMEOUT_MS = Millis(200)
--- a/jayshore/store/journal.py
+++ b/jayshore/store/journal.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 import curio
 import eliot
@@ -35,6 +36,9 @@
 _RECORDS_PER_TRANSACTION = MAX_TRANSACTION_ENTRIES - 2
 
 
+_Callback: TypeAlias = Callable[[], Awaitable[None]]
+
+
 class JournalFenced(JayshoreError):
     """Another process has claimed the head."""
 
@@ -48,7 +52,7 @@
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Pending:
     encode: Callable[[], str | None]
-    callbacks: list[Callable[[], Awaitable[None]]]
+    callbacks: list[_Callback]
 
 
 class Journal:
@@ -108,7 +112,7 @@
         self,
         key: str,
         encode: Callable[[], str | None],
-        callback: Callable[[], Awaitable[None]] | None = None,
+        callback: _Callback | None = None,
     ) -> None:
         """Write a record with the next transaction.
 
--- a/jayshore/store/mirror.py
+++ b/jayshore/store/mirror.py
@@ -10,6 +10,7 @@
 from jayshore.store.transactions import HistoryLost
 
 _RETRY_MS = Millis(200)
+_NO_PAUSE = Millis(0)
 _MAX_RETRY_MS = Millis(800)
 
 
@@ -42,7 +43,7 @@
         prefix: str,
         observer: MirrorObserver,
         wait_ms: Millis,
-        pause_ms: Millis = Millis(0),
+        pause_ms: Millis = _NO_PAUSE,
     ) -> None:
         """Prepare a copy.
 
@@ -68,7 +69,7 @@
     @property
     def loaded(self) -> bool:
         """Whether the prefix has been read once."""
-        return self._loaded.is_set()
+        return bool(self._loaded.is_set())
 
     @property
     def age_ms(self) -> Millis | None:
--- a/jayshore/store/relay.py
+++ b/jayshore/store/relay.py
@@ -6,7 +6,8 @@
 
 import abc
 import dataclasses
-from collections.abc import Awaitable, Callable
+import types
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, TypeAlias, TypeVar
 
 import eliot
@@ -83,13 +84,19 @@
 
 StoreCall: TypeAlias = Get | List | Watch | Transact | Grant | Renew | Revoke
 
-_ERRORS: Final[dict[str, type[StoreError]]] = {
-    'unavailable': StoreUnavailable,
-    'uncertain': StoreUncertain,
-    'rejected': StoreRejected,
-    'history_lost': HistoryLost,
-}
-_NAMES: Final = {error: name for name, error in _ERRORS.items()}
+_ErrorType: TypeAlias = type[StoreError]
+
+_ERRORS: Final[Mapping[str, _ErrorType]] = types.MappingProxyType(
+    {
+        'unavailable': StoreUnavailable,
+        'uncertain': StoreUncertain,
+        'rejected': StoreRejected,
+        'history_lost': HistoryLost,
+    }
+)
+_NAMES: Final = types.MappingProxyType(
+    {error: name for name, error in _ERRORS.items()}
+)
 
 _Result = TypeVar('_Result')
 
@@ -119,6 +126,9 @@
     lease: StoreLease | None = None
 
 
+_Performer: TypeAlias = Callable[[TransactionStore, Any], Awaitable[StoreReply]]
+
+
 class StoreRelay(abc.ABC):
     """Carries a call to an instance that may reach the store."""
 
@@ -237,7 +247,9 @@
             Whether it was applied, and at which revision.
         """
         reply = await self._call(Transact(transaction))
-        return _expect(reply.written or reply.mismatch or reply.lease_gone)
+        if reply.written is not None:
+            return reply.written
+        return reply.mismatch or _expect(reply.lease_gone)
 
     async def grant_lease(self, ttl_ms: Millis) -> StoreLease:
         """Obtain a new lease.
@@ -261,7 +273,7 @@
             The lease, or that it is gone.
         """
         reply = await self._call(Renew(lease_id))
-        return _expect(reply.lease or reply.lease_gone)
+        return reply.lease or _expect(reply.lease_gone)
 
     async def revoke_lease(self, lease_id: int) -> None:
         """End a lease and delete its keys; a lease that is gone is ignored.
@@ -347,17 +359,17 @@
     return StoreReply()
 
 
-_PERFORM: Final[
-    dict[type, Callable[[TransactionStore, Any], Awaitable[StoreReply]]]
-] = {
-    Get: _get,
-    List: _list,
-    Watch: _watch,
-    Transact: _transact,
-    Grant: _grant,
-    Renew: _renew,
-    Revoke: _revoke,
-}
+_PERFORM: Final[Mapping[type, _Performer]] = types.MappingProxyType(
+    {
+        Get: _get,
+        List: _list,
+        Watch: _watch,
+        Transact: _transact,
+        Grant: _grant,
+        Renew: _renew,
+        Revoke: _revoke,
+    }
+)
 
 
 def _expect(result: _Result | None) -> _Result:
--- a/jayshore/store/settling.py
+++ b/jayshore/store/settling.py
@@ -18,6 +18,7 @@
     to_seconds,
 )
 from jayshore.outcomes import JayshoreError
+from jayshore.retry import Backoff
 from jayshore.store.store import (
     Conflict,
     Entry,
@@ -27,7 +28,6 @@
     StoreUncertain,
     Written,
 )
-from jayshore.retry import Backoff
 
 _WRITE_ID_BYTES = 12
 
