Play whole deployments in memory, give silent workers up

Cause: tests of a deployment in memory found that a worker that stays silent kept its tasks for ever, since each unanswered renewal counted as one that may extend its lease; and that one lost answer of the store made an instance go through others, which refused while they did the same.

Change: a silent worker's lease is not extended until it answers. Two calls without an answer in a row, or a refusal, make an instance ask others, and it tries the store itself again at once when no other reaches it. standins/memorystore.py and memoryworker.py stand in for store and workers.

--- a/jayshore/fleet/desk.py
+++ b/jayshore/fleet/desk.py
@@ -15,8 +15,8 @@
 from jayshore.fleet.book import JobState
 from jayshore.fleet.model import Job
 from jayshore.fleet.peering import (
+    LeaderLink,
     LeaderUnavailable,
-    Peers,
     StateAnswer,
     StateQuestion,
     state_answer,
@@ -103,18 +103,18 @@
         self,
         *,
         store: RelayedStore,
-        peers: Peers,
+        leader: LeaderLink,
         scheduler: Callable[[], Scheduler | None],
     ) -> None:
         """Use the parts of this instance.
 
         Args:
             store: the store.
-            peers: reaches the leader.
+            leader: reaches the leader.
             scheduler: None while this instance does not lead.
         """
         self._store = store
-        self._peers = peers
+        self._leader = leader
         self._scheduler = scheduler
 
     def retry_after(self) -> Millis:
@@ -234,7 +234,7 @@
         if scheduler is not None:
             return scheduler.pending(queue)
         try:
-            return await self._peers.ask_pending(queue)
+            return await self._leader.ask_pending(queue)
         except LeaderUnavailable as error:
             raise DeskUnavailable(str(error)) from None
 
@@ -256,7 +256,7 @@
         if scheduler is not None:
             return state_answer(scheduler, StateQuestion(job_id=job_id))
         try:
-            return await self._peers.ask_state(job_id)
+            return await self._leader.ask_state(job_id)
         except LeaderUnavailable as error:
             eliot.log_message('job:leader_silent', job=job_id, error=str(error))
             return None
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -189,7 +189,7 @@
         )
         self._seat.attach(self._leadership)
         desk = Desk(
-            store=store, peers=peers, scheduler=lambda: self._seat.scheduler
+            store=store, leader=peers, scheduler=lambda: self._seat.scheduler
         )
         self._front = _server(
             settings.front,
--- a/jayshore/fleet/leasing.py
+++ b/jayshore/fleet/leasing.py
@@ -67,19 +67,26 @@
         self._reading = None
         self._granted_until = 0
 
-    def grant(self, now: Millis, leader_until: Millis) -> int | None:
-        """Compute the end of a renewed lease.
+    def grant(
+        self, now: Millis, leader_until: Millis, *, extend: bool
+    ) -> int | None:
+        """Compute the end of the lease that an order may name.
 
         Args:
             now: our clock, in ms.
             leader_until: instant on our clock up to which leases may last,
                 in ms; a successor waits for this long.
+            extend: whether the order may renew the lease; not while the
+                worker is silent, since its tasks could then never be given
+                up.
 
         Returns:
-            The end on the worker's clock, or None when nothing can be granted.
+            The end on the worker's clock, or None when there is no lease.
         """
         if self._reading is None:
             return None
+        if not extend:
+            return self._granted_until or None
         until = min(now + LEASE_MS, leader_until)
         if until <= now:
             return None
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -4,6 +4,7 @@
 leader asks for placement advice through any instance.
 """
 
+import abc
 import dataclasses
 from collections.abc import Callable
 
@@ -127,6 +128,38 @@
     validity_ms: int
 
 
+class LeaderLink(abc.ABC):
+    """Asks the leader of the deployment."""
+
+    @abc.abstractmethod
+    async def ask_state(self, job_id: str) -> StateAnswer:
+        """Ask the leader for the state of a job.
+
+        Args:
+            job_id: the job.
+
+        Returns:
+            What the leader knows.
+
+        Raises:
+            LeaderUnavailable: there is none, or it did not answer.
+        """  # noqa: DAR401 raised by implementations
+
+    @abc.abstractmethod
+    async def ask_pending(self, queue: str) -> int:
+        """Ask the leader how many jobs of a queue are pending.
+
+        Args:
+            queue: its name.
+
+        Returns:
+            The count.
+
+        Raises:
+            LeaderUnavailable: there is none, or it did not answer.
+        """  # noqa: DAR401 raised by implementations
+
+
 class PeerHandler(Handler):
     """Answers the calls of other instances."""
 
@@ -212,7 +245,7 @@
         )
 
 
-class Peers(AdviceRelay, StoreRelay):
+class Peers(AdviceRelay, StoreRelay, LeaderLink):
     """Calls the other instances."""
 
     def __init__(self, *, name: str, advice: AdviceService) -> None:
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -153,13 +153,16 @@
         self._suspected = True
 
     def grant(self) -> int | None:
-        """Renew the lease with the next order.
+        """Choose the lease that the next order names.
 
         Returns:
-            Its end on the worker's clock, None when it cannot be renewed.
+            Its end on the worker's clock, renewed unless the worker is
+            silent; None when there is no lease.
         """
         return self._lease.grant(
-            self._clock.now(), self._observer.leader_until()
+            self._clock.now(),
+            self._observer.leader_until(),
+            extend=not self._suspected,
         )
 
     def note_end(self, number: int) -> bool:
--- a/jayshore/store/relay.py
+++ b/jayshore/store/relay.py
@@ -37,6 +37,12 @@
 _PROBE_MS: Final = Millis(1000)
 """How long calls go through others before the store is tried again, in ms."""
 
+_MAX_UNCLEAR: Final = 2
+"""Calls without an answer in a row after which others are asked.
+
+The store can lose the answers of single writes while it serves all else.
+"""
+
 
 class Get(msgspec.Struct, tag='get', frozen=True):
     """Reads one key."""
@@ -183,6 +189,7 @@
         self._clock = clock
         self._probe_at: Millis | None = None
         self._lost_at = Millis(0)
+        self._unclear = 0
 
     @property
     def cut_off(self) -> bool:
@@ -294,8 +301,11 @@
             self._lose(error)
             return await self._carry(call)
         except StoreError as error:
-            self._lose(error)
+            self._unclear += 1
+            if self._unclear >= _MAX_UNCLEAR:
+                self._lose(error)
             raise
+        self._unclear = 0
         if self._probe_at is not None:
             eliot.log_message('store:regained')
             self._probe_at = None
@@ -308,7 +318,11 @@
         self._probe_at = Millis(self._clock.now() + _PROBE_MS)
 
     async def _carry(self, call: StoreCall) -> StoreReply:
-        reply = await self._relay.carry(call)
+        try:
+            reply = await self._relay.carry(call)
+        except StoreUnavailable:
+            self._probe_at = self._clock.now()
+            raise
         if reply.error:
             raise _ERRORS.get(reply.error, StoreUncertain)(reply.detail)
         return reply
--- /dev/null
+++ b/standins/memorystore.py
@@ -0,0 +1,337 @@
+"""A transaction store in memory, with the faults of a real one.
+
+It stands in for the platform's store where a test needs no network, and holds
+the state of the stand-in that speaks the platform's protocol.
+"""
+
+import dataclasses
+
+import curio
+
+from jayshore.clock import Clock, Millis, MonotonicClock, to_seconds
+from jayshore.store.store import (
+    Entry,
+    LeaseGone,
+    Listing,
+    RenewResult,
+    StoreLease,
+    StoreUnavailable,
+    StoreUncertain,
+    Written,
+)
+from jayshore.store.transactions import (
+    HistoryLost,
+    Mismatch,
+    Transaction,
+    TransactionResult,
+    TransactionStore,
+)
+
+_POLL_MS = Millis(2)
+_SILENCE_MS = Millis(60_000)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StoreTrouble:
+    """What goes wrong; tests change it while the store is in use.
+
+    Attributes:
+        down: calls are refused.
+        lose_answers: number of writes that are applied without an answer.
+        late_ms: a write without an answer is applied after this time.
+        silent: calls get no answer at all.
+        answer_ms: time of an answer.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    late_ms: Millis = Millis(0)
+    silent: bool = False
+    answer_ms: Millis = Millis(0)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Change:
+    revision: int
+    key: str
+    value: str | None
+    lease_id: int | None = None
+
+
+class MemoryStore(TransactionStore):
+    """The state of a store; several clients may share it.
+
+    Attributes:
+        trouble: what goes wrong.
+        calls: number of calls by kind.
+    """
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        """Start without keys.
+
+        Args:
+            clock: for leases.
+        """
+        self.trouble = StoreTrouble()
+        self.calls: dict[str, int] = {}
+        self._clock = clock or MonotonicClock()
+        self._revision = 1
+        self._items: dict[str, _Change] = {}
+        self._history: list[_Change] = []
+        self._forgotten = 0
+        self._leases: dict[int, tuple[Millis, Millis]] = {}
+        self._next_lease = 1
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def values(self, prefix: str) -> dict[str, str]:
+        """Read keys without a call, for the checks of a test.
+
+        Args:
+            prefix: start of the keys.
+
+        Returns:
+            Values by key.
+        """
+        self._expire()
+        return {
+            key: change.value or ''
+            for key, change in sorted(self._items.items())
+            if key.startswith(prefix)
+        }
+
+    def write(self, key: str, value: str | None) -> int:
+        """Write a key without a call, as the operator or a worker does.
+
+        Args:
+            key: the key.
+            value: its value, None to remove it.
+
+        Returns:
+            The revision of the change.
+        """
+        self._expire()
+        self._revision += 1
+        self._apply(key, value, None)
+        return self._revision
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches have to read anew."""
+        self._forgotten = self._revision
+        self._history.clear()
+
+    async def get(self, key: str) -> Entry | None:
+        """Read one key.
+
+        Args:
+            key: the key.
+
+        Returns:
+            The entry, or None when the key does not exist.
+        """
+        await self._begin('get')
+        change = self._items.get(key)
+        return None if change is None else _entry(change)
+
+    async def list(self, prefix: str, *, since: int = 0) -> Listing:
+        """Read what stands under a prefix.
+
+        Args:
+            prefix: start of the keys.
+            since: not used.
+
+        Returns:
+            All entries.
+        """
+        await self._begin('list')
+        return Listing(
+            revision=self._revision,
+            entries=tuple(
+                _entry(change)
+                for key, change in sorted(self._items.items())
+                if key.startswith(prefix)
+            ),
+        )
+
+    async def watch(
+        self, prefix: str, *, since: int, wait_ms: Millis
+    ) -> Listing:
+        """Wait until something changes under a prefix.
+
+        Args:
+            prefix: start of the keys.
+            since: wait for a change after this revision.
+            wait_ms: the longest wait, in ms.
+
+        Returns:
+            The last change of each key.
+
+        Raises:
+            HistoryLost: the history does not go back so far.
+        """
+        await self._begin('watch')
+        end = self._clock.now() + wait_ms
+        while True:
+            if since < self._forgotten:
+                raise HistoryLost(f'no history after {since}')
+            last = {
+                change.key: change
+                for change in self._history
+                if change.revision > since and change.key.startswith(prefix)
+            }
+            if last or self._clock.now() >= end:
+                return _listing(self._revision, last)
+            await curio.sleep(to_seconds(_POLL_MS))
+            await self._check()
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Apply changes if all conditions hold.
+
+        Args:
+            transaction: conditions and changes.
+
+        Returns:
+            Whether it was applied.
+
+        Raises:
+            StoreUncertain: the answer is lost.
+        """
+        await self._begin('transact')
+        if self.trouble.lose_answers:
+            self.trouble.lose_answers -= 1
+            await curio.spawn(
+                self._apply_late, transaction, self.trouble.late_ms, daemon=True
+            )
+            raise StoreUncertain('the answer is lost')
+        return self._commit(transaction)
+
+    async def grant_lease(self, ttl_ms: Millis) -> StoreLease:
+        """Obtain a new lease.
+
+        Args:
+            ttl_ms: time to live, in ms.
+
+        Returns:
+            The lease.
+        """
+        await self._begin('grant_lease')
+        lease_id = self._next_lease
+        self._next_lease += 1
+        self._leases[lease_id] = (Millis(self._clock.now() + ttl_ms), ttl_ms)
+        return StoreLease(lease_id=lease_id, ttl_ms=ttl_ms)
+
+    async def renew_lease(self, lease_id: int) -> RenewResult:
+        """Keep a lease for another time to live.
+
+        Args:
+            lease_id: the lease.
+
+        Returns:
+            The lease, or that it is gone.
+        """
+        await self._begin('renew_lease')
+        if lease_id not in self._leases:
+            return LeaseGone(lease_id=lease_id)
+        ttl_ms = self._leases[lease_id][1]
+        self._leases[lease_id] = (Millis(self._clock.now() + ttl_ms), ttl_ms)
+        return StoreLease(lease_id=lease_id, ttl_ms=ttl_ms)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys.
+
+        Args:
+            lease_id: the lease.
+        """
+        await self._begin('revoke_lease')
+        self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease without a call.
+
+        Args:
+            lease_id: the lease; one that has ended is ignored.
+        """
+        self._leases.pop(lease_id, None)
+        self._revision += 1
+        for key in [
+            key
+            for key, change in self._items.items()
+            if change.lease_id == lease_id
+        ]:
+            self._apply(key, None, None)
+
+    async def _begin(self, kind: str) -> None:
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        await curio.sleep(to_seconds(self.trouble.answer_ms))
+        await self._check()
+        self._expire()
+
+    async def _check(self) -> None:
+        if self.trouble.silent:
+            await curio.sleep(to_seconds(_SILENCE_MS))
+        if self.trouble.down:
+            raise StoreUnavailable('the store is down')
+
+    async def _apply_late(
+        self, transaction: Transaction, delay: Millis
+    ) -> None:
+        await curio.sleep(to_seconds(delay))
+        self._commit(transaction)
+
+    def _commit(self, transaction: Transaction) -> TransactionResult:
+        self._expire()
+        revisions = {
+            key: self._items[key].revision if key in self._items else 0
+            for key, _ in transaction.expected
+        }
+        if any(revisions[key] != rev for key, rev in transaction.expected):
+            return Mismatch(revisions=revisions)
+        for put in transaction.puts:
+            if put.lease_id and put.lease_id not in self._leases:
+                return LeaseGone(lease_id=put.lease_id)
+        self._revision += 1
+        for change in transaction.puts:
+            self._apply(change.key, change.value, change.lease_id)
+        for key in transaction.removals:
+            if key in self._items:
+                self._apply(key, None, None)
+        return Written(revision=self._revision)
+
+    def _apply(self, key: str, value: str | None, lease_id: int | None) -> None:
+        change = _Change(
+            revision=self._revision, key=key, value=value, lease_id=lease_id
+        )
+        self._history.append(change)
+        if value is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = change
+
+    def _expire(self) -> None:
+        now = self._clock.now()
+        for lease_id, (ends, _) in tuple(self._leases.items()):
+            if ends <= now:
+                self.end_lease(lease_id)
+
+
+def _entry(change: _Change) -> Entry:
+    return Entry(
+        key=change.key, value=change.value or '', revision=change.revision
+    )
+
+
+def _listing(revision: int, last: dict[str, _Change]) -> Listing:
+    return Listing(
+        revision=revision,
+        entries=tuple(
+            _entry(change)
+            for change in last.values()
+            if change.value is not None
+        ),
+        deleted=tuple(
+            change.key for change in last.values() if change.value is None
+        ),
+    )
--- /dev/null
+++ b/standins/memoryworker.py
@@ -0,0 +1,357 @@
+"""A worker in memory: fences, runs and a lease on its own clock.
+
+It does what it is told. It records every run, so that a test can tell whether
+a task ran twice at the same time.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import curio
+
+from jayshore.clock import Clock, Millis, MonotonicClock, to_seconds
+from jayshore.fleet.interfaces import (
+    EndedTask,
+    EndKind,
+    Inquiry,
+    Inventory,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+    StartResult,
+    WorkerClient,
+    WorkerUnreachable,
+)
+from jayshore.fleet.model import TaskId, format_task_id
+
+_POLL_MS = Millis(2)
+_CLOCK_START_MS = 10_000
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class WorkerTrouble:
+    """What goes wrong; tests change it while the worker is in use.
+
+    Attributes:
+        silent: calls are not carried out and get no answer.
+        refused: connections are refused.
+        lose_starts: number of starts without an answer.
+        late_ms: a start without an answer is carried out after this time;
+            None for never.
+        lose_stops: number of stops that are carried out without an answer.
+        fail_all: every run ends as failed.
+        hang: runs do not end.
+    """
+
+    silent: bool = False
+    refused: bool = False
+    lose_starts: int = 0
+    late_ms: Millis | None = Millis(0)
+    lose_stops: int = 0
+    fail_all: bool = False
+    hang: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RunEntry:
+    """A run in the worker's history.
+
+    Attributes:
+        task: the task.
+        run: number of the run.
+        payload: text of the job.
+        started_at: on the clock of the test, in ms.
+        ended_at: None while it runs.
+        kind: how it ended.
+        noted: a leader took note of the end.
+    """
+
+    task: TaskId
+    run: int
+    payload: str
+    started_at: Millis
+    ended_at: Millis | None = None
+    kind: EndKind | None = None
+    noted: bool = False
+
+
+class MemoryWorker:
+    """The state of a worker.
+
+    Attributes:
+        worker_id: its id.
+        trouble: what goes wrong.
+        history: all runs of all lives.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker_id: str,
+        run_ms: Callable[[TaskId], Millis],
+        clock: Clock | None = None,
+    ) -> None:
+        """Start with nothing running.
+
+        Args:
+            worker_id: its id.
+            run_ms: how long a run of a task takes, in ms.
+            clock: the clock of the test.
+        """
+        self.worker_id = worker_id
+        self.trouble = WorkerTrouble()
+        self.history: list[RunEntry] = []
+        self._run_ms = run_ms
+        self._clock = clock or MonotonicClock()
+        self._born_ms = 1
+        self._reset()
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's clock."""
+        return _CLOCK_START_MS + self._clock.now() - self._booted_at
+
+    @property
+    def running(self) -> list[RunEntry]:
+        """Runs that have not ended."""
+        self._advance()
+        return [run for run in self._runs.values() if run.ended_at is None]
+
+    @property
+    def unseen(self) -> int:
+        """Number of ends that nobody has taken note of."""
+        return len(self._ended)
+
+    def reboot(self) -> None:
+        """Begin another life: everything that runs ends, nothing is known."""
+        self._advance()
+        for run in self.running:
+            run.ended_at = self._clock.now()
+        self._born_ms += 1
+        self._reset()
+
+    def start(self, order: StartOrder) -> StartAnswer:
+        """Carry out a start.
+
+        Args:
+            order: what to start.
+
+        Returns:
+            What was done.
+        """
+        self._advance()
+        if order.fence < self._fence:
+            return StartAnswer(result=StartResult.FENCED)
+        self._fence = order.fence
+        self._extend(order.lease_until_ms)
+        known = self._runs.get(order.task)
+        if known and known.run == order.run and known.ended_at is None:
+            return self._answer(StartResult.STARTED)
+        if order.run <= self._stopped.get(order.task, 0):
+            return self._answer(StartResult.OLD_RUN)
+        if order.lease_until_ms <= self.clock_ms:
+            return self._answer(StartResult.LATE)
+        entry = RunEntry(
+            task=order.task,
+            run=order.run,
+            payload=order.payload,
+            started_at=self._clock.now(),
+        )
+        self._runs[order.task] = entry
+        self.history.append(entry)
+        return self._answer(StartResult.STARTED)
+
+    def stop(self, task: TaskId, run: int, fence: int) -> bool:
+        """Carry out a stop.
+
+        Args:
+            task: the task.
+            run: number of the run.
+            fence: epoch of the leader.
+
+        Returns:
+            False for an old fence.
+        """
+        self._advance()
+        if fence < self._fence:
+            return False
+        self._fence = fence
+        self._stopped[task] = max(run, self._stopped.get(task, 0))
+        entry = self._runs.get(task)
+        if entry and entry.run == run and entry.ended_at is None:
+            self._end(entry, EndKind.STOPPED, self._clock.now())
+        return True
+
+    async def inquire(self, inquiry: Inquiry) -> Inventory:
+        """Renew the lease and list what runs and what has ended.
+
+        Args:
+            inquiry: what to renew and from where to list ends.
+
+        Returns:
+            The lists.
+        """
+        if inquiry.fence < self._fence:
+            return Inventory(fenced=True)
+        self._advance()
+        self._fence = inquiry.fence
+        self._extend(inquiry.lease_until_ms or 0)
+        self._forget_ends(inquiry.seen)
+        until = self._clock.now() + inquiry.wait_ms
+        while not self._ended and self._clock.now() < until:
+            await curio.sleep(to_seconds(_POLL_MS))
+            self._advance()
+        return Inventory(
+            clock_ms=self.clock_ms,
+            born_ms=self._born_ms,
+            running=tuple(
+                RunningTask(
+                    task=run.task,
+                    name=format_task_id(run.task),
+                    run=run.run,
+                    checkpoint='',
+                    percent=100,
+                )
+                for run in self.running
+            ),
+            ended=tuple(self._ended),
+        )
+
+    def _reset(self) -> None:
+        self._booted_at = self._clock.now()
+        self._fence = 0
+        self._lease_until = 0
+        self._runs: dict[TaskId, RunEntry] = {}
+        self._stopped: dict[TaskId, int] = {}
+        self._ended: list[EndedTask] = []
+        self._numbers = 0
+
+    def _forget_ends(self, seen: int) -> None:
+        noted = {
+            (end.task, end.run) for end in self._ended if end.number <= seen
+        }
+        for run in self.history:
+            run.noted = run.noted or (run.task, run.run) in noted
+        self._ended = [rest for rest in self._ended if rest.number > seen]
+
+    def _answer(self, result: StartResult) -> StartAnswer:
+        return StartAnswer(result=result, clock_ms=self.clock_ms)
+
+    def _extend(self, until: int) -> None:
+        self._lease_until = max(self._lease_until, until)
+
+    def _advance(self) -> None:
+        """End runs whose time, or whose lease, is over."""
+        lapses_at = Millis(
+            self._booted_at + self._lease_until - _CLOCK_START_MS
+        )
+        for run in list(self._runs.values()):
+            ends_at = Millis(run.started_at + self._run_ms(run.task))
+            if self.trouble.hang or lapses_at < ends_at:
+                ends_at = lapses_at
+            if run.ended_at is None and self._clock.now() >= ends_at:
+                lapsed = ends_at == lapses_at
+                self._end(run, self._kind(lapsed=lapsed), ends_at)
+
+    def _kind(self, *, lapsed: bool) -> EndKind:
+        if lapsed:
+            return EndKind.LAPSED
+        return EndKind.FAILED if self.trouble.fail_all else EndKind.DONE
+
+    def _end(self, run: RunEntry, kind: EndKind, ended_at: Millis) -> None:
+        run.ended_at = ended_at
+        run.kind = kind
+        self._stopped[run.task] = max(run.run, self._stopped.get(run.task, 0))
+        self._numbers += 1
+        self._ended.append(
+            EndedTask(
+                number=self._numbers,
+                task=run.task,
+                run=run.run,
+                kind=kind,
+                checkpoint='',
+            )
+        )
+
+
+class MemoryWorkerClient(WorkerClient):
+    """Calls a worker in memory."""
+
+    def __init__(self, *, worker: MemoryWorker, timeout_ms: Millis) -> None:
+        """Use a worker.
+
+        Args:
+            worker: the worker.
+            timeout_ms: after which a call without an answer is given up.
+        """
+        self._worker = worker
+        self._timeout_ms = timeout_ms
+
+    async def start(self, order: StartOrder) -> StartAnswer:
+        """Order a start.
+
+        Args:
+            order: what to start.
+
+        Returns:
+            What the worker did.
+        """
+        await self._reach()
+        trouble = self._worker.trouble
+        if not trouble.lose_starts:
+            return self._worker.start(order)
+        trouble.lose_starts -= 1
+        if trouble.late_ms is not None:
+            await curio.spawn(
+                self._start_late, order, trouble.late_ms, daemon=True
+            )
+        return await self._time_out()
+
+    async def stop(self, task: TaskId, run: int, fence: int) -> bool:
+        """Order a stop.
+
+        Args:
+            task: the task.
+            run: number of the run.
+            fence: epoch of the leader.
+
+        Returns:
+            True when the worker took the order.
+        """
+        await self._reach()
+        taken = self._worker.stop(task, run, fence)
+        if self._worker.trouble.lose_stops:
+            self._worker.trouble.lose_stops -= 1
+            await self._time_out()
+        return taken
+
+    async def inquire(self, inquiry: Inquiry) -> Inventory:
+        """Renew the lease and read the lists.
+
+        Args:
+            inquiry: what to renew.
+
+        Returns:
+            The lists.
+        """
+        await self._reach()
+        inventory = await self._worker.inquire(inquiry)
+        await self._reach()
+        return inventory
+
+    async def close(self) -> None:
+        """Do nothing; there is no connection."""
+
+    async def _start_late(self, order: StartOrder, delay: Millis) -> None:
+        await curio.sleep(to_seconds(delay))
+        self._worker.start(order)
+
+    async def _reach(self) -> None:
+        if self._worker.trouble.refused:
+            raise WorkerUnreachable('refused', sent=False)
+        if self._worker.trouble.silent:
+            await self._time_out()
+
+    async def _time_out(self) -> StartAnswer:
+        await curio.sleep(to_seconds(self._timeout_ms))
+        raise WorkerUnreachable('no answer', sent=True)
--- /dev/null
+++ b/tests/memory_fleet_test.py
@@ -0,0 +1,411 @@
+"""What tests of whole deployments share: one in memory, and its checks.
+
+Everything between the instances is real but the connections: leaders are
+elected through the store, records are written to it, and workers hold leases.
+"""
+
+import contextlib
+import dataclasses
+import itertools
+import random
+
+import curio
+import msgspec
+
+from jayshore.clock import Clock, Millis, MonotonicClock, WallClock
+from jayshore.fleet import leasing, scheduler, sessions
+from jayshore.fleet.advising import AdviceRelay
+from jayshore.fleet.book import JobState
+from jayshore.fleet.desk import Accepted, Desk, DeskUnavailable
+from jayshore.fleet.interfaces import (
+    Advice,
+    AdviceUnavailable,
+    EndKind,
+    WorkerConnector,
+)
+from jayshore.fleet.members import DEPLOYMENT, Membership
+from jayshore.fleet.model import (
+    FleetConfig,
+    Job,
+    Queue,
+    TaskGroup,
+    WorkerEntry,
+    Workspace,
+)
+from jayshore.fleet.peering import (
+    LeaderLink,
+    LeaderUnavailable,
+    StateQuestion,
+    state_answer,
+)
+from jayshore.fleet.seat import LeaderSeat
+from jayshore.http.client import Address
+from jayshore.leases.leadership import Leadership
+from jayshore.resources import NOTHING, Resources
+from jayshore.retry import PLATFORM_BACKOFF
+from jayshore.store.relay import RelayedStore, StoreRelay
+from jayshore.store.settling import WriteSettler
+from jayshore.store.store import StoreUnavailable
+from standins.memorystore import MemoryStore
+from standins.memoryworker import MemoryWorker, MemoryWorkerClient
+
+WORKERS = 'workers/'
+SERVICE = 'plans'
+QUEUE = Queue(
+    name='checks',
+    host='plans.example',
+    prefix='/checks/',
+    service=SERVICE,
+    max_attempts=3,
+    stretch=2,
+    objective_ms=Millis(1000),
+)
+WORKSPACE = Workspace(name='riverbend', keys=frozenset(('k1',)), weight=100)
+CONFIG = FleetConfig(version=1, queues=(QUEUE,), workspaces=(WORKSPACE,))
+CAPACITY = Resources(cpu_millis=4000, memory_mb=8000)
+NEED = Resources(cpu_millis=1000, memory_mb=1000)
+RUN_MS = Millis(120)
+LEASE_MS = Millis(900)
+MAX_LEASE_MS = Millis(1000)
+WAIT_MS = Millis(200)
+ORDER_MS = Millis(100)
+TTL_MS = Millis(600)
+
+_ids = itertools.count(1)
+
+
+def shorten_leases(monkeypatch):
+    """Let leases end within a test."""
+    monkeypatch.setattr(leasing, 'LEASE_MS', LEASE_MS)
+    monkeypatch.setattr(scheduler, 'MAX_LEASE_MS', MAX_LEASE_MS)
+    monkeypatch.setattr(sessions, 'WAIT_MS', WAIT_MS)
+
+
+def make_job(*groups, queue=QUEUE, workspace=WORKSPACE.name):
+    """Describe a job that is accepted now."""
+    return Job(
+        job_id=f'{next(_ids):016x}',
+        queue=queue,
+        workspace=workspace,
+        payload='fill two tyres',
+        groups=groups or (make_group(),),
+        accepted_at_ms=WallClock().now(),
+    )
+
+
+def make_group(count=2, **fields):
+    """Describe a task group."""
+    shape = {'need': NEED, 'estimate_ms': RUN_MS, **fields}
+    return TaskGroup(count=count, **shape)
+
+
+class Relay(AdviceRelay):
+    """Advice without a service; tests change what it says."""
+
+    def __init__(self):
+        self.good = None
+        self.calls = 0
+        self.validity_ms = Millis(1000)
+        self.down = False
+
+    def callers(self):
+        return ('a', 'b')
+
+    async def advise_through(self, caller, group, workers, timeout_ms):
+        self.calls += 1
+        await curio.sleep(0.005)
+        if self.down:
+            raise AdviceUnavailable('down')
+        good = workers if self.good is None else self.good
+        return Advice(
+            tickets={name: 'ticket' for name in workers if name in good},
+            validity_ms=self.validity_ms,
+        )
+
+
+class NoRelay(StoreRelay):
+    """No other instance reaches the store."""
+
+    async def carry(self, call):
+        raise StoreUnavailable('no other instance')
+
+
+class MemoryConnector(WorkerConnector):
+    """Connects to the workers of a deployment."""
+
+    def __init__(self, workers):
+        self._workers = workers
+
+    def connect(self, entry):
+        return MemoryWorkerClient(
+            worker=self._workers[entry.worker_id], timeout_ms=ORDER_MS
+        )
+
+
+class Instance(LeaderLink):
+    """One instance without its servers."""
+
+    def __init__(self, fleet, name):
+        clock = fleet.clock
+        self.name = name
+        self.fleet = fleet
+        self.store = RelayedStore(
+            direct=fleet.store, relay=NoRelay(), clock=clock
+        )
+        self.membership = Membership(
+            store=self.store,
+            clock=clock,
+            name=name,
+            address=Address(host='127.0.0.1', port=1),
+        )
+        self.seat = LeaderSeat(
+            store=self.store,
+            clock=clock,
+            wall_clock=WallClock(),
+            connector=MemoryConnector(fleet.workers),
+            relay=fleet.relay,
+            config=lambda: fleet.config,
+            worker_prefix=WORKERS,
+            decode_worker=decode_worker,
+        )
+        self.leadership = Leadership(
+            store=self.store,
+            settler=WriteSettler(
+                store=self.store,
+                clock=clock,
+                backoff=PLATFORM_BACKOFF,
+                source=random.Random(7),
+            ),
+            domain=DEPLOYMENT,
+            holder=name,
+            ttl_ms=TTL_MS,
+            observer=self.seat,
+            clock=clock,
+            vacancy=self.membership,
+        )
+        self.seat.attach(self.leadership)
+        self.desk = Desk(
+            store=self.store, leader=self, scheduler=lambda: self.seat.scheduler
+        )
+        self._tasks = []
+
+    async def start(self):
+        for part in (
+            self.membership.follow,
+            self.membership.register,
+            self.leadership.run,
+        ):
+            self._tasks.append(await curio.spawn(part, daemon=True))
+
+    async def kill(self):
+        """End without a word, as a process that is killed."""
+        for task in self._tasks:
+            await task.cancel()
+        reign = self.seat._reign
+        if reign is not None:
+            await reign.cancel()
+
+    async def ask_state(self, job_id):
+        found = self.fleet.leading()
+        if found is None:
+            raise LeaderUnavailable('none')
+        return state_answer(found.seat.scheduler, StateQuestion(job_id=job_id))
+
+    async def ask_pending(self, queue):
+        found = self.fleet.leading()
+        if found is None:
+            raise LeaderUnavailable('none')
+        return found.seat.scheduler.pending(queue)
+
+
+@dataclasses.dataclass
+class Fleet:
+    """A deployment."""
+
+    clock: Clock = dataclasses.field(default_factory=MonotonicClock)
+    run_ms: object = RUN_MS
+    config: FleetConfig = CONFIG
+
+    def __post_init__(self):
+        self.store = MemoryStore()
+        self.relay = Relay()
+        self.workers = {}
+        self.instances = {}
+
+    def add_worker(self, name, **fields):
+        worker = MemoryWorker(
+            worker_id=name,
+            run_ms=self.run_ms
+            if callable(self.run_ms)
+            else lambda _task: self.run_ms,
+            clock=self.clock,
+        )
+        self.workers[name] = worker
+        self.register(name, **fields)
+        return worker
+
+    def register(self, name, **fields):
+        entry = WorkerEntry(
+            **{
+                'worker_id': name,
+                'born_ms': 0,
+                'service': SERVICE,
+                'address': f'{name}:1',
+                'domain': 'north',
+                'rack': 'r1',
+                'labels': frozenset(('a', 'r1')),
+                'capacity': CAPACITY,
+                **fields,
+            }
+        )
+        self.store.write(
+            f'{WORKERS}{name}', msgspec.json.encode(entry).decode()
+        )
+
+    def unregister(self, name):
+        self.store.write(f'{WORKERS}{name}', None)
+
+    async def add_instance(self, name):
+        self.instances[name] = Instance(self, name)
+        await self.instances[name].start()
+        return self.instances[name]
+
+    def leading(self):
+        for instance in self.instances.values():
+            if instance.seat.scheduler is not None:
+                return instance
+        return None
+
+    async def wait_leader(self):
+        await wait_for(lambda: self.leading() is not None, 'a leader')
+        return self.leading()
+
+    async def submit(self, *jobs):
+        desk = next(iter(self.instances.values())).desk
+        for job in jobs:
+            result = await desk.submit(job)
+            assert isinstance(result, Accepted), result
+        return [job.job_id for job in jobs]
+
+    async def state(self, job_id):
+        """Ask for a state; None while nobody can tell."""
+        desk = next(iter(self.instances.values())).desk
+        try:
+            return await desk.state(job_id, WORKSPACE.name)
+        except DeskUnavailable:
+            return None
+
+    async def wait_state(self, job_ids, state, limit_s=8):
+        async def reached():
+            return [await self.state(job_id) for job_id in job_ids] == [
+                state
+            ] * len(job_ids)
+
+        await wait_for(reached, f'{state} of {job_ids}', limit_s)
+
+    def runs(self):
+        return [
+            (run, worker)
+            for worker in self.workers.values()
+            for run in worker.history
+        ]
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(instances=1, workers=3, **fields):
+    """Run a deployment with a leader."""
+    fleet = Fleet(**fields)
+    for number in range(workers):
+        fleet.add_worker(f'w{number}')
+    for number in range(instances):
+        await fleet.add_instance(f'i{number}')
+    await fleet.wait_leader()
+    try:
+        yield fleet
+    finally:
+        for instance in fleet.instances.values():
+            await instance.kill()
+
+
+async def wait_for(condition, what, limit_s=8):
+    """Wait until a condition holds, or fail."""
+    async with curio.ignore_after(limit_s):
+        while True:
+            holds = condition()
+            if hasattr(holds, '__await__'):
+                holds = await holds
+            if holds:
+                return
+            await curio.sleep(0.01)
+    raise AssertionError(f'not within {limit_s} s: {what}')
+
+
+def decode_worker(worker_id, text):
+    """Decode a registration."""
+    try:
+        return msgspec.json.decode(text, type=WorkerEntry)
+    except msgspec.DecodeError:
+        return None
+
+
+def check_runs(fleet, jobs):
+    """Check what must hold of all runs, from what the workers saw."""
+    known = {job.job_id: job for job in jobs}
+    now = fleet.clock.now()
+    by_task = {}
+    for worker in fleet.workers.values():
+        assert worker.running is not None  # brings the history up to date
+    for run, worker in fleet.runs():
+        assert run.task.job_id in known, f'nobody asked for {run}'
+        assert run.payload == known[run.task.job_id].payload
+        by_task.setdefault(run.task, []).append((run, worker))
+    for task, runs in by_task.items():
+        spans = sorted(
+            (run.started_at, run.ended_at or now, run.run) for run, _ in runs
+        )
+        for (_, end, first), (start, _, second) in itertools.pairwise(spans):
+            assert end <= start, f'{task} runs {first} and {second} overlap'
+            assert second > first, f'{task} run {second} after {first}'
+        noted = [
+            run.ended_at
+            for run, _ in runs
+            if run.kind is EndKind.DONE and run.noted
+        ]
+        assert len(noted) <= 1, f'{task} is done {len(noted)} times'
+        last = max(run.started_at for run, _ in runs)
+        assert not noted or last <= noted[0], f'{task} runs after it is done'
+    for worker in fleet.workers.values():
+        _check_room(worker, known, now)
+    for job in jobs:
+        _check_order(job, by_task)
+
+
+def _check_room(worker, known, now):
+    for moment in {run.started_at for run in worker.history}:
+        used = NOTHING
+        for run in worker.history:
+            if run.started_at <= moment < (run.ended_at or now + 1):
+                used += known[run.task.job_id].groups[run.task.group].need
+        assert used.fits_in(CAPACITY), f'{worker.worker_id} holds {used}'
+
+
+def _check_order(job, by_task):
+    for task, runs in by_task.items():
+        if task.job_id != job.job_id:
+            continue
+        for earlier in job.groups[task.group].after:
+            ends = [
+                run.ended_at
+                for name, others in by_task.items()
+                for run, _ in others
+                if name[:3] == (job.job_id, task.occurrence, earlier)
+                and run.kind is EndKind.DONE
+            ]
+            first = min(run.started_at for run, _ in runs)
+            ended_before = [end for end in ends if end <= first]
+            assert len(ended_before) >= job.groups[earlier].count, (
+                f'{task} started before its predecessors were done'
+            )
+
+
+COMPLETED = JobState.COMPLETED
