Test the program of the platform as processes, against a stand-in

Change: standins/shared_platform.py speaks the published protocol of store, executors and advice; tests/platform_path_test.py plays the whole path, typed refusals, a version in force within 2 s, a planned stop, a kill of all instances, a store outage and broken settings.

--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -104,6 +104,8 @@
         self._run_ms = run_ms
         self._clock = clock or MonotonicClock()
         self._born_ms = 1
+        self._fence: int
+        self._lease_until: int
         self._reset()
 
     @property
--- /dev/null
+++ b/standins/shared_platform.py
@@ -0,0 +1,385 @@
+"""Stand-in for the users' platform: store, executors and advice in one process.
+
+Written from the published protocol. It holds its state in `MemoryStore` and
+`MemoryWorker`, and does what it is told. Run with
+`python -m standins.shared_platform --directory DIR`: it listens on free ports
+of 127.0.0.1 and writes them to `DIR/platform.json`. `POST /test/put` with `key`
+and `value` writes a key as the operator does, `GET /test/runs` lists all runs.
+"""
+
+import argparse
+import base64
+import pathlib
+import types
+from typing import Any
+
+import curio
+import msgspec
+
+from jayshore.background import BackgroundTasks
+from jayshore.clock import Millis, to_seconds
+from jayshore.fleet.interfaces import (
+    Inquiry,
+    Inventory,
+    StartOrder,
+    StartResult,
+)
+from jayshore.fleet.model import TaskId, format_task_id, parse_task_id
+from jayshore.http.messages import Request, Response, json_response
+from jayshore.http.requestreader import Bounds
+from jayshore.http.server import Handler, HttpServer
+from jayshore.store.store import (
+    Entry,
+    LeaseGone,
+    Listing,
+    StoreUnavailable,
+    StoreUncertain,
+    Written,
+)
+from jayshore.store.transactions import (
+    HistoryLost,
+    Mismatch,
+    Put,
+    Transaction,
+)
+from standins.memorystore import MemoryStore
+from standins.memoryworker import MemoryWorker
+
+HOST = '127.0.0.1'
+EXECUTORS = 3
+RUN_MS = Millis(150)
+SERVICE = 'plans'
+
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_CONDITION_FAILED = 412
+_MISDIRECTED = 421
+_UNAVAILABLE = 503
+_IDLE_MS = Millis(5000)
+
+_REASONS = types.MappingProxyType(
+    {
+        StartResult.FENCED: 'fence',
+        StartResult.OLD_RUN: 'old',
+        StartResult.LATE: 'late',
+    }
+)
+
+
+class StoreHandler(Handler):
+    """Speaks the store's protocol, and the calls of tests."""
+
+    def __init__(
+        self, *, store: MemoryStore, workers: list[MemoryWorker]
+    ) -> None:
+        """Use the state.
+
+        Args:
+            store: the keys.
+            workers: whose runs tests may read.
+        """
+        self._store = store
+        self._workers = workers
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            The answer.
+        """
+        try:
+            return await self._answer(request)
+        except HistoryLost:
+            return json_response(_GONE, {})
+        except (StoreUnavailable, StoreUncertain) as error:
+            return json_response(_UNAVAILABLE, {'Error': str(error)})
+
+    async def _answer(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.body) if request.body else {}
+        name = request.path.removeprefix('/-/')
+        query = request.query
+        if name == 'kv-key':
+            entry = await self._store.get(query['Key'])
+            if entry is None:
+                return json_response(_NOT_FOUND, {})
+            return json_response(_OK, _item(entry))
+        if name == 'kv-range':
+            listing = await self._store.list(query['Prefix'])
+            return json_response(
+                _OK,
+                {
+                    'items': [_item(entry) for entry in listing.entries],
+                    'HasMore': False,
+                    'AtRev': listing.revision,
+                },
+            )
+        if name == 'kv-watch':
+            listing = await self._store.watch(
+                query['Prefix'],
+                since=int(query['After']),
+                wait_ms=Millis(int(query['WaitMs'])),
+            )
+            return json_response(_OK, _events(listing))
+        if name == 'kv-txn':
+            return await self._transact(body)
+        return await self._answer_lease(name, request, body)
+
+    async def _answer_lease(
+        self, name: str, request: Request, body: dict[str, Any]
+    ) -> Response:
+        if name == 'kv-lease':
+            lease = await self._store.grant_lease(Millis(body['TtlMs']))
+            return json_response(
+                _OK, {'Lease': lease.lease_id, 'TtlMs': lease.ttl_ms}
+            )
+        verb, _, number = name.partition('/')
+        if verb == 'kv-keep':
+            kept = await self._store.renew_lease(int(number))
+            if isinstance(kept, LeaseGone):
+                return json_response(_NOT_FOUND, {})
+            return json_response(_OK, {'TtlMs': kept.ttl_ms})
+        if verb == 'kv-lease-end':
+            await self._store.revoke_lease(int(number))
+            return json_response(_OK, {})
+        return self._answer_test(request, body)
+
+    def _answer_test(self, request: Request, body: dict[str, Any]) -> Response:
+        if request.path == '/test/put':
+            self._store.write(body['key'], body['value'])
+            return json_response(_OK, {})
+        if request.path == '/test/trouble':
+            for field, setting in body.items():
+                setattr(self._store.trouble, field, setting)
+            return json_response(_OK, {})
+        if request.path == '/test/runs':
+            return json_response(
+                _OK,
+                [
+                    (format_task_id(run.task), run.run, run.kind, run.payload)
+                    for worker in self._workers
+                    for run in worker.history
+                ],
+            )
+        return json_response(_NOT_FOUND, {})
+
+    async def _transact(self, body: dict[str, Any]) -> Response:
+        result = await self._store.transact(
+            Transaction(
+                expected=tuple(
+                    (row['Key'], row['Rev']) for row in body['ExpectedRev']
+                ),
+                puts=tuple(
+                    Put(
+                        key=row['Key'],
+                        value=base64.b64decode(row['Value']).decode(),
+                        lease_id=row.get('Lease') or None,
+                    )
+                    for row in body['Puts']
+                ),
+                removals=tuple(body['Remove']),
+            )
+        )
+        if isinstance(result, Written):
+            return json_response(_OK, {'Rev': result.revision})
+        if isinstance(result, Mismatch):
+            rows = [
+                {'Key': key, 'Rev': rev}
+                for key, rev in result.revisions.items()
+            ]
+            return json_response(_CONDITION_FAILED, {'items': rows})
+        return json_response(_NOT_FOUND, {})
+
+
+class ExecutorHandler(Handler):
+    """Speaks the protocol of one executor."""
+
+    def __init__(self, *, worker: MemoryWorker) -> None:
+        """Use a worker.
+
+        Args:
+            worker: its state.
+        """
+        self._worker = worker
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            The answer.
+        """
+        target = request.headers.get('jayshore-target-instance')
+        if target != self._worker.worker_id:
+            return json_response(_MISDIRECTED, {})
+        body = msgspec.json.decode(request.body)
+        if request.path == '/-/hold':
+            return await self._hold(body)
+        task = parse_task_id(body['Task'])
+        if task is None:
+            return json_response(_BAD_REQUEST, {})
+        if request.path == '/-/run-start':
+            return self._start(task, body)
+        taken = self._worker.stop(task, body['Run'], body['Fence'])
+        return json_response(
+            _OK if taken else _CONFLICT, {'ClockMs': self._worker.clock_ms}
+        )
+
+    def _start(self, task: TaskId, body: dict[str, Any]) -> Response:
+        answer = self._worker.start(
+            StartOrder(
+                task=task,
+                run=body['Run'],
+                payload=body['Spec'],
+                lease_until_ms=body['ExpiresMs'],
+                fence=body['Fence'],
+                checkpoint=body.get('Checkpoint', ''),
+                ticket=body.get('Ticket', ''),
+            )
+        )
+        content: dict[str, Any] = {'ClockMs': self._worker.clock_ms}
+        if answer.result is StartResult.STARTED:
+            return json_response(_OK, content)
+        content['Reason'] = _REASONS[answer.result]
+        return json_response(_CONFLICT, content)
+
+    async def _hold(self, body: dict[str, Any]) -> Response:
+        inventory = await self._worker.inquire(
+            Inquiry(
+                fence=body['Fence'],
+                seen=body['LastSeen'],
+                lease_until_ms=body.get('ExpiresMs'),
+                wait_ms=Millis(body.get('WaitMs', 0)),
+            )
+        )
+        if inventory.fenced:
+            return json_response(_CONFLICT, {'Reason': 'fence'})
+        return json_response(_OK, _lists(inventory))
+
+
+class AdviceHandler(Handler):
+    """Allows every worker."""
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            A ticket for each worker named.
+        """
+        body = msgspec.json.decode(request.body)
+        good = [(worker, 'ticket') for worker in body['Workers']]
+        return json_response(_OK, {'Good': good, 'ValidityMs': 2000})
+
+
+def _item(entry: Entry) -> dict[str, Any]:
+    return {
+        'Key': entry.key,
+        'Value': base64.b64encode(entry.value.encode()).decode(),
+        'Rev': entry.revision,
+        'CreatedRev': entry.revision,
+        'Lease': 0,
+    }
+
+
+def _events(listing: Listing) -> dict[str, Any]:
+    events = [_item(entry) for entry in listing.entries]
+    gone = [
+        {'Key': key, 'Rev': listing.revision, 'Deleted': True}
+        for key in listing.deleted
+    ]
+    return {'events': [*events, *gone], 'AtRev': listing.revision}
+
+
+def _lists(inventory: Inventory) -> dict[str, Any]:
+    return {
+        'ClockMs': inventory.clock_ms,
+        'born': inventory.born_ms,
+        'Running': [
+            [run.name, run.run, run.checkpoint, run.percent]
+            for run in inventory.running
+        ],
+        'Finished': [
+            [
+                end.number,
+                '' if end.task is None else format_task_id(end.task),
+                end.run,
+                end.kind,
+                end.checkpoint,
+            ]
+            for end in inventory.ended
+        ],
+    }
+
+
+def _run_ms(_task: TaskId) -> Millis:
+    return RUN_MS
+
+
+async def _serve(tasks: BackgroundTasks, handler: Handler) -> int:
+    server = HttpServer(host=HOST, port=0, handler=handler, bounds=Bounds())
+    server.listen()
+    await tasks.spawn(server.serve())
+    return server.bound_port
+
+
+async def main(directory: pathlib.Path) -> None:
+    """Serve until the process ends.
+
+    Args:
+        directory: where the ports are written.
+    """
+    tasks = BackgroundTasks()
+    store = MemoryStore()
+    workers = [
+        MemoryWorker(worker_id=f'x-{number}', run_ms=_run_ms)
+        for number in range(EXECUTORS)
+    ]
+    for worker in workers:
+        port = await _serve(tasks, ExecutorHandler(worker=worker))
+        registration = {
+            'Service': SERVICE,
+            'Addr': f'{HOST}:{port}',
+            'Zone': 'north',
+            'Version': 'v1',
+            'Slots': 8,
+            'State': 'ready',
+            'ColdLeftMs': 0,
+            'Capacity': {'Cpu': 4000, 'MemMb': 8000, 'Gpu': 0},
+            'Labels': ['a', 'r1'],
+            'ClockMs': worker.clock_ms,
+            'Seq': 1,
+        }
+        store.write(
+            f'servers/{worker.worker_id}',
+            msgspec.json.encode(registration).decode(),
+        )
+    ports = {
+        'store': await _serve(
+            tasks, StoreHandler(store=store, workers=workers)
+        ),
+        'advice': await _serve(tasks, AdviceHandler()),
+    }
+    path = directory / 'platform.json'
+    partial = path.with_suffix('.part')
+    partial.write_bytes(msgspec.json.encode(ports))
+    partial.rename(path)
+    while True:
+        await curio.sleep(to_seconds(_IDLE_MS))
+
+
+if __name__ == '__main__':
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--directory', type=pathlib.Path, required=True)
+    curio.run(
+        main, parser.parse_args().directory, taskcls=curio.task.ContextTask
+    )
--- /dev/null
+++ b/tests/platform_path_test.py
@@ -0,0 +1,347 @@
+"""The program of the platform as processes, against the stand-in."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+pytestmark = pytest.mark.processes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST_HEADER = 'plans.example'
+KEY = 'k-riverbend'
+LIMIT_S = 20
+
+
+def config(version, *, keys=(KEY,), routes=('/checks/',)):
+    """Make a desired state."""
+    return json.dumps(
+        {
+            'Version': version,
+            'Routes': [
+                {
+                    'Name': f'r{prefix}',
+                    'Host': HOST_HEADER,
+                    'Prefix': prefix,
+                    'Service': 'plans',
+                    'Priority': 0,
+                    'MaxAttempts': 3,
+                    'Stretch': 2.0,
+                    'TargetLatencyMs': 250,
+                    'Advice': {
+                        'DecisionMs': 1.0,
+                        'PeriodMs': 0.1,
+                        'ValidityMs': 2000,
+                    },
+                }
+                for prefix in routes
+            ],
+            'Services': [],
+            'Limits': {},
+            'Tenants': [
+                {'Name': 'riverbend', 'ApiKeys': list(keys), 'Weight': 9}
+            ],
+        }
+    )
+
+
+class Deployment:
+    """The stand-in and some instances."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.processes = []
+        self.logs = {}
+
+    def start(self, instances):
+        self._spawn(
+            'platform',
+            '-m',
+            'standins.shared_platform',
+            '--directory',
+            str(self.directory),
+        )
+        path = self.directory / 'platform.json'
+        wait_for(path.exists, 'the stand-in')
+        self.ports = json.loads(path.read_text())
+        self.put('op/config', config(1))
+        self.fronts = [self.add(f'i{number}') for number in range(instances)]
+
+    def add(self, name):
+        front, ready, inner = free_ports(3)
+        settings = {
+            'Node': name,
+            'Ip': '127.0.0.1',
+            'Listen': {
+                'Front': f'127.0.0.1:{front}',
+                'Readiness': f'127.0.0.1:{ready}',
+            },
+            'InternalPorts': [inner, inner + 1],
+            'Advice': f'127.0.0.1:{self.ports["advice"]}',
+            'platform': {'Addr': f'127.0.0.1:{self.ports["store"]}'},
+            'Unknown': {'new': 1},
+        }
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        process = self._spawn(
+            name, 'platform/edge.py', env={'JAYSHORE_BOOT': str(path)}
+        )
+        wait_for(
+            lambda: call('GET', f'http://127.0.0.1:{ready}/-/ready')[0] == 200,
+            f'{name} is ready',
+        )
+        return process, front, ready
+
+    def put(self, key, value):
+        self.test('put', {'key': key, 'value': value})
+
+    def test(self, name, body=None):
+        url = f'http://127.0.0.1:{self.ports["store"]}/test/{name}'
+        status, answer = call('GET' if body is None else 'POST', url, body)
+        assert status == 200
+        return answer
+
+    def stop(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+    def _spawn(self, name, *arguments, env=None):
+        log = self.directory / f'{name}.log'
+        self.logs[name] = log
+        with log.open('wb') as output:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, **(env or {})},
+            )
+        self.processes.append(process)
+        return process
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Run a deployment of two instances."""
+    running = Deployment(tmp_path)
+    try:
+        running.start(2)
+        yield running
+    finally:
+        running.stop()
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def wait_for(condition, what):
+    end = time.monotonic() + LIMIT_S
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f'not within {LIMIT_S} s: {what}')
+
+
+def call(method, url, body=None, key=KEY):
+    """Call an HTTP server; status 0 for none."""
+    headers = {'Host': HOST_HEADER, 'Authorization': f'Bearer {key}'}
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data=data, headers=headers, method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, json.loads(answer.read() or b'null')
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers)
+    except OSError:
+        return 0, None
+
+
+SUBMISSION = {
+    'Spec': 'fill two tyres',
+    'Steps': [
+        {'Count': 2, 'Cpu': 500, 'MemMb': 100, 'EstMs': 150},
+        {
+            'Count': 3,
+            'Cpu': 500,
+            'MemMb': 100,
+            'EstMs': 150,
+            'After': [0],
+            'Gang': True,
+        },
+    ],
+}
+
+
+def job_url(front, number, prefix='/checks/'):
+    return f'http://127.0.0.1:{front[1]}{prefix}{number:016x}'
+
+
+def test_submission_runs_once_and_is_shown_as_completed(deployment):
+    """Guards against a break anywhere between a caller and an executor."""
+    first, second = deployment.fronts
+    for number in range(6):
+        front = deployment.fronts[number % 2]
+        assert call('POST', job_url(front, number), SUBMISSION)[0] == 200
+    for number in range(6):
+        wait_for(
+            lambda number=number: (
+                call('GET', job_url(first, number))
+                == (200, {'State': 'completed'})
+            ),
+            f'submission {number} is completed',
+        )
+        assert call('GET', job_url(second, number))[1]['State'] == 'completed'
+    runs = deployment.test('runs')
+    assert len({task for task, *_ in runs}) == 30
+    assert len(runs) == 30
+    assert {payload for *_, payload in runs} == {'fill two tyres'}
+
+
+REFUSALS = (
+    ('GET', '/checks/00000000000000aa', None, KEY, 410),
+    ('DELETE', '/checks/00000000000000aa', None, KEY, 410),
+    ('GET', '/other/00000000000000aa', None, KEY, 404),
+    ('POST', '/checks/00000000000000aa', SUBMISSION, 'k-unknown', 401),
+    ('POST', '/checks/short', SUBMISSION, KEY, 400),
+    ('POST', '/checks/00000000000000aa', {'Steps': 7}, KEY, 400),
+    ('POST', '/checks/00000000000000aa', {'Spec': '', 'Steps': []}, KEY, 400),
+    (
+        'POST',
+        '/checks/00000000000000aa',
+        {'Spec': '', 'Steps': [{'Count': 1, 'After': [0]}]},
+        KEY,
+        400,
+    ),
+    (
+        'POST',
+        '/checks/00000000000000aa',
+        {'Spec': '', 'Steps': [{'Count': 10**9}]},
+        KEY,
+        400,
+    ),
+)
+
+
+def test_refusals_are_typed(deployment):
+    """Guards against bad input that is accepted, or that breaks a process."""
+    front = deployment.fronts[0]
+    for method, path, body, key, status in REFUSALS:
+        url = f'http://127.0.0.1:{front[1]}{path}'
+        assert call(method, url, body, key)[0] == status, (method, path)
+    assert call('GET', f'http://127.0.0.1:{front[1]}/checks/') == (
+        200,
+        {'Pending': 0},
+    )
+
+
+def test_new_version_is_in_force_within_its_bound(deployment):
+    """Guards against a withdrawn key that works on, and an unreadable value.
+
+    The bound is the 2 s in which a version has to be in force.
+    """
+    front = deployment.fronts[0]
+    deployment.put('op/config', '{"Version": "seven"}')
+    deployment.put('op/config', config(5, keys=('k-new',)))
+    time.sleep(2)
+    assert call('POST', job_url(front, 1), SUBMISSION)[0] == 401
+    assert call('POST', job_url(front, 1), SUBMISSION, 'k-new')[0] == 200
+    deployment.put('op/config', config(4))
+    time.sleep(0.5)
+    assert call('POST', job_url(front, 2), SUBMISSION)[0] == 401
+
+
+def test_planned_stop_answers_what_was_asked(deployment):
+    """Guards against calls that a planned stop cuts off, and lost work."""
+    (process, *_), other = deployment.fronts
+    for number in range(8):
+        front = deployment.fronts[number % 2]
+        assert call('POST', job_url(front, number), SUBMISSION)[0] == 200
+    process.send_signal(signal.SIGTERM)
+    for _ in range(10):
+        status, _ = call('GET', job_url(deployment.fronts[0], 0))
+        assert status in {200, 0}
+        time.sleep(0.05)
+    assert process.wait(6) == 0
+    for number in range(8):
+        wait_for(
+            lambda number=number: (
+                call('GET', job_url(other, number))
+                == (200, {'State': 'completed'})
+            ),
+            f'submission {number} is completed',
+        )
+    assert len(deployment.test('runs')) == 40
+
+
+def test_killed_instances_lose_nothing_accepted(deployment):
+    """Guards against accepted work that is gone with the processes."""
+    for number in range(6):
+        front = deployment.fronts[number % 2]
+        assert call('POST', job_url(front, number), SUBMISSION)[0] == 200
+    for process, *_ in deployment.fronts:
+        process.kill()
+        process.wait()
+    front = deployment.add('i9')
+    for number in range(6):
+        wait_for(
+            lambda number=number: (
+                call('GET', job_url(front, number))
+                == (200, {'State': 'completed'})
+            ),
+            f'submission {number} is completed',
+        )
+    done = [
+        task for task, _, kind, _ in deployment.test('runs') if kind == 'done'
+    ]
+    assert sorted(done) == sorted(set(done))
+
+
+def test_store_outage_is_told_at_once(deployment):
+    """Guards against callers that wait for a store that is away."""
+    front = deployment.fronts[0]
+    deployment.test('trouble', {'down': True})
+    time.sleep(0.3)
+    started = time.monotonic()
+    status, headers = call('POST', job_url(front, 3), SUBMISSION)
+    assert status == 503
+    assert int(headers['retry-after']) >= 1
+    assert time.monotonic() - started < 1
+    deployment.test('trouble', {'down': False})
+    wait_for(
+        lambda: call('POST', job_url(front, 3), SUBMISSION)[0] == 200,
+        'the submission is accepted',
+    )
+
+
+def test_broken_settings_are_named(tmp_path):
+    """Guards against a start without a word on what is wrong."""
+    path = tmp_path / 'boot.json'
+    path.write_text('{"Node": "a", "Ip": 7}')
+    ended = subprocess.run(
+        [sys.executable, 'platform/edge.py'],
+        cwd=ROOT,
+        env={**os.environ, 'JAYSHORE_BOOT': str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert '$.Ip' in ended.stderr
