--- /dev/null
+++ b/jayshore/fleet/leasing_test.py
@@ -0,0 +1,61 @@
+"""When the lease of a worker is surely over."""
+
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.leasing import LEASE_MS, WorkerLease, surely_over_at
+
+LATER = Millis(1_000_000)
+
+
+def known_lease(reading=5000, at=1000):
+    """Make a lease whose worker's clock has been read."""
+    lease = WorkerLease()
+    lease.note_clock(reading, Millis(at))
+    return lease
+
+
+def test_nothing_is_granted_before_the_clock_is_known():
+    """Guards against a lease end that means another instant at the worker."""
+    lease = WorkerLease()
+    assert lease.grant(Millis(0), LATER, extend=True) is None
+    assert lease.over_at() == 0
+
+
+GRANTS = (
+    ('full', 1000, LATER, 5000 + LEASE_MS),
+    ('later', 1400, LATER, 5400 + LEASE_MS),
+    ('as long as the leader may', 1000, 2500, 6500),
+    ('leader too old', 1000, 1000, None),
+)
+
+
+@pytest.mark.parametrize(
+    ('now', 'until', 'ends'),
+    [row[1:] for row in GRANTS],
+    ids=[row[0] for row in GRANTS],
+)
+def test_grant_on_the_clock_of_the_worker(now, until, ends):
+    """Guards against leases that outlast what a successor waits for."""
+    lease = known_lease()
+    assert lease.grant(Millis(now), Millis(until), extend=True) == ends
+
+
+def test_silent_worker_is_not_extended():
+    """Guards against tasks that can never be given up."""
+    lease = known_lease()
+    lease.grant(Millis(1000), LATER, extend=True)
+    over_at = lease.over_at()
+    for now in (3000, 6000, 9000):
+        lease.grant(Millis(now), LATER, extend=False)
+    assert lease.over_at() == over_at
+
+
+@pytest.mark.parametrize('rate', [0.98, 0.99, 1.0, 1.02])
+def test_lease_is_over_on_every_clock(rate):
+    """Guards against a second run while a slow clock keeps the first."""
+    lease = known_lease(reading=0, at=0)
+    ends = lease.grant(Millis(0), LATER, extend=True)
+    assert ends is not None
+    assert lease.over_at() * rate >= ends
+    assert surely_over_at(Millis(0), Millis(ends)) * rate >= ends
--- /dev/null
+++ b/jayshore/fleet/placing_test.py
@@ -0,0 +1,283 @@
+"""Which tasks start, and where, for given rooms and demands."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from jayshore.clock import Millis
+from jayshore.fleet.model import GroupId
+from jayshore.fleet.placing import (
+    Demand,
+    PlacementRound,
+    Room,
+    WaitReason,
+    limit_allowance,
+)
+from jayshore.fleet.ranking import Rank, Standing
+from jayshore.resources import NOTHING, Resources, total
+
+NOW = Millis(10_000)
+CAPACITY = Resources(cpu_millis=4000, memory_mb=4000)
+NEED = Resources(cpu_millis=1000, memory_mb=100)
+
+
+def room(number, free_cpu=4000, **fields):
+    """Make a room, by default an empty one."""
+    return Room(
+        **{
+            'worker_id': f'w{number}',
+            'service': 's',
+            'rack': f'r{number % 2}',
+            'labels': frozenset(('a',)),
+            'capacity': CAPACITY,
+            'free': dataclasses.replace(CAPACITY, cpu_millis=free_cpu),
+            **fields,
+        }
+    )
+
+
+def demand(job='j', count=1, *, due=0, priority=0, **fields):
+    """Make a demand of a job."""
+    rank = fields.pop(
+        'rank', Rank(False, Standing.IN_TIME, priority, Millis(due))
+    )
+    return Demand(
+        **{
+            'group_id': GroupId(job, 0, 0),
+            'rank': rank,
+            'indexes': tuple(range(count)),
+            'need': NEED,
+            'service': 's',
+            **fields,
+        }
+    )
+
+
+def decide(rooms, *demands, allowances=None):
+    """Play a round; returns its decisions."""
+    return PlacementRound(
+        rooms=rooms, allowances=allowances or {}, now=NOW
+    ).decide(demands)
+
+
+def where(decisions):
+    """List the workers that were chosen, by job."""
+    found = {}
+    for placement in decisions.placements:
+        found.setdefault(placement.group_id.job_id, []).append(
+            placement.worker_id
+        )
+    return found
+
+
+CHOICES = (
+    ('tightest room', [room(0), room(1, 1500)], demand(), ['w1']),
+    ('no room', [room(0, 500)], demand(), None),
+    ('other service', [room(0, service='t')], demand(), None),
+    ('label', [room(0), room(1, labels=frozenset(('b',)))],
+     demand(required_label='b'), ['w1']),
+    ('near data', [room(0, 1000), room(1)], demand(data_rack='r1'), ['w1']),
+    ('spread', [room(0), room(1)], demand(count=2, max_per_worker=1),
+     ['w0', 'w1']),
+    ('spread counts what runs', [room(0), room(1)],
+     demand(count=2, max_per_worker=1, placed={'w0': 1}), ['w1']),
+    ('part of a group', [room(0, 1000)], demand(count=3), ['w0']),
+    ('whole gang', [room(0), room(1)], demand(count=8, gang=True),
+     ['w0'] * 4 + ['w1'] * 4),
+    ('no part of a gang', [room(0), room(1)], demand(count=9, gang=True), None),
+    ('one rack', [room(0, 3000), room(1), room(2, 3000)],
+     demand(count=4, gang=True, same_rack=True), None),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('rooms', 'wanted', 'expected'),
+    [row[1:] for row in CHOICES],
+    ids=[row[0] for row in CHOICES],
+)
+def test_choice_of_workers(rooms, wanted, expected):
+    """Guards against starts without room, or against a constraint."""
+    rooms = [dataclasses.replace(place) for place in rooms]
+    chosen = where(decide(rooms, wanted)).get('j')
+    if wanted.same_rack:
+        racks = {worker for worker in chosen or ()}
+        assert racks in ({'w1'}, {'w0', 'w2'})
+    else:
+        assert chosen == expected
+
+
+ORDERS = (
+    ('urgent first', {'priority': 1}, {'priority': 0}),
+    ('earlier objective first', {'due': 20}, {'due': 10}),
+    (
+        'in time before late',
+        {'rank': Rank(False, Standing.LATE, 0, Millis(0))},
+        {'priority': 1},
+    ),
+    (
+        'within its rate first',
+        {'rank': Rank(True, Standing.IN_TIME, 0, Millis(0))},
+        {'rank': Rank(False, Standing.MISSED, 2, Millis(0))},
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ('behind', 'ahead'),
+    [row[1:] for row in ORDERS],
+    ids=[row[0] for row in ORDERS],
+)
+def test_order_when_the_fleet_is_full(behind, ahead):
+    """Guards against work that can be in time behind work that cannot."""
+    decisions = decide(
+        [room(0, 1000)], demand('x', **behind), demand('y', **ahead)
+    )
+    assert list(where(decisions)) == ['y']
+    assert decisions.waiting == {GroupId('x', 0, 0): WaitReason.NO_ROOM}
+
+
+def test_waiting_gang_keeps_workers_free():
+    """Guards against a wide gang that small tasks starve for ever."""
+    rooms = [room(number, 3000) for number in range(4)]
+    gang = demand('gang', 7, gang=True, need=Resources(cpu_millis=2000))
+    small = demand('small', 20, priority=2)
+    decisions = decide(rooms, gang, small)
+    assert len(set(where(decisions)['small'])) == 2
+    assert decisions.waiting[gang.group_id] is WaitReason.NO_ROOM
+
+
+def test_impossible_gang_keeps_nothing():
+    """Guards against workers kept free for a gang that never fits."""
+    rooms = [room(number) for number in range(3)]
+    gang = demand('gang', 7, gang=True, need=Resources(cpu_millis=3000))
+    decisions = decide(rooms, gang, demand('small', 12, priority=2))
+    assert len(where(decisions)['small']) == 12
+
+
+def test_limit_of_a_workspace():
+    """Guards against starts beyond what a workspace may have running."""
+    allowances = {
+        't': limit_allowance(
+            Resources(cpu_millis=5000), Resources(cpu_millis=3000)
+        )
+    }
+    decisions = decide(
+        [room(0), room(1)],
+        demand('a', 4, workspace='t'),
+        demand('b', 1, workspace='t', due=1),
+        demand('c', 1, workspace='u', due=2),
+        allowances=allowances,
+    )
+    assert {job: len(found) for job, found in where(decisions).items()} == {
+        'a': 2,
+        'c': 1,
+    }
+
+
+LOWERED = (
+    (Resources(cpu_millis=1000), Resources(cpu_millis=5000)),
+    (Resources(memory_mb=100), Resources(memory_mb=300)),
+)
+
+
+@pytest.mark.parametrize(('maximum', 'used'), LOWERED)
+def test_lowered_limit_starts_nothing(maximum, used):
+    """Guards against starts while more runs than a lowered limit allows."""
+    allowances = {'t': limit_allowance(maximum, used)}
+    assert not decide(
+        [room(0)], demand(workspace='t'), allowances=allowances
+    ).placements
+
+
+def advised(**fields):
+    """Make a demand whose workers need tickets."""
+    return demand(**{'advised': True, 'count': 2, **fields})
+
+
+VALID = Millis(NOW + 1000)
+OLD = Millis(NOW - 1)
+ADVICE = (
+    ('never asked', advised(), [], {'w0', 'w1'}),
+    ('on its way', advised(asking=True), [], None),
+    ('valid', advised(judged=frozenset(('w0', 'w1')), tickets={'w1': VALID}),
+     ['w1', 'w1'], None),
+    ('too old', advised(judged=frozenset(('w0', 'w1')), tickets={'w1': OLD}),
+     [], {'w1'}),
+    ('none allowed', advised(judged=frozenset(('w0', 'w1'))), [], None),
+    ('new worker', advised(judged=frozenset(('w0',))), [], {'w1'}),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('wanted', 'placed', 'asked'),
+    [row[1:] for row in ADVICE],
+    ids=[row[0] for row in ADVICE],
+)
+def test_advice_comes_before_a_start(wanted, placed, asked):
+    """Guards against starts without a valid ticket, and needless questions."""
+    decisions = decide([room(0), room(1)], wanted)
+    assert where(decisions).get('j', []) == placed
+    wishes = [set(wish.workers) for wish in decisions.wishes]
+    assert wishes == ([] if asked is None else [asked])
+
+
+def test_room_is_held_while_a_ticket_is_renewed():
+    """Guards against lower work that takes the room of a better ranked gang."""
+    gang = advised(
+        judged=frozenset(('w0',)), tickets={'w0': OLD}, gang=True, count=4
+    )
+    decisions = decide([room(0)], gang, demand('small', priority=2))
+    assert not decisions.placements
+    assert decisions.waiting[gang.group_id] is WaitReason.OLD_TICKET
+
+
+@hypothesis.given(
+    frees=st.lists(st.integers(0, 4000), max_size=5),
+    wanted=st.lists(
+        st.tuples(
+            st.integers(1, 6),
+            st.integers(1, 3000),
+            st.booleans(),
+            st.integers(0, 2),
+            st.integers(0, 2),
+        ),
+        max_size=6,
+    ),
+    limit=st.integers(0, 8000),
+)
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_rounds_keep_room_limits_and_gangs(frees, wanted, limit):
+    """Guards against any mix of demands that overfills or splits a gang."""
+    rooms = [room(number, free) for number, free in enumerate(frees)]
+    demands = [
+        demand(
+            f'j{number}',
+            count,
+            gang=gang,
+            need=Resources(cpu_millis=cpu),
+            max_per_worker=apart,
+            priority=priority,
+            workspace='t',
+        )
+        for number, (count, cpu, gang, apart, priority) in enumerate(wanted)
+    ]
+    allowance = limit_allowance(Resources(cpu_millis=limit), NOTHING)
+    decisions = decide(rooms, *demands, allowances={'t': allowance})
+    by_group = {entry.group_id: entry for entry in demands}
+    used = {}
+    for placement in decisions.placements:
+        need = by_group[placement.group_id].need
+        used.setdefault(placement.worker_id, []).append(need)
+    for number, free in enumerate(frees):
+        assert total(used.get(f'w{number}', ())).cpu_millis <= free
+    spent = total(need for needs in used.values() for need in needs)
+    assert not limit or spent.cpu_millis <= limit
+    for entry in demands:
+        chosen = where(decisions).get(entry.group_id.job_id, [])
+        if entry.gang:
+            assert len(chosen) in {0, len(entry.indexes)}
+        if entry.max_per_worker:
+            most = max(map(chosen.count, chosen), default=0)
+            assert most <= entry.max_per_worker
--- /dev/null
+++ b/jayshore/store/mirror_test.py
@@ -0,0 +1,100 @@
+"""A copy of a prefix, under outages and a lost history."""
+
+import curio
+import pytest
+
+from jayshore.clock import Millis, MonotonicClock
+from jayshore.store.mirror import Mirror, MirrorObserver
+from standins.memorystore import MemoryStore
+
+
+class Copy(MirrorObserver):
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.values = {}
+
+    async def changed(self, key, entry):
+        if entry is None:
+            del self.values[key]
+        else:
+            self.values[key] = entry.value
+
+
+async def nothing(store):
+    """Change nothing."""
+
+
+async def forget(store):
+    """Forget the history after a removal that nobody has seen."""
+    store.trouble.down = True
+    await curio.sleep(0.02)
+    store.write('p/b', None)
+    store.forget_history()
+    store.trouble.down = False
+
+
+async def go_down(store):
+    """Be away for a moment."""
+    store.trouble.down = True
+    await curio.sleep(0.05)
+    store.write('p/b', None)
+    store.trouble.down = False
+
+
+@pytest.mark.parametrize('trouble', [nothing, forget, go_down])
+def test_copy_follows_the_store(trouble):
+    """Guards against a copy that keeps what is gone, or misses a change."""
+
+    async def scenario():
+        store = MemoryStore()
+        copy = Copy()
+        for key in ('p/a', 'p/b', 'q/c'):
+            store.write(key, '1')
+        mirror = Mirror(
+            store=store,
+            clock=MonotonicClock(),
+            prefix='p/',
+            observer=copy,
+            wait_ms=Millis(50),
+        )
+        assert mirror.age_ms is None
+        await curio.spawn(mirror.run, daemon=True)
+        await mirror.wait_loaded()
+        assert copy.values == {'p/a': '1', 'p/b': '1'}
+        await trouble(store)
+        store.write('p/a', '2')
+        store.write('p/d', '3')
+        async with curio.timeout_after(3):
+            while copy.values != store.values('p/'):
+                await curio.sleep(0.01)
+        assert mirror.age_ms < 3000
+
+    curio.run(scenario)
+
+
+def test_removal_and_creation_between_two_answers():
+    """Guards against a key that is dropped because it was gone for a moment."""
+
+    async def scenario():
+        store = MemoryStore()
+        copy = Copy()
+        store.write('p/a', '1')
+        mirror = Mirror(
+            store=store,
+            clock=MonotonicClock(),
+            prefix='p/',
+            observer=copy,
+            wait_ms=Millis(500),
+            pause_ms=Millis(50),
+        )
+        await curio.spawn(mirror.run, daemon=True)
+        await mirror.wait_loaded()
+        store.write('p/b', '1')
+        await curio.sleep(0.01)
+        store.write('p/a', None)
+        store.write('p/a', '2')
+        await curio.sleep(0.2)
+        assert copy.values == {'p/a': '2', 'p/b': '1'}
+
+    curio.run(scenario)
