Leave workers that fail, stall or turn slow

Cause: a worker that failed all it started was always the tightest room and drew all work; tasks on a worker that stood still waited until it recovered.

Ruled out: moving slow runs more than once, as a wrong estimate then moves a task for ever (found by a test).

Change: evidence of jayshore.placement.health decides on quarantine and probes; runs without progress for 1.5 s, or three times slower than expected, are stopped and started elsewhere; a group prefers workers on which it has not failed. Inputs of rounds and answers to peers have files of their own.

--- a/jayshore/daemon/leading.py
+++ b/jayshore/daemon/leading.py
@@ -36,14 +36,14 @@
 from jayshore.placement.cell import Cell
 from jayshore.placement.estimates import Estimates
 from jayshore.placement.health import WorkerHealth
-from jayshore.store.instances import Instance, InstanceKind, InstanceList
-from jayshore.store.settling import WriteSettler
-from jayshore.store.store import Store
 from jayshore.quota.grants import Owner
 from jayshore.quota.keeper import GrantKeeper
 from jayshore.quota.ledger import DomainLedger
 from jayshore.routing.policy import RoutingPolicy
 from jayshore.routing.router import Router
+from jayshore.store.instances import Instance, InstanceKind, InstanceList
+from jayshore.store.settling import WriteSettler
+from jayshore.store.store import Store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -28,10 +28,10 @@
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import HttpServer
 from jayshore.leases.leadership import Leadership
+from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.store.httpcalls import PlatformCaller
 from jayshore.store.httpstore import HttpInstanceList, HttpStore
 from jayshore.store.settling import WriteSettler
-from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.traffic import Traffic
 from jayshore.wire import messages as msg
 from jayshore.wire.server import PeerAddress, PeerServer, PeerServerLimits
--- a/jayshore/fleet/advising.py
+++ b/jayshore/fleet/advising.py
@@ -16,9 +16,9 @@
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis
 from jayshore.fleet.book import GroupEntry, Ticket
+from jayshore.fleet.demands import AdviceWish
 from jayshore.fleet.interfaces import Advice, AdviceUnavailable
 from jayshore.fleet.model import AdvicePolicy, GroupId
-from jayshore.fleet.placing import AdviceWish
 
 LONG_CALL_MS: Final = 60
 """Expected duration in ms from which a call counts as long."""
--- a/jayshore/fleet/book.py
+++ b/jayshore/fleet/book.py
@@ -63,6 +63,7 @@
         settled_at: when a start or a stop of the run was confirmed, on our
             clock; None while the order is on its way.
         confirmed: the worker is known to have run it.
+        moves: runs that were stopped since they were slow or stalled.
     """
 
     task_id: TaskId
@@ -74,6 +75,7 @@
     checkpoint: str = ''
     settled_at: Millis | None = None
     confirmed: bool = False
+    moves: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -104,6 +106,7 @@
         judged: workers on which advice was given.
         asking: advice has been asked for.
         failed_runs: runs of a gang that are counted as failed.
+        failed_on: workers on which a task failed.
         ready_at: when the group could first start, on our clock; None before.
     """
 
@@ -117,6 +120,7 @@
     judged: set[str] = dataclasses.field(default_factory=set)
     asking: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
+    failed_on: set[str] = dataclasses.field(default_factory=set)
     ready_at: Millis | None = None
 
     @property
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -16,7 +16,8 @@
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
 from jayshore.fleet.members import DEPLOYMENT, Membership
 from jayshore.fleet.model import FleetConfig, WorkerEntry
-from jayshore.fleet.peering import PeerHandler, Peers
+from jayshore.fleet.peerhandler import PeerHandler
+from jayshore.fleet.peering import Peers
 from jayshore.fleet.seat import LeaderSeat
 from jayshore.http.client import Address
 from jayshore.http.messages import Request, Response
--- /dev/null
+++ b/jayshore/fleet/peerhandler.py
@@ -0,0 +1,123 @@
+"""Answers the calls of the other instances of a deployment."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from jayshore.clock import Millis
+from jayshore.fleet.interfaces import AdviceService, AdviceUnavailable
+from jayshore.fleet.model import GroupId
+from jayshore.fleet.peering import (
+    ADVICE_PATH,
+    PENDING_PATH,
+    STATE_PATH,
+    STORE_PATH,
+    AdviceAnswer,
+    AdviceQuestion,
+    PendingAnswer,
+    PendingQuestion,
+    StateQuestion,
+    state_answer,
+)
+from jayshore.fleet.scheduler import Scheduler
+from jayshore.http.messages import (
+    InvalidJson,
+    Request,
+    Response,
+    decode_json,
+    error_response,
+    json_response,
+)
+from jayshore.http.server import Handler
+from jayshore.store.relay import StoreCall, execute
+from jayshore.store.transactions import TransactionStore
+
+
+class PeerHandler(Handler):
+    """Answers the calls of other instances."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Callable[[], Scheduler | None],
+        advice: AdviceService,
+        store: TransactionStore,
+        is_cut_off: Callable[[], bool],
+    ) -> None:
+        """Use the parts of this instance.
+
+        Args:
+            scheduler: None while this instance does not lead.
+            advice: the advice service.
+            store: reaches the store directly.
+            is_cut_off: tells whether the store did not answer this instance.
+        """
+        self._scheduler = scheduler
+        self._advice = advice
+        self._store = store
+        self._is_cut_off = is_cut_off
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call.
+
+        Args:
+            request: the call.
+
+        Returns:
+            The answer.
+        """
+        try:
+            return await self._answer(request)
+        except InvalidJson as error:
+            return error_response(
+                HTTPStatus.BAD_REQUEST, 'malformed', str(error)
+            )
+
+    async def _answer(self, request: Request) -> Response:
+        if request.path == ADVICE_PATH:
+            return await self._advise(decode_json(request.body, AdviceQuestion))
+        if request.path == STORE_PATH:
+            return await self._relay(
+                decode_json(request.body, StoreCall)  # type: ignore[arg-type]
+            )
+        scheduler = self._scheduler()
+        if scheduler is None:
+            return error_response(
+                HTTPStatus.CONFLICT, 'no_leader', 'this instance leads nothing'
+            )
+        if request.path == STATE_PATH:
+            asked = decode_json(request.body, StateQuestion)
+            return json_response(HTTPStatus.OK, state_answer(scheduler, asked))
+        if request.path == PENDING_PATH:
+            question = decode_json(request.body, PendingQuestion)
+            return json_response(
+                HTTPStatus.OK,
+                PendingAnswer(pending=scheduler.pending(question.queue)),
+            )
+        return error_response(HTTPStatus.NOT_FOUND, 'not_found', request.path)
+
+    async def _relay(self, call: StoreCall) -> Response:
+        if self._is_cut_off():
+            return error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'store_unavailable',
+                'cut off as well',
+            )
+        return json_response(HTTPStatus.OK, await execute(self._store, call))
+
+    async def _advise(self, question: AdviceQuestion) -> Response:
+        try:
+            advice = await self._advice.advise(
+                GroupId(*question.group),
+                question.workers,
+                Millis(question.timeout_ms),
+            )
+        except AdviceUnavailable as error:
+            return error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE, 'no_advice', str(error)
+            )
+        return json_response(
+            HTTPStatus.OK,
+            AdviceAnswer(
+                tickets=advice.tickets, validity_ms=advice.validity_ms
+            ),
+        )
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -6,7 +6,6 @@
 
 import abc
 import dataclasses
-from collections.abc import Callable
 
 from jayshore.clock import Millis
 from jayshore.fleet.advising import AdviceRelay
@@ -28,20 +27,15 @@
     Response,
     decode_json,
     encode_json,
-    error_response,
-    json_response,
 )
-from jayshore.http.server import Handler
 from jayshore.outcomes import JayshoreError
 from jayshore.store.relay import (
     StoreCall,
     StoreRelay,
     StoreReply,
     Watch,
-    execute,
 )
 from jayshore.store.store import StoreUnavailable, StoreUncertain
-from jayshore.store.transactions import TransactionStore
 
 STATE_PATH = '/v1/state'
 PENDING_PATH = '/v1/pending'
@@ -54,10 +48,6 @@
 _STORE_CALL_MS = Millis(1300)
 _STORE_ATTEMPTS = 3
 _STATUS_OK = 200
-_STATUS_BAD = 400
-_STATUS_NOT_FOUND = 404
-_STATUS_NOT_LEADING = 409
-_STATUS_UNAVAILABLE = 503
 
 
 class LeaderUnavailable(JayshoreError):
@@ -160,91 +150,6 @@
         """  # noqa: DAR401 raised by implementations
 
 
-class PeerHandler(Handler):
-    """Answers the calls of other instances."""
-
-    def __init__(
-        self,
-        *,
-        scheduler: Callable[[], Scheduler | None],
-        advice: AdviceService,
-        store: TransactionStore,
-        is_cut_off: Callable[[], bool],
-    ) -> None:
-        """Use the parts of this instance.
-
-        Args:
-            scheduler: None while this instance does not lead.
-            advice: the advice service.
-            store: reaches the store directly.
-            is_cut_off: tells whether the store did not answer this instance.
-        """
-        self._scheduler = scheduler
-        self._advice = advice
-        self._store = store
-        self._is_cut_off = is_cut_off
-
-    async def handle(self, request: Request) -> Response:
-        """Answer a call.
-
-        Args:
-            request: the call.
-
-        Returns:
-            The answer.
-        """
-        try:
-            return await self._answer(request)
-        except InvalidJson as error:
-            return error_response(_STATUS_BAD, 'malformed', str(error))
-
-    async def _answer(self, request: Request) -> Response:
-        if request.path == ADVICE_PATH:
-            return await self._advise(decode_json(request.body, AdviceQuestion))
-        if request.path == STORE_PATH:
-            return await self._relay(
-                decode_json(request.body, StoreCall)  # type: ignore[arg-type]
-            )
-        scheduler = self._scheduler()
-        if scheduler is None:
-            return error_response(
-                _STATUS_NOT_LEADING, 'no_leader', 'this instance leads nothing'
-            )
-        if request.path == STATE_PATH:
-            asked = decode_json(request.body, StateQuestion)
-            return json_response(_STATUS_OK, state_answer(scheduler, asked))
-        if request.path == PENDING_PATH:
-            question = decode_json(request.body, PendingQuestion)
-            return json_response(
-                _STATUS_OK,
-                PendingAnswer(pending=scheduler.pending(question.queue)),
-            )
-        return error_response(_STATUS_NOT_FOUND, 'not_found', request.path)
-
-    async def _relay(self, call: StoreCall) -> Response:
-        if self._is_cut_off():
-            return error_response(
-                _STATUS_UNAVAILABLE, 'store_unavailable', 'cut off as well'
-            )
-        return json_response(_STATUS_OK, await execute(self._store, call))
-
-    async def _advise(self, question: AdviceQuestion) -> Response:
-        try:
-            advice = await self._advice.advise(
-                GroupId(*question.group),
-                question.workers,
-                Millis(question.timeout_ms),
-            )
-        except AdviceUnavailable as error:
-            return error_response(_STATUS_UNAVAILABLE, 'no_advice', str(error))
-        return json_response(
-            _STATUS_OK,
-            AdviceAnswer(
-                tickets=advice.tickets, validity_ms=advice.validity_ms
-            ),
-        )
-
-
 class Peers(AdviceRelay, StoreRelay, LeaderLink):
     """Calls the other instances."""
 
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -6,12 +6,18 @@
 ranked gangs that find none keep workers free of lower ranked work.
 """
 
-import dataclasses
-import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final
 
 from jayshore.clock import Millis
+from jayshore.fleet.demands import (
+    AdviceWish,
+    Decisions,
+    Demand,
+    Placement,
+    Room,
+    WaitReason,
+)
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.ranking import Rank, Standing
 from jayshore.resources import NOTHING, Resources
@@ -28,126 +34,6 @@
 _UNLIMITED: Final = 1 << 60
 
 
-class WaitReason(enum.StrEnum):
-    """Why tasks do not start."""
-
-    NO_WORKER = 'no_worker'
-    NO_ADVICE = 'no_advice'
-    NOT_ADVISED = 'not_advised'
-    LIMIT = 'limit'
-    NO_ROOM = 'no_room'
-    OLD_TICKET = 'old_ticket'
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Room:
-    """What is free at a worker; a round uses it up.
-
-    Attributes:
-        worker_id: the worker.
-        service: whose tasks it runs.
-        rack: rack, empty when unknown.
-        labels: all labels.
-        capacity: what it holds when nothing runs.
-        free: what is free.
-        kept_by: rank of the gang for which it is kept free.
-    """
-
-    worker_id: str
-    service: str
-    rack: str
-    labels: frozenset[str]
-    capacity: Resources
-    free: Resources
-    kept_by: GroupId | None = None
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Demand:
-    """Waiting tasks of a group.
-
-    Attributes:
-        group_id: the group.
-        rank: its place in the order.
-        indexes: positions of the waiting tasks.
-        need: what one task takes.
-        service: whose workers run it.
-        workspace: its owner, empty for none.
-        gang: all or none.
-        same_rack: on one rack if possible.
-        required_label: label that a worker must have, empty for any.
-        data_rack: preferred rack, empty for none.
-        max_per_worker: tasks of the group on one worker, 0 for any number.
-        placed: tasks of the group by worker.
-        advised: the workers need a ticket.
-        tickets: end of validity by worker, on the leader's clock.
-        judged: workers on which advice was given.
-        asking: advice is on its way.
-    """
-
-    group_id: GroupId
-    rank: Rank
-    indexes: tuple[int, ...]
-    need: Resources
-    service: str
-    workspace: str = ''
-    gang: bool = False
-    same_rack: bool = False
-    required_label: str = ''
-    data_rack: str = ''
-    max_per_worker: int = 0
-    placed: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    advised: bool = False
-    tickets: Mapping[str, Millis] = dataclasses.field(default_factory=dict)
-    judged: frozenset[str] = frozenset()
-    asking: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Placement:
-    """A task that starts.
-
-    Attributes:
-        group_id: its group.
-        index: its position in the group.
-        worker_id: where.
-    """
-
-    group_id: GroupId
-    index: int
-    worker_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AdviceWish:
-    """Advice that is needed before tasks can start.
-
-    Attributes:
-        group_id: the group.
-        rank: its place in the order.
-        workers: workers to judge.
-    """
-
-    group_id: GroupId
-    rank: Rank
-    workers: tuple[str, ...]
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Decisions:
-    """The result of a round.
-
-    Attributes:
-        placements: tasks that start.
-        wishes: advice to ask for, best ranked first.
-        waiting: why tasks of a group do not start.
-    """
-
-    placements: list[Placement] = dataclasses.field(default_factory=list)
-    wishes: list[AdviceWish] = dataclasses.field(default_factory=list)
-    waiting: dict[GroupId, WaitReason] = dataclasses.field(default_factory=dict)
-
-
 class PlacementRound:
     """One round over all demands."""
 
@@ -282,6 +168,8 @@
                 and need.fits_in(room.free)
             ),
             key=lambda room: (
+                room.worker_id in demand.failed_on,
+                room.doubt,
                 room.rack != demand.data_rack if demand.data_rack else False,
                 room.free.cpu_millis,
                 room.worker_id,
@@ -371,10 +259,13 @@
         room.service == demand.service
         and (not demand.required_label or demand.required_label in room.labels)
         and demand.need.fits_in(room.capacity)
+        and not (room.probe and demand.gang)
     )
 
 
 def _seat_limit(room: Room, demand: Demand) -> int:
+    if room.probe:
+        return 1
     if not demand.max_per_worker:
         return len(demand.indexes)
     placed = demand.placed.get(room.worker_id, 0)
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -7,14 +7,9 @@
 from hypothesis import strategies as st
 
 from jayshore.clock import Millis
+from jayshore.fleet.demands import Demand, Room, WaitReason
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.placing import (
-    Demand,
-    PlacementRound,
-    Room,
-    WaitReason,
-    limit_allowance,
-)
+from jayshore.fleet.placing import PlacementRound, limit_allowance
 from jayshore.fleet.ranking import Rank, Standing
 from jayshore.resources import NOTHING, Resources, total
 
--- /dev/null
+++ b/jayshore/fleet/progress_test.py
@@ -0,0 +1,56 @@
+"""Runs that stand still or are slow."""
+
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.model import TaskId
+from jayshore.fleet.progress import Pace, ProgressWatch, Sample
+
+TASK = TaskId('j', 0, 0, 0)
+ESTIMATE = Millis(2000)
+
+
+def play(percents, step_ms=500, *, gang=False, runs=None, moves=0):
+    """List a run every `step_ms`; returns the last finding."""
+    watch = ProgressWatch()
+    found = []
+    for number, percent in enumerate(percents):
+        run = runs[number] if runs else 1
+        sample = Sample(
+            task=TASK,
+            run=run,
+            percent=percent,
+            estimate_ms=ESTIMATE,
+            gang=gang,
+            moves=moves,
+        )
+        found = watch.note([sample], Millis(number * step_ms))
+    return found
+
+
+STORIES = (
+    ('as expected', (0, 25, 50, 75), {}, []),
+    ('twice as long', (0, 12, 25, 37, 50), {}, []),
+    ('six times as long', (0, 4, 8, 12, 16), {}, [(TASK, Pace.SLOW)]),
+    ('slow and nearly done', (80, 84, 88, 92, 96), {}, []),
+    ('stands still', (30, 30, 30, 30), {}, [(TASK, Pace.STALLED)]),
+    ('stood still', (30, 30, 30, 60), {}, []),
+    ('a gang waits', (0, 0, 0, 0), {'gang': True}, []),
+    ('a gang stands still', (9, 9, 9, 9, 9, 9), {'gang': True},
+     [(TASK, Pace.STALLED)]),
+    ('slow everywhere', (0, 4, 8, 12, 16), {'moves': 1}, []),
+    ('stands still elsewhere', (30, 30, 30, 30), {'moves': 1},
+     [(TASK, Pace.STALLED)]),
+    ('stands still everywhere', (30, 30, 30, 30), {'moves': 3}, []),
+    ('another run', (30, 30, 30, 0), {'runs': (1, 1, 1, 2)}, []),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('percents', 'fields', 'found'),
+    [row[1:] for row in STORIES],
+    ids=[row[0] for row in STORIES],
+)
+def test_pace_of_a_run(percents, fields, found):
+    """Guards against work that waits behind a hang, and needless moves."""
+    assert play(percents, **fields) == found
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -5,30 +5,33 @@
 
 from jayshore.clock import Millis
 from jayshore.fleet.book import Book, GroupEntry, Phase
+from jayshore.fleet.demands import Decisions, Demand, Room
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, Queue
-from jayshore.fleet.placing import (
-    Decisions,
-    Demand,
-    PlacementRound,
-    Room,
-    limit_allowance,
-)
+from jayshore.fleet.placing import PlacementRound, limit_allowance
 from jayshore.fleet.ranking import rank_group
 from jayshore.fleet.sessions import WorkerSession
+from jayshore.placement.health import FAILURE_PARTS, WorkerHealth
 from jayshore.resources import Resources
 
+_DOUBT_STEP = FAILURE_PARTS // 4
+"""Quarters, so that one failure among many successes does not matter."""
+
 
 class RoundMaker:
     """Makes placement rounds."""
 
-    def __init__(self, *, book: Book, ledger: Ledger) -> None:
+    def __init__(
+        self, *, book: Book, ledger: Ledger, health: WorkerHealth
+    ) -> None:
         """Use the leader's memory.
 
         Args:
             book: the jobs.
             ledger: what runs.
+            health: evidence of workers that fail what they start.
         """
+        self._health = health
         self._book = book
         self._ledger = ledger
 
@@ -55,7 +58,11 @@
         if not demands:
             return Decisions()
         return PlacementRound(
-            rooms=[self._room(session) for session in sessions],
+            rooms=[
+                self._room(session)
+                for session in sessions
+                if self._may_use(session.entry.worker_id, now)
+            ],
             allowances={
                 workspace.name: limit_allowance(
                     workspace.maximum, self._ledger.used_by(workspace.name)
@@ -110,21 +117,30 @@
             },
             judged=frozenset(group.judged),
             asking=group.asking,
+            failed_on=frozenset(group.failed_on),
         )
 
+    def _may_use(self, worker_id: str, now: Millis) -> bool:
+        return not self._health.is_quarantined(
+            worker_id
+        ) or self._health.take_probe(worker_id, now)
+
     def _room(self, session: WorkerSession) -> Room:
         entry = session.entry
+        worker_id = entry.worker_id
         return Room(
-            worker_id=entry.worker_id,
+            worker_id=worker_id,
             service=entry.service,
             rack=entry.rack,
             labels=entry.labels,
             capacity=entry.capacity,
             free=_at_least_nothing(
                 entry.capacity
-                - self._ledger.used_at(entry.worker_id)
+                - self._ledger.used_at(worker_id)
                 - session.unwanted
             ),
+            doubt=self._health.failed_part(worker_id) // _DOUBT_STEP,
+            probe=self._health.is_quarantined(worker_id),
         )
 
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -1,6 +1,6 @@
 """What happened to runs: takes over what workers list, and records it."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 
 import eliot
@@ -15,6 +15,7 @@
     TaskEntry,
     expire_ticket,
 )
+from jayshore.fleet.demands import Placement
 from jayshore.fleet.interfaces import (
     EndedTask,
     EndKind,
@@ -25,7 +26,7 @@
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import Orders
-from jayshore.fleet.placing import Placement
+from jayshore.fleet.progress import Sample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.fleet.transitions import (
@@ -34,6 +35,7 @@
     end_run,
     lose_run,
 )
+from jayshore.placement.health import WorkerHealth
 from jayshore.resources import total
 from jayshore.store.journal import Journal
 
@@ -51,6 +53,7 @@
         ledger: Ledger,
         journal: Journal,
         orders: Orders,
+        health: WorkerHealth,
         queue_of: Callable[[JobEntry], Queue],
     ) -> None:
         """Use the leader's memory.
@@ -61,6 +64,7 @@
             ledger: what takes room.
             journal: makes progress durable.
             orders: reach the workers.
+            health: evidence of workers that fail what they start.
             queue_of: tells the queue of a job as it is now.
         """
         self._clock = clock
@@ -68,6 +72,7 @@
         self._ledger = ledger
         self._journal = journal
         self._orders = orders
+        self._health = health
         self._queue_of = queue_of
 
     def place(self, placements: list[Placement]) -> None:
@@ -102,12 +107,12 @@
         for ended in inventory.ended:
             if session.note_end(ended.number):
                 await self._take_end(session, ended)
-        listed = set()
+        listed: dict[TaskEntry, RunningTask] = {}
         unwanted = []
         for running in inventory.running:
             task = self._book.find(running.task)
             if task is not None and _is_run(task, running.run, session):
-                listed.add(task)
+                listed[task] = running
                 await self._confirm(task, running.checkpoint)
             elif running.task is not None:
                 unwanted.append(running)
@@ -115,6 +120,7 @@
                     session, running.task, running.run
                 )
         self._count_unwanted(session, unwanted)
+        await self._leave_slow_worker(session, listed)
         for absent in self._ledger.tasks_at(session.entry.worker_id):
             if absent not in listed and _is_over(absent, asked_at):
                 await self.lose(absent)
@@ -205,6 +211,7 @@
             await recorded()
             return
         self._ledger.release(task)
+        self._judge(task, ended.kind)
         if ended.checkpoint and task.group.shape.checkpoints:
             task.checkpoint = ended.checkpoint
         entry = task.group.job
@@ -215,6 +222,51 @@
         await self._follow(entry, consequence)
         self._record(entry, recorded)
 
+    def _judge(self, task: TaskEntry, kind: EndKind) -> None:
+        """Take an end as evidence for or against its worker."""
+        if kind is EndKind.DONE:
+            self._health.succeeded(task.worker)
+        elif kind is EndKind.FAILED:
+            task.group.failed_on.add(task.worker)
+            self._health.failed(
+                task.worker, task.task_id.job_id, self._clock.now()
+            )
+
+    async def _leave_slow_worker(
+        self, session: WorkerSession, listed: Mapping[TaskEntry, RunningTask]
+    ) -> None:
+        """Stop runs that stand still or are far too slow, to run elsewhere."""
+        samples = [
+            Sample(
+                task=task.task_id,
+                run=task.run,
+                percent=running.percent,
+                estimate_ms=task.group.shape.estimate_ms,
+                gang=task.group.shape.gang,
+                moves=task.moves,
+            )
+            for task, running in listed.items()
+            if task.phase is Phase.RUNNING and not task.group.shape.long_running
+        ]
+        now = self._clock.now()
+        for name, pace in session.progress.note(samples, now):
+            slow = self._book.find(name)
+            if slow is None or slow.phase is not Phase.RUNNING:
+                continue
+            eliot.log_message(
+                'task:slow',
+                task=format_task_id(name),
+                run=slow.run,
+                worker=slow.worker,
+                pace=pace.value,
+                percent=listed[slow].percent,
+            )
+            slow.moves += 1
+            slow.group.failed_on.add(slow.worker)
+            if not slow.group.shape.gang:
+                self._health.failed(slow.worker, name.job_id, now)
+            await self._orders.stop(slow)
+
     def _count_unwanted(
         self, session: WorkerSession, unwanted: list[RunningTask]
     ) -> None:
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -4,6 +4,7 @@
 an end before the worker is told to forget it and before a caller is told of it.
 """
 
+import random
 from collections.abc import Callable, Mapping
 
 import curio
@@ -29,6 +30,7 @@
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
 from jayshore.fleet.waits import WaitLog
 from jayshore.fleet.weights import WeightMeter
+from jayshore.placement.health import WorkerHealth
 from jayshore.store.journal import Journal
 
 _ROUND_MS = Millis(15)
@@ -73,7 +75,10 @@
         self._inherited_until = surely_over_at(clock.now(), MAX_LEASE_MS)
         self._book = Book()
         self._ledger = Ledger()
-        self._rounds = RoundMaker(book=self._book, ledger=self._ledger)
+        health = WorkerHealth(source=random.Random())  # noqa: S311 jitter
+        self._rounds = RoundMaker(
+            book=self._book, ledger=self._ledger, health=health
+        )
         self._orders = Orders(clock=clock, ledger=self._ledger, observer=self)
         self._runs = Runs(
             clock=clock,
@@ -81,6 +86,7 @@
             ledger=self._ledger,
             journal=journal,
             orders=self._orders,
+            health=health,
             queue_of=self._queue_of,
         )
         self._advisor = Advisor(relay=relay, clock=clock, changed=self._touch)
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -15,6 +15,7 @@
 )
 from jayshore.fleet.leasing import WorkerLease
 from jayshore.fleet.model import WorkerEntry
+from jayshore.fleet.progress import ProgressWatch
 from jayshore.resources import NOTHING
 
 WAIT_MS = Millis(1000)
@@ -67,6 +68,7 @@
         listed: the worker is registered.
         over: the session has ended.
         unwanted: what runs there that no ledger counts.
+        progress: of the runs there.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.listed = True
         self.over = False
         self.unwanted = NOTHING
+        self.progress = ProgressWatch()
         self._entry = entry
         self._connector = connector
         self._client = connector.connect(entry)
--- a/jayshore/fleet/waits.py
+++ b/jayshore/fleet/waits.py
@@ -6,8 +6,8 @@
 import eliot
 
 from jayshore.clock import Millis
+from jayshore.fleet.demands import WaitReason
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.placing import WaitReason
 
 _SILENT_MS: Final = Millis(1500)
 """How long a reason holds before it is logged, in ms.
--- a/jayshore/jobs/acceptance.py
+++ b/jayshore/jobs/acceptance.py
@@ -26,6 +26,7 @@
     SubmitOutcome,
     Unconfirmed,
 )
+from jayshore.resources import Resources
 from jayshore.store.settling import Write, WriteSettler, new_write_id
 from jayshore.store.store import (
     MUST_NOT_EXIST,
@@ -35,7 +36,6 @@
     StoreUnavailable,
     Written,
 )
-from jayshore.resources import Resources
 
 _ID_BYTES = 16
 _RETRY_AFTER_MS = Millis(1000)
--- a/jayshore/jobs/context.py
+++ b/jayshore/jobs/context.py
@@ -11,8 +11,8 @@
 from jayshore.jobs.record import JobRecord
 from jayshore.placement.decisions import Headroom
 from jayshore.placement.estimates import Estimates
-from jayshore.store.settling import new_write_id
 from jayshore.resources import Resources
+from jayshore.store.settling import new_write_id
 
 
 class TeamLedger(Headroom):
--- a/jayshore/jobs/grantbook.py
+++ b/jayshore/jobs/grantbook.py
@@ -2,12 +2,6 @@
 
 from collections.abc import Mapping
 
-from jayshore.store.store import (
-    Entry,
-    Store,
-    StoreError,
-)
-from jayshore.store.store import Written as StoreWritten
 from jayshore.quota.grants import (
     GrantRecord,
     decode_grants,
@@ -22,6 +16,12 @@
     WriteOutcome,
     Written,
 )
+from jayshore.store.store import (
+    Entry,
+    Store,
+    StoreError,
+)
+from jayshore.store.store import Written as StoreWritten
 
 GRANT_PREFIX = 'grants/'
 
--- a/jayshore/jobs/grants_test.py
+++ b/jayshore/jobs/grants_test.py
@@ -12,6 +12,10 @@
 from jayshore.jobs.attempts import AttemptTable
 from jayshore.jobs.grantbook import StoredGrantBook
 from jayshore.jobs.grants import GrantedLedger, GrantRounds
+from jayshore.quota.grants import Owner
+from jayshore.quota.keeper import GrantKeeper, GrantStoreError
+from jayshore.quota.ledger import DomainLedger
+from jayshore.resources import Resources
 from jayshore.store.store import (
     Conflict,
     Entry,
@@ -19,10 +23,6 @@
     StoreError,
     Written,
 )
-from jayshore.quota.grants import Owner
-from jayshore.quota.keeper import GrantKeeper, GrantStoreError
-from jayshore.quota.ledger import DomainLedger
-from jayshore.resources import Resources
 
 TEAM = 'fenland'
 ONE_REQUEST = Resources(requests=1)
--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -26,6 +26,7 @@
 
 _POLL_MS = Millis(2)
 _CLOCK_START_MS = 10_000
+_WHOLE = 100
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -212,7 +213,7 @@
                     name=format_task_id(run.task),
                     run=run.run,
                     checkpoint='',
-                    percent=100,
+                    percent=self._percent(run),
                 )
                 for run in self.running
             ),
@@ -255,6 +256,12 @@
                 lapsed = ends_at == lapses_at
                 self._end(run, self._kind(lapsed=lapsed), ends_at)
 
+    def _percent(self, run: RunEntry) -> int:
+        if self.trouble.hang:
+            return 0
+        age = self._clock.now() - run.started_at
+        return min(_WHOLE, _WHOLE * age // max(1, self._run_ms(run.task)))
+
     def _kind(self, *, lapsed: bool) -> EndKind:
         if lapsed:
             return EndKind.LAPSED
--- a/tests/fleet_test.py
+++ b/tests/fleet_test.py
@@ -493,6 +493,54 @@
     play(scenario)
 
 
+def test_wrong_estimate_moves_a_task_once():
+    """Guards against work that is moved for ever, since it takes longer."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(2500)) as fleet:
+            job = make_job(make_group(1, estimate_ms=Millis(10)))
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            check_runs(fleet, [job])
+            assert len(fleet.runs()) == 2
+
+    play(scenario)
+
+
+def test_hanging_worker_is_left():
+    """Guards against tasks that wait for a worker that stands still."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(400), workers=2) as fleet:
+            fleet.workers['w0'].trouble.hang = True
+            jobs = [make_job(make_group(2)) for _ in range(3)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED)
+            check_runs(fleet, jobs)
+
+    play(scenario)
+
+
+def test_failing_worker_does_not_draw_all_work():
+    """Guards against a worker that fails at once and is always the tightest."""
+
+    async def scenario():
+        config = dataclasses.replace(
+            CONFIG, queues=(dataclasses.replace(QUEUE, max_attempts=2),)
+        )
+        async with running_fleet(config=config) as fleet:
+            fleet.workers['w0'].trouble.fail_all = True
+            jobs = [make_job(make_group(1)) for _ in range(20)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED)
+            failed = [
+                run for run, _ in fleet.runs() if run.kind is EndKind.FAILED
+            ]
+            assert len(failed) <= 6
+
+    play(scenario)
+
+
 def test_unknown_run_is_stopped():
     """Guards against runs that no job owns and that take room for ever."""
 
