Give the test of a silent worker a right estimate

Change: the job of the test states its duration.

Measured: 1 passed; with the wrong estimate kinds were stopped, done and lapsed.

--- a/tests/fleet_test.py
+++ b/tests/fleet_test.py
@@ -480,7 +480,7 @@
 
     async def scenario():
         async with running_fleet(run_ms=Millis(2500), workers=2) as fleet:
-            job = make_job(make_group(2))
+            job = make_job(make_group(2, estimate_ms=Millis(2500)))
             await fleet.submit(job)
             await wait_for(lambda: len(fleet.runs()) == 2, 'runs')
             for worker in fleet.workers.values():
