Serve metrics, explain jobs from logs, ask for advice on some workers

Cause: nothing but log lines showed what an instance does, and nobody could read them for one job. On the grown deployment all advice was refused, as calls named 176 workers and the service takes 100.

Change: prometheus metrics on the inner address; jayshore explain ID tells a job's story from the log files of all instances; advice is asked on 24 to 80 workers, the emptiest first, and on further ones when those are full; members of gangs are not moved for being slow, others from four times their estimate.

--- a/jayshore/cli/main.py
+++ b/jayshore/cli/main.py
@@ -12,6 +12,7 @@
     apply,
     cancel,
     check,
+    explain,
     new_key,
     report,
     status,
@@ -35,7 +36,17 @@
 
 Connect: TypeAlias = Callable[[ConnectionSettings], DaemonClient]
 
-_MODULES = (check, apply, status, submit, wait, cancel, report, new_key)
+_MODULES = (
+    check,
+    apply,
+    status,
+    submit,
+    wait,
+    cancel,
+    report,
+    explain,
+    new_key,
+)
 
 
 def main() -> None:
--- a/jayshore/fleet/configuration.py
+++ b/jayshore/fleet/configuration.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, Queue, Workspace
 from jayshore.outcomes import JayshoreError
 from jayshore.store.mirror import MirrorObserver
@@ -25,16 +26,22 @@
     """
 
     def __init__(
-        self, *, key: str, decode: Callable[[str], FleetConfig]
+        self,
+        *,
+        key: str,
+        decode: Callable[[str], FleetConfig],
+        metrics: FleetMetrics,
     ) -> None:
         """Start without a version.
 
         Args:
             key: of the configuration in the store.
             decode: decodes its value, or raises `InvalidConfig`.
+            metrics: shows the version.
         """
         self._key = key
         self._decode = decode
+        self._metrics = metrics
         self._config = NO_CONFIG
         self._owners: dict[str, Workspace] = {}
         self._routes: dict[str, list[Queue]] = {}
@@ -97,6 +104,7 @@
 
     def _use(self, config: FleetConfig) -> None:
         self._config = config
+        self._metrics.config_version.set(config.version)
         self._owners = {
             key: workspace
             for workspace in config.workspaces
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -15,9 +15,11 @@
 from jayshore.fleet.desk import Desk
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
 from jayshore.fleet.members import DEPLOYMENT, Membership
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, WorkerEntry
 from jayshore.fleet.peerhandler import PeerHandler
 from jayshore.fleet.peering import Peers
+from jayshore.fleet.scheduler import LeaderParts
 from jayshore.fleet.seat import LeaderSeat
 from jayshore.http.client import Address
 from jayshore.http.messages import Request, Response
@@ -75,6 +77,7 @@
         worker_prefix: start of the keys of registrations of workers.
         decode_worker: decodes the id and the value of a registration.
         make_front: makes what answers callers.
+        count_dropped_lines: number of log lines that were dropped.
     """
 
     store: TransactionStore
@@ -85,6 +88,7 @@
     worker_prefix: str
     decode_worker: Callable[[str, str], WorkerEntry | None]
     make_front: Callable[['FrontParts'], Handler]
+    count_dropped_lines: Callable[[], float]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -95,11 +99,13 @@
         desk: accepts jobs.
         config: the configuration in force.
         is_fresh: tells whether it may be acted on.
+        metrics: counts the calls.
     """
 
     desk: Desk
     config: ConfigHolder
     is_fresh: Callable[[], bool]
+    metrics: FleetMetrics
 
 
 class ReadinessHandler(Handler):
@@ -140,14 +146,20 @@
             surroundings: what the adapter provides.
         """
         clock = BootClock()
+        metrics = FleetMetrics()
         peers = Peers(name=settings.name, advice=surroundings.advice)
         store = RelayedStore(
-            direct=surroundings.store, relay=peers, clock=clock
+            direct=surroundings.store,
+            relay=peers,
+            clock=clock,
+            observer=metrics,
         )
         self._settings = settings
         self._draining = False
         self._holder = ConfigHolder(
-            key=surroundings.config_key, decode=surroundings.decode_config
+            key=surroundings.config_key,
+            decode=surroundings.decode_config,
+            metrics=metrics,
         )
         self._config_mirror = Mirror(
             store=store,
@@ -165,11 +177,14 @@
         peers.attach(self._membership)
         self._seat = LeaderSeat(
             store=store,
-            clock=clock,
-            wall_clock=WallClock(),
-            connector=surroundings.connector,
-            relay=peers,
-            config=lambda: self._holder.config,
+            parts=LeaderParts(
+                clock=clock,
+                wall_clock=WallClock(),
+                connector=surroundings.connector,
+                relay=peers,
+                config=lambda: self._holder.config,
+                metrics=metrics,
+            ),
             worker_prefix=surroundings.worker_prefix,
             decode_worker=surroundings.decode_worker,
         )
@@ -196,7 +211,10 @@
             settings.front,
             surroundings.make_front(
                 FrontParts(
-                    desk=desk, config=self._holder, is_fresh=self._is_fresh
+                    desk=desk,
+                    config=self._holder,
+                    is_fresh=self._is_fresh,
+                    metrics=metrics,
                 )
             ),
             settings.max_connections,
@@ -208,9 +226,25 @@
                 advice=surroundings.advice,
                 store=surroundings.store,
                 is_cut_off=lambda: store.cut_off,
+                metrics=metrics,
             ),
             settings.max_connections,
         )
+        metrics.watch(
+            'jayshore_config_age_seconds',
+            'Age of what the store said of the configuration; -1 for never.',
+            self._config_age_s,
+        )
+        metrics.watch(
+            'jayshore_store_lost_seconds',
+            'How long the store has not answered this instance.',
+            lambda: to_seconds(store.lost_for_ms),
+        )
+        metrics.watch(
+            'jayshore_log_lines_dropped',
+            'Log lines that nobody read in time.',
+            surroundings.count_dropped_lines,
+        )
         self._readiness = _server(
             settings.readiness,
             ReadinessHandler(is_ready=self._is_ready),
@@ -261,6 +295,10 @@
         age = self._config_mirror.age_ms
         return age is not None and age < FRESH_MS
 
+    def _config_age_s(self) -> float:
+        age = self._config_mirror.age_ms
+        return -1 if age is None else to_seconds(age)
+
     def _is_ready(self) -> bool:
         return (
             not self._draining
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -22,6 +22,7 @@
     WorkerUnreachable,
 )
 from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import TaskId, format_task_id
 from jayshore.fleet.sessions import WorkerSession
 
@@ -58,7 +59,12 @@
     """Sends the orders of one leader."""
 
     def __init__(
-        self, *, clock: Clock, ledger: Ledger, observer: OrderObserver
+        self,
+        *,
+        clock: Clock,
+        ledger: Ledger,
+        observer: OrderObserver,
+        metrics: FleetMetrics,
     ) -> None:
         """Start without orders.
 
@@ -66,7 +72,9 @@
             clock: our clock.
             ledger: tells which tasks still take room.
             observer: is told of outcomes.
+            metrics: counts the starts.
         """
+        self._metrics = metrics
         self._clock = clock
         self._ledger = ledger
         self._observer = observer
@@ -158,6 +166,7 @@
         if not _is_starting(task, run):
             return
         if answer.result is StartResult.STARTED:
+            self._metrics.count_start(StartResult.STARTED)
             task.phase = Phase.RUNNING
             task.confirmed = True
             task.settled_at = self._clock.now()
--- a/jayshore/fleet/peerhandler.py
+++ b/jayshore/fleet/peerhandler.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from prometheus_client import CONTENT_TYPE_LATEST
+
 from jayshore.clock import Millis
 from jayshore.fleet.interfaces import AdviceService, AdviceUnavailable
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.peering import (
     ADVICE_PATH,
@@ -31,6 +34,8 @@
 from jayshore.store.relay import StoreCall, execute
 from jayshore.store.transactions import TransactionStore
 
+METRICS_PATH = '/metrics'
+
 
 class PeerHandler(Handler):
     """Answers the calls of other instances."""
@@ -42,6 +47,7 @@
         advice: AdviceService,
         store: TransactionStore,
         is_cut_off: Callable[[], bool],
+        metrics: FleetMetrics,
     ) -> None:
         """Use the parts of this instance.
 
@@ -50,11 +56,13 @@
             advice: the advice service.
             store: reaches the store directly.
             is_cut_off: tells whether the store did not answer this instance.
+            metrics: served to whoever scrapes them.
         """
         self._scheduler = scheduler
         self._advice = advice
         self._store = store
         self._is_cut_off = is_cut_off
+        self._metrics = metrics
 
     async def handle(self, request: Request) -> Response:
         """Answer a call.
@@ -73,6 +81,12 @@
             )
 
     async def _answer(self, request: Request) -> Response:
+        if request.path == METRICS_PATH:
+            return Response(
+                status=HTTPStatus.OK,
+                headers=(('content-type', CONTENT_TYPE_LATEST),),
+                body=self._metrics.render(),
+            )
         if request.path == ADVICE_PATH:
             return await self._advise(decode_json(request.body, AdviceQuestion))
         if request.path == STORE_PATH:
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -6,6 +6,7 @@
 ranked gangs that find none keep workers free of lower ranked work.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -31,6 +32,19 @@
 _MAX_KEPT_SHARE: Final = 0.4
 """Share of the workers that may be kept free for gangs that wait."""
 
+_MIN_ASKED: Final = 24
+"""Workers on which advice is asked at least, if there are as many."""
+
+_MAX_ASKED: Final = 80
+"""Workers on which advice is asked at once; the service takes up to 100."""
+
+_ASKED_PER_WORKER_NEEDED: Final = 10
+"""Workers to ask for each one that the group would fill when empty.
+
+The service allows a third of the workers for the widest groups, and on a busy
+fleet a quarter of a worker is free.
+"""
+
 _UNLIMITED: Final = 1 << 60
 
 
@@ -84,7 +98,7 @@
             return WaitReason.NO_WORKER
         if demand.advised and not demand.judged:
             if not demand.asking:
-                self._wish(demand, [room.worker_id for room in usable])
+                self._wish(demand, _choose_asked(demand, usable))
             return WaitReason.NO_ADVICE
         good = usable
         if demand.advised:
@@ -101,14 +115,15 @@
             self._keep_free(demand, good)
             self._ask_about_new(demand, usable)
             return WaitReason.NO_ROOM
-        complete = self._take(demand, seats, usable)
+        complete = self._take(demand, seats)
         if not complete:
             return WaitReason.OLD_TICKET
-        return None if len(seats) == wanted else WaitReason.NO_ROOM
+        if len(seats) == wanted:
+            return None
+        self._ask_about_new(demand, usable)
+        return WaitReason.NO_ROOM
 
-    def _take(
-        self, demand: Demand, seats: list[Room], usable: list[Room]
-    ) -> bool:
+    def _take(self, demand: Demand, seats: list[Room]) -> bool:
         """Use seats up, also those whose ticket has to be renewed first."""
         soon = self._now + TICKET_MARGIN_MS
         expired = {
@@ -119,7 +134,7 @@
         for _ in seats:
             self._charge(demand)
         if expired and not demand.asking:
-            self._wish(demand, [*demand.tickets, *_unjudged(demand, usable)])
+            self._wish(demand, list(demand.tickets)[:_MAX_ASKED])
         if expired and demand.gang:
             return False
         for index, seat in zip(demand.indexes, seats, strict=False):
@@ -135,9 +150,11 @@
 
     def _ask_about_new(self, demand: Demand, usable: list[Room]) -> None:
         """Ask about workers that have come since advice was given."""
-        unjudged = _unjudged(demand, usable)
-        if unjudged and not demand.asking:
-            self._wish(demand, unjudged)
+        unjudged = [
+            room for room in usable if room.worker_id not in demand.judged
+        ]
+        if demand.advised and unjudged and not demand.asking:
+            self._wish(demand, _choose_asked(demand, unjudged))
 
     def _find_seats(
         self, demand: Demand, usable: list[Room], count: int
@@ -284,12 +301,20 @@
     return min(counts, default=len(demand.indexes))
 
 
-def _unjudged(demand: Demand, usable: list[Room]) -> list[str]:
-    return [
-        room.worker_id
-        for room in usable
-        if demand.advised and room.worker_id not in demand.judged
-    ]
+def _choose_asked(demand: Demand, rooms: list[Room]) -> list[str]:
+    """Choose the workers on which to ask for advice, the emptiest first."""
+    seats = max(1, _count_fits(demand, rooms[0].capacity))
+    wanted = _ASKED_PER_WORKER_NEEDED * math.ceil(len(demand.indexes) / seats)
+    count = min(_MAX_ASKED, max(_MIN_ASKED, wanted))
+    by_room = sorted(
+        rooms,
+        key=lambda room: (
+            room.doubt,
+            -room.free.cpu_millis,
+            room.worker_id,
+        ),
+    )
+    return [room.worker_id for room in by_room[:count]]
 
 
 def _give_back(demand: Demand, seats: list[Room]) -> None:
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -218,6 +218,23 @@
     assert wishes == ([] if asked is None else [asked])
 
 
+@pytest.mark.parametrize(('count', 'asked'), [(1, 24), (12, 30), (99, 80)])
+def test_advice_is_asked_on_some_of_many_workers(count, asked):
+    """Guards against a question on more workers than the service takes."""
+    rooms = [room(number) for number in range(200)]
+    (wish,) = decide(rooms, advised(count=count)).wishes
+    assert len(set(wish.workers)) == asked
+
+
+def test_more_workers_are_asked_about_when_those_allowed_are_full():
+    """Guards against a group that waits beside room it never asked for."""
+    rooms = [room(0, 500), *(room(number) for number in range(1, 30))]
+    full = advised(judged=frozenset(('w0',)), tickets={'w0': VALID})
+    (wish,) = decide(rooms, full).wishes
+    assert 'w0' not in wish.workers
+    assert len(wish.workers) == 24
+
+
 def test_room_is_held_while_a_ticket_is_renewed():
     """Guards against lower work that takes the room of a better ranked gang."""
     gang = advised(
--- a/jayshore/fleet/progress.py
+++ b/jayshore/fleet/progress.py
@@ -18,10 +18,13 @@
 GANG_STALLED_MS: Final = 2500
 """The same for a member of a gang, which also waits for the others."""
 
-SLOW_FACTOR: Final = 3.0
+SLOW_FACTOR: Final = 4.0
 """Projected multiple of its estimate from which a run counts as slow.
 
-Estimates are off by up to nine tenths, and data far away costs a factor too.
+Estimates are off by up to nine tenths, and data far away costs a factor too. A
+gang works at the pace of its slowest member, so that its members are not
+compared with their estimate; a factor of 3 for all tasks threw away more work
+than it saved.
 """
 
 MAX_SLOW_MOVES: Final = 1
@@ -127,7 +130,9 @@
         return Pace.STALLED
     age = now - track.first_at
     gained = track.percent - track.first_percent
-    if age < _MIN_AGE_MS or not gained or sample.moves >= MAX_SLOW_MOVES:
+    if age < _MIN_AGE_MS or not gained:
+        return Pace.GOOD
+    if sample.gang or sample.moves >= MAX_SLOW_MOVES:
         return Pace.GOOD
     whole = age * _WHOLE / gained
     rest = whole * (_WHOLE - track.percent) / _WHOLE
--- a/jayshore/fleet/progress_test.py
+++ b/jayshore/fleet/progress_test.py
@@ -35,6 +35,7 @@
     ('slow and nearly done', (80, 84, 88, 92, 96), {}, []),
     ('stands still', (30, 30, 30, 30), {}, [(TASK, Pace.STALLED)]),
     ('stood still', (30, 30, 30, 60), {}, []),
+    ('a slow gang', (0, 4, 8, 12, 16), {'gang': True}, []),
     ('a gang waits', (0, 0, 0, 0), {'gang': True}, []),
     ('a gang stands still', (9, 9, 9, 9, 9, 9), {'gang': True},
      [(TASK, Pace.STALLED)]),
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -24,6 +24,7 @@
     StartResult,
 )
 from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import Orders
 from jayshore.fleet.progress import Sample
@@ -54,6 +55,7 @@
         journal: Journal,
         orders: Orders,
         health: WorkerHealth,
+        metrics: FleetMetrics,
         queue_of: Callable[[JobEntry], Queue],
     ) -> None:
         """Use the leader's memory.
@@ -65,6 +67,7 @@
             journal: makes progress durable.
             orders: reach the workers.
             health: evidence of workers that fail what they start.
+            metrics: of this instance.
             queue_of: tells the queue of a job as it is now.
         """
         self._clock = clock
@@ -73,6 +76,7 @@
         self._journal = journal
         self._orders = orders
         self._health = health
+        self._metrics = metrics
         self._queue_of = queue_of
 
     def place(self, placements: list[Placement]) -> None:
@@ -150,6 +154,7 @@
             worker=task.worker,
             result=result,
         )
+        self._metrics.count_start(result)
         if result in _TICKET_RESULTS:
             expire_ticket(task.group, task.worker)
         await self.lose(task)
@@ -178,6 +183,10 @@
         _align_gangs(tasks)
         if entry.state is JobState.QUEUED:
             entry.state = JobState.RUNNING
+            self._metrics.note_first_start(
+                entry.job.queue.name,
+                Millis(self._clock.now() - entry.accepted_at),
+            )
         eliot.log_message(
             'job:placed',
             job=entry.job.job_id,
@@ -199,6 +208,7 @@
         if checkpoint and task.group.shape.checkpoints:
             task.checkpoint = checkpoint
         if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
+            self._metrics.count_start('adopted')
             task.phase = Phase.RUNNING
             task.settled_at = self._clock.now()
             if task.group.job.ended:
@@ -212,6 +222,7 @@
             return
         self._ledger.release(task)
         self._judge(task, ended.kind)
+        self._metrics.count_end(ended.kind)
         if ended.checkpoint and task.group.shape.checkpoints:
             task.checkpoint = ended.checkpoint
         entry = task.group.job
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -4,6 +4,7 @@
 an end before the worker is told to forget it and before a caller is told of it.
 """
 
+import dataclasses
 import random
 from collections.abc import Callable, Mapping
 
@@ -16,6 +17,7 @@
 from jayshore.fleet.interfaces import Inventory, WorkerConnector
 from jayshore.fleet.leasing import MAX_LEASE_MS, surely_over_at
 from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, Job, Queue, WorkerEntry
 from jayshore.fleet.orders import OrderObserver, Orders
 from jayshore.fleet.records import (
@@ -38,39 +40,54 @@
 _RETENTION_MS = Millis(180_000)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderParts:
+    """What a leader uses, whichever epoch it has.
+
+    Attributes:
+        clock: our clock, which also counts while the host is suspended.
+        wall_clock: time of day, for due times and ages of jobs.
+        connector: makes clients of workers.
+        relay: reaches the advice service.
+        config: the configuration in force.
+        metrics: of this instance.
+    """
+
+    clock: Clock
+    wall_clock: Clock
+    connector: WorkerConnector
+    relay: AdviceRelay
+    config: Callable[[], FleetConfig]
+    metrics: FleetMetrics
+
+
 class Scheduler(SessionObserver, OrderObserver):
     """Schedules all jobs under one epoch."""
 
     def __init__(
         self,
         *,
-        clock: Clock,
-        wall_clock: Clock,
+        parts: LeaderParts,
         journal: Journal,
         epoch: int,
-        connector: WorkerConnector,
-        relay: AdviceRelay,
-        config: Callable[[], FleetConfig],
         confirmed_at: Callable[[], Millis],
     ) -> None:
         """Start without jobs and workers.
 
         Args:
-            clock: our clock.
-            wall_clock: time of day, for due times and ages of jobs.
+            parts: what any leader uses.
             journal: whose head has been claimed.
             epoch: of this leader; the fence of its orders.
-            connector: makes clients of workers.
-            relay: reaches the advice service.
-            config: the configuration in force.
             confirmed_at: when the store last confirmed the leadership.
         """
+        clock = parts.clock
+        metrics = parts.metrics
         self._clock = clock
-        self._wall_clock = wall_clock
+        self._wall_clock = parts.wall_clock
         self._journal = journal
         self._epoch = epoch
-        self._connector = connector
-        self._config = config
+        self._connector = parts.connector
+        self._config = parts.config
         self._confirmed_at = confirmed_at
         self._inherited_until = surely_over_at(clock.now(), MAX_LEASE_MS)
         self._book = Book()
@@ -79,7 +96,9 @@
         self._rounds = RoundMaker(
             book=self._book, ledger=self._ledger, health=health
         )
-        self._orders = Orders(clock=clock, ledger=self._ledger, observer=self)
+        self._orders = Orders(
+            clock=clock, ledger=self._ledger, observer=self, metrics=metrics
+        )
         self._runs = Runs(
             clock=clock,
             book=self._book,
@@ -87,9 +106,12 @@
             journal=journal,
             orders=self._orders,
             health=health,
+            metrics=metrics,
             queue_of=self._queue_of,
         )
-        self._advisor = Advisor(relay=relay, clock=clock, changed=self._touch)
+        self._advisor = Advisor(
+            relay=parts.relay, clock=clock, changed=self._touch
+        )
         self._weights = WeightMeter()
         self._waits = WaitLog()
         self._sessions: dict[str, WorkerSession] = {}
--- a/jayshore/fleet/seat.py
+++ b/jayshore/fleet/seat.py
@@ -6,10 +6,8 @@
 import curio
 import eliot
 
-from jayshore.clock import Clock, Millis, to_seconds
-from jayshore.fleet.advising import AdviceRelay
-from jayshore.fleet.interfaces import WorkerConnector
-from jayshore.fleet.model import FleetConfig, WorkerEntry
+from jayshore.clock import Millis, to_seconds
+from jayshore.fleet.model import WorkerEntry
 from jayshore.fleet.records import (
     HEAD_KEY,
     JOB_PREFIX,
@@ -20,7 +18,7 @@
     decode_progress,
     split_job_key,
 )
-from jayshore.fleet.scheduler import Scheduler
+from jayshore.fleet.scheduler import LeaderParts, Scheduler
 from jayshore.leases.leadership import Leadership, LeadershipObserver
 from jayshore.store.journal import Journal, JournalFenced
 from jayshore.store.mirror import Mirror, MirrorObserver
@@ -115,11 +113,7 @@
         self,
         *,
         store: TransactionStore,
-        clock: Clock,
-        wall_clock: Clock,
-        connector: WorkerConnector,
-        relay: AdviceRelay,
-        config: Callable[[], FleetConfig],
+        parts: LeaderParts,
         worker_prefix: str,
         decode_worker: Callable[[str, str], WorkerEntry | None],
     ) -> None:
@@ -127,20 +121,14 @@
 
         Args:
             store: the store.
-            clock: our clock.
-            wall_clock: time of day.
-            connector: makes clients of workers.
-            relay: reaches the advice service.
-            config: the configuration in force.
+            parts: what any leader uses.
             worker_prefix: start of the keys of registrations.
             decode_worker: decodes the id and the value of a registration.
         """
         self._store = store
-        self._clock = clock
-        self._wall_clock = wall_clock
-        self._connector = connector
-        self._relay = relay
-        self._config = config
+        self._parts = parts
+        self._clock = parts.clock
+        self._metrics = parts.metrics
         self._worker_prefix = worker_prefix
         self._decode_worker = decode_worker
         self._leadership: Leadership | None = None
@@ -180,6 +168,170 @@
     async def deposed(self) -> None:
         """Stop to lead."""
         self._ready = False
+        self._metrics.leader_epoch.set(0)
+        reign = self._reign
+        self._reign = None
+        if reign is not None:
+            await reign.cancel()
+        self._scheduler = None
+
+    async def wait_fenced(self) -> None:
+        """Wait until another leader has claimed the journal."""
+        await self._fenced.wait()
+        self._fenced.clear()
+
+    async def _lead(self, epoch: int) -> None:
+        try:
+            await self._lead_until_fenced(epoch)
+        except JournalFenced as error:
+            eliot.log_message('leader:fenced', epoch=epoch, error=str(error))
+            self._ready = False
+            await self._fenced.set()
+
+    async def _lead_until_fenced(self, epoch: int) -> None:
+        leadership = self._leadership
+        assert leadership is not None  # noqa: S101
+        started_at = self._clock.now()
+        journal = Journal(
+            store=self._store,
+            clock=self._clock,
+            head_key=HEAD_KEY,
+            epoch=epoch,
+            pause_ms=_JOURNAL_PAUSE_MS,
+        )
+        await journal.claim()
+        progress = await self._read_progress()
+        scheduler = Scheduler(
+            parts=self._parts,
+            journal=journal,
+            epoch=epoch,
+            confirmed_at=lambda: leadership.confirmed_at,
+        )
+        self._scheduler = scheduler
+        self._progress = progress
+
+    async def changed(self, key: str, entry: Entry | None) -> None:
+        """Take a change over.
+
+        Args:
+            key: the key.
+            entry: its new entry, None when the key is gone.
+        """
+        job_id, cancelled = split_job_key(key)
+        if entry is None:
+            return
+        if cancelled:
+            await self._scheduler.cancel_job(job_id)
+            return
+        try:
+            job = decode_job(entry.value)
+        except InvalidRecord as error:
+            eliot.log_message('job:invalid', job=job_id, error=str(error))
+            return
+        self._scheduler.add_job(job, self._progress.pop(job_id, None))
+
+
+class WorkerIntake(MirrorObserver):
+    """Hands registrations of workers to a scheduler."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        decode: Callable[[str, str], WorkerEntry | None],
+        prefix: str,
+    ) -> None:
+        """Use a scheduler.
+
+        Args:
+            scheduler: takes the registrations.
+            decode: decodes the id and the value of a registration; None for
+                one that names no worker.
+            prefix: start of the keys.
+        """
+        self._scheduler = scheduler
+        self._decode = decode
+        self._prefix = prefix
+
+    async def changed(self, key: str, entry: Entry | None) -> None:
+        """Take a change over.
+
+        Args:
+            key: the key.
+            entry: its new entry, None when the key is gone.
+        """
+        worker_id = key.removeprefix(self._prefix)
+        decoded = None
+        if entry is not None:
+            decoded = self._decode(worker_id, entry.value)
+            if decoded is None:
+                eliot.log_message('worker:invalid', worker=worker_id)
+        await self._scheduler.set_worker(worker_id, decoded)
+
+
+class LeaderSeat(LeadershipObserver):
+    """Runs a scheduler for as long as this instance leads."""
+
+    def __init__(
+        self,
+        *,
+        store: TransactionStore,
+        parts: LeaderParts,
+        worker_prefix: str,
+        decode_worker: Callable[[str, str], WorkerEntry | None],
+    ) -> None:
+        """Prepare to lead.
+
+        Args:
+            store: the store.
+            parts: what any leader uses.
+            worker_prefix: start of the keys of registrations.
+            decode_worker: decodes the id and the value of a registration.
+        """
+        self._store = store
+        self._parts = parts
+        self._clock = parts.clock
+        self._metrics = parts.metrics
+        self._worker_prefix = worker_prefix
+        self._decode_worker = decode_worker
+        self._leadership: Leadership | None = None
+        self._scheduler: Scheduler | None = None
+        self._ready = False
+        self._reign: Any = None
+        self._fenced = curio.Event()
+
+    @property
+    def scheduler(self) -> Scheduler | None:
+        """The scheduler while this instance leads and knows all jobs.
+
+        None also when the store has not confirmed the leadership for so long
+        that another instance may lead.
+        """
+        if not self._ready or self._leadership is None:
+            return None
+        age = self._clock.now() - self._leadership.confirmed_at
+        return self._scheduler if age < self._leadership.ttl_ms else None
+
+    def attach(self, leadership: Leadership) -> None:
+        """Name the leadership that elects this seat.
+
+        Args:
+            leadership: tells when it was confirmed.
+        """
+        self._leadership = leadership
+
+    async def elected(self, epoch: int) -> None:
+        """Start to lead.
+
+        Args:
+            epoch: of this leadership.
+        """
+        self._reign = await curio.spawn(self._lead, epoch, daemon=True)
+
+    async def deposed(self) -> None:
+        """Stop to lead."""
+        self._ready = False
+        self._metrics.leader_epoch.set(0)
         reign = self._reign
         self._reign = None
         if reign is not None:
@@ -221,6 +373,7 @@
             relay=self._relay,
             config=self._config,
             confirmed_at=lambda: leadership.confirmed_at,
+            metrics=self._metrics,
         )
         self._scheduler = scheduler
         jobs = self._mirror(
@@ -243,6 +396,8 @@
             await group.spawn(jobs.run)
             await jobs.wait_loaded()
             self._ready = True
+            self._metrics.leader_epoch.set(epoch)
+            self._metrics.note_takeover(Millis(self._clock.now() - started_at))
             eliot.log_message(
                 'leader:ready',
                 epoch=epoch,
--- /dev/null
+++ b/jayshore/report/story.py
@@ -0,0 +1,198 @@
+"""Tells the story of one job from the log lines of all instances.
+
+Log lines name what they touch in `job`, `task` or `path`. Between the first and
+the last of them, lines on leadership, the store, the configuration and the
+workers involved are shown as well, as they often hold the cause.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+from typing import Any, Final
+
+import msgspec
+
+_CONTEXT: Final = frozenset(
+    (
+        'leadership:elected',
+        'leadership:deposed',
+        'leader:ready',
+        'leader:fenced',
+        'store:lost',
+        'store:regained',
+        'journal:write_failed',
+        'config:in_force',
+        'config:invalid',
+        'instance:started',
+        'instance:draining',
+    )
+)
+_WORKER_LINES: Final = frozenset(
+    ('worker:silent', 'worker:other_life', 'worker:fenced', 'worker:invalid')
+)
+_HIDDEN: Final = frozenset(
+    ('timestamp', 'task_uuid', 'task_level', 'message_type', 'job')
+)
+_MILLIS: Final = 1000
+
+_MEANINGS: Final = (
+    ('call:answered', 'a caller was answered'),
+    ('job:not_stored', 'the store did not take the job'),
+    ('job:placed', 'tasks were placed'),
+    ('job:cancelled', 'a cancellation was stored'),
+    ('job:ended', 'the job ended'),
+    ('job:leader_silent', 'no leader answered for its state'),
+    ('group:waiting', 'tasks wait'),
+    ('advice:failed', 'no placement advice came'),
+    ('task:not_started', 'a start was refused'),
+    ('task:ended', 'a run ended without success'),
+    ('task:slow', 'a run was stopped for its pace'),
+    ('order:stop_unwanted', 'a run that should not be was stopped'),
+    ('order:stop_refused', 'a stop was refused'),
+    ('worker:silent', 'a worker of the job gave no answer'),
+    ('worker:other_life', 'another life of a worker answered'),
+    ('store:lost', 'the store did not answer an instance'),
+    ('store:regained', 'the store answered an instance again'),
+    ('leadership:elected', 'a leader was elected'),
+    ('leader:ready', 'the leader knows all jobs'),
+    ('config:in_force', 'a version of the configuration came into force'),
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoryLine:
+    """One line of a story.
+
+    Attributes:
+        at_ms: since the first line, in ms.
+        source: file or process that wrote it, empty when unknown.
+        kind: type of the log line.
+        meaning: what it says, in words.
+        details: its fields, as `name=value`.
+    """
+
+    at_ms: int
+    source: str
+    kind: str
+    meaning: str
+    details: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogLine:
+    """A decoded log line.
+
+    Attributes:
+        at: in s since the Unix epoch.
+        source: file or process that wrote it.
+        fields: everything that it says.
+    """
+
+    at: float
+    source: str
+    fields: dict[str, Any]
+
+    @property
+    def kind(self) -> str:
+        """Type of the line."""
+        return str(self.fields.get('message_type', ''))
+
+
+def read_lines(rows: Iterable[str], source: str = '') -> Iterator[LogLine]:
+    """Decode log lines; other lines are passed over.
+
+    Args:
+        rows: lines of text; what stands before the first brace names the
+            process, as in logs that were collected from several.
+        source: of all lines that name none themselves.
+
+    Yields:
+        The lines that are JSON objects with a time.
+    """
+    for row in rows:
+        prefix, brace, rest = row.partition('{')
+        if not brace:
+            continue
+        try:
+            fields = msgspec.json.decode(brace + rest)
+        except msgspec.DecodeError:
+            continue
+        at = fields.get('timestamp')
+        if isinstance(at, int | float):
+            words = prefix.split()
+            yield LogLine(
+                at=at, source=words[-1] if words else source, fields=fields
+            )
+
+
+def tell_story(lines: Iterable[LogLine], job_id: str) -> list[StoryLine]:
+    """Choose and order the lines that explain a job.
+
+    Args:
+        lines: of all instances, in any order.
+        job_id: the job.
+
+    Returns:
+        Its story, empty when no line names it.
+    """
+    ordered = sorted(lines, key=_line_time)
+    own = [line for line in ordered if _names_job(line, job_id)]
+    if not own:
+        return []
+    workers = {name for line in own for name in _workers(line)}
+    first, last = own[0].at, own[-1].at
+    return [
+        _tell(line, first)
+        for line in ordered
+        if _names_job(line, job_id)
+        or (first <= line.at <= last and _is_context(line, workers))
+    ]
+
+
+def _line_time(line: LogLine) -> float:
+    return line.at
+
+
+def _names_job(line: LogLine, job_id: str) -> bool:
+    fields = line.fields
+    return (
+        fields.get('job') == job_id
+        or str(fields.get('task', '')).startswith(f'{job_id}.')
+        or str(fields.get('path', '')).endswith(f'/{job_id}')
+    )
+
+
+def _workers(line: LogLine) -> Iterator[str]:
+    worker = line.fields.get('worker')
+    if isinstance(worker, str):
+        yield worker
+    rows = line.fields.get('tasks')
+    for row in rows if isinstance(rows, list) else ():
+        if isinstance(row, list) and row:
+            yield str(row[-1])
+
+
+def _is_context(line: LogLine, workers: set[str]) -> bool:
+    if line.kind in _WORKER_LINES:
+        return line.fields.get('worker') in workers
+    return line.kind in _CONTEXT
+
+
+def _tell(line: LogLine, first: float) -> StoryLine:
+    meanings = dict(_MEANINGS)
+    return StoryLine(
+        at_ms=round((line.at - first) * _MILLIS),
+        source=line.source,
+        kind=line.kind,
+        meaning=meanings.get(line.kind, line.kind),
+        details=' '.join(
+            f'{name}={_brief(field)}'
+            for name, field in line.fields.items()
+            if name not in _HIDDEN and field is not None
+        ),
+    )
+
+
+def _brief(field: object) -> str:
+    if isinstance(field, str):
+        return field
+    return msgspec.json.encode(field).decode()
--- a/jayshore/store/relay.py
+++ b/jayshore/store/relay.py
@@ -135,6 +135,20 @@
 _Performer: TypeAlias = Callable[[TransactionStore, Any], Awaitable[StoreReply]]
 
 
+class CallObserver(abc.ABC):
+    """Is told of calls to the store."""
+
+    @abc.abstractmethod
+    def note_store_call(self, kind: str, outcome: str, took_ms: Millis) -> None:
+        """Note a call.
+
+        Args:
+            kind: of the call.
+            outcome: `ok`, `relayed` or the name of the error.
+            took_ms: until its answer, in ms.
+        """
+
+
 class StoreRelay(abc.ABC):
     """Carries a call to an instance that may reach the store."""
 
@@ -175,7 +189,12 @@
     """Calls the store directly, and through others while that fails."""
 
     def __init__(
-        self, *, direct: TransactionStore, relay: StoreRelay, clock: Clock
+        self,
+        *,
+        direct: TransactionStore,
+        relay: StoreRelay,
+        clock: Clock,
+        observer: CallObserver | None = None,
     ) -> None:
         """Use both ways.
 
@@ -183,6 +202,7 @@
             direct: the store.
             relay: reaches it through others.
             clock: spaces the attempts to reach it directly again.
+            observer: is told of every call.
         """
         self._direct = direct
         self._relay = relay
@@ -190,6 +210,7 @@
         self._probe_at: Millis | None = None
         self._lost_at = Millis(0)
         self._unclear = 0
+        self._observer = observer
 
     @property
     def cut_off(self) -> bool:
@@ -291,6 +312,22 @@
         await self._call(Revoke(lease_id))
 
     async def _call(self, call: StoreCall) -> StoreReply:
+        started = self._clock.now()
+        outcome = 'relayed' if self.cut_off else 'ok'
+        try:
+            return await self._call_any_way(call)
+        except StoreError as error:
+            outcome = _NAMES.get(type(error), 'uncertain')
+            raise
+        finally:
+            if self._observer is not None:
+                self._observer.note_store_call(
+                    type(call).__name__.lower(),
+                    outcome,
+                    Millis(self._clock.now() - started),
+                )
+
+    async def _call_any_way(self, call: StoreCall) -> StoreReply:
         if self._probe_at is not None and self._clock.now() < self._probe_at:
             return await self._carry(call)
         try:
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -24,6 +24,7 @@
     WorkerConnector,
 )
 from jayshore.fleet.members import DEPLOYMENT, Membership
+from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import (
     FleetConfig,
     Job,
@@ -38,6 +39,7 @@
     StateQuestion,
     state_answer,
 )
+from jayshore.fleet.scheduler import LeaderParts
 from jayshore.fleet.seat import LeaderSeat
 from jayshore.http.client import Address
 from jayshore.leases.leadership import Leadership
@@ -160,11 +162,14 @@
         )
         self.seat = LeaderSeat(
             store=self.store,
-            clock=clock,
-            wall_clock=WallClock(),
-            connector=MemoryConnector(fleet.workers),
-            relay=fleet.relay,
-            config=lambda: fleet.config,
+            parts=LeaderParts(
+                clock=clock,
+                wall_clock=WallClock(),
+                connector=MemoryConnector(fleet.workers),
+                relay=fleet.relay,
+                config=lambda: fleet.config,
+                metrics=FleetMetrics(),
+            ),
             worker_prefix=WORKERS,
             decode_worker=decode_worker,
         )
