--- a/jayshore/fleet/seat.py
+++ b/jayshore/fleet/seat.py
@@ -6,10 +6,8 @@
 import curio
 import eliot
 
-from jayshore.clock import Clock, Millis, to_seconds
-from jayshore.fleet.advising import AdviceRelay
-from jayshore.fleet.interfaces import WorkerConnector
-from jayshore.fleet.model import FleetConfig, WorkerEntry
+from jayshore.clock import Millis, to_seconds
+from jayshore.fleet.model import WorkerEntry
 from jayshore.fleet.records import (
     HEAD_KEY,
     JOB_PREFIX,
@@ -20,7 +18,7 @@
     decode_progress,
     split_job_key,
 )
-from jayshore.fleet.scheduler import Scheduler
+from jayshore.fleet.scheduler import LeaderParts, Scheduler
 from jayshore.leases.leadership import Leadership, LeadershipObserver
 from jayshore.store.journal import Journal, JournalFenced
 from jayshore.store.mirror import Mirror, MirrorObserver
@@ -115,11 +113,7 @@
         self,
         *,
         store: TransactionStore,
-        clock: Clock,
-        wall_clock: Clock,
-        connector: WorkerConnector,
-        relay: AdviceRelay,
-        config: Callable[[], FleetConfig],
+        parts: LeaderParts,
         worker_prefix: str,
         decode_worker: Callable[[str, str], WorkerEntry | None],
     ) -> None:
@@ -127,20 +121,14 @@
 
         Args:
             store: the store.
-            clock: our clock.
-            wall_clock: time of day.
-            connector: makes clients of workers.
-            relay: reaches the advice service.
-            config: the configuration in force.
+            parts: what any leader uses.
             worker_prefix: start of the keys of registrations.
             decode_worker: decodes the id and the value of a registration.
         """
         self._store = store
-        self._clock = clock
-        self._wall_clock = wall_clock
-        self._connector = connector
-        self._relay = relay
-        self._config = config
+        self._parts = parts
+        self._clock = parts.clock
+        self._metrics = parts.metrics
         self._worker_prefix = worker_prefix
         self._decode_worker = decode_worker
         self._leadership: Leadership | None = None
@@ -180,6 +168,7 @@
     async def deposed(self) -> None:
         """Stop to lead."""
         self._ready = False
+        self._metrics.leader_epoch.set(0)
         reign = self._reign
         self._reign = None
         if reign is not None:
@@ -213,13 +202,9 @@
         await journal.claim()
         progress = await self._read_progress()
         scheduler = Scheduler(
-            clock=self._clock,
-            wall_clock=self._wall_clock,
+            parts=self._parts,
             journal=journal,
             epoch=epoch,
-            connector=self._connector,
-            relay=self._relay,
-            config=self._config,
             confirmed_at=lambda: leadership.confirmed_at,
         )
         self._scheduler = scheduler
@@ -243,6 +228,8 @@
             await group.spawn(jobs.run)
             await jobs.wait_loaded()
             self._ready = True
+            self._metrics.leader_epoch.set(epoch)
+            self._metrics.note_takeover(Millis(self._clock.now() - started_at))
             eliot.log_message(
                 'leader:ready',
                 epoch=epoch,
