Read long lists over narrow links, end a leadership whose scheduler failed

The store forgot its history, the leader read all jobs again, and a page of up to 1 MB took longer than the timeout of 1 s on a link of 5 Mbit/s, again and again.

A leader whose scheduler raises an unexpected error resigns instead of renewing its lease without deciding.

--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -30,6 +30,7 @@
 )
 from jayshore.outcomes import JayshoreError
 from jayshore.store.relay import (
+    List,
     StoreCall,
     StoreRelay,
     StoreReply,
@@ -46,6 +47,7 @@
 _CONNECT_MS = Millis(400)
 _CALL_MS = Millis(500)
 _STORE_CALL_MS = Millis(1300)
+_STORE_LIST_MS = Millis(8000)
 _STORE_ATTEMPTS = 3
 _STATUS_OK = 200
 
@@ -289,6 +291,8 @@
         timeout = _STORE_CALL_MS
         if isinstance(call, Watch):
             timeout = Millis(timeout + call.wait_ms)
+        elif isinstance(call, List):
+            timeout = _STORE_LIST_MS
         try:
             answer = await self._call(address, STORE_PATH, call, timeout)
             return decode_json(answer.body, StoreReply)
--- a/jayshore/fleet/seat.py
+++ b/jayshore/fleet/seat.py
@@ -185,8 +185,17 @@
             await self._lead_until_fenced(epoch)
         except JournalFenced as error:
             eliot.log_message('leader:fenced', epoch=epoch, error=str(error))
-            self._ready = False
-            await self._fenced.set()
+            await self._give_up()
+        except Exception as unexpected:
+            # An instance that led on without its scheduler would keep others
+            # from leading.
+            eliot.write_traceback()
+            eliot.log_message('leader:failed', error=repr(unexpected))
+            await self._give_up()
+
+    async def _give_up(self) -> None:
+        self._ready = False
+        await self._fenced.set()
 
     async def _lead_until_fenced(self, epoch: int) -> None:
         leadership = self._leadership
--- a/jayshore/store/mirror.py
+++ b/jayshore/store/mirror.py
@@ -11,6 +11,7 @@
 
 _RETRY_MS = Millis(200)
 _NO_PAUSE = Millis(0)
+_LOGGED_FAILURES = 10
 _MAX_RETRY_MS = Millis(800)
 
 
@@ -94,7 +95,7 @@
                 self._revision = None
             except StoreError as error:
                 failures += 1
-                if failures == 1:
+                if failures % _LOGGED_FAILURES == 1:
                     eliot.log_message(
                         'mirror:store_lost',
                         prefix=self._prefix,
--- a/spec/main.py
+++ b/spec/main.py
@@ -8,7 +8,13 @@
 from minicheck import Protocol, check_safety
 
 from jayshore.clock import Millis, MonotonicClock
-from spec import freshness_model, quota_model, roster_model, task_model
+from spec import (
+    fleet_model,
+    freshness_model,
+    quota_model,
+    roster_model,
+    task_model,
+)
 
 MAX_STATES = 4_000_000
 
@@ -74,6 +80,14 @@
     )
 
 
+def _fleet(violates: str = '', **changes: Any) -> Case:
+    return Case(
+        model=fleet_model.fleet_model,
+        rules=fleet_model.Rules(**changes),
+        violates=violates,
+    )
+
+
 _NO_FAULTS: tuple[str, ...] = ()
 
 SOUND = (
@@ -85,6 +99,7 @@
     _roster(),
     _roster(new_roster_promises=False),
     _quota(),
+    _fleet(),
     _task(slow=True),
     _task(idempotent=False, slow=True),
     _task(worker_faults=_NO_FAULTS, last_epoch=3, slow=True),
@@ -134,6 +149,15 @@
     _quota(_OVER_PART, uncertain_write_is_repeated=False),
     _quota(_OVER_PART, successor_claims_part=False),
     _quota(_OVER_PART, successor_opens_upstreams=False),
+    _fleet(_TWO, writes_expect_the_head=False),
+    _fleet(_TWO, start_is_recorded_first=False),
+    _fleet(_TWO, orders_carry_the_fence=False),
+    _fleet(_TWO, absence_counts_after_confirmation=False),
+    _fleet(_TWO, stopped_run_is_refused=False),
+    _fleet(_TWO, gives_up_after_the_lease=False),
+    _fleet(_TWO, lapsed_order_is_refused=False),
+    _fleet(_TWO, former_leader_extends_nothing=False),
+    _fleet(_AGAIN, end_is_recorded_before_it_is_forgotten=False),
 )
 
 
