--- a/jayshore/fleet/advising.py
+++ b/jayshore/fleet/advising.py
@@ -27,6 +27,13 @@
 _TIMEOUT_FACTOR: Final = 2
 _TIMEOUT_EXTRA_MS: Final = 400
 
+AVOID_MS: Final = 3000
+"""How long no call goes through an instance that gave no advice, in ms.
+
+An instance that is cut off costs a timeout with each call, and is free again
+sooner than the others are.
+"""
+
 # A ticket counts from the answer of the service, which is older here.
 _TRANSFER_MS: Final = 20
 
@@ -95,6 +102,7 @@
         self._changed = changed
         self._waiting: list[_Call] = []
         self._busy: dict[str, bool] = {}
+        self._avoided: dict[str, Millis] = {}
         self._tasks = BackgroundTasks()
 
     @property
@@ -125,7 +133,7 @@
         await self._tasks.close()
 
     async def _start_calls(self) -> None:
-        callers = self._relay.callers()
+        callers = self._usable_callers()
         self._waiting.sort(key=_call_rank)
         for call in tuple(self._waiting):
             free = [name for name in callers if name not in self._busy]
@@ -140,6 +148,15 @@
             self._busy[free[0]] = _is_long(call)
             await self._tasks.spawn(self._call(free[0], call))
 
+    def _usable_callers(self) -> tuple[str, ...]:
+        """List the instances that have not failed of late, or all."""
+        callers = self._relay.callers()
+        now = self._clock.now()
+        usable = tuple(
+            name for name in callers if self._avoided.get(name, 0) <= now
+        )
+        return usable or callers
+
     def _may_add_long(self, callers: int) -> bool:
         most = max(1, int(_LONG_SHARE * callers))
         return sum(self._busy.values()) < most
@@ -152,6 +169,7 @@
                 caller, wish.group_id, wish.workers, Millis(timeout)
             )
         except AdviceUnavailable as error:
+            self._avoided[caller] = Millis(self._clock.now() + AVOID_MS)
             eliot.log_message(
                 'advice:failed',
                 job=wish.group_id.job_id,
--- /dev/null
+++ b/jayshore/fleet/advising_test.py
@@ -0,0 +1,96 @@
+"""Through which instance advice is asked."""
+
+import curio
+import pytest
+
+from jayshore.clock import Millis, MonotonicClock
+from jayshore.fleet.advising import AdviceRelay, Advisor
+from jayshore.fleet.book import Book, JobEntry
+from jayshore.fleet.demands import AdviceWish
+from jayshore.fleet.interfaces import Advice, AdviceUnavailable
+from jayshore.fleet.model import AdvicePolicy, GroupId
+from jayshore.fleet.ranking import Rank, Standing
+from tests.memory_fleet_test import make_job
+
+QUICK = AdvicePolicy(decision_ms=5, per_worker_ms=0, validity_ms=Millis(1000))
+LONG = AdvicePolicy(decision_ms=500, per_worker_ms=0, validity_ms=Millis(1000))
+
+
+class Relay(AdviceRelay):
+    """Some instances give advice, others are cut off."""
+
+    def __init__(self, names, cut=()):
+        self.names = names
+        self.cut = cut
+        self.asked = []
+        self.busy = 0
+        self.most = 0
+
+    def callers(self):
+        return self.names
+
+    async def advise_through(self, caller, group, workers, timeout_ms):
+        self.asked.append(caller)
+        self.busy += 1
+        self.most = max(self.most, self.busy)
+        await curio.sleep(0.02)
+        self.busy -= 1
+        if caller in self.cut:
+            raise AdviceUnavailable('cut off')
+        return Advice(tickets={'w': 't'}, validity_ms=Millis(1000))
+
+
+def make_group(priority=0):
+    """Make a waiting group and the wish for its advice."""
+    entry = JobEntry(job=make_job(), accepted_at=Millis(0))
+    Book().add(entry)
+    group = entry.groups[GroupId(entry.job.job_id, 0, 0)]
+    rank = Rank(False, Standing.IN_TIME, priority, Millis(0))
+    wish = AdviceWish(group_id=group.group_id, rank=rank, workers=('w',))
+    return wish, group
+
+
+def ask(relay, calls, policy):
+    """Ask for advice on some groups; returns the groups."""
+
+    async def scenario():
+        advisor = Advisor(
+            relay=relay, clock=MonotonicClock(), changed=lambda: None
+        )
+        made = [make_group() for _ in range(calls)]
+        for wish, group in made:
+            await advisor.ask(wish, group, policy)
+        async with curio.timeout_after(5):
+            while any(group.asking for _, group in made):
+                await curio.sleep(0.01)
+        await advisor.close()
+        return [group for _, group in made]
+
+    return curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_instance_that_is_cut_off_is_asked_once():
+    """Guards against advice that waits for one timeout after another.
+
+    With 13 of 38 instances cut off most calls went through these, as they
+    were the first to be free again.
+    """
+    relay = Relay(('a', 'b', 'c'), cut=('a',))
+    groups = ask(relay, 30, QUICK)
+    assert relay.asked.count('a') == 1
+    assert sum(bool(group.tickets) for group in groups) == 29
+
+
+def test_all_are_tried_when_all_have_failed():
+    """Guards against a leader that asks nobody any more."""
+    relay = Relay(('a', 'b'), cut=('a', 'b'))
+    ask(relay, 6, QUICK)
+    assert len(relay.asked) == 6
+
+
+@pytest.mark.parametrize(('policy', 'most'), [(QUICK, 4), (LONG, 2)])
+def test_long_calls_leave_instances_to_urgent_ones(policy, most):
+    """Guards against urgent work behind the advice for large jobs."""
+    relay = Relay(('a', 'b', 'c', 'd'))
+    ask(relay, 12, policy)
+    assert relay.most == most
