Keep the calls that instances carry for each other in a file of their own

Change: jayshore/store/storecalls.py holds calls, replies and their execution. Nothing else changed.

--- a/jayshore/fleet/peerhandler.py
+++ b/jayshore/fleet/peerhandler.py
@@ -31,7 +31,7 @@
     json_response,
 )
 from jayshore.http.server import Handler
-from jayshore.store.relay import StoreCall, execute
+from jayshore.store.storecalls import StoreCall, execute
 from jayshore.store.transactions import TransactionStore
 
 METRICS_PATH = '/metrics'
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -29,14 +29,9 @@
     encode_json,
 )
 from jayshore.outcomes import JayshoreError
-from jayshore.store.relay import (
-    List,
-    StoreCall,
-    StoreRelay,
-    StoreReply,
-    Watch,
-)
+from jayshore.store.relay import StoreRelay
 from jayshore.store.store import StoreUnavailable, StoreUncertain
+from jayshore.store.storecalls import List, StoreCall, StoreReply, Watch
 
 STATE_PATH = '/v1/state'
 PENDING_PATH = '/v1/pending'
--- a/jayshore/store/relay_test.py
+++ b/jayshore/store/relay_test.py
@@ -5,19 +5,14 @@
 
 from jayshore.clock import Millis, MonotonicClock
 from jayshore.http.messages import decode_json, encode_json
-from jayshore.store.relay import (
-    RelayedStore,
-    StoreCall,
-    StoreRelay,
-    StoreReply,
-    execute,
-)
+from jayshore.store.relay import RelayedStore, StoreRelay
 from jayshore.store.store import (
     LeaseGone,
     StoreUnavailable,
     StoreUncertain,
     Written,
 )
+from jayshore.store.storecalls import StoreCall, StoreReply, execute
 from jayshore.store.transactions import (
     HistoryLost,
     Mismatch,
