Split the tests of whole deployments

Change: decisions on jobs and workers, and the checks of runs, have files of their own. No test, bound or assertion changed.

--- /dev/null
+++ b/tests/fleet_checks_test.py
@@ -0,0 +1,67 @@
+"""What must hold of all runs, from what the workers of a deployment saw."""
+
+import itertools
+
+from jayshore.fleet.interfaces import EndKind
+from jayshore.resources import NOTHING
+from tests.memory_fleet_test import CAPACITY
+
+
+def check_runs(fleet, jobs):
+    """Check what must hold of all runs, from what the workers saw."""
+    known = {job.job_id: job for job in jobs}
+    now = fleet.clock.now()
+    by_task = {}
+    for worker in fleet.workers.values():
+        assert worker.running is not None  # brings the history up to date
+    for run, worker in fleet.runs():
+        assert run.task.job_id in known, f'nobody asked for {run}'
+        assert run.payload == known[run.task.job_id].payload
+        by_task.setdefault(run.task, []).append((run, worker))
+    for task, runs in by_task.items():
+        spans = sorted(
+            (run.started_at, run.ended_at or now, run.run) for run, _ in runs
+        )
+        for (_, end, first), (start, _, second) in itertools.pairwise(spans):
+            assert end <= start, f'{task} runs {first} and {second} overlap'
+            assert second > first, f'{task} run {second} after {first}'
+        noted = [
+            run.ended_at
+            for run, _ in runs
+            if run.kind is EndKind.DONE and run.noted
+        ]
+        assert len(noted) <= 1, f'{task} is done {len(noted)} times'
+        last = max(run.started_at for run, _ in runs)
+        assert not noted or last <= noted[0], f'{task} runs after it is done'
+    for worker in fleet.workers.values():
+        _check_room(worker, known, now)
+    for job in jobs:
+        _check_order(job, by_task)
+
+
+def _check_room(worker, known, now):
+    for moment in {run.started_at for run in worker.history}:
+        used = NOTHING
+        for run in worker.history:
+            if run.started_at <= moment < (run.ended_at or now + 1):
+                used += known[run.task.job_id].groups[run.task.group].need
+        assert used.fits_in(CAPACITY), f'{worker.worker_id} holds {used}'
+
+
+def _check_order(job, by_task):
+    for task, runs in by_task.items():
+        if task.job_id != job.job_id:
+            continue
+        for earlier in job.groups[task.group].after:
+            ends = [
+                run.ended_at
+                for name, others in by_task.items()
+                for run, _ in others
+                if name[:3] == (job.job_id, task.occurrence, earlier)
+                and run.kind is EndKind.DONE
+            ]
+            first = min(run.started_at for run, _ in runs)
+            ended_before = [end for end in ends if end <= first]
+            assert len(ended_before) >= job.groups[earlier].count, (
+                f'{task} started before its predecessors were done'
+            )
--- /dev/null
+++ b/tests/fleet_decisions_test.py
@@ -0,0 +1,380 @@
+"""Whole deployments in memory: decisions on jobs and workers."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.book import JobState
+from jayshore.fleet.desk import Refused
+from jayshore.fleet.interfaces import EndKind
+from jayshore.fleet.model import AdvicePolicy, Schedule
+from jayshore.resources import Resources
+from tests.fleet_checks_test import check_runs
+from tests.memory_fleet_test import (
+    COMPLETED,
+    CONFIG,
+    NEED,
+    QUEUE,
+    WORKSPACE,
+    make_group,
+    make_job,
+    running_fleet,
+    shorten_leases,
+    wait_for,
+)
+
+
+@pytest.fixture(autouse=True)
+def _short_leases(monkeypatch):
+    shorten_leases(monkeypatch)
+
+
+def play(scenario):
+    """Run a scenario in a kernel of its own."""
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+@pytest.mark.parametrize('delay_s', [0, 0.03, 0.2])
+def test_cancelled_job_stops(delay_s):
+    """Guards against tasks that start or run on after a cancellation."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(5000)) as fleet:
+            job = make_job(make_group(20))
+            await fleet.submit(job)
+            await curio.sleep(delay_s)
+            desk = fleet.instances['i0'].desk
+            assert await desk.cancel(job.job_id, WORKSPACE.name)
+            await fleet.wait_state([job.job_id], JobState.CANCELLED, 2)
+            await wait_for(
+                lambda: not any(w.running for w in fleet.workers.values()),
+                'nothing runs',
+                2,
+            )
+            await curio.sleep(0.2)
+            assert not any(w.running for w in fleet.workers.values())
+            check_runs(fleet, [job])
+
+    play(scenario)
+
+
+def test_failing_job_fails_after_its_attempts():
+    """Guards against endless attempts, and against a job that hangs."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            for worker in fleet.workers.values():
+                worker.trouble.fail_all = True
+            job = make_job(make_group(1))
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], JobState.FAILED)
+            assert len(fleet.runs()) == QUEUE.max_attempts
+
+    play(scenario)
+
+
+def test_failed_gang_counts_one_attempt():
+    """Guards against a gang that uses an attempt for each member."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            for worker in fleet.workers.values():
+                worker.trouble.fail_all = True
+            job = make_job(make_group(4, gang=True))
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], JobState.FAILED)
+            runs = {run.run for run, _ in fleet.runs()}
+            assert len(runs) == QUEUE.max_attempts
+
+    play(scenario)
+
+
+def test_gang_members_share_their_run():
+    """Guards against members that wait for each other under other runs."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            for worker in fleet.workers.values():
+                worker.trouble.fail_all = True
+            job = make_job(make_group(9, gang=True))
+            await fleet.submit(job)
+            await wait_for(lambda: len(fleet.runs()) >= 18, 'a second run')
+            starts = {}
+            for run, _ in fleet.runs():
+                starts.setdefault(run.run, set()).add(run.task)
+            assert all(len(tasks) == 9 for tasks in starts.values())
+
+    play(scenario)
+
+
+def test_maximum_of_a_workspace_holds():
+    """Guards against a workspace that runs more than its limit."""
+    limit = Resources(cpu_millis=3 * NEED.cpu_millis)
+    config = dataclasses.replace(
+        CONFIG, workspaces=(dataclasses.replace(WORKSPACE, maximum=limit),)
+    )
+
+    async def scenario():
+        async with running_fleet(config=config) as fleet:
+            jobs = [make_job(make_group(4)) for _ in range(3)]
+            ids = await fleet.submit(*jobs)
+            most = 0
+            while await fleet.state(ids[-1]) is not COMPLETED:
+                running = sum(len(w.running) for w in fleet.workers.values())
+                most = max(most, running)
+                await curio.sleep(0.005)
+            assert most == 3
+            await fleet.wait_state(ids, COMPLETED)
+
+    play(scenario)
+
+
+ADVISED = dataclasses.replace(
+    QUEUE,
+    advice=AdvicePolicy(
+        decision_ms=5, per_worker_ms=1, validity_ms=Millis(1000)
+    ),
+)
+
+
+@pytest.mark.parametrize('validity_ms', [1000, 200])
+def test_tasks_run_only_where_advised(validity_ms):
+    """Guards against starts without a ticket, and with one that is too old."""
+
+    async def scenario():
+        config = dataclasses.replace(CONFIG, queues=(ADVISED,))
+        async with running_fleet(config=config) as fleet:
+            fleet.relay.good = ('w1',)
+            fleet.relay.validity_ms = Millis(validity_ms)
+            job = make_job(make_group(12), queue=ADVISED)
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            assert {worker.worker_id for _, worker in fleet.runs()} == {'w1'}
+
+    play(scenario)
+
+
+def test_advice_outlasts_a_refused_ticket():
+    """Guards against a group that waits for ever after an old ticket.
+
+    A store outage between the decision and its record made the ticket expire;
+    the worker was then no longer known as one that may run the group.
+    """
+
+    async def scenario():
+        config = dataclasses.replace(CONFIG, queues=(ADVISED,))
+        async with running_fleet(config=config) as fleet:
+            fleet.relay.good = ('w1',)
+            fleet.relay.validity_ms = Millis(250)
+            job = make_job(make_group(2), queue=ADVISED)
+            await fleet.submit(job)
+            await wait_for(lambda: fleet.relay.calls, 'advice')
+            fleet.store.trouble.down = True
+            await curio.sleep(0.5)
+            fleet.store.trouble.down = False
+            await fleet.wait_state([job.job_id], COMPLETED)
+
+    play(scenario)
+
+
+def test_job_of_a_removed_queue_still_runs():
+    """Guards against accepted work that is lost with its queue."""
+
+    async def scenario():
+        config = dataclasses.replace(CONFIG, version=2, queues=())
+        async with running_fleet(config=config) as fleet:
+            job = make_job()
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+
+    play(scenario)
+
+
+def test_repeated_submission_is_one_job():
+    """Guards against a second job, and a second run, of one submission."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            job = make_job(make_group(2))
+            await fleet.submit(job, job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            await fleet.submit(job)
+            other = dataclasses.replace(job, digest='another')
+            desk = fleet.instances['i0'].desk
+            assert isinstance(await desk.submit(other), Refused)
+            await curio.sleep(0.1)
+            assert len(fleet.runs()) == 2
+
+    play(scenario)
+
+
+def test_draining_worker_gets_nothing_new():
+    """Guards against starts on a worker that is about to leave."""
+
+    async def scenario():
+        async with running_fleet(workers=2) as fleet:
+            fleet.register('w0', draining=True)
+            await curio.sleep(0.6)
+            job = make_job(make_group(8))
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            assert {worker.worker_id for _, worker in fleet.runs()} == {'w1'}
+
+    play(scenario)
+
+
+def test_occurrences_run_when_they_are_due():
+    """Guards against occurrences that start early, or not at all."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            plain = make_job(make_group(1))
+            start = plain.accepted_at_ms + 300
+            job = dataclasses.replace(
+                plain,
+                schedule=Schedule(
+                    start_at_ms=start, interval_ms=Millis(200), repeats=3
+                ),
+            )
+            await fleet.submit(job)
+            await curio.sleep(0.2)
+            assert not fleet.runs()
+            await fleet.wait_state([job.job_id], COMPLETED)
+            names = sorted(run.task.occurrence for run, _ in fleet.runs())
+            assert names == [0, 1, 2]
+
+    play(scenario)
+
+
+def test_silent_worker_keeps_its_tasks_until_the_lease_is_over():
+    """Guards against a second run beside one that nobody can see."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(2500), workers=2) as fleet:
+            job = make_job(make_group(2, estimate_ms=Millis(2500)))
+            await fleet.submit(job)
+            await wait_for(lambda: len(fleet.runs()) == 2, 'runs')
+            for worker in fleet.workers.values():
+                worker.trouble.silent = bool(worker.running)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            check_runs(fleet, [job])
+            kinds = {run.kind for run, _ in fleet.runs()}
+            assert kinds == {EndKind.LAPSED, EndKind.DONE}
+
+    play(scenario)
+
+
+def test_wrong_estimate_moves_a_task_once():
+    """Guards against work that is moved for ever, since it takes longer."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(2500)) as fleet:
+            job = make_job(make_group(1, estimate_ms=Millis(10)))
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], COMPLETED)
+            check_runs(fleet, [job])
+            assert len(fleet.runs()) == 2
+
+    play(scenario)
+
+
+def test_hanging_worker_is_left():
+    """Guards against tasks that wait for a worker that stands still."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(400), workers=2) as fleet:
+            fleet.workers['w0'].trouble.hang = True
+            jobs = [make_job(make_group(2)) for _ in range(3)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED)
+            check_runs(fleet, jobs)
+
+    play(scenario)
+
+
+def test_failing_worker_does_not_draw_all_work():
+    """Guards against a worker that fails at once and is always the tightest."""
+
+    async def scenario():
+        config = dataclasses.replace(
+            CONFIG, queues=(dataclasses.replace(QUEUE, max_attempts=2),)
+        )
+        async with running_fleet(config=config) as fleet:
+            fleet.workers['w0'].trouble.fail_all = True
+            jobs = [make_job(make_group(1)) for _ in range(20)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED)
+            failed = [
+                run for run, _ in fleet.runs() if run.kind is EndKind.FAILED
+            ]
+            assert len(failed) <= 6
+
+    play(scenario)
+
+
+def test_unknown_run_is_stopped():
+    """Guards against runs that no job owns and that take room for ever."""
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(3000)) as fleet:
+            job = make_job(make_group(1))
+            await fleet.submit(job)
+            await wait_for(lambda: fleet.runs(), 'a run')
+            scheduler = fleet.leading().seat.scheduler
+            scheduler._book.jobs.pop(job.job_id)
+            await wait_for(
+                lambda: not any(w.running for w in fleet.workers.values()),
+                'nothing runs',
+            )
+
+    play(scenario)
+
+
+def test_pending_counts_jobs_that_have_not_begun():
+    """Guards against callers who are told that nothing waits."""
+
+    async def scenario():
+        async with running_fleet(workers=0) as fleet:
+            await fleet.submit(*(make_job() for _ in range(5)))
+            desk = fleet.instances['i0'].desk
+
+            async def counted():
+                return await desk.pending(QUEUE.name) == 5
+
+            await wait_for(counted, 'five pending jobs')
+            fleet.add_worker('w0')
+
+            async def none_left():
+                return await desk.pending(QUEUE.name) == 0
+
+            await wait_for(none_left, 'no pending jobs')
+
+    play(scenario)
+
+
+def test_fenced_leader_starts_nothing():
+    """Guards against a paused leader that decides on after it was replaced."""
+
+    async def scenario():
+        async with running_fleet(instances=2, run_ms=Millis(300)) as fleet:
+            first = fleet.leading()
+            first.leadership._ttl_ms = Millis(60_000)
+            for key in fleet.store.values('domains/deployment/leader'):
+                fleet.store.write(key, None)
+            await wait_for(
+                lambda: any(
+                    other.seat.scheduler is not None
+                    for other in fleet.instances.values()
+                    if other is not first
+                ),
+                'another leader',
+            )
+            jobs = [make_job(make_group(3)) for _ in range(4)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED)
+            check_runs(fleet, jobs)
+            assert len(fleet.runs()) == 12
+
+    play(scenario)
