Let the strongest instance lead, and a weak leader hand over

Ruled out: placement (the rounds had room), advice (7,567 calls answered).

Change: instances register their processor; a vacancy is left for 400 ms to a much stronger instance, and a leader hands over when one has been registered for 1.5 s. A leader that the store turns away hands over to an equal one. While the store is lost, only reads try it again, so that a silent store holds up no record.

--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -11,6 +11,7 @@
 
 from jayshore.clock import BootClock, Millis, WallClock, to_seconds
 from jayshore.daemon.signals import wait_for_signal
+from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.configuration import ConfigHolder
 from jayshore.fleet.desk import Desk
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
@@ -54,6 +55,7 @@
         front: where callers connect.
         readiness: where the balancer asks whether to send callers.
         inner: where the other instances connect.
+        cores: processor of this instance, in cores.
         max_connections: connections of callers that are open at once.
     """
 
@@ -61,6 +63,7 @@
     front: Address
     readiness: Address
     inner: Address
+    cores: float = 1.0
     max_connections: int = 1500
 
 
@@ -173,8 +176,15 @@
             clock=clock,
             name=settings.name,
             address=settings.inner,
+            cores=settings.cores,
         )
         peers.attach(self._membership)
+        self._candidacy = Candidacy(
+            membership=self._membership,
+            clock=clock,
+            cores=settings.cores,
+            cut_off_ms=lambda: store.lost_for_ms,
+        )
         self._seat = LeaderSeat(
             store=store,
             parts=LeaderParts(
@@ -201,7 +211,7 @@
             ttl_ms=_LEADER_TTL_MS,
             observer=self._seat,
             clock=clock,
-            vacancy=self._membership,
+            vacancy=self._candidacy,
         )
         self._seat.attach(self._leadership)
         desk = Desk(
@@ -282,11 +292,15 @@
         await self._front.drain(_DRAIN_MS)
 
     async def _lead(self) -> None:
-        """Compete again after another leader has taken over."""
+        """Compete again after the leadership was lost or handed over."""
         while True:
             competing = await curio.spawn(self._leadership.run, daemon=True)
             try:
-                await self._seat.wait_fenced()
+                async with curio.TaskGroup(wait=any) as reasons:
+                    await reasons.spawn(self._seat.wait_fenced)
+                    await reasons.spawn(
+                        self._candidacy.wait_outranked, self._leadership
+                    )
             finally:
                 await competing.cancel()
                 await self._leadership.resign()
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -33,16 +33,42 @@
 _WATCH_MS = Millis(1500)
 
 
+_UNKNOWN_CORES = 1.0
+"""Assumed processor of an instance that does not tell, in cores."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _MemberEntry:
     address: str
+    cores: float = _UNKNOWN_CORES
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """A registered instance.
+
+    Attributes:
+        address: where other instances call it.
+        cores: its processor, in cores.
+        known_since: when this life of it was first seen, on our clock.
+    """
+
+    address: Address
+    cores: float
+    known_since: Millis
 
 
 class Membership(MirrorObserver, Vacancy):
     """Registers this instance, and knows the others and the leader."""
 
     def __init__(
-        self, *, store: Store, clock: Clock, name: str, address: Address
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        name: str,
+        address: Address,
+        cores: float = _UNKNOWN_CORES,
     ) -> None:
         """Prepare a registration.
 
@@ -51,11 +77,14 @@
             clock: measures the age of what is known.
             name: of this instance.
             address: where other instances call it.
+            cores: processor of this instance, in cores.
         """
         self._store = store
+        self._clock = clock
         self._name = name
         self._address = address
-        self._members: dict[str, Address] = {}
+        self._cores = cores
+        self._members: dict[str, Member] = {}
         self._leader = ''
         self._leader_seen = False
         self._vacant = curio.Event()
@@ -68,8 +97,8 @@
         )
 
     @property
-    def members(self) -> dict[str, Address]:
-        """Addresses of the registered instances by name."""
+    def members(self) -> dict[str, Member]:
+        """The registered instances by name."""
         return self._members
 
     @property
@@ -77,11 +106,6 @@
         """Name of the leading instance, empty when none is known."""
         return self._leader
 
-    @property
-    def age_ms(self) -> Millis | None:
-        """Age of what is known, None before the first answer."""
-        return self._mirror.age_ms
-
     async def changed(self, key: str, entry: Entry | None) -> None:
         """Take a change over.
 
@@ -94,6 +118,18 @@
         elif key.startswith(_MEMBERS):
             self._set_member(key.removeprefix(_MEMBERS), entry)
 
+    def others(self) -> list[Member]:
+        """List the registered instances but this one.
+
+        Returns:
+            In any order.
+        """
+        return [
+            member
+            for name, member in self._members.items()
+            if name != self._name
+        ]
+
     async def follow(self) -> None:
         """Follow the registrations until cancelled."""
         await self._mirror.run()
@@ -115,7 +151,7 @@
 
     async def _register_once(self) -> None:
         lease = await self._store.grant_lease(_TTL_MS)
-        entry = _MemberEntry(address=str(self._address))
+        entry = _MemberEntry(address=str(self._address), cores=self._cores)
         key = f'{_MEMBERS}{self._name}'
         text = msgspec.json.encode(entry).decode()
         written = await self._store.put(
@@ -161,6 +197,12 @@
             return
         try:
             decoded = msgspec.json.decode(entry.value, type=_MemberEntry)
-            self._members[name] = Address.parse(decoded.address)
+            address = Address.parse(decoded.address)
         except (msgspec.DecodeError, InvalidAddress) as error:
             eliot.log_message('members:invalid', error=str(error))
+            return
+        self._members[name] = Member(
+            address=address,
+            cores=decoded.cores,
+            known_since=self._clock.now(),
+        )
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -318,7 +318,8 @@
     def _address(self, name: str) -> Address | None:
         if self._membership is None:
             return None
-        return self._membership.members.get(name)
+        member = self._membership.members.get(name)
+        return None if member is None else member.address
 
     async def _call(
         self,
--- a/jayshore/store/relay.py
+++ b/jayshore/store/relay.py
@@ -44,6 +44,16 @@
 _PROBE_MS: Final = Millis(1000)
 """How long calls go through others before the store is tried again, in ms."""
 
+_SILENT_MS: Final = Millis(300)
+"""Duration of a failed call from which the store counts as silent, in ms.
+
+A store that refuses calls does so in milliseconds, so that trying it costs
+nothing; calls to a silent one end with their timeout.
+"""
+
+_PROBES: Final = (Get, List, Watch)
+"""Calls that try the store again."""
+
 _MAX_UNCLEAR: Final = 2
 """Calls without an answer in a row after which others are asked.
 
@@ -112,6 +122,7 @@
         self._probe_at: Millis | None = None
         self._lost_at = Millis(0)
         self._unclear = 0
+        self._silent = False
         self._observer = observer
 
     @property
@@ -230,27 +241,48 @@
                 )
 
     async def _call_any_way(self, call: StoreCall) -> StoreReply:
-        if self._probe_at is not None and self._clock.now() < self._probe_at:
-            return await self._carry(call)
+        if self._goes_through_others(call):
+            try:
+                return await self._carry(call)
+            except StoreUnavailable:
+                if self._silent or isinstance(call, _PROBES):
+                    raise
+        started = self._clock.now()
         try:
-            reply = await perform(self._direct, call)
+            return await self._call_directly(call)
         except (HistoryLost, StoreRejected):
             raise
         except StoreUnavailable as error:
-            self._lose(error)
+            self._lose(error, started)
             return await self._carry(call)
-        except StoreError as error:
+        except StoreError as unclear:
             self._unclear += 1
             if self._unclear >= _MAX_UNCLEAR:
-                self._lose(error)
+                self._lose(unclear, started)
             raise
+
+    async def _call_directly(self, call: StoreCall) -> StoreReply:
+        reply = await perform(self._direct, call)
         self._unclear = 0
         if self._probe_at is not None:
             eliot.log_message('store:regained')
             self._probe_at = None
         return reply
 
-    def _lose(self, error: StoreError) -> None:
+    def _goes_through_others(self, call: StoreCall) -> bool:
+        """Tell which calls are sent through others first.
+
+        While the store is lost only reads try it again: a write that it
+        leaves unanswered would hold up all that waits for it.
+        """
+        if self._probe_at is None:
+            return False
+        return (
+            not isinstance(call, _PROBES) or self._clock.now() < self._probe_at
+        )
+
+    def _lose(self, error: StoreError, started: Millis) -> None:
+        self._silent = self._clock.now() - started >= _SILENT_MS
         if self._probe_at is None:
             self._lost_at = self._clock.now()
             eliot.log_message('store:lost', error=str(error))
--- a/jayshore/store/relay_test.py
+++ b/jayshore/store/relay_test.py
@@ -28,11 +28,15 @@
     def __init__(self, store):
         self._store = store
         self.cut = False
+        self.silent_s = 0
+        self.tried = []
 
     def __getattr__(self, name):
         if self.cut:
 
             async def refuse(*_, **__):
+                self.tried.append(name)
+                await curio.sleep(self.silent_s)
                 raise StoreUnavailable('cut off')
 
             return refuse
@@ -126,3 +130,35 @@
         assert not store.cut_off
 
     curio.run(scenario)
+
+
+def test_write_is_not_held_up_by_a_silent_store():
+    """Guards against records that wait for the timeout of each new attempt."""
+
+    async def scenario():
+        _, direct, _, store = make_stores()
+        direct.cut = True
+        direct.silent_s = 0.4
+        assert await store.get('a') is None
+        direct.tried.clear()
+        await curio.sleep(1.1)
+        for key in ('a', 'b'):
+            assert isinstance(await store.transact(put(key, 0)), Written)
+        assert not direct.tried
+
+    curio.run(scenario)
+
+
+def test_write_finds_a_store_that_refused_calls_back_at_once():
+    """Guards against refusals for as long as no read has tried the store."""
+
+    async def scenario():
+        _, direct, relay, store = make_stores()
+        direct.cut = relay.down = True
+        with pytest.raises(StoreUnavailable):
+            await store.get('a')
+        direct.cut = False
+        assert isinstance(await store.transact(put('a', 0)), Written)
+        assert not store.cut_off
+
+    curio.run(scenario)
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -16,6 +16,7 @@
 from jayshore.fleet import leasing, scheduler, sessions
 from jayshore.fleet.advising import AdviceRelay
 from jayshore.fleet.book import JobState
+from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.desk import Accepted, Desk, DeskUnavailable
 from jayshore.fleet.interfaces import (
     Advice,
@@ -146,7 +147,7 @@
 class Instance(LeaderLink):
     """One instance without its servers."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, cores=1.0):
         clock = fleet.clock
         self.name = name
         self.fleet = fleet
@@ -158,6 +159,13 @@
             clock=clock,
             name=name,
             address=Address(host='127.0.0.1', port=1),
+            cores=cores,
+        )
+        self.candidacy = Candidacy(
+            membership=self.membership,
+            clock=clock,
+            cores=cores,
+            cut_off_ms=lambda: self.store.lost_for_ms,
         )
         self.seat = LeaderSeat(
             store=self.store,
@@ -185,7 +193,7 @@
             ttl_ms=TTL_MS,
             observer=self.seat,
             clock=clock,
-            vacancy=self.membership,
+            vacancy=self.candidacy,
         )
         self.seat.attach(self.leadership)
         self.desk = Desk(
@@ -197,10 +205,21 @@
         for part in (
             self.membership.follow,
             self.membership.register,
-            self.leadership.run,
+            self._lead,
         ):
             self._tasks.append(await curio.spawn(part, daemon=True))
 
+    async def _lead(self):
+        while True:
+            competing = await curio.spawn(self.leadership.run, daemon=True)
+            try:
+                await self.candidacy.wait_outranked(self.leadership)
+            except curio.CancelledError:
+                await competing.cancel()
+                raise
+            await competing.cancel()
+            await self.leadership.resign()
+
     async def kill(self):
         """End without a word, as a process that is killed."""
         for task in self._tasks:
@@ -269,8 +288,8 @@
     def unregister(self, name):
         self.store.write(f'{WORKERS}{name}', None)
 
-    async def add_instance(self, name):
-        self.instances[name] = Instance(self, name)
+    async def add_instance(self, name, **fields):
+        self.instances[name] = Instance(self, name, **fields)
         await self.instances[name].start()
         return self.instances[name]
 
