Leave members of a gang that are done with their work where they are

Cause: members of a gang end together. One that has done its part lists 100 percent until the slowest is done, and the watch on progress took that for standing still and stopped it, and with it the whole gang.

Change: a member of a gang at 100 percent is not judged. Reads alone try a silent store again, others as before.

Test: progress_test.py, the row 'a member of a gang is done' failed before.

--- a/jayshore/fleet/progress.py
+++ b/jayshore/fleet/progress.py
@@ -126,6 +126,9 @@
     limit = GANG_STALLED_MS if sample.gang else STALLED_MS
     if sample.moves >= MAX_STALL_MOVES:
         return Pace.GOOD
+    if sample.gang and sample.percent >= _WHOLE:
+        # A gang ends together: a member that is done waits for the others.
+        return Pace.GOOD
     if now - track.advanced_at >= limit:
         return Pace.STALLED
     age = now - track.first_at
--- a/jayshore/store/relay.py
+++ b/jayshore/store/relay.py
@@ -52,7 +52,7 @@
 """
 
 _PROBES: Final = (Get, List, Watch)
-"""Calls that try the store again."""
+"""Calls that try a silent store again."""
 
 _MAX_UNCLEAR: Final = 2
 """Calls without an answer in a row after which others are asked.
@@ -241,12 +241,8 @@
                 )
 
     async def _call_any_way(self, call: StoreCall) -> StoreReply:
-        if self._goes_through_others(call):
-            try:
-                return await self._carry(call)
-            except StoreUnavailable:
-                if self._silent or isinstance(call, _PROBES):
-                    raise
+        if not self._is_tried_directly(call):
+            return await self._carry(call)
         started = self._clock.now()
         try:
             return await self._call_directly(call)
@@ -269,17 +265,17 @@
             self._probe_at = None
         return reply
 
-    def _goes_through_others(self, call: StoreCall) -> bool:
-        """Tell which calls are sent through others first.
+    def _is_tried_directly(self, call: StoreCall) -> bool:
+        """Tell which calls do not go through others at once.
 
-        While the store is lost only reads try it again: a write that it
-        leaves unanswered would hold up all that waits for it.
+        Only reads try a silent store again: a write that it leaves unanswered
+        would hold up all that waits for it.
         """
         if self._probe_at is None:
+            return True
+        if self._clock.now() < self._probe_at:
             return False
-        return (
-            not isinstance(call, _PROBES) or self._clock.now() < self._probe_at
-        )
+        return not self._silent or isinstance(call, _PROBES)
 
     def _lose(self, error: StoreError, started: Millis) -> None:
         self._silent = self._clock.now() - started >= _SILENT_MS
