Reload settings on SIGHUP and when their file changes

Cause: SIGHUP ended the process, as no handler was installed; the platform sends it when a settings file has changed, and restarts what ends.

Ruled out: a restart as the way to reload: it breaks off what is in progress.

Change: signals are delivered one by one; SIGHUP and a changed file read the settings again and apply the addresses of the store and of the advice service. A broken file is reported and leaves the former settings in force.

Before: test_reload_takes_new_addresses_and_survives_a_broken_file fails (the process is gone).

Conclusion: listening addresses still need a restart.

--- a/jayshore/daemon/signals.py
+++ b/jayshore/daemon/signals.py
@@ -1,4 +1,4 @@
-"""Turns signals of the operating system into an awaitable."""
+"""Turns signals of the operating system into awaitables."""
 
 import signal
 import socket
@@ -8,25 +8,53 @@
 import curio
 
 
-async def wait_for_signal(signals: Iterable[signal.Signals]) -> None:
-    """Wait for the first of several signals.
+class SignalWatch:
+    """Delivers signals one by one.
 
     curio 1.6 has no signal support of its own; a handler may run at any point
     of the kernel, so it only writes to a socket that the kernel watches.
+    """
+
+    def __init__(self, *, signals: Iterable[signal.Signals]) -> None:
+        """Handle signals from now on.
+
+        Args:
+            signals: what to wait for.
+        """
+        reader, writer = socket.socketpair()
+        self._writer = writer
+        self._writer.setblocking(False)  # noqa: WPS425
+        self._reader = curio.io.Socket(reader)
+        for number in signals:
+            signal.signal(number, self._notify)
+
+    async def wait(self) -> signal.Signals:
+        """Wait for the next signal.
+
+        Returns:
+            The signal.
+        """
+        received = await self._reader.recv(1)
+        return signal.Signals(received[0])
+
+    async def close(self) -> None:
+        """Release the sockets; the handlers stay and do nothing."""
+        self._writer.close()
+        await self._reader.close()
+
+    def _notify(self, number: int, _frame: Any) -> None:
+        if self._writer.fileno() >= 0:
+            self._writer.send(bytes((number,)))
+
+
+async def wait_for_signal(signals: Iterable[signal.Signals]) -> None:
+    """Wait for the first of several signals.
 
     Args:
         signals: what to wait for.
     """
-    reader, writer = socket.socketpair()
-    writer.setblocking(False)  # noqa: WPS425
-
-    def notify(*_: Any) -> None:  # noqa: WPS430 needs the socket
-        writer.send(b'\0')
-
-    for number in signals:
-        signal.signal(number, notify)
+    watch = SignalWatch(signals=signals)
     try:
-        async with curio.io.Socket(reader) as watched:
-            await watched.recv(1)
+        await watch.wait()
     finally:
-        writer.close()
+        await watch.close()
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -3,14 +3,14 @@
 import dataclasses
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 import eliot
 
 from jayshore.clock import BootClock, Millis, WallClock, to_seconds
-from jayshore.daemon.signals import wait_for_signal
+from jayshore.daemon.signals import SignalWatch
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.configuration import ConfigHolder
 from jayshore.fleet.desk import Desk
@@ -27,6 +27,7 @@
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import Handler, HttpServer
 from jayshore.leases.leadership import Leadership
+from jayshore.outcomes import JayshoreError
 from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.store.mirror import Mirror
 from jayshore.store.relay import RelayedStore
@@ -42,6 +43,7 @@
 # The balancer asks for readiness once a second and takes two misses.
 _UNREADY_MS = Millis(1500)
 _DRAIN_MS = Millis(3000)
+_SETTINGS_POLL_MS = Millis(2000)
 _STATUS_OK = 200
 _STATUS_UNAVAILABLE = 503
 
@@ -82,6 +84,8 @@
         worker_prefix: start of the keys of registrations of workers.
         decode_worker: decodes the id and the value of a registration.
         make_front: makes what answers callers.
+        settings_stamp: changes with the settings file.
+        reload: reads the settings again and applies what may change.
         count_dropped_lines: number of log lines that were dropped.
     """
 
@@ -93,6 +97,8 @@
     worker_prefix: str
     decode_worker: Callable[[str, str], WorkerEntry | None]
     make_front: Callable[['FrontParts'], Handler]
+    settings_stamp: Callable[[], int]
+    reload: Callable[[], Awaitable[None]]
     count_dropped_lines: Callable[[], float]
 
 
@@ -165,6 +171,8 @@
             observer=metrics,
         )
         self._reach = store.reach
+        self._settings_stamp = surroundings.settings_stamp
+        self._reload_settings = surroundings.reload
         self._settings = settings
         self._draining = False
         self._holder = ConfigHolder(
@@ -274,7 +282,13 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+        SIGHUP reads the settings again.
+        """
+        signals = SignalWatch(
+            signals=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        )
         servers = (self._front, self._inner, self._readiness)
         for listening in servers:
             listening.listen()
@@ -285,16 +299,37 @@
                 self._config_mirror.run,
                 self._membership.follow,
                 self._membership.register,
+                self._follow_settings,
             )
         ]
         leading = await curio.spawn(self._lead, daemon=True)
         eliot.log_message('instance:started', name=self._settings.name)
-        await wait_for_signal((signal.SIGTERM, signal.SIGINT))
+        while await signals.wait() is signal.SIGHUP:
+            await self._reload()
         await self._shut_down(leading)
         for task in running:
             await task.cancel()
         eliot.log_message('instance:stopped', name=self._settings.name)
 
+    async def _follow_settings(self) -> None:
+        """Read the settings again when they change without a signal."""
+        stamp = self._settings_stamp()
+        while True:
+            await curio.sleep(to_seconds(_SETTINGS_POLL_MS))
+            changed = self._settings_stamp()
+            if changed != stamp:
+                stamp = changed
+                await self._reload()
+
+    async def _reload(self) -> None:
+        """Read the settings again; broken ones leave the former in force."""
+        try:
+            await self._reload_settings()
+        except JayshoreError as error:
+            eliot.log_message('settings:invalid', error=str(error))
+        else:
+            eliot.log_message('settings:reloaded')
+
     async def _shut_down(self, leading: Any) -> None:
         """Hand the leadership over, then answer what is in progress."""
         eliot.log_message('instance:draining', name=self._settings.name)
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -118,6 +118,7 @@
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[ClientConnection] = []
         self._closed = False
+        self._moves = 0
         self._traffic = traffic or Traffic()
         self._host = str(address).encode('ascii')
 
@@ -153,9 +154,26 @@
         finally:
             await self._slots.release()
 
+    async def move(self, address: Address) -> None:
+        """Call another address from now on.
+
+        Args:
+            address: the server; connections to the former one are closed as
+                soon as their calls have ended.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        self._host = str(address).encode('ascii')
+        self._moves += 1
+        await self._close_idle()
+
     async def close(self) -> None:
         """Close idle connections now, the others after their calls."""
         self._closed = True
+        await self._close_idle()
+
+    async def _close_idle(self) -> None:
         while self._idle:
             await self._idle.pop().close()
 
@@ -183,6 +201,7 @@
         self, connection: ClientConnection, outgoing: OutgoingRequest
     ) -> Response | None:
         reusable = False
+        moves = self._moves
         try:
             response = await connection.call(outgoing)
             reusable = connection.reusable and self._keep(
@@ -193,7 +212,7 @@
                 return None
             raise ConnectFailed(f'{self._address}: {unsent}') from None
         finally:
-            if reusable and not self._closed:
+            if reusable and not self._closed and moves == self._moves:
                 connection.pooled = True
                 self._idle.append(connection)
             else:
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -61,6 +62,7 @@
         self.directory = directory
         self.processes = []
         self.logs = {}
+        self.settings = {}
 
     def start(self, instances):
         self._spawn(
@@ -92,6 +94,7 @@
         }
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings))
+        self.settings[name] = settings
         process = self._spawn(
             name, 'platform/edge.py', env={'JAYSHORE_BOOT': str(path)}
         )
@@ -345,3 +348,66 @@
     )
     assert ended.returncode == 2
     assert '$.Ip' in ended.stderr
+
+
+def test_reload_takes_new_addresses_and_survives_a_broken_file(deployment):
+    """Guards against a process that a reload ends, or that keeps old addresses.
+
+    A broken file is reported and leaves the former settings in force.
+    """
+    process, front, _ = deployment.fronts[0]
+    path = deployment.directory / 'i0.json'
+    log = deployment.logs['i0']
+    path.write_text('{"Node": 7')
+    process.send_signal(signal.SIGHUP)
+    wait_for(lambda: b'settings:invalid' in log.read_bytes(), 'a report')
+    first = (process, front, 0)
+    assert call('POST', job_url(first, 1), SUBMISSION)[0] == 200
+    with Forwarder(deployment.ports['store']) as moved:
+        settings = {
+            **deployment.settings['i0'],
+            'platform': {'Addr': f'127.0.0.1:{moved.port}'},
+        }
+        path.write_text(json.dumps(settings))
+        process.send_signal(signal.SIGHUP)
+        wait_for(lambda: b'settings:reloaded' in log.read_bytes(), 'reloaded')
+        wait_for(lambda: moved.accepted > 0, 'calls at the new address')
+        assert call('POST', job_url(first, 2), SUBMISSION)[0] == 200
+    assert process.poll() is None
+
+
+class Forwarder:
+    """Forwards connections to a port, and counts them."""
+
+    def __init__(self, target):
+        self._target = target
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.port = self._listener.getsockname()[1]
+        self.accepted = 0
+
+    def __enter__(self):
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *_):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            server = socket.create_connection(('127.0.0.1', self._target))
+            for pair in ((caller, server), (server, caller)):
+                threading.Thread(target=pump, args=pair, daemon=True).start()
+
+
+def pump(source, sink):
+    """Copy bytes until either side ends."""
+    with contextlib.suppress(OSError):
+        while chunk := source.recv(65_536):
+            sink.sendall(chunk)
+    with contextlib.suppress(OSError):
+        sink.shutdown(socket.SHUT_WR)
