--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -142,9 +142,6 @@
                 await curio.sleep(to_seconds(_ACCEPT_RETRY_MS))
             else:
                 await self._start_connection(sock)
-                # One new connection a turn: a flood waits in the backlog, and
-                # the steps of requests in progress do not wait for all of it.
-                await curio.sleep(0)
 
     async def _start_connection(self, sock: Any) -> None:
         connection = ServerConnection(
