Add a randomized soak of the real programs

Change: soak/ starts the stand-in and instances as processes, with a loopback proxy before the store and each executor that delays, resets, silences or cuts connections one way, or lets open ones go stale; it kills, stops, pauses and reloads instances, troubles store and executors, and changes the configuration, in series and overlapping, from a seed. Callers keep their connections. What they were told is checked against what the executors ran. The stand-in learns to lose starts, to run its clocks slowly and to tell its history.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -83,6 +83,7 @@
         worker_id: its id.
         trouble: what goes wrong.
         history: all runs of all lives.
+        clock_percent: speed of its clock; 98 for one that is 2% slow.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         self.worker_id = worker_id
         self.trouble = WorkerTrouble()
         self.history: list[RunEntry] = []
+        self._percent_of_clock = _WHOLE
         self._run_ms = run_ms
         self._clock = clock or MonotonicClock()
         self._born_ms = 1
@@ -112,7 +114,19 @@
     @property
     def clock_ms(self) -> int:
         """The worker's clock."""
-        return _CLOCK_START_MS + self._clock.now() - self._booted_at
+        elapsed = self._clock.now() - self._paced_at
+        return self._paced_ms + elapsed * self._percent_of_clock // _WHOLE
+
+    @property
+    def clock_percent(self) -> int:
+        """Speed of its clock."""
+        return self._percent_of_clock
+
+    @clock_percent.setter
+    def clock_percent(self, percent: int) -> None:
+        self._paced_ms = self.clock_ms
+        self._paced_at = self._clock.now()
+        self._percent_of_clock = percent
 
     @property
     def running(self) -> list[RunEntry]:
@@ -125,6 +139,10 @@
         """Number of ends that nobody has taken note of."""
         return len(self._ended)
 
+    def settle(self) -> None:
+        """End runs whose time or whose lease is over."""
+        self._advance()
+
     def reboot(self) -> None:
         """Begin another life: everything that runs ends, nothing is known."""
         self._advance()
@@ -221,7 +239,8 @@
         )
 
     def _reset(self) -> None:
-        self._booted_at = self._clock.now()
+        self._paced_at = self._clock.now()
+        self._paced_ms = _CLOCK_START_MS
         self._fence = 0
         self._lease_until = 0
         self._runs: dict[TaskId, RunEntry] = {}
@@ -245,8 +264,9 @@
 
     def _advance(self) -> None:
         """End runs whose time, or whose lease, is over."""
+        left = self._lease_until - self._paced_ms
         lapses_at = Millis(
-            self._booted_at + self._lease_until - _CLOCK_START_MS
+            self._paced_at + left * _WHOLE // self._percent_of_clock
         )
         for run in list(self._runs.values()):
             ends_at = Millis(run.started_at + self._run_ms(run.task))
--- a/standins/shared_platform.py
+++ b/standins/shared_platform.py
@@ -3,14 +3,20 @@
 Written from the published protocol. It holds its state in `MemoryStore` and
 `MemoryWorker`, and does what it is told. Run with
 `python -m standins.shared_platform --directory DIR`: it listens on free ports
-of 127.0.0.1 and writes them to `DIR/platform.json`. `POST /test/put` with `key`
-and `value` writes a key as the operator does, `GET /test/runs` lists all runs.
+of 127.0.0.1 and writes them to `DIR/platform.json`.
+
+`POST /test/put` with `key` and `value` writes a key as the operator does,
+`/test/trouble` and `/test/worker` bring trouble about, `/test/forget` drops the
+store's history, `/test/register` lets an executor register another address,
+and `/test/runs` and `/test/history` list all runs.
 """
 
 import argparse
 import base64
 import pathlib
+import random
 import types
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -28,6 +34,7 @@
 from jayshore.http.messages import Request, Response, json_response
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import Handler, HttpServer
+from jayshore.http.serverconnection import DropConnection
 from jayshore.store.store import (
     Entry,
     LeaseGone,
@@ -48,6 +55,7 @@
 HOST = '127.0.0.1'
 EXECUTORS = 3
 RUN_MS = Millis(150)
+_DRAWN_MS = (20, 700)
 SERVICE = 'plans'
 
 _OK = 200
@@ -157,6 +165,19 @@
             for field, setting in body.items():
                 setattr(self._store.trouble, field, setting)
             return json_response(_OK, {})
+        if request.path == '/test/forget':
+            self._store.forget_history()
+            return json_response(_OK, {})
+        if request.path == '/test/worker':
+            self._trouble_worker(body['worker'], body['trouble'])
+            return json_response(_OK, {})
+        if request.path == '/test/register':
+            register(
+                self._store, self._workers[body['worker']], body['address']
+            )
+            return json_response(_OK, {})
+        if request.path == '/test/history':
+            return json_response(_OK, _history(self._workers))
         if request.path == '/test/runs':
             return json_response(
                 _OK,
@@ -168,6 +189,15 @@
             )
         return json_response(_NOT_FOUND, {})
 
+    def _trouble_worker(self, number: int, trouble: dict[str, Any]) -> None:
+        worker = self._workers[number]
+        if trouble.pop('reboot', False):
+            worker.reboot()
+        if 'clock_percent' in trouble:
+            worker.clock_percent = trouble.pop('clock_percent')
+        for field, setting in trouble.items():
+            setattr(worker.trouble, field, setting)
+
     async def _transact(self, body: dict[str, Any]) -> Response:
         result = await self._store.transact(
             Transaction(
@@ -226,12 +256,30 @@
         if task is None:
             return json_response(_BAD_REQUEST, {})
         if request.path == '/-/run-start':
+            if self._worker.trouble.lose_starts:
+                await self._lose_start(task, body)
             return self._start(task, body)
         taken = self._worker.stop(task, body['Run'], body['Fence'])
         return json_response(
             _OK if taken else _CONFLICT, {'ClockMs': self._worker.clock_ms}
         )
 
+    async def _lose_start(self, task: TaskId, body: dict[str, Any]) -> None:
+        """Carry a start out late, and end the connection without an answer."""
+        trouble = self._worker.trouble
+        trouble.lose_starts -= 1
+        if trouble.late_ms is not None:
+            await curio.spawn(
+                self._start_late, task, body, trouble.late_ms, daemon=True
+            )
+        raise DropConnection('the answer is lost')
+
+    async def _start_late(
+        self, task: TaskId, body: dict[str, Any], delay_ms: int
+    ) -> None:
+        await curio.sleep(to_seconds(Millis(delay_ms)))
+        self._start(task, body)
+
     def _start(self, task: TaskId, body: dict[str, Any]) -> Response:
         answer = self._worker.start(
             StartOrder(
@@ -321,8 +369,63 @@
     }
 
 
-def _run_ms(_task: TaskId) -> Millis:
-    return RUN_MS
+def register(store: MemoryStore, worker: MemoryWorker, address: str) -> None:
+    """Write the entry of an executor.
+
+    Args:
+        store: where it registers.
+        worker: its state.
+        address: under which it is called.
+    """
+    registration = {
+        'Service': SERVICE,
+        'Addr': address,
+        'Zone': 'north',
+        'Version': 'v1',
+        'Slots': 8,
+        'State': 'ready',
+        'ColdLeftMs': 0,
+        'Capacity': {'Cpu': 4000, 'MemMb': 8000, 'Gpu': 0},
+        'Labels': ['a', 'r1'],
+        'ClockMs': worker.clock_ms,
+        'Seq': 1,
+    }
+    store.write(
+        f'servers/{worker.worker_id}',
+        msgspec.json.encode(registration).decode(),
+    )
+
+
+def _history(workers: list[MemoryWorker]) -> list[dict[str, Any]]:
+    rows: list[dict[str, Any]] = []
+    for worker in workers:
+        worker.settle()
+        rows.extend(
+            {
+                'worker': worker.worker_id,
+                'task': format_task_id(run.task),
+                'run': run.run,
+                'kind': run.kind,
+                'payload': run.payload,
+                'noted': run.noted,
+                'started_at': run.started_at,
+                'ended_at': run.ended_at,
+            }
+            for run in worker.history
+        )
+    return rows
+
+
+def _choose_run_ms(seed: int | None) -> Callable[[TaskId], Millis]:
+    """Choose durations of runs: fixed, or drawn for each task."""
+    if seed is None:
+        return lambda _task: RUN_MS
+
+    def draw(task: TaskId) -> Millis:  # noqa: WPS430 needs the seed
+        source = random.Random(f'{seed} {task}')
+        return Millis(source.randint(*_DRAWN_MS))
+
+    return draw
 
 
 async def _serve(tasks: BackgroundTasks, handler: Handler) -> int:
@@ -332,42 +435,33 @@
     return server.bound_port
 
 
-async def main(directory: pathlib.Path) -> None:
+async def main(
+    directory: pathlib.Path, executors: int, seed: int | None
+) -> None:
     """Serve until the process ends.
 
     Args:
         directory: where the ports are written.
+        executors: number of executors.
+        seed: of the durations of runs, None for a fixed one.
     """
     tasks = BackgroundTasks()
     store = MemoryStore()
     workers = [
-        MemoryWorker(worker_id=f'x-{number}', run_ms=_run_ms)
-        for number in range(EXECUTORS)
+        MemoryWorker(worker_id=f'x-{number}', run_ms=_choose_run_ms(seed))
+        for number in range(executors)
     ]
+    executor_ports = []
     for worker in workers:
         port = await _serve(tasks, ExecutorHandler(worker=worker))
-        registration = {
-            'Service': SERVICE,
-            'Addr': f'{HOST}:{port}',
-            'Zone': 'north',
-            'Version': 'v1',
-            'Slots': 8,
-            'State': 'ready',
-            'ColdLeftMs': 0,
-            'Capacity': {'Cpu': 4000, 'MemMb': 8000, 'Gpu': 0},
-            'Labels': ['a', 'r1'],
-            'ClockMs': worker.clock_ms,
-            'Seq': 1,
-        }
-        store.write(
-            f'servers/{worker.worker_id}',
-            msgspec.json.encode(registration).decode(),
-        )
+        executor_ports.append(port)
+        register(store, worker, f'{HOST}:{port}')
     ports = {
         'store': await _serve(
             tasks, StoreHandler(store=store, workers=workers)
         ),
         'advice': await _serve(tasks, AdviceHandler()),
+        'executors': executor_ports,
     }
     path = directory / 'platform.json'
     partial = path.with_suffix('.part')
@@ -380,6 +474,13 @@
 if __name__ == '__main__':
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--directory', type=pathlib.Path, required=True)
+    parser.add_argument('--executors', type=int, default=EXECUTORS)
+    parser.add_argument('--seed', type=int)
+    options = parser.parse_args()
     curio.run(
-        main, parser.parse_args().directory, taskcls=curio.task.ContextTask
+        main,
+        options.directory,
+        options.executors,
+        options.seed,
+        taskcls=curio.task.ContextTask,
     )
