Look at ended jobs once, and leave two thirds of the processor to the rest

Change: the book keeps the jobs that have not ended apart; workers that may run a kind of demand are found once a round; the pause after a round is twice its duration, if that is longer than 15 ms.

--- a/jayshore/fleet/book.py
+++ b/jayshore/fleet/book.py
@@ -289,6 +289,7 @@
     def __init__(self) -> None:
         """Start without jobs."""
         self._jobs: dict[str, JobEntry] = {}
+        self._active: dict[str, JobEntry] = {}
 
     @property
     def jobs(self) -> dict[str, JobEntry]:
@@ -302,6 +303,7 @@
             entry: the job.
         """
         self._jobs[entry.job.job_id] = entry
+        self._active[entry.job.job_id] = entry
         if not entry.job.schedule.repeats:
             entry.add_occurrence()
 
@@ -322,11 +324,25 @@
             return None
         return group.tasks[task_id.position]
 
+    def active(self) -> list[JobEntry]:
+        """List the jobs that have not ended.
+
+        Ended jobs are kept for minutes and are many times as many; they are
+        looked at here only once.
+
+        Returns:
+            The jobs.
+        """
+        ended = [name for name, job in self._active.items() if job.ended]
+        for name in ended:
+            self._active.pop(name)
+        return list(self._active.values())
+
     def open_groups(self) -> Iterator[GroupEntry]:
         """Iterate over the groups of jobs that have not ended.
 
         Yields:
             Groups with tasks that are not done.
         """
-        for job in self._jobs.values():
+        for job in self.active():
             yield from job.unfinished()
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from jayshore.clock import Millis
@@ -48,6 +48,43 @@
 _UNLIMITED: Final = 1 << 60
 
 
+class _Pool:
+    """Workers that may run the same kinds of demands.
+
+    Many demands of a round differ only in what a task needs, which nearly
+    always fits in an empty worker.
+    """
+
+    def __init__(self, *, rooms: list[Room]) -> None:
+        self.rooms = rooms
+        self._by_id = {room.worker_id: room for room in rooms}
+        self._smallest = Resources(
+            cpu_millis=min(
+                (room.capacity.cpu_millis for room in rooms), default=0
+            ),
+            memory_mb=min(
+                (room.capacity.memory_mb for room in rooms), default=0
+            ),
+            accelerators=min(
+                (room.capacity.accelerators for room in rooms), default=0
+            ),
+        )
+
+    def limit_to(self, need: Resources) -> '_Pool':
+        """Leave out the workers on which a task would not fit when empty."""
+        if need.fits_in(self._smallest):
+            return self
+        return _Pool(
+            rooms=[room for room in self.rooms if need.fits_in(room.capacity)]
+        )
+
+    def choose(self, tickets: Mapping[str, Millis]) -> list[Room]:
+        """Choose the workers for which there are tickets."""
+        return [
+            self._by_id[worker] for worker in tickets if worker in self._by_id
+        ]
+
+
 class PlacementRound:
     """One round over all demands."""
 
@@ -67,6 +104,7 @@
             now: on the leader's clock.
         """
         self._rooms = list(rooms)
+        self._pools: dict[tuple[str, str, bool], _Pool] = {}
         self._allowances = allowances
         self._now = now
         self._kept = 0
@@ -86,14 +124,23 @@
         return self._decisions
 
     def _consider(self, demand: Demand) -> None:
-        usable = [room for room in self._rooms if _may_host(room, demand)]
-        reason = self._try_place(demand, usable)
+        reason = self._try_place(demand, self._find_pool(demand))
         if reason is not None:
             self._decisions.waiting[demand.group_id] = reason
 
-    def _try_place(
-        self, demand: Demand, usable: list[Room]
-    ) -> WaitReason | None:
+    def _find_pool(self, demand: Demand) -> '_Pool':
+        """Find the workers that may run a demand, however full they are."""
+        key = (demand.service, demand.required_label, demand.gang)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = _Pool(
+                rooms=[room for room in self._rooms if _may_host(room, demand)]
+            )
+            self._pools[key] = pool
+        return pool.limit_to(demand.need)
+
+    def _try_place(self, demand: Demand, pool: '_Pool') -> WaitReason | None:
+        usable = pool.rooms
         if not usable:
             return WaitReason.NO_WORKER
         if demand.advised and not demand.judged:
@@ -102,7 +149,7 @@
             return WaitReason.NO_ADVICE
         good = usable
         if demand.advised:
-            good = [room for room in usable if room.worker_id in demand.tickets]
+            good = pool.choose(demand.tickets)
             if not good:
                 self._ask_about_new(demand, usable)
                 return WaitReason.NOT_ADVISED
@@ -272,10 +319,10 @@
 
 
 def _may_host(room: Room, demand: Demand) -> bool:
+    """Tell whether a worker may run a demand, whatever its size."""
     return (
         room.service == demand.service
         and (not demand.required_label or demand.required_label in room.labels)
-        and demand.need.fits_in(room.capacity)
         and not (room.probe and demand.gang)
     )
 
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -156,9 +156,8 @@
     """
     return sum(
         1
-        for entry in book.jobs.values()
+        for entry in book.active()
         if entry.job.queue.name == queue
-        and not entry.ended
         and not any(_has_begun(group) for group in entry.groups.values())
     )
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -36,6 +36,13 @@
 from jayshore.store.journal import Journal
 
 _ROUND_MS = Millis(15)
+_PAUSE_FACTOR = 2
+"""Pause after a round as a multiple of its duration.
+
+Leaves two thirds of the processor to orders, inventories and callers when many
+groups wait.
+"""
+
 _SWEEP_MS = Millis(250)
 _RETENTION_MS = Millis(180_000)
 
@@ -216,13 +223,16 @@
         swept_at = self._clock.now()
         try:
             while True:
+                started = self._clock.now()
                 if self._changed:
                     self._changed = False
                     await self._decide()
                 if self._clock.now() - swept_at >= _SWEEP_MS:
                     swept_at = self._clock.now()
                     await self._sweep()
-                await curio.sleep(to_seconds(_ROUND_MS))
+                took = self._clock.now() - started
+                pause = max(_ROUND_MS, _PAUSE_FACTOR * took)
+                await curio.sleep(to_seconds(Millis(pause)))
         finally:
             await self._close()
 
