Bound the waiting jobs of a workspace

Cause: nothing bounded how many jobs of a workspace wait; one that submits without end would fill the leader's memory and make every round slow.

Ruled out: a bound at each instance, which knows only what it accepted itself.

--- a/jayshore/fleet/desk.py
+++ b/jayshore/fleet/desk.py
@@ -65,6 +65,7 @@
 
     STORE_UNAVAILABLE = 'store_unavailable'
     OTHER_JOB = 'other_job'
+    BACKLOG_FULL = 'backlog_full'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,6 +114,7 @@
         leader: LeaderLink,
         scheduler: Callable[[], Scheduler | None],
         clock: Clock,
+        full_workspaces: Callable[[], frozenset[str]],
     ) -> None:
         """Use the parts of this instance.
 
@@ -121,8 +123,10 @@
             leader: reaches the leader.
             scheduler: None while this instance does not lead.
             clock: our clock.
+            full_workspaces: workspaces that have too many waiting jobs.
         """
         self._clock = clock
+        self._full_workspaces = full_workspaces
         self._store = store
         self._leader = leader
         self._scheduler = scheduler
@@ -153,6 +157,10 @@
         Returns:
             What the caller may be told.
         """
+        if job.workspace in self._full_workspaces():
+            return Refused(
+                reason=RefusedReason.BACKLOG_FULL, retry_after_ms=MAX_RETRY_MS
+            )
         if self._store.reach.given_up:
             return self._refuse()
         key = job_key(job.job_id)
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -236,6 +236,7 @@
             leader=peers,
             scheduler=lambda: self._seat.scheduler,
             clock=clock,
+            full_workspaces=lambda: self._membership.full,
         )
         self._front = _server(
             settings.front,
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.fleet.backlog import FULL_KEY, decode_full
 from jayshore.http.client import Address, InvalidAddress
 from jayshore.leases.leadership import LeaderEntry, Vacancy, leader_key
 from jayshore.store.mirror import Mirror, MirrorObserver
@@ -91,6 +92,7 @@
         self._domain = domain
         self._cores = cores
         self._members: dict[str, Member] = {}
+        self._full: frozenset[str] = frozenset()
         self._leader = ''
         self._leader_seen = False
         self._vacant = curio.Event()
@@ -107,6 +109,11 @@
         """The registered instances by name."""
         return self._members
 
+    @property
+    def full(self) -> frozenset[str]:
+        """Workspaces that have too many waiting jobs, as the leader tells."""
+        return self._full
+
     @property
     def leader(self) -> str:
         """Name of the leading instance, empty when none is known."""
@@ -121,6 +128,8 @@
         """
         if key == leader_key(DEPLOYMENT):
             await self._set_leader(entry)
+        elif key == FULL_KEY:
+            self._full = decode_full('' if entry is None else entry.value)
         elif key.startswith(_MEMBERS):
             self._set_member(key.removeprefix(_MEMBERS), entry)
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable, Mapping
 
 import curio
+import eliot
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
+from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_full
 from jayshore.fleet.book import Book, JobEntry, JobState, Phase, TaskEntry
 from jayshore.fleet.interfaces import Inventory, WorkerConnector
 from jayshore.fleet.leasing import MAX_LEASE_MS, surely_over_at
@@ -120,6 +122,7 @@
             relay=parts.relay, clock=clock, changed=self._touch
         )
         self._weights = WeightMeter()
+        self._backlog = BacklogMeter()
         self._waits = WaitLog()
         self._sessions: dict[str, WorkerSession] = {}
         self._tasks = BackgroundTasks()
@@ -340,6 +343,13 @@
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
                     await self._runs.lose_all(worker_id)
+        if self._backlog.update(self._book.active()):
+            eliot.log_message(
+                'backlog:full', workspaces=sorted(self._backlog.full)
+            )
+            self._journal.write(
+                FULL_KEY, lambda: encode_full(self._backlog.full)
+            )
         self._touch()
 
     def _forget(self, entry: JobEntry) -> None:
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -201,6 +201,7 @@
             leader=self,
             scheduler=lambda: self.seat.scheduler,
             clock=clock,
+            full_workspaces=lambda: self.membership.full,
         )
         self._tasks = []
 
