End the leadership of a process that has certainly ended

Ruled out: a shorter lease, since a store that is slow, or loses the answers of renewals, would depose leaders that live.

Change: an instance that finds itself named as leader by the store and does not lead ends that lease, which is of its earlier life. An instance that is refused a connection at the leader's host asks up to two others, and ends the lease when one is refused as well; a cut that refuses connections looks to one instance like a dead process. Epochs fence whatever the former holder still does.

The drain test counts refused connections as such now, which is narrower than before.

--- a/jayshore/fleet/candidacy.py
+++ b/jayshore/fleet/candidacy.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final
 
 import curio
@@ -144,6 +144,7 @@
         clock: Clock,
         cores: float,
         cut_off_ms: Callable[[], Millis],
+        end_former_life: Callable[[], Awaitable[None]],
     ) -> None:
         """Use what is known of the other instances.
 
@@ -152,7 +153,9 @@
             clock: our clock.
             cores: processor of this instance, in cores.
             cut_off_ms: tells how long the store has not answered directly.
+            end_former_life: ends the leadership of an earlier life.
         """
+        self._end_former_life = end_former_life
         self._membership = membership
         self._clock = clock
         self._cores = cores
@@ -162,6 +165,8 @@
 
     async def wait_vacant(self) -> None:
         """Wait until there is no leader and nobody better to take over."""
+        await self._membership.wait_loaded()
+        await self._end_former_life()
         await self._membership.wait_vacant()
         await curio.sleep(
             to_seconds(Millis(max(0, self._meet_until - self._clock.now())))
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -13,6 +13,7 @@
 from jayshore.daemon.signals import SignalWatch
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.configuration import ConfigHolder
+from jayshore.fleet.deadleader import DeadLeader
 from jayshore.fleet.desk import Desk
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
 from jayshore.fleet.members import DEPLOYMENT, Membership
@@ -195,12 +196,19 @@
             domain=settings.domain,
             cores=settings.cores,
         )
-        peers.attach(self._membership)
+        dead_leader = DeadLeader(
+            name=settings.name,
+            membership=self._membership,
+            store=store,
+            ask=peers.is_gone_for,
+        )
+        peers.attach(self._membership, dead_leader.suspect)
         self._candidacy = Candidacy(
             membership=self._membership,
             clock=clock,
             cores=settings.cores,
             cut_off_ms=lambda: store.reach.lost_for_ms,
+            end_former_life=dead_leader.end_former_life,
         )
         self._seat = LeaderSeat(
             store=store,
@@ -257,6 +265,7 @@
                 advice=surroundings.advice,
                 store=surroundings.store,
                 is_cut_off=lambda: store.reach.cut_off,
+                is_gone=peers.is_gone,
                 metrics=metrics,
             ),
             settings.max_connections,
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -94,6 +94,7 @@
         self._members: dict[str, Member] = {}
         self._full: frozenset[str] = frozenset()
         self._leader = ''
+        self._leader_lease = 0
         self._leader_seen = False
         self._vacant = curio.Event()
         self._mirror = Mirror(
@@ -109,6 +110,11 @@
         """The registered instances by name."""
         return self._members
 
+    @property
+    def leader_lease(self) -> int:
+        """Store lease of the leader, 0 when unknown."""
+        return self._leader_lease
+
     @property
     def full(self) -> frozenset[str]:
         """Workspaces that have too many waiting jobs, as the leader tells."""
@@ -149,9 +155,13 @@
         """Follow the registrations until cancelled."""
         await self._mirror.run()
 
+    async def wait_loaded(self) -> None:
+        """Wait until the registrations have been read once."""
+        await self._mirror.wait_loaded()
+
     async def wait_vacant(self) -> None:
         """Wait until the store shows no leader."""
-        await self._mirror.wait_loaded()
+        await self.wait_loaded()
         if self._leader_seen:
             await self._vacant.wait()
 
@@ -192,6 +202,7 @@
 
     async def _set_leader(self, entry: Entry | None) -> None:
         self._leader = ''
+        self._leader_lease = 0
         if entry is not None:
             try:
                 decoded = msgspec.json.decode(entry.value, type=LeaderEntry)
@@ -199,6 +210,7 @@
                 eliot.log_message('members:invalid', error=str(error))
             else:
                 self._leader = decoded.holder
+                self._leader_lease = decoded.lease_id
         self._leader_seen = True
         if entry is None:
             await self._vacant.set()
--- a/jayshore/fleet/peerhandler.py
+++ b/jayshore/fleet/peerhandler.py
@@ -1,6 +1,6 @@
 """Answers the calls of the other instances of a deployment."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from prometheus_client import CONTENT_TYPE_LATEST
@@ -12,12 +12,15 @@
 from jayshore.fleet.peering import (
     ADVICE_PATH,
     PENDING_PATH,
+    PROBE_PATH,
     STATE_PATH,
     STORE_PATH,
     AdviceAnswer,
     AdviceQuestion,
     PendingAnswer,
     PendingQuestion,
+    ProbeAnswer,
+    ProbeQuestion,
     StateQuestion,
     state_answer,
 )
@@ -47,6 +50,7 @@
         advice: AdviceService,
         store: TransactionStore,
         is_cut_off: Callable[[], bool],
+        is_gone: Callable[[str], Awaitable[bool]],
         metrics: FleetMetrics,
     ) -> None:
         """Use the parts of this instance.
@@ -56,12 +60,14 @@
             advice: the advice service.
             store: reaches the store directly.
             is_cut_off: tells whether the store did not answer this instance.
+            is_gone: tells whether the process of an instance has ended.
             metrics: served to whoever scrapes them.
         """
         self._scheduler = scheduler
         self._advice = advice
         self._store = store
         self._is_cut_off = is_cut_off
+        self._is_gone = is_gone
         self._metrics = metrics
 
     async def handle(self, request: Request) -> Response:
@@ -93,6 +99,8 @@
             return await self._relay(
                 decode_json(request.body, StoreCall)  # type: ignore[arg-type]
             )
+        if request.path == PROBE_PATH:
+            return await self._probe(decode_json(request.body, ProbeQuestion))
         scheduler = self._scheduler()
         if scheduler is None:
             return error_response(
@@ -118,6 +126,10 @@
             )
         return json_response(HTTPStatus.OK, await execute(self._store, call))
 
+    async def _probe(self, question: ProbeQuestion) -> Response:
+        gone = bool(question.name) and await self._is_gone(question.name)
+        return json_response(HTTPStatus.OK, ProbeAnswer(gone=gone))
+
     async def _advise(self, question: AdviceQuestion) -> Response:
         try:
             advice = await self._advice.advise(
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import random
+from collections.abc import Awaitable, Callable
 
 from jayshore.clock import Clock, Millis
 from jayshore.fleet.advising import AdviceRelay
@@ -21,6 +22,7 @@
     CallTimedOut,
     ConnectFailed,
     ConnectionLost,
+    ConnectRefused,
     HttpClient,
 )
 from jayshore.http.messages import (
@@ -43,10 +45,12 @@
 PENDING_PATH = '/v1/pending'
 ADVICE_PATH = '/v1/advice'
 STORE_PATH = '/v1/store'
+PROBE_PATH = '/v1/probe'
 
 _CONNECTIONS = 16
 _CONNECT_MS = Millis(400)
 _CALL_MS = Millis(500)
+_PROBE_MS = Millis(1000)
 _STORE_CALL_MS = Millis(1300)
 _STORE_LIST_MS = Millis(8000)
 _STORE_ATTEMPTS = 3
@@ -81,6 +85,10 @@
         self.refused = refused
 
 
+class PeerGone(PeerUnavailable):
+    """The host of an instance answers, and no process listens there."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StateQuestion:
     """Asks for the state of a job."""
@@ -110,6 +118,20 @@
     pending: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeQuestion:
+    """Asks whether the process of an instance has ended; '' for no question."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeAnswer:
+    """Whether no process listens there; False when that is not known."""
+
+    gone: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AdviceQuestion:
     """Asks for placement advice; times in ms."""
@@ -182,14 +204,64 @@
         self._advice = advice
         self._clients: dict[Address, HttpClient] = {}
         self._relaying = ''
+        self._leader_gone: Callable[[str], Awaitable[None]] = _ignore
 
-    def attach(self, membership: Membership) -> None:
+    def attach(
+        self,
+        membership: Membership,
+        leader_gone: Callable[[str], Awaitable[None]],
+    ) -> None:
         """Name what knows the other instances.
 
         Args:
             membership: names and addresses.
+            leader_gone: called when no process listens at the leader's host.
         """
         self._membership = membership
+        self._leader_gone = leader_gone
+
+    async def is_gone(self, name: str) -> bool:
+        """Find out whether the process of an instance has ended.
+
+        Args:
+            name: of the instance.
+
+        Returns:
+            True when its host answers and no process listens there.
+        """
+        address = self._address(name)
+        if address is None:
+            return False
+        try:
+            await self._call(
+                address, PROBE_PATH, ProbeQuestion(name=''), _CALL_MS
+            )
+        except PeerGone:
+            return True
+        except PeerUnavailable:
+            return False
+        return False
+
+    async def is_gone_for(self, witness: str, name: str) -> bool:
+        """Ask another instance whether the process of a third has ended.
+
+        Args:
+            witness: name of the instance that is asked.
+            name: of the instance in doubt.
+
+        Returns:
+            True when the witness says so.
+        """
+        address = self._address(witness)
+        if address is None:
+            return False
+        try:
+            answer = await self._call(
+                address, PROBE_PATH, ProbeQuestion(name=name), _PROBE_MS
+            )
+            return decode_json(answer.body, ProbeAnswer).gone
+        except (PeerUnavailable, InvalidJson):
+            return False
 
     async def ask_state(self, job_id: str) -> StateAnswer:
         """Ask the leader for the state of a job.
@@ -358,6 +430,9 @@
             raise LeaderUnavailable('no leader is known')
         try:
             return await self._call(address, path, question, _CALL_MS)
+        except PeerGone as gone:
+            await self._leader_gone(leader)
+            raise LeaderUnavailable(str(gone)) from None
         except PeerUnavailable as error:
             raise LeaderUnavailable(str(error)) from None
 
@@ -392,6 +467,8 @@
         request = Request(method='POST', path=path, body=encode_json(question))
         try:
             answer = await client.call(request, timeout_ms=timeout_ms)
+        except ConnectRefused as refusal:
+            raise PeerGone(str(refusal), sent=False) from None
         except ConnectFailed as error:
             raise PeerUnavailable(str(error), sent=False) from None
         except (ConnectionLost, CallTimedOut) as unclear:
@@ -403,6 +480,10 @@
         return answer
 
 
+async def _ignore(_name: str) -> None:
+    """Stand in until `attach` names what to call."""
+
+
 def state_answer(scheduler: Scheduler, asked: StateQuestion) -> StateAnswer:
     """Look a job up at the leader.
 
--- a/jayshore/fleet/peering_test.py
+++ b/jayshore/fleet/peering_test.py
@@ -40,7 +40,7 @@
     peers = Peers(
         name='north-0', domain='north', advice=NoAdvice(), clock=ManualClock()
     )
-    peers.attach(Members())
+    peers.attach(Members(), leader_gone=None)
     asked = []
 
     async def answer(address, path, question, timeout_ms):
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -21,6 +21,7 @@
     ClientConnection,
     ConnectFailed,
     ConnectionLost,
+    ConnectRefused,
     NothingSent,
     OutgoingRequest,
 )
@@ -32,6 +33,7 @@
     'Address',
     'CallTimedOut',
     'ConnectFailed',
+    'ConnectRefused',
     'ConnectionLost',
     'HttpClient',
     'InvalidAddress',
@@ -242,6 +244,8 @@
                 sockets.configure(sock)
                 sockets.probe_peer(sock)
                 return
+        except ConnectionRefusedError as refusal:
+            raise ConnectRefused(f'{self._address}: {refusal}') from None
         except OSError as error:
             raise ConnectFailed(f'{self._address}: {error}') from None
         raise ConnectFailed(
--- a/jayshore/http/clientconnection.py
+++ b/jayshore/http/clientconnection.py
@@ -31,6 +31,10 @@
     """No connection could be had; certainly nothing was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Nothing was sent: the host answers, and no process listens there."""
+
+
 class ConnectionLost(JayshoreError):
     """The request was sent, at least in part, and no whole answer came."""
 
--- a/jayshore/http/server_test.py
+++ b/jayshore/http/server_test.py
@@ -9,7 +9,7 @@
 import pytest
 
 from jayshore.clock import Millis
-from jayshore.http.client import ConnectFailed, ConnectionLost
+from jayshore.http.client import ConnectFailed, ConnectionLost, ConnectRefused
 from jayshore.http.loopback_test import client_of, post, raw_exchange, run
 from jayshore.http.server import Bounds
 
@@ -180,7 +180,7 @@
             while outcomes[200] < 200:
                 await curio.sleep(0)
             await server.drain(Millis(5000), grace_ms=Millis(3))
-        assert outcomes[ConnectFailed] == 40
+        assert outcomes[ConnectRefused] == 40
         assert outcomes[ConnectionLost] == 0
 
     for _ in range(5):
--- a/jayshore/leases/leadership.py
+++ b/jayshore/leases/leadership.py
@@ -34,10 +34,12 @@
     Attributes:
         holder: name of the leading daemon in the roster.
         write_id: random id of the write.
+        lease_id: store lease of the key, 0 when unknown.
     """
 
     holder: str
     write_id: str
+    lease_id: int = 0
 
 
 class LeadershipObserver(abc.ABC):
@@ -189,7 +191,11 @@
         asked_at = self._clock.now()
         lease = await self._store.grant_lease(self._ttl_ms)
         self._lease = lease
-        entry = LeaderEntry(holder=self._holder, write_id=new_write_id())
+        entry = LeaderEntry(
+            holder=self._holder,
+            write_id=new_write_id(),
+            lease_id=lease.lease_id,
+        )
         written = await self._settler.settle_write(
             Write(
                 key=self._key,
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -17,6 +17,7 @@
 from jayshore.fleet.advising import AdviceRelay
 from jayshore.fleet.book import JobState
 from jayshore.fleet.candidacy import Candidacy
+from jayshore.fleet.deadleader import DeadLeader
 from jayshore.fleet.desk import Accepted, Desk, DeskUnavailable
 from jayshore.fleet.interfaces import (
     Advice,
@@ -161,11 +162,18 @@
             address=Address(host='127.0.0.1', port=1),
             cores=cores,
         )
+        self.dead_leader = DeadLeader(
+            name=name,
+            membership=self.membership,
+            store=self.store,
+            ask=fleet.is_gone_for,
+        )
         self.candidacy = Candidacy(
             membership=self.membership,
             clock=clock,
             cores=cores,
             cut_off_ms=lambda: self.store.reach.lost_for_ms,
+            end_former_life=self.dead_leader.end_former_life,
         )
         self.seat = LeaderSeat(
             store=self.store,
@@ -226,6 +234,7 @@
 
     async def kill(self):
         """End without a word, as a process that is killed."""
+        self.fleet.killed.add(self.name)
         for task in self._tasks:
             await task.cancel()
         reign = self.seat._reign
@@ -258,6 +267,7 @@
         self.relay = Relay()
         self.workers = {}
         self.instances = {}
+        self.killed = set()
 
     def add_worker(self, name, **fields):
         worker = MemoryWorker(
@@ -297,6 +307,10 @@
         await self.instances[name].start()
         return self.instances[name]
 
+    async def is_gone_for(self, witness, name):
+        """Tell what a witness says; every one sees a killed instance."""
+        return name in self.killed
+
     def leading(self):
         for instance in self.instances.values():
             if instance.seat.scheduler is not None:
