Keep the last attempt of a task away from workers on which it failed

Change: a demand whose next failure fails its job waits for a worker on which none of its tasks has failed, if there is one.

Tests: placing_test.py, three rows.

--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -70,6 +70,7 @@
         judged: workers on which advice was given.
         asking: advice is on its way.
         failed_on: workers to use only when no other has room.
+        last_attempt: the job fails with the next failure of a task.
     """
 
     group_id: GroupId
@@ -89,6 +90,7 @@
     judged: frozenset[str] = frozenset()
     asking: bool = False
     failed_on: frozenset[str] = frozenset()
+    last_attempt: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -153,6 +153,7 @@
             if not good:
                 self._ask_about_new(demand, usable)
                 return WaitReason.NOT_ADVISED
+        good = _avoid_last_failure(demand, good)
         wanted = len(demand.indexes)
         count = min(wanted, self._allowed(demand))
         if not count or (demand.gang and count < wanted):
@@ -327,6 +328,18 @@
     )
 
 
+def _avoid_last_failure(demand: Demand, rooms: list[Room]) -> list[Room]:
+    """Leave out workers on which a task failed, if the job would fail too.
+
+    A worker that fails everything has room at once, when all others are full;
+    it would use up the attempts of a job that can be done.
+    """
+    if not demand.last_attempt:
+        return rooms
+    others = [room for room in rooms if room.worker_id not in demand.failed_on]
+    return others or rooms
+
+
 def _seat_limit(room: Room, demand: Demand) -> int:
     if room.probe:
         return 1
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -70,6 +70,12 @@
 CHOICES = (
     ('tightest room', [room(0), room(1, 1500)], demand(), ['w1']),
     ('no room', [room(0, 500)], demand(), None),
+    ('failed there, the only room', [room(0), room(1, 500)],
+     demand(failed_on=frozenset(('w0',))), ['w0']),
+    ('last attempt waits for another', [room(0), room(1, 500)],
+     demand(failed_on=frozenset(('w0',)), last_attempt=True), None),
+    ('last attempt, no other worker', [room(0)],
+     demand(failed_on=frozenset(('w0',)), last_attempt=True), ['w0']),
     ('other service', [room(0, service='t')], demand(), None),
     ('label', [room(0), room(1, labels=frozenset(('b',)))],
      demand(required_label='b'), ['w1']),
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -118,6 +118,9 @@
             judged=frozenset(group.judged),
             asking=group.asking,
             failed_on=frozenset(group.failed_on),
+            last_attempt=any(
+                entry.failures >= queue.max_attempts - 1 for entry in waiting
+            ),
         )
 
     def _may_use(self, worker_id: str, now: Millis) -> bool:
