Split the stand-in of the platform and its test by what they hold

Change: executors and advice stand in standins/platformexecutors.py, the forwarder of the reload test in tests/forwarder.py.

--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -1,7 +1,8 @@
 """Calls between the instances of a deployment.
 
 Any instance answers callers, and asks the leader for the state of jobs; the
-leader asks for placement advice through any instance.
+leader asks for placement advice through any instance. The messages stand here
+beside the calls that carry them, which makes the file longer than most.
 """
 
 import abc
--- a/standins/shared_platform.py
+++ b/standins/shared_platform.py
@@ -15,7 +15,6 @@
 import base64
 import pathlib
 import random
-import types
 from collections.abc import Callable
 from typing import Any
 
@@ -24,17 +23,10 @@
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Millis, to_seconds
-from jayshore.fleet.interfaces import (
-    Inquiry,
-    Inventory,
-    StartOrder,
-    StartResult,
-)
-from jayshore.fleet.model import TaskId, format_task_id, parse_task_id
+from jayshore.fleet.model import TaskId, format_task_id
 from jayshore.http.messages import Request, Response, json_response
 from jayshore.http.requestreader import Bounds
 from jayshore.http.server import Handler, HttpServer
-from jayshore.http.serverconnection import DropConnection
 from jayshore.store.store import (
     Entry,
     LeaseGone,
@@ -51,6 +43,7 @@
 )
 from standins.memorystore import MemoryStore
 from standins.memoryworker import MemoryWorker
+from standins.platformexecutors import AdviceHandler, ExecutorHandler
 
 HOST = '127.0.0.1'
 EXECUTORS = 3
@@ -59,23 +52,12 @@
 SERVICE = 'plans'
 
 _OK = 200
-_BAD_REQUEST = 400
 _NOT_FOUND = 404
-_CONFLICT = 409
 _GONE = 410
 _CONDITION_FAILED = 412
-_MISDIRECTED = 421
 _UNAVAILABLE = 503
 _IDLE_MS = Millis(5000)
 
-_REASONS = types.MappingProxyType(
-    {
-        StartResult.FENCED: 'fence',
-        StartResult.OLD_RUN: 'old',
-        StartResult.LATE: 'late',
-    }
-)
-
 
 class StoreHandler(Handler):
     """Speaks the store's protocol, and the calls of tests."""
@@ -226,109 +208,6 @@
         return json_response(_NOT_FOUND, {})
 
 
-class ExecutorHandler(Handler):
-    """Speaks the protocol of one executor."""
-
-    def __init__(self, *, worker: MemoryWorker) -> None:
-        """Use a worker.
-
-        Args:
-            worker: its state.
-        """
-        self._worker = worker
-
-    async def handle(self, request: Request) -> Response:
-        """Answer a call.
-
-        Args:
-            request: the call.
-
-        Returns:
-            The answer.
-        """
-        target = request.headers.get('jayshore-target-instance')
-        if target != self._worker.worker_id:
-            return json_response(_MISDIRECTED, {})
-        body = msgspec.json.decode(request.body)
-        if request.path == '/-/hold':
-            return await self._hold(body)
-        task = parse_task_id(body['Task'])
-        if task is None:
-            return json_response(_BAD_REQUEST, {})
-        if request.path == '/-/run-start':
-            if self._worker.trouble.lose_starts:
-                await self._lose_start(task, body)
-            return self._start(task, body)
-        taken = self._worker.stop(task, body['Run'], body['Fence'])
-        return json_response(
-            _OK if taken else _CONFLICT, {'ClockMs': self._worker.clock_ms}
-        )
-
-    async def _lose_start(self, task: TaskId, body: dict[str, Any]) -> None:
-        """Carry a start out late, and end the connection without an answer."""
-        trouble = self._worker.trouble
-        trouble.lose_starts -= 1
-        if trouble.late_ms is not None:
-            await curio.spawn(
-                self._start_late, task, body, trouble.late_ms, daemon=True
-            )
-        raise DropConnection('the answer is lost')
-
-    async def _start_late(
-        self, task: TaskId, body: dict[str, Any], delay_ms: int
-    ) -> None:
-        await curio.sleep(to_seconds(Millis(delay_ms)))
-        self._start(task, body)
-
-    def _start(self, task: TaskId, body: dict[str, Any]) -> Response:
-        answer = self._worker.start(
-            StartOrder(
-                task=task,
-                run=body['Run'],
-                payload=body['Spec'],
-                lease_until_ms=body['ExpiresMs'],
-                fence=body['Fence'],
-                checkpoint=body.get('Checkpoint', ''),
-                ticket=body.get('Ticket', ''),
-            )
-        )
-        content: dict[str, Any] = {'ClockMs': self._worker.clock_ms}
-        if answer.result is StartResult.STARTED:
-            return json_response(_OK, content)
-        content['Reason'] = _REASONS[answer.result]
-        return json_response(_CONFLICT, content)
-
-    async def _hold(self, body: dict[str, Any]) -> Response:
-        inventory = await self._worker.inquire(
-            Inquiry(
-                fence=body['Fence'],
-                seen=body['LastSeen'],
-                lease_until_ms=body.get('ExpiresMs'),
-                wait_ms=Millis(body.get('WaitMs', 0)),
-            )
-        )
-        if inventory.fenced:
-            return json_response(_CONFLICT, {'Reason': 'fence'})
-        return json_response(_OK, _lists(inventory))
-
-
-class AdviceHandler(Handler):
-    """Allows every worker."""
-
-    async def handle(self, request: Request) -> Response:
-        """Answer a call.
-
-        Args:
-            request: the call.
-
-        Returns:
-            A ticket for each worker named.
-        """
-        body = msgspec.json.decode(request.body)
-        good = [(worker, 'ticket') for worker in body['Workers']]
-        return json_response(_OK, {'Good': good, 'ValidityMs': 2000})
-
-
 def _item(entry: Entry) -> dict[str, Any]:
     return {
         'Key': entry.key,
@@ -348,27 +227,6 @@
     return {'events': [*events, *gone], 'AtRev': listing.revision}
 
 
-def _lists(inventory: Inventory) -> dict[str, Any]:
-    return {
-        'ClockMs': inventory.clock_ms,
-        'born': inventory.born_ms,
-        'Running': [
-            [run.name, run.run, run.checkpoint, run.percent]
-            for run in inventory.running
-        ],
-        'Finished': [
-            [
-                end.number,
-                '' if end.task is None else format_task_id(end.task),
-                end.run,
-                end.kind,
-                end.checkpoint,
-            ]
-            for end in inventory.ended
-        ],
-    }
-
-
 def register(store: MemoryStore, worker: MemoryWorker, address: str) -> None:
     """Write the entry of an executor.
 
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -8,13 +8,14 @@
 import socket
 import subprocess
 import sys
-import threading
 import time
 import urllib.error
 import urllib.request
 
 import pytest
 
+from tests.forwarder import Forwarder
+
 pytestmark = pytest.mark.processes
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -374,40 +375,3 @@
         wait_for(lambda: moved.accepted > 0, 'calls at the new address')
         assert call('POST', job_url(first, 2), SUBMISSION)[0] == 200
     assert process.poll() is None
-
-
-class Forwarder:
-    """Forwards connections to a port, and counts them."""
-
-    def __init__(self, target):
-        self._target = target
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self.port = self._listener.getsockname()[1]
-        self.accepted = 0
-
-    def __enter__(self):
-        threading.Thread(target=self._accept, daemon=True).start()
-        return self
-
-    def __exit__(self, *_):
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                caller, _ = self._listener.accept()
-            except OSError:
-                return
-            self.accepted += 1
-            server = socket.create_connection(('127.0.0.1', self._target))
-            for pair in ((caller, server), (server, caller)):
-                threading.Thread(target=pump, args=pair, daemon=True).start()
-
-
-def pump(source, sink):
-    """Copy bytes until either side ends."""
-    with contextlib.suppress(OSError):
-        while chunk := source.recv(65_536):
-            sink.sendall(chunk)
-    with contextlib.suppress(OSError):
-        sink.shutdown(socket.SHUT_WR)
