Bound the wait of a last attempt, and let gangs start anywhere

A gang of four with two failures behind it was kept from the workers on which it had failed; of those that advice allowed too few were left, and it waited until the end.

Ruled out: missing advice (the task group was judged) and room (most was free).

Change: only tasks of no gang wait for another worker, for 1.5 s after a failure.

--- a/jayshore/fleet/book.py
+++ b/jayshore/fleet/book.py
@@ -107,6 +107,7 @@
         asking: advice has been asked for.
         failed_runs: runs of a gang that are counted as failed.
         failed_on: workers on which a task failed.
+        failed_at: when a task failed last, on our clock; None before.
     """
 
     group_id: GroupId
@@ -120,6 +121,7 @@
     asking: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     failed_on: set[str] = dataclasses.field(default_factory=set)
+    failed_at: Millis | None = None
 
     @property
     def finished(self) -> bool:
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from jayshore.clock import Millis
-from jayshore.fleet.book import Book, GroupEntry, Phase
+from jayshore.fleet.book import Book, GroupEntry, Phase, TaskEntry
 from jayshore.fleet.demands import Decisions, Demand, Room
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, Queue
@@ -18,6 +18,13 @@
 """Quarters, so that one failure among many successes does not matter."""
 
 
+AVOID_FAILED_MS = Millis(1500)
+"""How long a last attempt waits for a worker on which none failed, in ms.
+
+Work that could start has to start within 3 s, and a run takes about one.
+"""
+
+
 class RoundMaker:
     """Makes placement rounds."""
 
@@ -118,9 +125,7 @@
             judged=frozenset(group.judged),
             asking=group.asking,
             failed_on=frozenset(group.failed_on),
-            last_attempt=any(
-                entry.failures >= queue.max_attempts - 1 for entry in waiting
-            ),
+            last_attempt=_is_last_attempt(group, waiting, queue, now),
         )
 
     def _may_use(self, worker_id: str, now: Millis) -> bool:
@@ -147,6 +152,20 @@
         )
 
 
+def _is_last_attempt(
+    group: GroupEntry, waiting: list[TaskEntry], queue: Queue, now: Millis
+) -> bool:
+    """Tell whether a task should wait for a worker on which none failed.
+
+    Not the members of a gang, which need many workers at once.
+    """
+    if group.shape.gang or group.failed_at is None:
+        return False
+    if now - group.failed_at >= AVOID_FAILED_MS:
+        return False
+    return any(entry.failures >= queue.max_attempts - 1 for entry in waiting)
+
+
 def count_pending(book: Book, queue: str) -> int:
     """Count the jobs of a queue of which no task has started.
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -238,10 +238,10 @@
         if kind is EndKind.DONE:
             self._health.succeeded(task.worker)
         elif kind is EndKind.FAILED:
+            now = self._clock.now()
             task.group.failed_on.add(task.worker)
-            self._health.failed(
-                task.worker, task.task_id.job_id, self._clock.now()
-            )
+            task.group.failed_at = now
+            self._health.failed(task.worker, task.task_id.job_id, now)
 
     async def _leave_slow_worker(
         self, session: WorkerSession, listed: Mapping[TaskEntry, RunningTask]
