Repeat stops that were dropped before a worker had a session

Cause: a leader that takes over applies stored cancellations before the sessions with the workers exist.

Ruled out: records of final jobs (the same tests with the final state in the record passed before), workers that lose stop orders (also passed).

Change: a run in STOPPING that its worker still reports and whose stop was never acknowledged gets its stop again; one stop per run is in flight.

--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -78,6 +78,7 @@
         self._ledger = ledger
         self._observer = observer
         self._tasks = BackgroundTasks()
+        self._stopping: set[tuple[TaskId, int]] = set()
         self._stopping_unwanted: set[tuple[str, str, int]] = set()
 
     async def start(self, task: TaskEntry) -> None:
@@ -100,6 +101,18 @@
         task.acknowledged_at = None
         await self._tasks.spawn(self._stop(task, task.run, poll=False))
 
+    async def repeat_stop(self, task: TaskEntry) -> None:
+        """Order a stop again that was given up before it was acknowledged.
+
+        A stop is given up while its worker has no session, as after a change
+        of leader.
+
+        Args:
+            task: a task that its worker still reports as running.
+        """
+        if task.phase is Phase.STOPPING and task.acknowledged_at is None:
+            await self._tasks.spawn(self._stop(task, task.run, poll=False))
+
     async def stop_unwanted(
         self, session: WorkerSession, task_id: TaskId, run: int
     ) -> None:
@@ -191,6 +204,18 @@
             await self._observer.run_not_started(task, result)
 
     async def _stop(self, task: TaskEntry, run: int, *, poll: bool) -> None:
+        key = (task.task_id, run)
+        if key in self._stopping:
+            return
+        self._stopping.add(key)
+        try:
+            await self._stop_until_acknowledged(task, run, poll=poll)
+        finally:
+            self._stopping.discard(key)
+
+    async def _stop_until_acknowledged(
+        self, task: TaskEntry, run: int, *, poll: bool
+    ) -> None:
         while task.run == run and self._ledger.holds(task):
             session = self._observer.find_session(task.worker)
             if session is None or session.closed:
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -215,6 +215,8 @@
             task.acknowledged_at = self._clock.now()
             if task.group.job.ended:
                 await self._order_sender.stop(task)
+        elif task.phase is Phase.STOPPING:
+            await self._order_sender.repeat_stop(task)
 
     async def _handle_end(
         self, session: WorkerSession, ended: EndedTask
