Hold reserved ports bound, and lose store answers as the protocol says

The stand-in now keeps the connection silent and drops it.

A like fault in the product: an instance took status 500 of a peer that relayed its write as proof that nothing was done. Only 400, 404, 409 and 503 count as refusals now; peering_test shows 500 and 502 as uncertain.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -7,7 +7,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess  # noqa: S404 starts only programs of this project
 import sys
 import time
@@ -15,6 +14,8 @@
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 
+from standins.ports import PortReservation
+
 HOST = '127.0.0.1'
 _READY_TIMEOUT_S = 8
 _END_S = 10
@@ -163,6 +164,9 @@
         )
 
 
+_reservation = PortReservation()
+
+
 def free_ports(count: int) -> list[int]:
     """Find free ports.
 
@@ -173,15 +177,14 @@
         count: number of ports.
 
     Returns:
-        Distinct ports, each free when it was probed.
+        Distinct ports, reserved while this process lives.
 
     Raises:
         NotReached: too few ports are free.
     """
     ports: list[int] = []
     for port in random.SystemRandom().sample(_PORT_RANGE, len(_PORT_RANGE)):
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind((HOST, port))
+        if _reservation.try_port(port):
             ports.append(port)
         if len(ports) == count:
             return ports
--- a/jayshore/daemon/requestgateway.py
+++ b/jayshore/daemon/requestgateway.py
@@ -16,6 +16,7 @@
     UnknownReason,
 )
 from jayshore.routing.executor import RoutedRequest
+from jayshore.routing.recentrefusals import RecentRefusals
 from jayshore.wire import messages as msg
 from jayshore.wire.errors import (
     FrameTooLargeError,
@@ -84,6 +85,7 @@
         self._leader_role = leader_role
         self._peers = peers
         self._clock = clock
+        self._recent_refusals = RecentRefusals(clock=clock)
 
     async def route(
         self, admitted: AdmittedRequest, domains: list[str]
@@ -101,6 +103,16 @@
             The outcome in the last domain that was tried; not run for lack of
             a leader when none was.
         """
+        refusal = self._recent_refusals.find(admitted.request)
+        if refusal is not None:
+            return refusal
+        outcome = await self._route_to_domains(admitted, domains)
+        self._recent_refusals.note(admitted.request, outcome)
+        return outcome
+
+    async def _route_to_domains(
+        self, admitted: AdmittedRequest, domains: list[str]
+    ) -> RequestOutcome:
         deadline = self._clock.now() + admitted.request.timeout_ms
         outcome: RequestOutcome = NotRun(
             reason=NotRunReason.NO_LEADER, retry_after_ms=_RETRY_AFTER_MS
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -268,6 +268,7 @@
                 store=adapter.store,
                 is_cut_off=lambda: store.reachability.direct_unavailable,
                 is_gone=peers.is_gone,
+                note_peer_call=store.reachability.note_peer_call,
                 metrics=metrics,
             ),
             settings.max_connections,
--- a/jayshore/fleet/peerhandler.py
+++ b/jayshore/fleet/peerhandler.py
@@ -51,6 +51,7 @@
         store: TransactionStore,
         is_cut_off: Callable[[], bool],
         is_gone: Callable[[str], Awaitable[bool]],
+        note_peer_call: Callable[[], None],
         metrics: FleetMetrics,
     ) -> None:
         """Create the handler of one instance.
@@ -63,8 +64,10 @@
             is_cut_off: returns whether the store did not reply to the last
                 direct call of this instance.
             is_gone: checks whether the process of an instance has ended.
+            note_peer_call: called for each call of another instance.
             metrics: metrics of this instance.
         """
+        self._note_peer_call = note_peer_call
         self._scheduler = scheduler
         self._advice = advice
         self._store = store
@@ -95,6 +98,7 @@
                 headers=(('content-type', CONTENT_TYPE_LATEST),),
                 body=self._metrics.render(),
             )
+        self._note_peer_call()
         if request.path == ADVICE_PATH:
             return await self._advise(decode_json(request.body, AdviceCall))
         if request.path == STORE_PATH:
--- a/jayshore/fleet/peering.py
+++ b/jayshore/fleet/peering.py
@@ -57,6 +57,8 @@
 _STORE_ATTEMPTS = 3
 _AVOID_FAILED_INSTANCE_MS = Millis(3000)
 _STATUS_OK = 200
+_REFUSED_STATUSES = frozenset((400, 404, 409, 503))
+"""Statuses by which an instance says that a call had no effect."""
 
 
 class LeaderUnavailable(JayshoreError):
@@ -486,11 +488,13 @@
             raise PeerUnavailable(str(error), sent=False) from None
         except (ConnectionLost, CallTimedOut) as unclear:
             raise PeerUnavailable(str(unclear), sent=True) from None
-        if response.status != _STATUS_OK:
-            raise PeerUnavailable(
-                f'status {response.status}', sent=False, refused=True
-            )
-        return response
+        if response.status == _STATUS_OK:
+            return response
+        # A peer that fails while it handles a call may have forwarded it.
+        refused = response.status in _REFUSED_STATUSES
+        raise PeerUnavailable(
+            f'status {response.status}', sent=not refused, refused=refused
+        )
 
 
 async def _ignore_leader_gone(_name: str) -> None:
--- a/jayshore/fleet/peering_test.py
+++ b/jayshore/fleet/peering_test.py
@@ -9,7 +9,11 @@
 from jayshore.fleet.peering import InstanceClient, PeerUnavailable
 from jayshore.http.client import Address
 from jayshore.http.messages import Response, encode_json
-from jayshore.store.store import StoreIsolated, StoreUnavailable
+from jayshore.store.store import (
+    StoreIsolated,
+    StoreUnavailable,
+    StoreUncertain,
+)
 from jayshore.store.storecalls import Get, StoreReply
 
 
@@ -88,3 +92,44 @@
         assert error is not None
 
     curio.run(scenario)
+
+
+class StatusClient:
+    """HTTP client of a peer that answers every call with one status."""
+
+    def __init__(self, status):
+        self._status = status
+
+    async def call(self, request, *, timeout_ms):
+        return Response(status=self._status)
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        (503, StoreUnavailable),
+        (409, StoreUnavailable),
+        # The peer failed, perhaps after it had sent the call to the store.
+        (500, StoreUncertain),
+        (502, StoreUncertain),
+    ],
+)
+def test_only_a_refusal_says_that_nothing_was_done(status, error):
+    """Guards against "not run" for a write that a failing peer relayed."""
+
+    async def scenario():
+        members = Members()
+        peers = InstanceClient(
+            name='north-0',
+            domain='north',
+            advice=NoAdvice(),
+            clock=ManualClock(),
+        )
+        peers.attach(members, leader_gone=None)
+        for member in members.members.values():
+            peers._clients[member.address] = StatusClient(status)
+        with pytest.raises(error) as caught:
+            await peers.forward(Get('k'))
+        assert type(caught.value) is error
+
+    curio.run(scenario)
--- a/jayshore/store/reachability.py
+++ b/jayshore/store/reachability.py
@@ -30,6 +30,10 @@
 """
 
 
+PEER_CALL_RECENT_MS: Final = Millis(2000)
+"""Time in ms for which a call from another instance proves a connection."""
+
+
 class StoreReachability:
     """Records the outcomes of recent calls to the store.
 
@@ -48,6 +52,7 @@
         self._consecutive_uncertain = 0
         self._no_route = False
         self._isolated = False
+        self._peer_called_at: Millis | None = None
         self._call_numbers = itertools.count()
         self._due_times: dict[int, Millis] = {}
 
@@ -79,7 +84,15 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether neither the store nor any other instance answered."""
+        """Whether this instance is cut off from the store and all others.
+
+        In an outage of the store, busy instances answer too late but go on
+        calling each other.
+        """
+        if self._peer_called_at is not None:
+            age = self._clock.now() - self._peer_called_at
+            if age < PEER_CALL_RECENT_MS:
+                return False
         return self._no_route and self._isolated
 
     def should_call_directly(self, *, is_read: bool) -> bool:
@@ -152,6 +165,10 @@
         if self._consecutive_uncertain >= _MAX_CONSECUTIVE_UNCERTAIN:
             self.note_unavailable(error)
 
+    def note_peer_call(self) -> None:
+        """Record a call from another instance."""
+        self._peer_called_at = self._clock.now()
+
     def note_relayed(self) -> None:
         """Record that another instance relayed a call to the store."""
         self._no_route = False
--- a/jayshore/store/reachability_test.py
+++ b/jayshore/store/reachability_test.py
@@ -6,6 +6,7 @@
 from jayshore.store.reachability import (
     ANSWER_OVERDUE_MS,
     DIRECT_RETRY_INTERVAL_MS,
+    PEER_CALL_RECENT_MS,
     StoreReachability,
 )
 from jayshore.store.store import StoreUnavailable, StoreUncertain
@@ -74,3 +75,17 @@
     assert not reachability.reachable
     reachability.end_call(watch)
     assert reachability.reachable
+
+
+def test_instance_that_others_call_is_not_isolated():
+    """Guards against callers sent elsewhere at once during an outage.
+
+    A busy instance gets no answer of the others in time, but they call it.
+    """
+    clock, reachability = make_reachability()
+    reachability.note_peer_call()
+    reachability.note_no_route(isolated=True)
+    assert reachability.no_route
+    assert not reachability.isolated
+    clock.advance(PEER_CALL_RECENT_MS)
+    assert reachability.isolated
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -21,6 +21,7 @@
 from jayshore.http.client import Address, HttpClient
 from jayshore.http.messages import Request, decode_json, encode_json
 from soak.links import HOST, Link
+from standins.ports import PortReservation
 
 PROJECT_ROOT = pathlib.Path(__file__).resolve().parent.parent
 ROUTE_HOST = HOST
@@ -84,6 +85,7 @@
         self._control_client: HttpClient | None = None
         self._version = 0
         self._ports: dict[str, Any] = {}
+        self._port_reservation = PortReservation()
 
     async def start(self, *, instances: int, executors: int, seed: int) -> None:
         """Start the stand-in and the instances, and wait until they listen.
@@ -227,11 +229,14 @@
         if self._platform is not None:
             self._platform.kill()
             self._platform.wait()
+        self._port_reservation.close()
 
     async def _add_instance(self, name: str) -> None:
         link = Link(target_port=self._ports['store'])
         await link.open()
-        front_port, ready_port, internal_port = _free_ports(3)
+        front_port, ready_port, internal_port = self._port_reservation.reserve(
+            3
+        )
         settings = {
             'Node': name,
             'Ip': HOST,
@@ -274,17 +279,6 @@
             )
 
 
-def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        return [_bind_free_port(sock) for sock in sockets]
-
-
-def _bind_free_port(sock: socket.socket) -> int:
-    sock.bind((HOST, 0))
-    return int(sock.getsockname()[1])
-
-
 def _is_listening(port: int) -> bool:
     with socket.socket() as probe:
         return probe.connect_ex((HOST, port)) == 0
--- a/standins/shared_platform.py
+++ b/standins/shared_platform.py
@@ -27,6 +27,7 @@
 from jayshore.http.messages import Request, Response, json_response
 from jayshore.http.requestreader import ServerLimits
 from jayshore.http.server import Handler, HttpServer
+from jayshore.http.serverconnection import DropConnection
 from jayshore.store.store import (
     Entry,
     LeaseGone,
@@ -57,6 +58,11 @@
 _CONDITION_FAILED = 412
 _UNAVAILABLE = 503
 _IDLE_MS = Millis(5000)
+_LOST_ANSWER_MS = Millis(5000)
+"""How long a connection without an answer stays open, in ms.
+
+Longer than the instances wait for an answer of the store.
+"""
 
 
 class StoreHandler(Handler):
@@ -87,8 +93,12 @@
             return await self._answer_call(request)
         except HistoryLost:
             return json_response(_GONE, {})
-        except (StoreUnavailable, StoreUncertain) as error:
+        except StoreUnavailable as error:
             return json_response(_UNAVAILABLE, {'Error': str(error)})
+        except StoreUncertain:
+            # Status 503 would say that nothing was done.
+            await curio.sleep(to_seconds(_LOST_ANSWER_MS))
+            raise DropConnection('the answer is lost') from None
 
     async def _answer_call(self, request: Request) -> Response:
         body = msgspec.json.decode(request.body) if request.body else {}
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -1,11 +1,9 @@
 """Processes of `platform/edge.py` against the stand-in of the platform."""
 
-import contextlib
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +12,7 @@
 
 import pytest
 
+from standins.ports import PortReservation
 from tests.forwarder import Forwarder
 from tests.support import TAKEOVER_LIMIT_S
 
@@ -65,6 +64,7 @@
         self.processes = []
         self.logs = {}
         self.settings = {}
+        self.reservation = PortReservation()
 
     def start(self, instances):
         self._spawn(
@@ -81,7 +81,7 @@
         self.fronts = [self.add(f'i{number}') for number in range(instances)]
 
     def add(self, name):
-        front, ready, internal_port = free_ports(3)
+        front, ready, internal_port = self.reservation.reserve(3)
         settings = {
             'Node': name,
             'Ip': '127.0.0.1',
@@ -119,6 +119,7 @@
         for process in self.processes:
             process.kill()
             process.wait()
+        self.reservation.close()
 
     def _spawn(self, name, *arguments, env=None):
         log = self.directory / f'{name}.log'
@@ -146,14 +147,6 @@
         running.stop()
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
 def wait_for(condition, what, limit_s=LIMIT_S):
     end = time.monotonic() + limit_s
     while time.monotonic() < end:
@@ -381,3 +374,28 @@
         wait_for(lambda: moved.accepted > 0, 'calls at the new address')
         assert call('POST', job_url(first, 2), SUBMISSION)[0] == 200
     assert process.poll() is None
+
+
+@pytest.mark.parametrize('late_ms', [0, 700])
+def test_refused_submission_never_runs(deployment, late_ms):
+    """Guards against a refusal of a submission that the store has applied.
+
+    The store applies the writes and loses the answers, so nobody can say that
+    the submission had no effect.
+    """
+    deployment.call_test_api('trouble', {'lose_answers': 8, 'late_ms': late_ms})
+    answers = [
+        call('POST', job_url(deployment.fronts[0], number), SUBMISSION)[0]
+        for number in range(4)
+    ]
+    deployment.call_test_api('trouble', {'lose_answers': 0})
+    time.sleep(3)
+    started = {
+        run[0].partition('.')[0] for run in deployment.call_test_api('runs')
+    }
+    refused = {
+        f'{number:016x}'
+        for number, status in enumerate(answers)
+        if status in {429, 503}
+    }
+    assert not refused & started, answers
