Ask again at once after one lost reply, and take the bound of leases from the settings

Cause: after a lost reply of a long poll the leader waited for its timeout (wait + 800 ms) and 200 ms more, and then polled with a wait again; a lost reply of a start took 500 ms and marked its worker as suspected, so that it got no new tasks. Leases: the deployment bounds them to 6 s (HoldMaxMs), while the leader assumed 8 to 10 s and gave up the runs of dead workers 2 s or more late.

The longest lease comes from the settings. Progress of runs is measured anew after a silence of the worker, so that a thawed worker's runs are not taken for stalled. A start whose worker's session has closed before the first order is returned to waiting rather than left in STARTING.

--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -17,6 +17,7 @@
 from jayshore.fleet.jobservice import JobService
 from jayshore.fleet.leaderfailure import LeaderFailureDetector
 from jayshore.fleet.leaderrole import LeaderRole
+from jayshore.fleet.leasing import MAX_LEASE_MS
 from jayshore.fleet.members import DEPLOYMENT, Membership
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, WorkerEntry
@@ -62,6 +63,7 @@
         domain: failure domain.
         cores: processor capacity of this instance, in cores.
         max_connections: maximum number of open connections per address.
+        max_lease_ms: longest lease that a worker accepts, in ms.
     """
 
     name: str
@@ -71,6 +73,7 @@
     domain: str = ''
     cores: float = 1.0
     max_connections: int = 1500
+    max_lease_ms: Millis = MAX_LEASE_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -221,6 +224,7 @@
                 relay=peers,
                 config=lambda: self._holder.config,
                 metrics=metrics,
+                max_lease_ms=settings.max_lease_ms,
             ),
             worker_prefix=adapter.worker_prefix,
             decode_worker=adapter.decode_worker,
--- a/jayshore/fleet/leasing.py
+++ b/jayshore/fleet/leasing.py
@@ -10,14 +10,14 @@
 from jayshore.clock import Millis
 
 LEASE_MS: Final = Millis(8000)
-"""Length of a lease, in ms.
+"""Length of a lease where workers accept one that long, in ms.
 
 Longer than the usual network partition of 5 to 6 s, so that runs survive it.
 The tasks of a crashed worker restart elsewhere only after this time.
 """
 
 MAX_LEASE_MS: Final = Millis(10_000)
-"""Longest lease that a worker accepts, in ms."""
+"""Longest lease that a worker accepts unless the settings say otherwise."""
 
 _MIN_CLOCK_RATE: Final = 0.98
 """Lowest rate of a worker's clock relative to the leader's clock."""
@@ -41,8 +41,13 @@
 class WorkerLease:
     """The leader's view of the lease of one worker."""
 
-    def __init__(self) -> None:
-        """Create a lease without a reading of the worker's clock."""
+    def __init__(self, *, max_ms: Millis) -> None:
+        """Create a lease without a reading of the worker's clock.
+
+        Args:
+            max_ms: longest lease that the worker accepts, in ms.
+        """
+        self._length_ms = min(LEASE_MS, max_ms)
         self._clock_reading: int | None = None
         self._read_at = Millis(0)
         self._granted_until = 0
@@ -88,7 +93,7 @@
             return None
         if not extend:
             return self._granted_until or None
-        until = min(now + LEASE_MS, lease_deadline)
+        until = min(now + self._length_ms, lease_deadline)
         if until <= now:
             return None
         lease_end = self._clock_reading + (until - self._read_at)
--- a/jayshore/fleet/leasing_test.py
+++ b/jayshore/fleet/leasing_test.py
@@ -3,21 +3,26 @@
 import pytest
 
 from jayshore.clock import Millis
-from jayshore.fleet.leasing import LEASE_MS, WorkerLease, latest_expiry
+from jayshore.fleet.leasing import (
+    LEASE_MS,
+    MAX_LEASE_MS,
+    WorkerLease,
+    latest_expiry,
+)
 
 LATER = Millis(1_000_000)
 
 
 def make_lease(reading=5000, at=1000):
     """Make a lease with a reading of the worker's clock."""
-    lease = WorkerLease()
+    lease = WorkerLease(max_ms=MAX_LEASE_MS)
     lease.note_clock(reading, Millis(at))
     return lease
 
 
 def test_nothing_is_granted_before_the_clock_is_known():
     """Guards against lease ends that mean another time at the worker."""
-    lease = WorkerLease()
+    lease = WorkerLease(max_ms=MAX_LEASE_MS)
     assert lease.grant(Millis(0), LATER, extend=True) is None
     assert lease.expires_by() == 0
 
@@ -59,3 +64,17 @@
     assert ends is not None
     assert lease.expires_by() * rate >= ends
     assert latest_expiry(Millis(0), Millis(ends)) * rate >= ends
+
+
+@pytest.mark.parametrize(
+    ('max_ms', 'length_ms'), [(6000, 6000), (10_000, LEASE_MS)]
+)
+def test_lease_is_no_longer_than_the_worker_accepts(max_ms, length_ms):
+    """Guards against runs of a dead worker that are given up late.
+
+    A worker shortens a longer lease, so its runs end before the leader thinks.
+    """
+    lease = WorkerLease(max_ms=Millis(max_ms))
+    lease.note_clock(5000, Millis(1000))
+    ends = lease.grant(Millis(1000), LATER, extend=True)
+    assert ends == 5000 + length_ms
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -25,7 +25,7 @@
 from jayshore.fleet.model import TaskId, format_task_id
 from jayshore.fleet.sessions import WorkerSession
 
-_START_ATTEMPTS: Final = 2
+_START_ATTEMPTS: Final = 3
 _RETRY_MS: Final = Millis(200)
 _UNWANTED_STOP_ATTEMPTS: Final = 3
 
@@ -141,26 +141,42 @@
         while _is_starting(task, run):
             session = self._observer.find_session(task.worker)
             if session is None or session.closed:
+                if not attempts:
+                    await self._report_not_started(task, run, 'no_session')
                 return
             lease_until = session.grant()
             if lease_until is None:
                 await curio.sleep(to_seconds(_RETRY_MS))
                 continue
             order = _start_order(task, session, lease_until)
-            try:
-                reply = await session.client.start(order)
-            except WorkerUnreachable as error:
-                session.suspect()
-                attempts += 1
-                await self._handle_lost_reply(
-                    task, run, attempts, sent=error.sent
-                )
-            else:
-                await self._handle_reply(
-                    task, run, reply, uncertain=attempts > 0
-                )
+            attempts += 1
+            if await self._send_start(task, order, session, attempts):
                 return
 
+    async def _send_start(
+        self,
+        task: TaskEntry,
+        order: StartOrder,
+        session: WorkerSession,
+        attempts: int,
+    ) -> bool:
+        """Send a start once; False when its reply is lost.
+
+        One lost reply says little of a worker; the next order shows whether it
+        replies.
+        """
+        try:
+            reply = await session.client.start(order)
+        except WorkerUnreachable as error:
+            if attempts > 1 or not error.sent:
+                session.suspect()
+            await self._handle_lost_reply(
+                task, order.run, attempts, sent=error.sent
+            )
+            return False
+        await self._handle_reply(task, order.run, reply, uncertain=attempts > 1)
+        return True
+
     async def _handle_lost_reply(
         self, task: TaskEntry, run: int, attempts: int, *, sent: bool
     ) -> None:
--- a/jayshore/fleet/progress.py
+++ b/jayshore/fleet/progress.py
@@ -34,6 +34,12 @@
 """Maximum moves of a task in all; one that stalls everywhere is not moved."""
 
 _MIN_AGE_MS: Final = 1500
+_MAX_REPORT_GAP_MS: Final = 1500
+"""Time between two reports beyond which progress is measured anew, in ms.
+
+The worker was silent or frozen meanwhile, which says nothing of its runs.
+"""
+
 _FULL_PERCENT: Final = 100
 
 
@@ -82,6 +88,7 @@
     def __init__(self) -> None:
         """Create a tracker without runs."""
         self._tracks: dict[TaskId, _Track] = {}
+        self._updated_at = Millis(0)
 
     def update(
         self, samples: Iterable[ProgressSample], now: Millis
@@ -95,6 +102,9 @@
         Returns:
             Tasks whose runs are slow or stalled, with their pace.
         """
+        if now - self._updated_at > _MAX_REPORT_GAP_MS:
+            self._tracks = {}
+        self._updated_at = now
         tracks: dict[TaskId, _Track] = {}
         found: list[tuple[TaskId, Pace]] = []
         for sample in samples:
--- a/jayshore/fleet/progress_test.py
+++ b/jayshore/fleet/progress_test.py
@@ -47,6 +47,8 @@
     ('stands still elsewhere', (30, 30, 30, 30), {'moves': 1},
      [(TASK, Pace.STALLED)]),
     ('stands still everywhere', (30, 30, 30, 30), {'moves': 3}, []),
+    ('a worker is silent for a while', (30, 30), {'step_ms': 1501}, []),
+    ('a worker is often silent', (30, 30, 30, 30), {'step_ms': 1501}, []),
     ('another run', (30, 30, 30, 0), {'runs': (1, 1, 1, 2)}, []),
 )  # fmt: skip
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -66,6 +66,7 @@
         relay: reaches the advice service.
         config: returns the configuration in force.
         metrics: metrics of this instance.
+        max_lease_ms: longest lease that a worker accepts, in ms.
     """
 
     clock: Clock
@@ -74,6 +75,7 @@
     relay: AdviceRelay
     config: Callable[[], FleetConfig]
     metrics: FleetMetrics
+    max_lease_ms: Millis = MAX_LEASE_MS
 
 
 class Scheduler(SessionObserver, OrderObserver):
@@ -104,7 +106,8 @@
         self._connector = dependencies.connector
         self._config = dependencies.config
         self._confirmed_at = confirmed_at
-        self._inherited_until = latest_expiry(clock.now(), MAX_LEASE_MS)
+        self._max_lease_ms = dependencies.max_lease_ms
+        self._inherited_until = latest_expiry(clock.now(), self._max_lease_ms)
         self._job_table = JobTable()
         self._ledger = Ledger()
         health = WorkerHealth(rng=random.Random())  # noqa: S311 jitter
@@ -219,6 +222,7 @@
             observer=self,
             fence=self._epoch,
             inherited_until=self._inherited_until,
+            max_lease_ms=self._max_lease_ms,
         )
         await self._tasks.spawn(self._sessions[worker_id].run())
 
@@ -247,7 +251,7 @@
             Time on the local clock in ms until which a successor waits at
             least.
         """
-        return Millis(self._confirmed_at() + MAX_LEASE_MS)
+        return Millis(self._confirmed_at() + self._max_lease_ms)
 
     def find_session(self, worker_id: str) -> WorkerSession | None:
         """Find the session of a worker.
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -83,6 +83,7 @@
         observer: SessionObserver,
         fence: int,
         inherited_until: Millis,
+        max_lease_ms: Millis,
     ) -> None:
         """Create a session.
 
@@ -94,6 +95,7 @@
             fence: epoch of this leader, used as the fencing token.
             inherited_until: when all leases of former leaders have expired, on
                 the local clock.
+            max_lease_ms: longest lease that the worker accepts, in ms.
         """
         self.registered = True
         self.closed = False
@@ -106,7 +108,7 @@
         self._observer = observer
         self._fence = fence
         self._inherited_until = inherited_until
-        self._lease = WorkerLease()
+        self._lease = WorkerLease(max_ms=max_lease_ms)
         self._born_ms = 0
         self._replied_at: Millis | None = None
         self._suspected = False
@@ -218,7 +220,9 @@
             )
 
     async def _renew_once(self) -> None:
-        wait_ms = WAIT_MS if self._lease.clock_known else Millis(0)
+        wait_ms = Millis(0)
+        if self._lease.clock_known and not self._suspected:
+            wait_ms = WAIT_MS
         try:
             await self._renew(wait_ms)
         except WorkerUnreachable as error:
@@ -257,7 +261,8 @@
         await self._observer.handle_renewal(self, reply, sent_at)
 
     async def _handle_no_reply(self, error: WorkerUnreachable) -> None:
-        if not self._suspected:
+        first = not self._suspected
+        if first:
             eliot.log_message(
                 'worker:silent',
                 worker=self._entry.worker_id,
@@ -270,7 +275,9 @@
             await self._observer.lease_expired(self)
             if not self.registered:
                 self.closed = True
-        await curio.sleep(to_seconds(_RETRY_MS))
+        if not (first and error.sent):
+            # A single lost reply is asked for again at once.
+            await curio.sleep(to_seconds(_RETRY_MS))
 
     async def _close_superseded(self) -> None:
         """Close after another incarnation of the worker replied."""
--- /dev/null
+++ b/jayshore/fleet/sessions_test.py
@@ -0,0 +1,106 @@
+"""Tests of the renewals that a leader sends to one worker."""
+
+import curio
+
+from jayshore.clock import Millis, MonotonicClock
+from jayshore.fleet.interfaces import (
+    RenewalReply,
+    WorkerClient,
+    WorkerConnector,
+    WorkerUnreachable,
+)
+from jayshore.fleet.model import WorkerEntry
+from jayshore.fleet.sessions import WAIT_MS, SessionObserver, WorkerSession
+from jayshore.resources import Resources
+
+LEASE_MS = Millis(6000)
+
+
+class LossyWorker(WorkerClient, WorkerConnector):
+    """Records renewals, and loses the replies with the given numbers."""
+
+    def __init__(self, lost):
+        self.renewals = []
+        self._lost = lost
+        self._clock = MonotonicClock()
+
+    def connect(self, entry):
+        return self
+
+    async def start(self, order):
+        raise NotImplementedError
+
+    async def stop(self, task, run, fence):
+        raise NotImplementedError
+
+    async def renew(self, request):
+        self.renewals.append((self._clock.now(), request.wait_ms))
+        await curio.sleep(0.02)
+        if len(self.renewals) in self._lost:
+            raise WorkerUnreachable('no answer in time', sent=True)
+        return RenewalReply(clock_ms=5000, born_ms=1)
+
+    async def close(self):
+        """Do nothing."""
+
+
+class Leader(SessionObserver):
+    def __init__(self, clock):
+        self._clock = clock
+
+    async def handle_renewal(self, session, reply, sent_at):
+        """Ignore the reply."""
+
+    async def lease_expired(self, session):
+        raise AssertionError('the lease has not expired')
+
+    def lease_deadline(self):
+        return Millis(self._clock.now() + LEASE_MS)
+
+
+async def renew_five_times(worker):
+    clock = MonotonicClock()
+    entry = WorkerEntry(
+        worker_id='w1',
+        born_ms=1,
+        service='plans',
+        address='w1:1',
+        domain='north',
+        rack='r1',
+        labels=frozenset(),
+        capacity=Resources(cpu_millis=4000, memory_mb=8000),
+    )
+    session = WorkerSession(
+        entry=entry,
+        connector=worker,
+        clock=clock,
+        observer=Leader(clock),
+        fence=1,
+        inherited_until=Millis(0),
+        max_lease_ms=LEASE_MS,
+    )
+    task = await curio.spawn(session.run)
+    while len(worker.renewals) < 5:
+        await curio.sleep(0.005)
+    await task.cancel()
+
+
+def test_lost_reply_is_asked_for_again_at_once():
+    """Guards against ends that stay unknown after one lost reply.
+
+    The next renewal neither waits for an end at the worker nor is it delayed.
+    """
+    worker = LossyWorker(lost={2})
+    curio.run(renew_five_times, worker)
+    waits = [wait_ms for _, wait_ms in worker.renewals]
+    assert waits == [0, WAIT_MS, 0, WAIT_MS, WAIT_MS]
+    assert worker.renewals[2][0] - worker.renewals[1][0] < 100
+
+
+def test_silent_worker_is_not_called_without_pause():
+    """Guards against a flood of calls to a worker that does not reply."""
+    worker = LossyWorker(lost={2, 3, 4})
+    curio.run(renew_five_times, worker)
+    times = [sent_at for sent_at, _ in worker.renewals]
+    assert times[3] - times[2] >= 200
+    assert times[4] - times[3] >= 200
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from jayshore.clock import Clock, Millis, MonotonicClock, WallClock
-from jayshore.fleet import leasing, scheduler, sessions
+from jayshore.fleet import leasing, sessions
 from jayshore.fleet.advising import AdviceRelay
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.interfaces import (
@@ -84,7 +84,7 @@
 def shorten_leases(monkeypatch):
     """Shorten lease times so that leases expire within a test."""
     monkeypatch.setattr(leasing, 'LEASE_MS', LEASE_MS)
-    monkeypatch.setattr(scheduler, 'MAX_LEASE_MS', MAX_LEASE_MS)
+    monkeypatch.setattr(leasing, 'MAX_LEASE_MS', MAX_LEASE_MS)
     monkeypatch.setattr(sessions, 'WAIT_MS', WAIT_MS)
 
 
@@ -190,6 +190,7 @@
                 relay=fleet.relay,
                 config=lambda: fleet.config,
                 metrics=FleetMetrics(),
+                max_lease_ms=leasing.MAX_LEASE_MS,
             ),
             worker_prefix=WORKERS,
             decode_worker=decode_worker,
