--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from jayshore.clock import Millis
-from jayshore.fleet.allowances import Allowance, count_fits
 from jayshore.fleet.demands import (
     AdviceRequest,
     Decisions,
@@ -22,7 +21,7 @@
 )
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.ranking import DeadlineStatus, Rank
-from jayshore.resources import Resources
+from jayshore.resources import NOTHING, Resources
 
 TICKET_MARGIN_MS: Final = Millis(150)
 """Minimum remaining validity of a ticket when a start is decided, in ms.
@@ -46,6 +45,8 @@
 fleet a quarter of a worker is free.
 """
 
+_UNLIMITED: Final = 1 << 60
+
 
 class _Pool:
     """Workers that are eligible for the same kinds of demands.
@@ -95,7 +96,7 @@
         self,
         *,
         workers: Iterable[WorkerHeadroom],
-        allowances: Mapping[str, Allowance],
+        allowances: dict[str, Resources],
         now: Millis,
     ) -> None:
         """Create a round.
@@ -168,7 +169,6 @@
         wanted = len(demand.indexes)
         count = min(wanted, self._allowed(demand))
         if not count or (demand.gang and count < wanted):
-            self._reserve_allowance(demand)
             return WaitReason.LIMIT
         slots = self._find_slots(demand, permitted, count)
         if demand.gang and len(slots) < count:
@@ -288,7 +288,7 @@
         slot_count = sum(
             min(
                 _slot_limit(worker, demand),
-                count_fits(demand, worker.capacity),
+                _count_fits(demand, worker.capacity),
             )
             for worker in usable
         )
@@ -309,7 +309,7 @@
             self._reserved_count += 1
             wanted -= min(
                 _slot_limit(worker, demand),
-                count_fits(demand, worker.capacity),
+                _count_fits(demand, worker.capacity),
             )
 
     def _request_advice(self, demand: GroupDemand, workers: list[str]) -> None:
@@ -325,17 +325,30 @@
         allowance = self._allowances.get(demand.workspace)
         if allowance is None:
             return len(demand.indexes)
-        return allowance.count(demand)
+        return _count_fits(demand, allowance)
 
     def _charge_allowance(self, demand: GroupDemand) -> None:
         allowance = self._allowances.get(demand.workspace)
         if allowance is not None:
-            allowance.charge(demand)
+            self._allowances[demand.workspace] = allowance - demand.need
 
-    def _reserve_allowance(self, demand: GroupDemand) -> None:
-        allowance = self._allowances.get(demand.workspace)
-        if allowance is not None and demand.gang:
-            allowance.reserve(demand)
+
+def limit_allowance(maximum: Resources, used: Resources) -> Resources:
+    """Compute the resources that a workspace may still start.
+
+    Args:
+        maximum: limit of the workspace; a component of 0 has no limit.
+        used: resources of its running tasks.
+
+    Returns:
+        The remainder, negative when usage exceeds a limit that was lowered.
+    """
+    limit = Resources(
+        cpu_millis=maximum.cpu_millis or _UNLIMITED,
+        memory_mb=maximum.memory_mb or _UNLIMITED,
+        accelerators=maximum.accelerators or _UNLIMITED,
+    )
+    return limit - used
 
 
 def _demand_rank(demand: GroupDemand) -> tuple[Rank, GroupId]:
@@ -378,11 +391,23 @@
     return max(0, demand.max_per_worker - placed)
 
 
+def _count_fits(demand: GroupDemand, available: Resources) -> int:
+    """Count how many tasks of a demand fit in an amount of resources."""
+    if not NOTHING.fits_in(available):
+        return 0
+    counts = [
+        free // wanted
+        for wanted, free in zip(demand.need, available, strict=True)
+        if wanted
+    ]
+    return min(counts, default=len(demand.indexes))
+
+
 def _choose_workers_to_ask(
     demand: GroupDemand, workers: list[WorkerHeadroom]
 ) -> list[str]:
     """Choose workers for a request for advice, healthy and empty ones first."""
-    per_worker = max(1, count_fits(demand, workers[0].capacity))
+    per_worker = max(1, _count_fits(demand, workers[0].capacity))
     wanted = _ADVICE_WORKERS_PER_NEEDED * math.ceil(
         len(demand.indexes) / per_worker
     )
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -4,12 +4,11 @@
 from collections.abc import Iterable
 
 from jayshore.clock import Millis
-from jayshore.fleet.allowances import Allowance
 from jayshore.fleet.demands import Decisions, GroupDemand, WorkerHeadroom
 from jayshore.fleet.jobtable import GroupEntry, JobTable, Phase, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, Queue
-from jayshore.fleet.placing import PlacementRound
+from jayshore.fleet.placing import PlacementRound, limit_allowance
 from jayshore.fleet.ranking import rank_group
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
@@ -72,7 +71,7 @@
                 if self._may_use(session.entry.worker_id, now)
             ],
             allowances={
-                workspace.name: Allowance.of_usage(
+                workspace.name: limit_allowance(
                     workspace.maximum, self._ledger.used_by(workspace.name)
                 )
                 for workspace in config.workspaces
