Survive malformed and deeply nested messages in every decoder

Cause: msgspec raises RecursionError on deep nesting, also while it skips an unknown field, and no decoder expected it. One registration of a worker or one configuration with such a value ended the mirror of every leader in turn, one call body ended in 500, and a reply of a worker ended its session.

Change: DECODE_ERRORS names what decoding raises, and all decoders of the adapter, the records, the members and HTTP bodies use it. A mirror logs an entry whose handling fails and goes on with the others.

--- a/jayshore/decoding.py
+++ b/jayshore/decoding.py
@@ -14,6 +14,13 @@
 
 T = typing.TypeVar('T')
 
+DECODE_ERRORS: typing.Final = (
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    RecursionError,
+)
+"""Errors that msgspec raises on malformed or deeply nested input."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Fault:
@@ -58,7 +65,7 @@
     """
     try:
         return msgspec.json.decode(raw)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Faults(faults=(Fault(file=file, message=str(error)),))
 
 
--- a/jayshore/fleet/backlog.py
+++ b/jayshore/fleet/backlog.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from jayshore.decoding import DECODE_ERRORS
 from jayshore.fleet.jobtable import JobEntry, JobState
 
 MAX_WAITING: Final = 3000
@@ -95,5 +96,5 @@
     """
     try:
         return frozenset(msgspec.json.decode(text, type=list[str]))
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return frozenset()
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.decoding import DECODE_ERRORS
 from jayshore.fleet.backlog import FULL_KEY, decode_workspaces
 from jayshore.http.client import Address, InvalidAddress
 from jayshore.leases.leadership import LeaderEntry, VacancyMonitor, leader_key
@@ -29,6 +30,7 @@
 
 _PREFIX = f'domains/{DEPLOYMENT}/'
 _MEMBERS = f'{_PREFIX}members/'
+_INVALID_ENTRY = (*DECODE_ERRORS, InvalidAddress)
 _TTL_MS = Millis(5000)
 _RENEW_MS = Millis(1500)
 _RETRY_MS = Millis(400)
@@ -208,7 +210,7 @@
         if entry is not None:
             try:
                 decoded = msgspec.json.decode(entry.value, type=LeaderEntry)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 eliot.log_message('members:invalid', error=str(error))
             else:
                 self._leader = decoded.holder
@@ -227,7 +229,7 @@
         try:
             decoded = msgspec.json.decode(entry.value, type=_MemberEntry)
             address = Address.parse(decoded.address)
-        except (msgspec.DecodeError, InvalidAddress) as error:
+        except _INVALID_ENTRY as error:
             eliot.log_message('members:invalid', error=str(error))
             return
         self._members[name] = Member(
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from jayshore.decoding import DECODE_ERRORS
 from jayshore.fleet.jobtable import (
     PLACED_PHASES,
     JobEntry,
@@ -149,7 +150,7 @@
     """
     try:
         return msgspec.json.decode(text, type=Job)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise InvalidRecord(str(error)) from None
 
 
@@ -187,7 +188,7 @@
     """
     try:
         return msgspec.json.decode(text, type=ProgressRecord)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise InvalidRecord(str(error)) from None
 
 
--- a/jayshore/http/messages.py
+++ b/jayshore/http/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jayshore.decoding import DECODE_ERRORS
 from jayshore.outcomes import JayshoreError
 
 JSON_TYPE = 'application/json'
@@ -137,7 +138,7 @@
     """
     try:
         return msgspec.json.decode(body, type=expected)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         detail, _, path = str(error).partition(_PATH_SEPARATOR)
         raise InvalidJson(path=path.rstrip('`') or '$', detail=detail) from None
 
--- a/jayshore/store/mirror.py
+++ b/jayshore/store/mirror.py
@@ -143,8 +143,16 @@
         for entry in entries:
             if self._revisions.get(entry.key, 0) < entry.revision:
                 self._revisions[entry.key] = entry.revision
-                await self._observer.changed(entry.key, entry)
+                await self._report(entry.key, entry)
 
     async def _report_removal(self, key: str) -> None:
         if self._revisions.pop(key, None) is not None:
-            await self._observer.changed(key, None)
+            await self._report(key, None)
+
+    async def _report(self, key: str, entry: Entry | None) -> None:
+        """Report a change; one that fails does not hold up the others."""
+        try:
+            await self._observer.changed(key, entry)
+        except Exception as error:
+            eliot.write_traceback()
+            eliot.log_message('mirror:entry_failed', key=key, error=repr(error))
--- a/jayshore/store/mirror_test.py
+++ b/jayshore/store/mirror_test.py
@@ -128,3 +128,40 @@
         await task.cancel()
 
     curio.run(scenario)
+
+
+class FailingRecorder(ValueRecorder):
+    """Fails on one key, as on a value that nobody expected."""
+
+    async def changed(self, key, entry):
+        if key == 'p/bad':
+            raise RecursionError('nested too deeply')
+        await super().changed(key, entry)
+
+
+@pytest.mark.parametrize('listed', [True, False])
+def test_entry_that_fails_does_not_end_the_mirror(listed):
+    """Guards against one odd entry that ends every process that reads it."""
+
+    async def scenario():
+        store = MemoryStore()
+        recorder = FailingRecorder()
+        if listed:
+            store.write('p/bad', '0')
+        store.write('p/a', '1')
+        mirror = Mirror(
+            store=store,
+            clock=MonotonicClock(),
+            prefix='p/',
+            observer=recorder,
+            wait_ms=Millis(1000),
+        )
+        task = await curio.spawn(mirror.run, daemon=True)
+        await mirror.wait_loaded()
+        store.write('p/bad', '2')
+        store.write('p/c', '3')
+        await curio.sleep(0.1)
+        assert recorder.values == {'p/a': '1', 'p/c': '3'}
+        await task.cancel()
+
+    curio.run(scenario)
--- a/jayshore/store/writeresolver.py
+++ b/jayshore/store/writeresolver.py
@@ -17,6 +17,7 @@
     Millis,
     to_seconds,
 )
+from jayshore.decoding import DECODE_ERRORS
 from jayshore.outcomes import JayshoreError
 from jayshore.retry import Backoff
 from jayshore.store.store import (
@@ -177,7 +178,7 @@
     """
     try:
         return msgspec.json.decode(value, type=_ValueWithId).write_id or None
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -399,3 +399,20 @@
         if status in {429, 503}
     }
     assert not refused & started, answers
+
+
+def test_odd_entries_of_the_store_are_survived(deployment):
+    """Guards against an entry that makes every leader in turn step down."""
+    nested = '{"Service":' + '[' * 5000 + ']' * 5000 + '}'
+    for value in (nested, '{"Service":"plans","Addr":"1:2"}', '\\u0000', '[]'):
+        deployment.put('servers/x-odd', value)
+        deployment.put('op/config', value)
+        time.sleep(0.3)
+    first, second = deployment.fronts
+    assert call('POST', job_url(first, 1), SUBMISSION)[0] == 200
+    wait_for(
+        lambda: call('GET', job_url(second, 1))[1] == {'State': 'completed'},
+        'the job is completed',
+    )
+    assert first[0].poll() is None
+    assert second[0].poll() is None
