--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -416,3 +416,34 @@
     )
     assert first[0].poll() is None
     assert second[0].poll() is None
+
+
+def test_restart_uses_no_withdrawn_key_and_no_worker_that_left(deployment):
+    """Guards against a restarted instance that acts on what was withdrawn."""
+    deployment.put('op/config', make_config(2, keys=(KEY, 'k-old')))
+    front = deployment.fronts[0]
+    wait_for(
+        lambda: call('GET', job_url(front, 1), key='k-old')[0] == 410,
+        'the key is in force',
+    )
+    deployment.put('op/config', make_config(3))
+    deployment.put('servers/x-0', None)
+    for process, *_ in deployment.fronts:
+        process.kill()
+        process.wait()
+    before = len(deployment.call_test_api('history'))
+    restarted = deployment.add('i9')
+    for number in range(20):
+        old_key = call('POST', job_url(restarted, 100), SUBMISSION, 'k-old')
+        assert old_key[0] in {401, 503}
+        own_key = call('POST', job_url(restarted, number), SUBMISSION)
+        assert own_key[0] in {200, 503}
+    wait_for(
+        lambda: (
+            call('GET', job_url(restarted, 19))[1] == {'State': 'completed'}
+        ),
+        'the last job is completed',
+    )
+    started = deployment.call_test_api('history')[before:]
+    assert started
+    assert 'x-0' not in {run['worker'] for run in started}
