--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -77,6 +77,7 @@
 WAIT_MS = Millis(200)
 ORDER_TIMEOUT_MS = Millis(100)
 TTL_MS = Millis(600)
+COMPLETED = JobState.COMPLETED
 
 _ids = itertools.count(1)
 
@@ -396,6 +397,3 @@
         return msgspec.json.decode(text, type=WorkerEntry)
     except msgspec.DecodeError:
         return None
-
-
-COMPLETED = JobState.COMPLETED
