Log and count the runs that are lost with their worker

Cause: after a worker restarted, the log said that another incarnation had answered, not which runs were lost, why, and how old they were; the metrics counted no lost runs. The hypotheses on the crashing task could not be told apart.

Change: a session keeps the interval in which its worker stopped replying, narrow where the connection was closed, and reports a restart apart from an expired lease, also when the worker keeps its id. `worker:runs_lost` lists runs with their ages, bounded; jayshore_lost_runs counts by cause.

--- a/jayshore/fleet/interfaces.py
+++ b/jayshore/fleet/interfaces.py
@@ -14,17 +14,22 @@
 
     Attributes:
         sent: False when the call certainly did not reach the worker.
+        broken: the connection ended while the call waited for its reply.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(
+        self, detail: str, *, sent: bool, broken: bool = False
+    ) -> None:
         """Create the error.
 
         Args:
             detail: what happened.
             sent: False when the call certainly was not sent.
+            broken: True when the connection ended during the call.
         """
         super().__init__(detail)
         self.sent = sent
+        self.broken = broken
 
 
 class StartResult(enum.StrEnum):
--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -67,6 +67,10 @@
         checkpoint: where the next run resumes.
         acknowledged_at: when the worker acknowledged a start or a stop of the
             run, on the local clock; None while the order is in flight.
+        ordered_at: when the start of the run was first sent, on the local
+            clock; None before that and for a run of a former leader.
+        seen_at: when the worker first confirmed that the run is active, on the
+            local clock, None for never.
         confirmed: a worker is known to have run the task.
         moves: number of runs that were stopped because they were slow or
             stalled.
@@ -80,6 +84,8 @@
     failures: int = 0
     checkpoint: str = ''
     acknowledged_at: Millis | None = None
+    ordered_at: Millis | None = None
+    seen_at: Millis | None = None
     confirmed: bool = False
     moves: int = 0
 
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -54,6 +54,12 @@
             ('kind',),
             registry=registry,
         )
+        self._lost_runs = Counter(
+            'jayshore_lost_runs',
+            'Runs that were lost with their worker, by cause.',
+            ('cause',),
+            registry=registry,
+        )
         self._takeover = Histogram(
             'jayshore_takeover_seconds',
             'Time from an election until all jobs are known.',
@@ -130,6 +136,15 @@
         """
         self._ends.labels(kind).inc()
 
+    def count_lost_runs(self, cause: str, count: int) -> None:
+        """Count runs that were lost with their worker.
+
+        Args:
+            cause: why they were lost.
+            count: number of runs.
+        """
+        self._lost_runs.labels(cause).inc(count)
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -165,6 +165,8 @@
         One lost reply says little of a worker; the next order shows whether it
         replies.
         """
+        if attempts == 1:
+            task.ordered_at = self._clock.now()
         try:
             reply = await session.client.start(order)
         except WorkerUnreachable as error:
@@ -202,6 +204,7 @@
             task.phase = Phase.RUNNING
             task.confirmed = True
             task.acknowledged_at = self._clock.now()
+            task.seen_at = task.acknowledged_at
             return
         if reply.result is StartResult.FENCED:
             session = self._observer.find_session(task.worker)
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -27,6 +27,7 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
+from jayshore.fleet.outages import LossCause, Outage, age_in_outage
 from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
@@ -40,6 +41,7 @@
 from jayshore.resources import total
 from jayshore.store.journal import Journal
 
+_MAX_LOGGED_RUNS = 20
 _TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
 
 
@@ -92,6 +94,8 @@
             task.phase = Phase.STARTING
             task.worker = placement.worker_id
             task.acknowledged_at = None
+            task.ordered_at = None
+            task.seen_at = None
             task.run += 1
             self._ledger.hold(task)
             starting.setdefault(entry.job.job_id, []).append(task)
@@ -172,15 +176,59 @@
         await self._apply_consequence(entry, requeue_task(task))
         self._record(entry)
 
-    async def mark_worker_lost(self, worker_id: str) -> None:
+    async def handle_restart(
+        self, session: WorkerSession, outage: Outage
+    ) -> None:
+        """Handle the loss of all runs of an earlier incarnation of a worker.
+
+        Args:
+            session: session of the worker.
+            outage: when the earlier incarnation stopped replying.
+        """
+        worker_id = session.entry.worker_id
+        if session.closed:
+            await self.mark_worker_lost(worker_id, LossCause.RESTARTED, outage)
+        else:
+            self._log_loss(worker_id, LossCause.RESTARTED, outage)
+
+    async def mark_worker_lost(
+        self, worker_id: str, cause: LossCause, outage: Outage | None
+    ) -> None:
         """Handle the loss of all runs at a worker.
 
         Args:
             worker_id: the worker.
+            cause: why they are lost.
+            outage: when the worker stopped replying, None when unknown.
         """
+        self._log_loss(worker_id, cause, outage)
         for task in self._ledger.tasks_at(worker_id):
             await self.mark_lost(task)
 
+    def _log_loss(
+        self, worker_id: str, cause: LossCause, outage: Outage | None
+    ) -> None:
+        tasks = self._ledger.tasks_at(worker_id)
+        if not tasks:
+            return
+        self._metrics.count_lost_runs(cause, len(tasks))
+        eliot.log_message(
+            'worker:runs_lost',
+            worker=worker_id,
+            cause=cause,
+            silent_ms=outage and self._clock.now() - outage.noticed_at,
+            count=len(tasks),
+            runs=[
+                (
+                    format_task_id(task.task_id),
+                    task.run,
+                    task.phase.value,
+                    outage and age_in_outage(task, outage),
+                )
+                for task in tasks[:_MAX_LOGGED_RUNS]
+            ],
+        )
+
     def _start_job_tasks(self, entry: JobEntry, tasks: list[TaskEntry]) -> None:
         _align_gangs(tasks)
         if entry.state is JobState.QUEUED:
@@ -207,6 +255,8 @@
 
     async def _confirm(self, task: TaskEntry, checkpoint: str) -> None:
         task.confirmed = True
+        if task.seen_at is None:
+            task.seen_at = self._clock.now()
         if checkpoint and task.group.spec.checkpoints:
             task.checkpoint = checkpoint
         if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -28,6 +28,7 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, Job, Queue, WorkerEntry
 from jayshore.fleet.orders import OrderObserver, OrderSender
+from jayshore.fleet.outages import LossCause, Outage
 from jayshore.fleet.records import (
     ProgressRecord,
     cancel_key,
@@ -274,17 +275,30 @@
         await self._run_tracker.mark_not_started(task, result)
         self._request_round()
 
+    async def worker_restarted(
+        self, session: WorkerSession, outage: Outage
+    ) -> None:
+        """Handle the reply of another incarnation of a worker.
+
+        Args:
+            session: session of the worker.
+            outage: when the former incarnation stopped replying.
+        """
+        await self._run_tracker.handle_restart(session, outage)
+        self._request_round()
+        self._drop_closed(session)
+
     async def lease_expired(self, session: WorkerSession) -> None:
         """Handle the end of a worker's lease, after which nothing runs there.
 
         Args:
             session: session of the worker.
         """
-        worker_id = session.entry.worker_id
-        await self._run_tracker.mark_worker_lost(worker_id)
+        await self._run_tracker.mark_worker_lost(
+            session.entry.worker_id, LossCause.LEASE_EXPIRED, session.outage
+        )
         self._request_round()
-        if session.closed and self._sessions.get(worker_id) is session:
-            self._sessions.pop(worker_id)
+        self._drop_closed(session)
 
     async def handle_renewal(
         self, session: WorkerSession, reply: RenewalReply, sent_at: Millis
@@ -299,6 +313,11 @@
         await self._run_tracker.handle_renewal(session, reply, sent_at)
         self._request_round()
 
+    def _drop_closed(self, session: WorkerSession) -> None:
+        worker_id = session.entry.worker_id
+        if session.closed and self._sessions.get(worker_id) is session:
+            self._sessions.pop(worker_id)
+
     def _restore(self, entry: JobEntry, progress: ProgressRecord) -> None:
         restore_progress(entry, progress)
         for task in entry.tasks():
@@ -348,7 +367,9 @@
         if now >= self._inherited_until:
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
-                    await self._run_tracker.mark_worker_lost(worker_id)
+                    await self._run_tracker.mark_worker_lost(
+                        worker_id, LossCause.NOT_LISTED, None
+                    )
         if self._backlog.update(self._job_table.active()):
             eliot.log_message(
                 'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -15,6 +15,7 @@
 )
 from jayshore.fleet.leasing import WorkerLease
 from jayshore.fleet.model import WorkerEntry
+from jayshore.fleet.outages import Outage
 from jayshore.fleet.progress import ProgressTracker
 from jayshore.resources import NOTHING
 
@@ -47,6 +48,20 @@
             sent_at: when the renewal was sent, on the local clock.
         """
 
+    @abc.abstractmethod
+    async def worker_restarted(
+        self, session: 'WorkerSession', outage: Outage
+    ) -> None:
+        """Handle the reply of another incarnation of a worker.
+
+        Everything that was started in the former incarnation is over. When the
+        other one has an id of its own, the session is closed.
+
+        Args:
+            session: session of the worker.
+            outage: when the former incarnation stopped replying.
+        """
+
     @abc.abstractmethod
     async def lease_expired(self, session: 'WorkerSession') -> None:
         """Handle the end of a worker's lease, after which nothing runs there.
@@ -111,9 +126,11 @@
         self._lease = WorkerLease(max_ms=max_lease_ms)
         self._born_ms = 0
         self._replied_at: Millis | None = None
+        self._outage: Outage | None = None
         self._suspected = False
         self._last_end = 0
         self._unrecorded: set[int] = set()
+        self._created_at = clock.now()
 
     @property
     def entry(self) -> WorkerEntry:
@@ -130,6 +147,11 @@
         """Epoch under which the worker is called."""
         return self._fence
 
+    @property
+    def outage(self) -> Outage | None:
+        """When the worker stopped replying, None while it replies."""
+        return self._outage
+
     @property
     def usable(self) -> bool:
         """Whether tasks may be placed here."""
@@ -250,14 +272,22 @@
             await self._handle_reply(reply, sent_at)
 
     async def _handle_reply(self, reply: RenewalReply, sent_at: Millis) -> None:
-        if reply.born_ms != self._born_ms:
-            self._born_ms = reply.born_ms
+        former = self._born_ms
+        self._born_ms = reply.born_ms
+        if reply.born_ms != former:
             self._last_end = 0
             self._unrecorded.clear()
             self._lease.reset()
+        outage = self._describe_outage(alive=False)
+        self._outage = None
         self._replied_at = self._clock.now()
         self._suspected = False
         self._lease.note_clock(reply.clock_ms, self._replied_at)
+        if former not in {0, reply.born_ms}:
+            eliot.log_message(
+                'worker:other_life', worker=self._entry.worker_id, same_id=True
+            )
+            await self._observer.worker_restarted(self, outage)
         await self._observer.handle_renewal(self, reply, sent_at)
 
     async def _handle_no_reply(self, error: WorkerUnreachable) -> None:
@@ -269,6 +299,7 @@
                 error=str(error),
                 listed=self.registered,
             )
+        self._outage = self._describe_outage(alive=error.broken)
         self._suspected = True
         expires_by = max(self._lease.expires_by(), self._inherited_until)
         if self._clock.now() >= expires_by:
@@ -283,7 +314,21 @@
         """Close after another incarnation of the worker replied."""
         eliot.log_message('worker:other_life', worker=self._entry.worker_id)
         self.closed = True
-        await self._observer.lease_expired(self)
+        await self._observer.worker_restarted(
+            self, self._describe_outage(alive=False)
+        )
+
+    def _describe_outage(self, *, alive: bool) -> Outage:
+        """Describe the current outage, or one that is just noticed.
+
+        Args:
+            alive: the worker has held a connection until now.
+        """
+        if self._outage is not None:
+            return self._outage
+        now = self._clock.now()
+        alive_at = now if alive else self._replied_at or self._created_at
+        return Outage(alive_at=alive_at, noticed_at=now)
 
     async def _wait_until_recorded(self) -> None:
         """Wait until ends are recorded; the worker repeats them until then."""
--- a/jayshore/fleet/sessions_test.py
+++ b/jayshore/fleet/sessions_test.py
@@ -51,6 +51,9 @@
     async def handle_renewal(self, session, reply, sent_at):
         """Ignore the reply."""
 
+    async def worker_restarted(self, session, outage):
+        raise AssertionError('the worker has not restarted')
+
     async def lease_expired(self, session):
         raise AssertionError('the lease has not expired')
 
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -30,7 +30,13 @@
     )
 )
 _WORKER_KINDS: Final = frozenset(
-    ('worker:silent', 'worker:other_life', 'worker:fenced', 'worker:invalid')
+    (
+        'worker:silent',
+        'worker:other_life',
+        'worker:runs_lost',
+        'worker:fenced',
+        'worker:invalid',
+    )
 )
 _HIDDEN_FIELDS: Final = frozenset(
     ('timestamp', 'task_uuid', 'task_level', 'message_type', 'job')
@@ -52,6 +58,7 @@
     ('order:stop_unwanted', 'an unwanted run was stopped'),
     ('order:stop_refused', 'a stop was refused'),
     ('worker:silent', 'a worker of the job gave no answer'),
+    ('worker:runs_lost', 'a worker was lost with its runs'),
     ('worker:other_life', 'another incarnation of a worker answered'),
     ('store:lost', 'the store did not answer an instance'),
     ('store:regained', 'the store answered an instance again'),
