--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -19,8 +19,6 @@
     StartOrder,
     StartReply,
     StartResult,
-    WorkerClient,
-    WorkerUnreachable,
 )
 from jayshore.fleet.model import TaskId, format_task_id
 
@@ -29,6 +27,14 @@
 _HUNDRED_PERCENT = 100
 
 
+def _never(_task: TaskId) -> bool:
+    return False
+
+
+def _ignore(_worker: 'MemoryWorker', _former: str) -> None:
+    """Ignore a restart."""
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class MemoryWorkerFaults:
     """Injected faults; tests change them while the worker is in use.
@@ -42,6 +48,11 @@
         lose_stops: number of stops that are carried out without an answer.
         fail_all: every run that ends on its own ends as failed.
         hang: runs do not complete on their own.
+        crashing: returns whether a task crashes the worker that starts it.
+        crash_after_ms: age of the run at such a crash in ms; None when the
+            worker crashes before it answers the start.
+        down_ms: how long the worker is down after a crash, in ms.
+        new_id: the worker has another id after a crash.
     """
 
     silent: bool = False
@@ -51,6 +62,10 @@
     lose_stops: int = 0
     fail_all: bool = False
     hang: bool = False
+    crashing: Callable[[TaskId], bool] = _never
+    crash_after_ms: Millis | None = Millis(10)
+    down_ms: Millis = Millis(250)
+    new_id: bool = True
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -83,6 +98,9 @@
         worker_id: id of the worker.
         faults: the injected faults.
         history: all runs, across reboots.
+        crashes: tasks that ran at each crash.
+        restarted: called with the worker and its former id when it is up again
+            after a crash.
         clock_percent: speed of its clock; 98 for one that is 2% slow.
     """
 
@@ -103,6 +121,10 @@
         self.worker_id = worker_id
         self.faults = MemoryWorkerFaults()
         self.history: list[RunEntry] = []
+        self.crashes: list[tuple[TaskId, ...]] = []
+        self.restarted: Callable[[MemoryWorker, str], None] = _ignore
+        self._crash_at: Millis | None = None
+        self._down_until: Millis | None = None
         self._clock_speed_percent = _HUNDRED_PERCENT
         self._run_ms = run_ms
         self._clock = clock or MonotonicClock()
@@ -147,6 +169,38 @@
         """End runs whose run time is over or whose lease has expired."""
         self._advance()
 
+    @property
+    def down(self) -> bool:
+        """Whether the worker has crashed and is not up again yet."""
+        self._advance()
+        if self._down_until is None:
+            return False
+        if self._clock.now() < self._down_until:
+            return True
+        self._down_until = None
+        former = self.worker_id
+        if self.faults.new_id:
+            name = former.partition('~')[0]
+            self.worker_id = f'{name}~{self._born_ms}'
+        self.restarted(self, former)
+        return False
+
+    @property
+    def incarnation(self) -> int:
+        """Number of the incarnation; it rises with each crash or reboot."""
+        return self._born_ms
+
+    def crash(self) -> None:
+        """Crash: runs end without a report, and the worker is down."""
+        self._crash_at = None
+        self.crashes.append(
+            tuple(
+                run.task for run in self._runs.values() if run.ended_at is None
+            )
+        )
+        self._down_until = Millis(self._clock.now() + self.faults.down_ms)
+        self.reboot()
+
     def reboot(self) -> None:
         """Restart the worker: runs end, lease, fence and results are lost."""
         self._advance()
@@ -184,6 +238,11 @@
         )
         self._runs[order.task] = entry
         self.history.append(entry)
+        if self.faults.crashing(order.task):
+            age = self.faults.crash_after_ms
+            self._crash_at = Millis(self._clock.now() + (age or 0))
+            if age is None:
+                self._advance()
         return self._reply(StartResult.STARTED)
 
     def stop(self, task: TaskId, run: int, fence: int) -> bool:
@@ -227,9 +286,12 @@
         self._extend_lease(request.lease_until_ms or 0)
         self._acknowledge_ends(request.last_seen)
         until = self._clock.now() + request.wait_ms
+        incarnation = self._born_ms
         while not self._ended and self._clock.now() < until:
             await curio.sleep(to_seconds(_POLL_MS))
             self._advance()
+            if self._born_ms != incarnation:
+                break
         return RenewalReply(
             clock_ms=self.clock_ms,
             born_ms=self._born_ms,
@@ -285,6 +347,8 @@
 
     def _advance(self) -> None:
         """End runs whose run time is over or whose lease has expired."""
+        if self._crash_at is not None and self._clock.now() >= self._crash_at:
+            self.crash()
         remaining = self._lease_until - self._clock_base_ms
         lease_expires_at = Millis(
             self._clock_base_at
@@ -328,86 +392,3 @@
                 checkpoint='',
             )
         )
-
-
-class MemoryWorkerClient(WorkerClient):
-    """Calls an in-memory worker and applies the faults of its connection."""
-
-    def __init__(self, *, worker: MemoryWorker, timeout_ms: Millis) -> None:
-        """Create a client of one worker.
-
-        Args:
-            worker: the worker.
-            timeout_ms: timeout of a call without an answer, in ms.
-        """
-        self._worker = worker
-        self._timeout_ms = timeout_ms
-
-    async def start(self, order: StartOrder) -> StartReply:
-        """Order a start.
-
-        Args:
-            order: the run to start.
-
-        Returns:
-            The worker's reply.
-        """
-        await self._check_reachable()
-        faults = self._worker.faults
-        if not faults.lose_starts:
-            return self._worker.start(order)
-        faults.lose_starts -= 1
-        if faults.late_ms is not None:
-            await curio.spawn(
-                self._start_late, order, faults.late_ms, daemon=True
-            )
-        return await self._raise_timeout()
-
-    async def stop(self, task: TaskId, run: int, fence: int) -> bool:
-        """Order a stop.
-
-        Args:
-            task: the task.
-            run: number of the run.
-            fence: epoch of the leader, as the fencing token.
-
-        Returns:
-            True if the worker accepted the order.
-        """
-        await self._check_reachable()
-        accepted = self._worker.stop(task, run, fence)
-        if self._worker.faults.lose_stops:
-            self._worker.faults.lose_stops -= 1
-            await self._raise_timeout()
-        return accepted
-
-    async def renew(self, request: RenewalRequest) -> RenewalReply:
-        """Renew the lease and read the running and ended runs.
-
-        Args:
-            request: end of the lease, and the last end that the leader saw.
-
-        Returns:
-            The worker's reply.
-        """
-        await self._check_reachable()
-        reply = await self._worker.renew(request)
-        await self._check_reachable()
-        return reply
-
-    async def close(self) -> None:
-        """Do nothing, since there is no connection."""
-
-    async def _start_late(self, order: StartOrder, delay: Millis) -> None:
-        await curio.sleep(to_seconds(delay))
-        self._worker.start(order)
-
-    async def _check_reachable(self) -> None:
-        if self._worker.faults.refused:
-            raise WorkerUnreachable('refused', sent=False)
-        if self._worker.faults.silent:
-            await self._raise_timeout()
-
-    async def _raise_timeout(self) -> StartReply:
-        await curio.sleep(to_seconds(self._timeout_ms))
-        raise WorkerUnreachable('no answer in time', sent=True)
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -54,7 +54,8 @@
 from jayshore.store.store import StoreUnavailable
 from jayshore.store.writeresolver import WriteResolver
 from standins.memorystore import MemoryStore
-from standins.memoryworker import MemoryWorker, MemoryWorkerClient
+from standins.memoryworker import MemoryWorker
+from standins.memoryworkerclient import MemoryWorkerClient
 
 WORKERS = 'workers/'
 SERVICE = 'plans'
@@ -147,8 +148,9 @@
         self._workers = workers
 
     def connect(self, entry):
+        name = entry.address.partition(':')[0]
         return MemoryWorkerClient(
-            worker=self._workers[entry.worker_id], timeout_ms=ORDER_TIMEOUT_MS
+            worker=self._workers[name], timeout_ms=ORDER_TIMEOUT_MS
         )
 
 
@@ -250,18 +252,16 @@
             await scheduler_task.cancel()
 
     async def ask_state(self, job_id):
-        leader = self.fleet.leading()
-        if leader is None:
-            raise LeaderUnavailable('none')
-        return state_reply(
-            leader.leader_role.scheduler, StateCall(job_id=job_id)
-        )
+        return state_reply(self._leading_scheduler(), StateCall(job_id=job_id))
 
     async def ask_pending(self, queue):
+        return self._leading_scheduler().pending(queue)
+
+    def _leading_scheduler(self):
         leader = self.fleet.leading()
         if leader is None:
             raise LeaderUnavailable('none')
-        return leader.leader_role.scheduler.pending(queue)
+        return leader.leader_role.scheduler
 
 
 @dataclasses.dataclass
@@ -288,6 +288,13 @@
             clock=self.clock,
         )
         self.workers[name] = worker
+
+        def restarted(_worker, former):
+            if former != worker.worker_id:
+                self.unregister(former)
+            self.register(worker.worker_id, address=f'{name}:1', **fields)
+
+        worker.restarted = restarted
         self.register(name, **fields)
         return worker
 
