Give up tasks that crash their workers, and run suspects apart

Cause: an end that no worker reports was not counted. A run that is lost with its worker returned to waiting like one that never started, so nothing ended the retries, and the next worker was chosen as if nothing had happened.

Ruled out: a count lost by a change of leader (no election in the trace), repeated orders (each run has its own number), late orders (no lease expired).

Change: when another incarnation of a worker replies, the runs that were not settled are in doubt. A suspect runs on an empty worker where nothing else has just started, and nothing starts beside it until it has settled; such workers are an eighth of the fleet, a quarter while half of it is idle. A task is given up when it was alone in doubt at its second crash, at the fourth in any case; a run older than its doubt clears it. Nobody is blamed when the worker was leaving or others failed at the same moment without a run in doubt. The counts are part of the stored progress. Log lines worker:crashed, task:given_up, task:cleared; metrics jayshore_worker_crashes and jayshore_tasks_given_up.

--- /dev/null
+++ b/jayshore/fleet/blame.py
@@ -0,0 +1,98 @@
+"""Decides which tasks may have crashed a worker, and which are to blame.
+
+Every run at a worker is lost when the worker crashes. A task that crashes its
+workers does so at the same age each time, usually right after its start, so an
+older run is not suspected. What is left in doubt is decided by a second run
+apart from the other new ones: a task is given up when it was the only one in
+doubt, and not for the first time.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from jayshore.clock import Millis
+from jayshore.fleet.model import TaskId
+
+SETTLED_MS: Final = Millis(250)
+"""Age from which a run is not suspected of a crash, in ms."""
+
+CRASHES_APART: Final = 2
+"""Crashes after which a task is given up that alone was in doubt last."""
+
+MAX_CRASHES: Final = 4
+"""Crashes after which a task in doubt is given up in any case."""
+
+MAX_EXPOSURES: Final = 3
+"""Crashes at any age after which a task is in doubt for longer.
+
+Covers tasks that run for a while before they crash their workers.
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ExposedRun:
+    """A run at a worker that crashed.
+
+    Attributes:
+        task: the task.
+        age_ms: its age when the worker was last known to be alive, in ms.
+        crashes: earlier crashes in which the task was in doubt.
+        exposures: earlier crashes of workers that ran the task.
+        doubt_ms: age up to which the task is in doubt, in ms.
+    """
+
+    task: TaskId
+    age_ms: Millis
+    crashes: int = 0
+    exposures: int = 0
+    doubt_ms: Millis = SETTLED_MS
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the run may have crashed the worker."""
+        return (
+            self.age_ms < self.doubt_ms or self.exposures + 1 >= MAX_EXPOSURES
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """Consequences of a crash for the tasks that the worker ran.
+
+    Attributes:
+        suspects: tasks that may have crashed it.
+        given_up: suspects that are to blame.
+        alone: the suspects are tasks of one job.
+    """
+
+    suspects: frozenset[TaskId] = frozenset()
+    given_up: frozenset[TaskId] = frozenset()
+    alone: bool = False
+
+
+def judge_crash(runs: Sequence[ExposedRun]) -> Verdict:
+    """Decide which tasks are suspected of a crash, and which are to blame.
+
+    Tasks of one job are not told apart, because the job ends with any of them.
+
+    Args:
+        runs: the runs at the worker when it crashed.
+
+    Returns:
+        The suspects, and those of them that do not run again.
+    """
+    suspects = [run for run in runs if run.in_doubt]
+    alone = _count_jobs(suspects) == 1
+    limit = CRASHES_APART if alone else MAX_CRASHES
+    return Verdict(
+        suspects=frozenset(run.task for run in suspects),
+        given_up=frozenset(
+            run.task for run in suspects if run.crashes + 1 >= limit
+        ),
+        alone=alone,
+    )
+
+
+def _count_jobs(runs: Iterable[ExposedRun]) -> int:
+    return len({run.task.job_id for run in runs})
--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -19,6 +19,7 @@
     LIMIT = 'limit'
     NO_ROOM = 'no_room'
     OLD_TICKET = 'old_ticket'
+    PROBATION = 'probation'
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -35,7 +36,10 @@
         failure_score: share of failures among its last results in quarters,
             0 for few or none.
         probe: quarantined, so that it gets at most one task and no gang.
-        reserved_for: gang for which it is reserved, None for none.
+        reserved_for: group for which it is reserved, a gang or the suspects of
+            a crash; None for none.
+        new_groups: groups with a run there that is not settled; empty when no
+            suspect waits.
     """
 
     worker_id: str
@@ -47,6 +51,12 @@
     failure_score: int = 0
     probe: bool = False
     reserved_for: GroupId | None = None
+    new_groups: set[GroupId] = dataclasses.field(default_factory=set)
+
+    @property
+    def empty(self) -> bool:
+        """Whether no task holds resources there."""
+        return self.free == self.capacity
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,6 +84,9 @@
         failed_on: workers to use only when no other has headroom.
         last_attempt: the next failure of a task fails the job, so workers on
             which one failed are avoided.
+        suspect: the tasks may crash the worker that starts them.
+        likely: they very likely do.
+        patient: suspects may wait for an empty worker.
     """
 
     group_id: GroupId
@@ -94,6 +107,9 @@
     advice_pending: bool = False
     failed_on: frozenset[str] = frozenset()
     last_attempt: bool = False
+    suspect: bool = False
+    likely: bool = False
+    patient: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 
 from jayshore.clock import Millis
+from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.model import GroupId, Job, TaskGroup, TaskId
 
 _DONE_VALUE = 'done'
@@ -74,6 +75,10 @@
         confirmed: a worker is known to have run the task.
         moves: number of runs that were stopped because they were slow or
             stalled.
+        crashes: crashes of workers in which the task was in doubt, since it
+            last ran without one.
+        exposures: crashes of workers that ran the task, in the same time.
+        doubt_ms: age up to which a run is in doubt when its worker crashes.
     """
 
     task_id: TaskId
@@ -88,6 +93,9 @@
     seen_at: Millis | None = None
     confirmed: bool = False
     moves: int = 0
+    crashes: int = 0
+    exposures: int = 0
+    doubt_ms: Millis = SETTLED_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/jayshore/fleet/losses.py
@@ -0,0 +1,181 @@
+"""Handles lost workers: what was running there, and what is to blame."""
+
+from collections.abc import Iterator, Mapping
+
+import eliot
+
+from jayshore.clock import Clock
+from jayshore.fleet.crashes import CrashCounter, LostRuns, collect_lost_runs
+from jayshore.fleet.jobtable import Phase, TaskEntry
+from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.metrics import FleetMetrics
+from jayshore.fleet.model import WorkerEntry, format_task_id
+from jayshore.fleet.orders import OrderSender
+from jayshore.fleet.outages import LossCause, Outage, age_in_outage
+from jayshore.fleet.runs import RunTracker
+from jayshore.fleet.sessions import WorkerSession
+
+_MAX_LOGGED_RUNS = 20
+
+
+class LossTracker:
+    """Returns the runs of lost workers to waiting, or gives their tasks up."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        ledger: Ledger,
+        order_sender: OrderSender,
+        run_tracker: RunTracker,
+        crash_counter: CrashCounter,
+        metrics: FleetMetrics,
+        sessions: Mapping[str, WorkerSession],
+    ) -> None:
+        """Create a tracker.
+
+        Args:
+            clock: local clock.
+            ledger: resources in use.
+            order_sender: sends orders to workers.
+            run_tracker: tracks the runs.
+            crash_counter: counts crashes against tasks.
+            metrics: metrics of this instance.
+            sessions: sessions of the workers by id; kept up to date by the
+                owner.
+        """
+        self._clock = clock
+        self._ledger = ledger
+        self._order_sender = order_sender
+        self._run_tracker = run_tracker
+        self._crash_counter = crash_counter
+        self._metrics = metrics
+        self._sessions = sessions
+        self._expired: dict[str, LostRuns] = {}
+
+    async def handle_restart(
+        self, session: WorkerSession, outage: Outage
+    ) -> None:
+        """Handle the loss of all runs of an earlier incarnation of a worker.
+
+        Args:
+            session: session of the worker; a closed one when the other
+                incarnation has an id of its own.
+            outage: when the earlier incarnation stopped replying.
+        """
+        lost = self._expired.pop(session.entry.address, None)
+        if lost is None:
+            lost = self._collect(session, outage)
+        given_up = self._crash_counter.count(lost, self._silent())
+        worker_id = session.entry.worker_id
+        tasks = self._log_loss(worker_id, LossCause.RESTARTED, outage)
+        for task in tasks:
+            if session.closed:
+                await self._run_tracker.mark_lost(task)
+            elif task.phase is Phase.STARTING and task.ordered_at is not None:
+                # The order may still arrive at the new incarnation.
+                await self._order_sender.stop(task)
+        await self._give_up(given_up)
+
+    async def handle_replacement(self, worker: WorkerEntry) -> None:
+        """Handle a new worker at the address of one whose lease has expired.
+
+        Args:
+            worker: registration of the new one.
+        """
+        lost = self._expired.get(worker.address)
+        if lost is not None and lost.worker_id != worker.worker_id:
+            self._expired.pop(worker.address)
+            await self._give_up(self._crash_counter.count(lost, self._silent()))
+
+    async def handle_expiry(self, session: WorkerSession) -> None:
+        """Handle the loss of all runs at a worker whose lease has expired.
+
+        Args:
+            session: session of the worker.
+        """
+        if session.outage is not None:
+            lost = self._collect(session, session.outage)
+            if lost.ages:
+                self._expired[session.entry.address] = lost
+        await self._mark_lost(
+            session.entry.worker_id, LossCause.LEASE_EXPIRED, session.outage
+        )
+
+    def forget_expiry(self, session: WorkerSession) -> None:
+        """Note that a worker replies, so that its silence was no crash.
+
+        Args:
+            session: session of the worker.
+        """
+        self._expired.pop(session.entry.address, None)
+
+    async def handle_unlisted(self, worker_id: str) -> None:
+        """Handle the loss of all runs at a worker that is not registered.
+
+        Args:
+            worker_id: the worker, which has no session.
+        """
+        await self._mark_lost(worker_id, LossCause.NOT_LISTED, None)
+
+    async def _mark_lost(
+        self, worker_id: str, cause: LossCause, outage: Outage | None
+    ) -> None:
+        for task in self._log_loss(worker_id, cause, outage):
+            await self._run_tracker.mark_lost(task)
+
+    async def _give_up(self, tasks: list[TaskEntry]) -> None:
+        """Fail the jobs of tasks that crash their workers."""
+        for task in tasks:
+            entry = task.group.job
+            if entry.ended or task.phase is Phase.DONE:
+                continue
+            self._metrics.count_given_up()
+            eliot.log_message(
+                'task:given_up',
+                task=format_task_id(task.task_id),
+                run=task.run,
+                crashes=task.crashes,
+            )
+            await self._run_tracker.fail(entry)
+
+    def _collect(self, session: WorkerSession, outage: Outage) -> LostRuns:
+        worker_id = session.entry.worker_id
+        return collect_lost_runs(
+            worker_id,
+            self._ledger.tasks_at(worker_id),
+            outage,
+            draining=session.entry.draining,
+        )
+
+    def _silent(self) -> Iterator[LostRuns]:
+        """Iterate over the runs at the workers that do not reply now."""
+        for session in self._sessions.values():
+            if session.outage is not None:
+                yield self._collect(session, session.outage)
+
+    def _log_loss(
+        self, worker_id: str, cause: LossCause, outage: Outage | None
+    ) -> tuple[TaskEntry, ...]:
+        """Log and count the runs that are lost with a worker; return them."""
+        tasks = self._ledger.tasks_at(worker_id)
+        if not tasks:
+            return ()
+        self._metrics.count_lost_runs(cause, len(tasks))
+        eliot.log_message(
+            'worker:runs_lost',
+            worker=worker_id,
+            cause=cause,
+            silent_ms=outage and self._clock.now() - outage.noticed_at,
+            count=len(tasks),
+            runs=[
+                (
+                    format_task_id(task.task_id),
+                    task.run,
+                    task.phase.value,
+                    outage and age_in_outage(task, outage),
+                )
+                for task in tasks[:_MAX_LOGGED_RUNS]
+            ],
+        )
+        return tasks
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -60,6 +60,17 @@
             ('cause',),
             registry=registry,
         )
+        self._crashes = Counter(
+            'jayshore_worker_crashes',
+            'Crashes of workers, by what is known of the cause.',
+            ('cause',),
+            registry=registry,
+        )
+        self._given_up = Counter(
+            'jayshore_tasks_given_up',
+            'Tasks that were given up after crashes of their workers.',
+            registry=registry,
+        )
         self._takeover = Histogram(
             'jayshore_takeover_seconds',
             'Time from an election until all jobs are known.',
@@ -145,6 +156,19 @@
         """
         self._lost_runs.labels(cause).inc(count)
 
+    def count_crash(self, cause: str) -> None:
+        """Count a crash of a worker.
+
+        Args:
+            cause: `suspected` when a task may have caused it, `shared` when
+                others failed with it, `none` when nothing is suspected.
+        """
+        self._crashes.labels(cause).inc()
+
+    def count_given_up(self) -> None:
+        """Count a task that was given up after crashes of its workers."""
+        self._given_up.inc()
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final
 
 from jayshore.clock import Millis
@@ -19,7 +19,9 @@
     WaitReason,
     WorkerHeadroom,
 )
+from jayshore.fleet.apart import least_used, without_other_new_tasks
 from jayshore.fleet.model import GroupId
+from jayshore.fleet.pools import WorkerPool
 from jayshore.fleet.ranking import DeadlineStatus, Rank
 from jayshore.resources import NOTHING, Resources
 
@@ -48,47 +50,6 @@
 _UNLIMITED: Final = 1 << 60
 
 
-class _Pool:
-    """Workers that are eligible for the same kinds of demands.
-
-    Pools are shared between demands, because many demands of a round differ
-    only in the resources of a task, which nearly always fit an empty worker.
-    """
-
-    def __init__(self, *, workers: list[WorkerHeadroom]) -> None:
-        self.workers = workers
-        self._by_id = {worker.worker_id: worker for worker in workers}
-        self._smallest = Resources(
-            cpu_millis=min(
-                (worker.capacity.cpu_millis for worker in workers), default=0
-            ),
-            memory_mb=min(
-                (worker.capacity.memory_mb for worker in workers), default=0
-            ),
-            accelerators=min(
-                (worker.capacity.accelerators for worker in workers), default=0
-            ),
-        )
-
-    def limit_to(self, need: Resources) -> '_Pool':
-        """Return the pool without workers whose capacity is too small."""
-        if need.fits_in(self._smallest):
-            return self
-        return _Pool(
-            workers=[
-                worker
-                for worker in self.workers
-                if need.fits_in(worker.capacity)
-            ]
-        )
-
-    def choose(self, tickets: Mapping[str, Millis]) -> list[WorkerHeadroom]:
-        """Return the workers of the pool that have a ticket."""
-        return [
-            self._by_id[worker] for worker in tickets if worker in self._by_id
-        ]
-
-
 class PlacementRound:
     """One round over all demands."""
 
@@ -98,6 +59,7 @@
         workers: Iterable[WorkerHeadroom],
         allowances: dict[str, Resources],
         now: Millis,
+        probation_slots: int = 0,
     ) -> None:
         """Create a round.
 
@@ -106,9 +68,12 @@
             allowances: resources that each workspace may still start; a
                 missing workspace has no limit. The round consumes them.
             now: time on the leader's clock, in ms.
+            probation_slots: number of workers that suspects may occupy beside
+                those that they occupy already.
         """
         self._workers = list(workers)
-        self._pools: dict[tuple[str, str, bool], _Pool] = {}
+        self._probation_slots = probation_slots
+        self._pools: dict[tuple[str, str, bool], WorkerPool] = {}
         self._allowances = allowances
         self._now = now
         self._reserved_count = 0
@@ -132,12 +97,12 @@
         if reason is not None:
             self._decisions.waiting[demand.group_id] = reason
 
-    def _find_pool(self, demand: GroupDemand) -> '_Pool':
+    def _find_pool(self, demand: GroupDemand) -> WorkerPool:
         """Find the eligible workers of a demand, regardless of their load."""
         key = (demand.service, demand.required_label, demand.gang)
         pool = self._pools.get(key)
         if pool is None:
-            pool = _Pool(
+            pool = WorkerPool(
                 workers=[
                     worker
                     for worker in self._workers
@@ -148,7 +113,7 @@
         return pool.limit_to(demand.need)
 
     def _try_place(
-        self, demand: GroupDemand, pool: '_Pool'
+        self, demand: GroupDemand, pool: WorkerPool
     ) -> WaitReason | None:
         usable = pool.workers
         if not usable:
@@ -165,7 +130,11 @@
             if not permitted:
                 self._request_advice_on_new(demand, usable)
                 return WaitReason.NOT_ADVISED
-        permitted = _avoid_failed_workers(demand, permitted)
+        permitted = self._find_apart(
+            demand, _avoid_failed_workers(demand, permitted)
+        )
+        if not permitted:
+            return WaitReason.PROBATION
         wanted = len(demand.indexes)
         count = min(wanted, self._allowed(demand))
         if not count or (demand.gang and count < wanted):
@@ -207,6 +176,9 @@
         if expired and demand.gang:
             return False
         for index, slot in zip(demand.indexes, slots, strict=False):
+            slot.new_groups.add(demand.group_id)
+            if demand.suspect:
+                slot.reserved_for = demand.group_id
             if slot.worker_id not in expired:
                 self._decisions.placements.append(
                     Placement(
@@ -217,6 +189,31 @@
                 )
         return not expired
 
+    def _find_apart(
+        self, demand: GroupDemand, permitted: list[WorkerHeadroom]
+    ) -> list[WorkerHeadroom]:
+        """Find where suspects run apart from other new tasks.
+
+        Other demands are not restricted. While suspects are patient, one empty
+        worker is used at a time, or reserved until it is empty. A gang takes
+        what it needs.
+        """
+        if not demand.suspect:
+            return permitted
+        apart = without_other_new_tasks(demand, permitted)
+        if not demand.patient:
+            return apart or permitted
+        if demand.gang:
+            return apart
+        best = least_used(apart)
+        if best is None or self._probation_slots <= int(demand.likely):
+            return []
+        self._probation_slots -= 1
+        if best.empty:
+            return [best]
+        best.reserved_for = demand.group_id
+        return []
+
     def _request_advice_on_new(
         self, demand: GroupDemand, usable: list[WorkerHeadroom]
     ) -> None:
@@ -263,7 +260,9 @@
                 worker.worker_id in demand.failed_on,
                 worker.failure_score,
                 worker.rack != demand.data_rack if demand.data_rack else False,
-                worker.free.cpu_millis,
+                -worker.free.cpu_millis
+                if demand.suspect
+                else worker.free.cpu_millis,
                 worker.worker_id,
             ),
         )
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
+from jayshore.clock import Millis
 from jayshore.decoding import DECODE_ERRORS
+from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.jobtable import (
     PLACED_PHASES,
     JobEntry,
@@ -38,7 +40,9 @@
     """A stored value is not a valid record."""
 
 
-class TaskRecord(msgspec.Struct, array_like=True, frozen=True):
+class TaskRecord(
+    msgspec.Struct, array_like=True, frozen=True, omit_defaults=True
+):
     """Progress of one task, as an array to keep records small.
 
     Attributes:
@@ -50,6 +54,9 @@
         worker: worker of that run, empty unless placed.
         failures: runs that ended as failed.
         checkpoint: where the next run resumes.
+        crashes: crashes of workers in which the task was in doubt.
+        exposures: crashes of workers that ran the task.
+        doubt_ms: age up to which a run is in doubt, in ms.
     """
 
     occurrence: int
@@ -60,6 +67,9 @@
     worker: str
     failures: int
     checkpoint: str
+    crashes: int = 0
+    exposures: int = 0
+    doubt_ms: int = SETTLED_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -231,6 +241,9 @@
         worker=task.worker if phase == _PLACED else '',
         failures=task.failures,
         checkpoint=task.checkpoint,
+        crashes=task.crashes,
+        exposures=task.exposures,
+        doubt_ms=task.doubt_ms,
     )
 
 
@@ -238,6 +251,9 @@
     task.run = row.run
     task.failures = row.failures
     task.checkpoint = row.checkpoint
+    task.crashes = row.crashes
+    task.exposures = row.exposures
+    task.doubt_ms = Millis(row.doubt_ms)
     task.confirmed = bool(row.failures or row.checkpoint)
     if row.phase == _DONE:
         task.phase = Phase.DONE
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -4,11 +4,13 @@
 from collections.abc import Iterable
 
 from jayshore.clock import Millis
+from jayshore.fleet.apart import limit_probation
 from jayshore.fleet.demands import Decisions, GroupDemand, WorkerHeadroom
 from jayshore.fleet.jobtable import GroupEntry, JobTable, Phase, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, Queue
 from jayshore.fleet.placing import PlacementRound, limit_allowance
+from jayshore.fleet.probation import Probation, is_suspect
 from jayshore.fleet.ranking import rank_group
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
@@ -29,7 +31,12 @@
     """Runs placement rounds over the jobs and workers of a leader."""
 
     def __init__(
-        self, *, job_table: JobTable, ledger: Ledger, health: WorkerHealth
+        self,
+        *,
+        job_table: JobTable,
+        ledger: Ledger,
+        health: WorkerHealth,
+        probation: Probation,
     ) -> None:
         """Create a planner.
 
@@ -37,8 +44,10 @@
             job_table: the jobs.
             ledger: resources in use.
             health: failure rates of the workers.
+            probation: knows the tasks under suspicion.
         """
         self._health = health
+        self._probation = probation
         self._job_table = job_table
         self._ledger = ledger
 
@@ -64,12 +73,14 @@
         demands = self._demands(config, now, wall_ms)
         if not demands:
             return Decisions()
+        usable = {
+            session.entry.worker_id: self._headroom(session)
+            for session in sessions
+            if self._may_use(session.entry.worker_id, now)
+        }
         return PlacementRound(
-            workers=[
-                self._headroom(session)
-                for session in sessions
-                if self._may_use(session.entry.worker_id, now)
-            ],
+            workers=usable.values(),
+            probation_slots=self._reserve_for_suspects(usable, now),
             allowances={
                 workspace.name: limit_allowance(
                     workspace.maximum, self._ledger.used_by(workspace.name)
@@ -79,31 +90,54 @@
             now=now,
         ).decide(demands)
 
+    def _reserve_for_suspects(
+        self, workers: dict[str, WorkerHeadroom], now: Millis
+    ) -> int:
+        """Reserve the workers of unsettled suspects; count further ones."""
+        if not self._probation.active:
+            return 0
+        occupied = self._probation.occupied(workers, now)
+        for worker_id, worker in workers.items():
+            worker.reserved_for = occupied.get(worker_id)
+            worker.new_groups = self._probation.new_groups_at(worker_id, now)
+        return limit_probation(workers.values()) - len(occupied)
+
     def _demands(
         self, config: FleetConfig, now: Millis, wall_ms: int
     ) -> list[GroupDemand]:
         queues = {queue.name: queue for queue in config.queues}
-        found = []
+        found: list[GroupDemand] = []
         for group in self._job_table.open_groups():
             if group.due_at_ms > wall_ms:
                 continue
             accepted = group.job.job.queue
             queue = queues.get(accepted.name, accepted)
-            demand = self._demand(group, queue, now)
-            if demand is not None:
-                found.append(demand)
+            waiting = group.waiting()
+            if not waiting or not group.job.is_ready(group):
+                continue
+            held = [task for task in group.tasks if self._ledger.holds(task)]
+            if not (group.spec.gang and held):
+                found.extend(
+                    self._demand(group, part, held, queue, now)
+                    for part in _split_suspects(group, waiting)
+                )
         return found
 
     def _demand(
-        self, group: GroupEntry, queue: Queue, now: Millis
-    ) -> GroupDemand | None:
-        waiting = group.waiting()
-        if not waiting or not group.job.is_ready(group):
-            return None
+        self,
+        group: GroupEntry,
+        waiting: list[TaskEntry],
+        held: list[TaskEntry],
+        queue: Queue,
+        now: Millis,
+    ) -> GroupDemand:
         spec = group.spec
-        held = [task for task in group.tasks if self._ledger.holds(task)]
-        if spec.gang and held:
-            return None
+        suspect = any(map(is_suspect, waiting))
+        likely = (
+            suspect
+            and not (spec.gang or spec.long_running)
+            and self._probation.is_likely(waiting)
+        )
         return GroupDemand(
             group_id=group.group_id,
             rank=rank_group(group, group.job, queue, now),
@@ -128,6 +162,10 @@
             last_attempt=_should_avoid_failed_workers(
                 group, waiting, queue, now
             ),
+            suspect=suspect,
+            likely=likely,
+            patient=suspect
+            and self._probation.is_patient(group, now, likely=likely),
         )
 
     def _may_use(self, worker_id: str, now: Millis) -> bool:
@@ -155,6 +193,17 @@
         )
 
 
+def _split_suspects(
+    group: GroupEntry, waiting: list[TaskEntry]
+) -> list[list[TaskEntry]]:
+    """Split waiting tasks into those under suspicion and the others."""
+    suspects = [task for task in waiting if is_suspect(task)]
+    if group.spec.gang or not suspects:
+        return [waiting]
+    others = [task for task in waiting if not is_suspect(task)]
+    return [part for part in (suspects, others) if part]
+
+
 def _should_avoid_failed_workers(
     group: GroupEntry, waiting: list[TaskEntry], queue: Queue, now: Millis
 ) -> bool:
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -6,6 +6,7 @@
 import eliot
 
 from jayshore.clock import Clock, Millis
+from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.demands import Placement
 from jayshore.fleet.interfaces import (
     EndedTask,
@@ -27,7 +28,7 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
-from jayshore.fleet.outages import LossCause, Outage, age_in_outage
+from jayshore.fleet.probation import has_settled
 from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
@@ -41,7 +42,6 @@
 from jayshore.resources import total
 from jayshore.store.journal import Journal
 
-_MAX_LOGGED_RUNS = 20
 _TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
 
 
@@ -146,6 +146,15 @@
             )
             self._record(entry)
 
+    async def fail(self, entry: JobEntry) -> None:
+        """End a job as failed.
+
+        Args:
+            entry: a job that has not ended.
+        """
+        await self._apply_consequence(entry, end_job(entry, JobState.FAILED))
+        self._record(entry)
+
     async def mark_not_started(self, task: TaskEntry, result: str) -> None:
         """Handle a run that did not start and never will.
 
@@ -176,59 +185,6 @@
         await self._apply_consequence(entry, requeue_task(task))
         self._record(entry)
 
-    async def handle_restart(
-        self, session: WorkerSession, outage: Outage
-    ) -> None:
-        """Handle the loss of all runs of an earlier incarnation of a worker.
-
-        Args:
-            session: session of the worker.
-            outage: when the earlier incarnation stopped replying.
-        """
-        worker_id = session.entry.worker_id
-        if session.closed:
-            await self.mark_worker_lost(worker_id, LossCause.RESTARTED, outage)
-        else:
-            self._log_loss(worker_id, LossCause.RESTARTED, outage)
-
-    async def mark_worker_lost(
-        self, worker_id: str, cause: LossCause, outage: Outage | None
-    ) -> None:
-        """Handle the loss of all runs at a worker.
-
-        Args:
-            worker_id: the worker.
-            cause: why they are lost.
-            outage: when the worker stopped replying, None when unknown.
-        """
-        self._log_loss(worker_id, cause, outage)
-        for task in self._ledger.tasks_at(worker_id):
-            await self.mark_lost(task)
-
-    def _log_loss(
-        self, worker_id: str, cause: LossCause, outage: Outage | None
-    ) -> None:
-        tasks = self._ledger.tasks_at(worker_id)
-        if not tasks:
-            return
-        self._metrics.count_lost_runs(cause, len(tasks))
-        eliot.log_message(
-            'worker:runs_lost',
-            worker=worker_id,
-            cause=cause,
-            silent_ms=outage and self._clock.now() - outage.noticed_at,
-            count=len(tasks),
-            runs=[
-                (
-                    format_task_id(task.task_id),
-                    task.run,
-                    task.phase.value,
-                    outage and age_in_outage(task, outage),
-                )
-                for task in tasks[:_MAX_LOGGED_RUNS]
-            ],
-        )
-
     def _start_job_tasks(self, entry: JobEntry, tasks: list[TaskEntry]) -> None:
         _align_gangs(tasks)
         if entry.state is JobState.QUEUED:
@@ -257,6 +213,8 @@
         task.confirmed = True
         if task.seen_at is None:
             task.seen_at = self._clock.now()
+        elif task.crashes and has_settled(task, self._clock.now()):
+            _clear(task)
         if checkpoint and task.group.spec.checkpoints:
             task.checkpoint = checkpoint
         if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
@@ -387,6 +345,19 @@
         await callback()
 
 
+def _clear(task: TaskEntry) -> None:
+    """End the suspicion against a task that runs longer than its doubt."""
+    eliot.log_message(
+        'task:cleared',
+        task=format_task_id(task.task_id),
+        run=task.run,
+        crashes=task.crashes,
+    )
+    task.crashes = 0
+    task.exposures = 0
+    task.doubt_ms = SETTLED_MS
+
+
 def _is_current_run(task: TaskEntry, run: int, session: WorkerSession) -> bool:
     return task.run == run and task.worker == session.entry.worker_id
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -15,6 +15,7 @@
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
 from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
+from jayshore.fleet.crashes import CrashCounter
 from jayshore.fleet.interfaces import RenewalReply, WorkerConnector
 from jayshore.fleet.jobtable import (
     JobEntry,
@@ -25,10 +26,12 @@
 )
 from jayshore.fleet.leasing import MAX_LEASE_MS, latest_expiry
 from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.losses import LossTracker
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, Job, Queue, WorkerEntry
 from jayshore.fleet.orders import OrderObserver, OrderSender
-from jayshore.fleet.outages import LossCause, Outage
+from jayshore.fleet.outages import Outage
+from jayshore.fleet.probation import Probation
 from jayshore.fleet.records import (
     ProgressRecord,
     cancel_key,
@@ -112,8 +115,12 @@
         self._job_table = JobTable()
         self._ledger = Ledger()
         health = WorkerHealth(rng=random.Random())  # noqa: S311 jitter
+        self._probation = Probation()
         self._round_planner = RoundPlanner(
-            job_table=self._job_table, ledger=self._ledger, health=health
+            job_table=self._job_table,
+            ledger=self._ledger,
+            health=health,
+            probation=self._probation,
         )
         self._order_sender = OrderSender(
             clock=clock, ledger=self._ledger, observer=self, metrics=metrics
@@ -128,13 +135,24 @@
             metrics=metrics,
             queue_of=self._queue_of,
         )
+        self._sessions: dict[str, WorkerSession] = {}
+        self._loss_tracker = LossTracker(
+            clock=clock,
+            ledger=self._ledger,
+            order_sender=self._order_sender,
+            run_tracker=self._run_tracker,
+            crash_counter=CrashCounter(
+                probation=self._probation, metrics=metrics
+            ),
+            metrics=metrics,
+            sessions=self._sessions,
+        )
         self._advisor = Advisor(
             relay=dependencies.relay, clock=clock, changed=self._request_round
         )
         self._submission_rate = SubmissionRateMeter()
         self._backlog = BacklogMeter()
         self._wait_log = WaitReasonLog()
-        self._sessions: dict[str, WorkerSession] = {}
         self._tasks = BackgroundTasks()
         self._changed = True
 
@@ -216,6 +234,7 @@
             if former is not None:
                 await former.close()
             return
+        await self._loss_tracker.handle_replacement(entry)
         self._sessions[worker_id] = WorkerSession(
             entry=entry,
             connector=self._connector,
@@ -284,7 +303,7 @@
             session: session of the worker.
             outage: when the former incarnation stopped replying.
         """
-        await self._run_tracker.handle_restart(session, outage)
+        await self._loss_tracker.handle_restart(session, outage)
         self._request_round()
         self._drop_closed(session)
 
@@ -294,9 +313,7 @@
         Args:
             session: session of the worker.
         """
-        await self._run_tracker.mark_worker_lost(
-            session.entry.worker_id, LossCause.LEASE_EXPIRED, session.outage
-        )
+        await self._loss_tracker.handle_expiry(session)
         self._request_round()
         self._drop_closed(session)
 
@@ -310,6 +327,7 @@
             reply: active and ended runs of the worker.
             sent_at: when the renewal was sent, on the local clock.
         """
+        self._loss_tracker.forget_expiry(session)
         await self._run_tracker.handle_renewal(session, reply, sent_at)
         self._request_round()
 
@@ -323,6 +341,8 @@
         for task in entry.tasks():
             if task.phase is Phase.UNKNOWN:
                 self._ledger.hold(task)
+            if task.crashes:
+                self._probation.add(task)
         if entry.ended:
             entry.ended_at = self._clock.now()
 
@@ -345,6 +365,7 @@
             wall_ms=self._wall_clock.now(),
         )
         self._run_tracker.place(decisions.placements)
+        self._probation.note_starts(decisions.placements, self._clock.now())
         self._wait_log.record(decisions.waiting, self._clock.now())
         for request in decisions.advice_requests:
             entry = self._job_table.jobs[request.group_id.job_id]
@@ -367,9 +388,7 @@
         if now >= self._inherited_until:
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
-                    await self._run_tracker.mark_worker_lost(
-                        worker_id, LossCause.NOT_LISTED, None
-                    )
+                    await self._loss_tracker.handle_unlisted(worker_id)
         if self._backlog.update(self._job_table.active()):
             eliot.log_message(
                 'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -34,6 +34,7 @@
         'worker:silent',
         'worker:other_life',
         'worker:runs_lost',
+        'worker:crashed',
         'worker:fenced',
         'worker:invalid',
     )
@@ -58,6 +59,9 @@
     ('order:stop_unwanted', 'an unwanted run was stopped'),
     ('order:stop_refused', 'a stop was refused'),
     ('worker:silent', 'a worker of the job gave no answer'),
+    ('worker:crashed', 'a worker has crashed'),
+    ('task:given_up', 'a task was given up after crashes of its workers'),
+    ('task:cleared', 'a task is no longer suspected of crashes'),
     ('worker:runs_lost', 'a worker was lost with its runs'),
     ('worker:other_life', 'another incarnation of a worker answered'),
     ('store:lost', 'the store did not answer an instance'),
