Count crashes of workers across changes of the leader

Callers would see: a task that crashes its workers runs without end while leaders are lost between a crash and the return of the worker.

Cause: a successor knew the id of the worker of a placed task, not which incarnation it was. When another one had registered meanwhile, the old id was missing, which says nothing of the cause, and its runs waited for the longest lease of a former leader.

Change: the progress of a placed task names the address and the start of the worker's incarnation. Another one there, in the registration or in a reply, is a crash under the inherited runs, and ends them at once. A worker without runs is no longer taken for one that failed with another.

--- a/jayshore/fleet/crashes.py
+++ b/jayshore/fleet/crashes.py
@@ -77,7 +77,8 @@
             [_exposed_run(*item) for item in lost.ages.items()]
         )
         shared = lost.draining or self._has_common_cause(lost, silent)
-        self._recent.append((lost.outage, bool(verdict.suspects)))
+        if lost.ages:
+            self._recent.append((lost.outage, bool(verdict.suspects)))
         self._log(lost, verdict, shared=shared)
         if shared:
             return []
@@ -98,7 +99,7 @@
         others = [
             (other.outage, _has_suspects(other))
             for other in silent
-            if other.worker_id != lost.worker_id
+            if other.ages and other.worker_id != lost.worker_id
         ]
         return any(
             outage.overlaps(lost.outage, _SIMULTANEOUS_MS) and not explained
--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from jayshore.clock import Millis
-from jayshore.fleet.model import GroupId
+from jayshore.fleet.model import UNKNOWN_INCARNATION, GroupId, Incarnation
 from jayshore.fleet.ranking import Rank
 from jayshore.resources import Resources
 
@@ -28,6 +28,7 @@
 
     Attributes:
         worker_id: the worker.
+        incarnation: where and since when it runs.
         service: service whose tasks it runs.
         rack: rack, empty when unknown.
         labels: all labels.
@@ -48,6 +49,7 @@
     labels: frozenset[str]
     capacity: Resources
     free: Resources
+    incarnation: Incarnation = UNKNOWN_INCARNATION
     failure_score: int = 0
     probe: bool = False
     reserved_for: GroupId | None = None
@@ -120,11 +122,13 @@
         group_id: group of the task.
         index: position of the task in the group.
         worker_id: the worker.
+        incarnation: where and since when the worker runs.
     """
 
     group_id: GroupId
     index: int
     worker_id: str
+    incarnation: Incarnation = UNKNOWN_INCARNATION
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -10,7 +10,14 @@
 
 from jayshore.clock import Millis
 from jayshore.fleet.blame import SETTLED_MS
-from jayshore.fleet.model import GroupId, Job, TaskGroup, TaskId
+from jayshore.fleet.model import (
+    UNKNOWN_INCARNATION,
+    GroupId,
+    Incarnation,
+    Job,
+    TaskGroup,
+    TaskId,
+)
 
 _DONE_VALUE = 'done'
 
@@ -64,6 +71,7 @@
         phase: lifecycle phase.
         run: highest number of a run that may have been used.
         worker: worker of that run, empty when there is none.
+        incarnation: incarnation of that worker.
         failures: number of runs that ended as failed.
         checkpoint: where the next run resumes.
         acknowledged_at: when the worker acknowledged a start or a stop of the
@@ -86,6 +94,7 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     worker: str = ''
+    incarnation: Incarnation = UNKNOWN_INCARNATION
     failures: int = 0
     checkpoint: str = ''
     acknowledged_at: Millis | None = None
--- a/jayshore/fleet/losses.py
+++ b/jayshore/fleet/losses.py
@@ -9,7 +9,7 @@
 from jayshore.fleet.jobtable import Phase, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.metrics import FleetMetrics
-from jayshore.fleet.model import WorkerEntry, format_task_id
+from jayshore.fleet.model import Incarnation, WorkerEntry, format_task_id
 from jayshore.fleet.orders import OrderSender
 from jayshore.fleet.outages import LossCause, Outage, age_in_outage
 from jayshore.fleet.runs import RunTracker
@@ -52,6 +52,18 @@
         self._metrics = metrics
         self._sessions = sessions
         self._expired: dict[str, LostRuns] = {}
+        self._inherited: dict[str, tuple[str, Incarnation]] = {}
+        self._created_at = clock.now()
+
+    def inherit(self, task: TaskEntry) -> None:
+        """Take over a run that a former leader placed.
+
+        Args:
+            task: the task, in `Phase.UNKNOWN`.
+        """
+        incarnation = task.incarnation
+        if incarnation.address:
+            self._inherited[incarnation.address] = (task.worker, incarnation)
 
     async def handle_restart(
         self, session: WorkerSession, outage: Outage
@@ -63,6 +75,7 @@
                 incarnation has an id of its own.
             outage: when the earlier incarnation stopped replying.
         """
+        self._inherited.pop(session.entry.address, None)
         lost = self._expired.pop(session.entry.address, None)
         if lost is None:
             lost = self._collect(session, outage)
@@ -77,16 +90,32 @@
                 await self._order_sender.stop(task)
         await self._give_up(given_up)
 
-    async def handle_replacement(self, worker: WorkerEntry) -> None:
-        """Handle a new worker at the address of one whose lease has expired.
+    async def handle_registration(self, worker: WorkerEntry) -> None:
+        """Handle a registration, perhaps of another incarnation of a worker.
 
         Args:
-            worker: registration of the new one.
+            worker: the registration.
         """
         lost = self._expired.get(worker.address)
         if lost is not None and lost.worker_id != worker.worker_id:
             self._expired.pop(worker.address)
             await self._give_up(self._crash_counter.count(lost, self._silent()))
+        await self._check_inherited(worker.worker_id, worker.incarnation)
+
+    async def handle_reply(self, session: WorkerSession, born_ms: int) -> None:
+        """Handle a reply of a worker, which ends its silence.
+
+        Args:
+            session: session of the worker.
+            born_ms: start of the incarnation that replied, 0 when unknown.
+        """
+        address = session.entry.address
+        self._expired.pop(address, None)
+        if address in self._inherited:
+            await self._check_inherited(
+                session.entry.worker_id, Incarnation(address, born_ms)
+            )
+            self._inherited.pop(address, None)
 
     async def handle_expiry(self, session: WorkerSession) -> None:
         """Handle the loss of all runs at a worker whose lease has expired.
@@ -102,14 +131,6 @@
             session.entry.worker_id, LossCause.LEASE_EXPIRED, session.outage
         )
 
-    def forget_expiry(self, session: WorkerSession) -> None:
-        """Note that a worker replies, so that its silence was no crash.
-
-        Args:
-            session: session of the worker.
-        """
-        self._expired.pop(session.entry.address, None)
-
     async def handle_unlisted(self, worker_id: str) -> None:
         """Handle the loss of all runs at a worker that is not registered.
 
@@ -118,6 +139,31 @@
         """
         await self._mark_lost(worker_id, LossCause.NOT_LISTED, None)
 
+    async def _check_inherited(
+        self, worker_id: str, current: Incarnation
+    ) -> None:
+        """Count a crash before or during the takeover of this leader."""
+        placed_at, former = self._inherited.get(
+            current.address, (worker_id, current)
+        )
+        reborn = 0 < former.born_ms < current.born_ms
+        if worker_id == placed_at and not reborn:
+            return
+        self._inherited.pop(current.address)
+        outage = Outage(alive_at=self._created_at, noticed_at=self._clock.now())
+        tasks = [
+            task
+            for task in self._ledger.tasks_at(placed_at)
+            if task.phase is Phase.UNKNOWN
+        ]
+        lost = collect_lost_runs(placed_at, tasks, outage, draining=False)
+        if not lost.ages:
+            return
+        given_up = self._crash_counter.count(lost, self._silent())
+        if worker_id != placed_at:
+            await self._mark_lost(placed_at, LossCause.RESTARTED, outage)
+        await self._give_up(given_up)
+
     async def _mark_lost(
         self, worker_id: str, cause: LossCause, outage: Outage | None
     ) -> None:
--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -41,6 +41,23 @@
     group: int
 
 
+class Incarnation(NamedTuple):
+    """One lifetime of the process of a worker.
+
+    Another one at the same address shows that this one is over.
+
+    Attributes:
+        address: `host:port`, empty when unknown.
+        born_ms: its start, in ms since the Unix epoch, 0 when unknown.
+    """
+
+    address: str
+    born_ms: int
+
+
+UNKNOWN_INCARNATION = Incarnation('', 0)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TaskGroup:
     """Identical tasks of a job.
@@ -233,6 +250,11 @@
     capacity: Resources
     draining: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Where and since when it runs."""
+        return Incarnation(self.address, self.born_ms)
+
 
 def format_task_id(task: TaskId) -> str:
     """Format a task id as text.
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -185,6 +185,7 @@
                         group_id=demand.group_id,
                         index=index,
                         worker_id=slot.worker_id,
+                        incarnation=slot.incarnation,
                     )
                 )
         return not expired
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -18,7 +18,12 @@
     Phase,
     TaskEntry,
 )
-from jayshore.fleet.model import Job, TaskId
+from jayshore.fleet.model import (
+    UNKNOWN_INCARNATION,
+    Incarnation,
+    Job,
+    TaskId,
+)
 from jayshore.outcomes import JayshoreError
 
 JOB_PREFIX = 'jobs/in/'
@@ -57,6 +62,8 @@
         crashes: crashes of workers in which the task was in doubt.
         exposures: crashes of workers that ran the task.
         doubt_ms: age up to which a run is in doubt, in ms.
+        address: address of the worker, empty unless placed.
+        born_ms: start of the worker's incarnation, 0 unless placed.
     """
 
     occurrence: int
@@ -70,6 +77,8 @@
     crashes: int = 0
     exposures: int = 0
     doubt_ms: int = SETTLED_MS
+    address: str = ''
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,6 +241,9 @@
         phase = _DONE
     elif task.phase in PLACED_PHASES:
         phase = _PLACED
+    incarnation = UNKNOWN_INCARNATION
+    if phase == _PLACED:
+        incarnation = task.incarnation
     return TaskRecord(
         occurrence=task_id.occurrence,
         group=task_id.group,
@@ -244,6 +256,8 @@
         crashes=task.crashes,
         exposures=task.exposures,
         doubt_ms=task.doubt_ms,
+        address=incarnation.address,
+        born_ms=incarnation.born_ms,
     )
 
 
@@ -260,3 +274,4 @@
     elif row.phase == _PLACED:
         task.phase = Phase.UNKNOWN
         task.worker = row.worker
+        task.incarnation = Incarnation(row.address, row.born_ms)
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -178,6 +178,7 @@
         worker_id = entry.worker_id
         return WorkerHeadroom(
             worker_id=worker_id,
+            incarnation=entry.incarnation,
             service=entry.service,
             rack=entry.rack,
             labels=entry.labels,
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -93,6 +93,7 @@
             task = entry.groups[placement.group_id].tasks[placement.index]
             task.phase = Phase.STARTING
             task.worker = placement.worker_id
+            task.incarnation = placement.incarnation
             task.acknowledged_at = None
             task.ordered_at = None
             task.seen_at = None
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -229,12 +229,12 @@
             if session is not None:
                 session.registered = False
             return
+        await self._loss_tracker.handle_registration(entry)
         if session is not None and not session.closed:
             former = session.update(entry)
             if former is not None:
                 await former.close()
             return
-        await self._loss_tracker.handle_replacement(entry)
         self._sessions[worker_id] = WorkerSession(
             entry=entry,
             connector=self._connector,
@@ -327,7 +327,7 @@
             reply: active and ended runs of the worker.
             sent_at: when the renewal was sent, on the local clock.
         """
-        self._loss_tracker.forget_expiry(session)
+        await self._loss_tracker.handle_reply(session, reply.born_ms)
         await self._run_tracker.handle_renewal(session, reply, sent_at)
         self._request_round()
 
@@ -341,6 +341,7 @@
         for task in entry.tasks():
             if task.phase is Phase.UNKNOWN:
                 self._ledger.hold(task)
+                self._loss_tracker.inherit(task)
             if task.crashes:
                 self._probation.add(task)
         if entry.ended:
--- a/tests/fleet_crashing_task_test.py
+++ b/tests/fleet_crashing_task_test.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from jayshore.clock import Millis
 from jayshore.fleet.jobtable import JobState
 from tests.fleet_checks_test import check_runs
 from tests.memory_fleet_test import (
@@ -49,9 +50,21 @@
         assert starts <= MAX_CRASHES + MAX_FURTHER_STARTS, starts
 
 
+def run_scenario(scenario):
+    """Run a scenario in a new curio kernel."""
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
 CRASHES = (
     ('another id', {'new_id': True}),
     ('the same id', {'new_id': False}),
+    ('before the start is answered', {'crash_after_ms': None}),
+    ('after a while', {'crash_after_ms': Millis(300)}),
+    ('down for longer than the lease', {'down_ms': Millis(1600)}),
+    (
+        'down for longer, the same id',
+        {'down_ms': Millis(1600), 'new_id': False},
+    ),
 )
 
 
@@ -62,14 +75,138 @@
     """Guards against a task that crashes worker after worker without end."""
 
     async def scenario():
-        async with running_fleet(workers=5) as fleet:
+        async with running_fleet(workers=6, run_ms=Millis(500)) as fleet:
             job = make_job(make_group(1))
             others = [make_job(make_group(3)) for _ in range(4)]
             make_crashing(fleet, job, **faults)
             ids = await fleet.submit(*others, job)
-            await fleet.wait_state([job.job_id], JobState.FAILED)
+            await fleet.wait_state([job.job_id], JobState.FAILED, limit_s=20)
             await fleet.wait_state(ids[:-1], COMPLETED)
             check_runs(fleet, [job, *others])
             check_budget(fleet, job)
 
-    curio.run(scenario, taskcls=curio.task.ContextTask)
+    run_scenario(scenario)
+
+
+SHAPES = (
+    ('one of several tasks', make_group(4), (2,)),
+    ('a member of a gang', make_group(4, gang=True), (1,)),
+    ('all members of a gang', make_group(3, gang=True), (0, 1, 2)),
+    ('a lasting task', make_group(2, long_running=True), (0,)),
+    ('a task with checkpoints', make_group(1, checkpoints=True), (0,)),
+    ('tasks that are spread', make_group(3, max_per_worker=1), (0, 2)),
+)
+
+
+@pytest.mark.parametrize(
+    ('group', 'positions'),
+    [row[1:] for row in SHAPES],
+    ids=[row[0] for row in SHAPES],
+)
+def test_job_of_any_shape_is_given_up(group, positions):
+    """Guards against shapes whose crashes are counted against nobody."""
+
+    async def scenario():
+        async with running_fleet(workers=6) as fleet:
+            job = make_job(group)
+            make_crashing(fleet, job, positions)
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], JobState.FAILED, limit_s=12)
+            check_runs(fleet, [job])
+            check_budget(fleet, job, positions)
+
+    run_scenario(scenario)
+
+
+async def _kill_leader(fleet, _number):
+    await fleet.leading().kill()
+
+
+async def _lose_all(fleet, number):
+    for instance in fleet.instances.values():
+        await instance.kill()
+    await fleet.add_instance(f'n{number}')
+
+
+async def _pause_store(fleet, _number):
+    fleet.store.faults.down = True
+    await curio.sleep(0.4)
+    fleet.store.faults.down = False
+
+
+LOSSES = (
+    ('the leader is killed', 8, _kill_leader),
+    ('all instances are lost', 1, _lose_all),
+    ('the store is away', 2, _pause_store),
+)
+
+
+@pytest.mark.parametrize('new_id', (True, False))
+@pytest.mark.parametrize(
+    ('instances', 'lose'),
+    [row[1:] for row in LOSSES],
+    ids=[row[0] for row in LOSSES],
+)
+def test_crashes_are_counted_across_losses(instances, lose, new_id):
+    """Guards against counts that are lost with each leader.
+
+    The loss follows each crash before the worker is back.
+    """
+
+    async def scenario():
+        async with running_fleet(instances=instances, workers=6) as fleet:
+            job = make_job(make_group(1))
+            make_crashing(fleet, job, new_id=new_id)
+            await fleet.submit(job)
+            state = None
+            for number in range(6):
+                crashes = number + 1
+                while (
+                    state is not JobState.FAILED
+                    and count_starts(fleet, job) < crashes
+                ):
+                    state = await fleet.state(job.job_id)
+                    await curio.sleep(0.02)
+                if state is not JobState.FAILED:
+                    await lose(fleet, number)
+                    await fleet.wait_leader()
+            await fleet.wait_state([job.job_id], JobState.FAILED)
+            check_runs(fleet, [job])
+            check_budget(fleet, job)
+
+    run_scenario(scenario)
+
+
+def _crash_one(fleet):
+    return ['w0']
+
+
+def _crash_some(fleet):
+    return ['w0', 'w1', 'w2']
+
+
+def _crash_all(fleet):
+    return list(fleet.workers)
+
+
+@pytest.mark.parametrize('choose', (_crash_one, _crash_some, _crash_all))
+@pytest.mark.parametrize('new_id', (True, False))
+def test_no_job_is_given_up_when_workers_crash_by_themselves(choose, new_id):
+    """Guards against jobs that fail although they would have run."""
+
+    async def scenario():
+        async with running_fleet(workers=6) as fleet:
+            jobs = [make_job(make_group(3)) for _ in range(8)]
+            jobs.extend(make_job(make_group(4, gang=True)) for _ in range(2))
+            for worker in fleet.workers.values():
+                worker.faults.new_id = new_id
+            for number, job in enumerate(jobs):
+                await fleet.submit(job)
+                await curio.sleep(0.12)
+                if number % 3 == 2:
+                    for name in choose(fleet):
+                        fleet.workers[name].crash()
+            await fleet.wait_state([job.job_id for job in jobs], COMPLETED)
+            check_runs(fleet, jobs)
+
+    run_scenario(scenario)
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -221,6 +221,7 @@
             clock=clock,
             full_workspaces=lambda: self.membership.full_workspaces,
         )
+        self.alive = True
         self._tasks = []
 
     async def start(self):
@@ -245,6 +246,7 @@
     async def kill(self):
         """Stop without any cleanup, like a killed process."""
         self.fleet.killed.add(self.name)
+        self.alive = False
         for task in self._tasks:
             await task.cancel()
         scheduler_task = self.leader_role._scheduler_task
@@ -292,10 +294,15 @@
         def restarted(_worker, former):
             if former != worker.worker_id:
                 self.unregister(former)
-            self.register(worker.worker_id, address=f'{name}:1', **fields)
+            self.register(
+                worker.worker_id,
+                address=f'{name}:1',
+                born_ms=worker.incarnation,
+                **fields,
+            )
 
         worker.restarted = restarted
-        self.register(name, **fields)
+        self.register(name, **{'born_ms': worker.incarnation, **fields})
         return worker
 
     def register(self, name, **fields):
@@ -330,16 +337,24 @@
 
     def leading(self):
         for instance in self.instances.values():
-            if instance.leader_role.scheduler is not None:
+            leads = instance.leader_role.scheduler is not None
+            if instance.alive and leads:
                 return instance
         return None
 
+    def _job_service(self):
+        """Return the job service of an instance, if possible a living one."""
+        instances = sorted(
+            self.instances.values(), key=lambda one: not one.alive
+        )
+        return instances[0].job_service
+
     async def wait_leader(self):
         await wait_for(lambda: self.leading() is not None, 'a leader')
         return self.leading()
 
     async def submit(self, *jobs):
-        job_service = next(iter(self.instances.values())).job_service
+        job_service = self._job_service()
         for job in jobs:
             result = await job_service.submit(job)
             assert isinstance(result, Accepted), result
@@ -347,7 +362,7 @@
 
     async def state(self, job_id):
         """Ask for a job's state; None while the job service is unavailable."""
-        job_service = next(iter(self.instances.values())).job_service
+        job_service = self._job_service()
         try:
             return await job_service.state(job_id, WORKSPACE.name)
         except JobServiceUnavailable:
