Give up a request under which two executors have ended

Callers saw: an idempotent request that crashes its executors was run on one after the other until its deadline; each crash ended what ran beside it.

Change: after two executors that ended under it, the request is answered `unknown` (connection lost), which is true, and not run again.

--- a/jayshore/routing/execution.py
+++ b/jayshore/routing/execution.py
@@ -28,11 +28,16 @@
 from jayshore.routing.policy import RoutingPolicy
 from jayshore.routing.queues import QueueFullError, ReservedSlot, Waiter
 from jayshore.routing.registry import ExecutorRegistry
+from jayshore.routing.session import AttemptEnd
 
 # Factor on the mean slot time: about half of all runs take longer than the
 # mean, and the answer has to reach the caller within the deadline as well.
 _RUN_TIME_MARGIN = 1.25
 
+# A request may be what crashes its executors. Its caller learns that the
+# outcome is unknown, and decides whether to ask again.
+_MAX_EXECUTORS_LOST = 2
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RoutingContext:
@@ -88,6 +93,7 @@
         self._deadline = Millis(context.clock.now() + request.timeout_ms)
         self._may_have_run = False
         self._failures = 0
+        self._executors_lost = 0
         self._failed_on: frozenset[str] = frozenset()
 
     async def run(self) -> RequestOutcome:
@@ -212,7 +218,8 @@
             return Unknown(reason=UnknownReason.TIMEOUT)
         if not end.is_proof_of_not_run:
             self._may_have_run = True
-            if not self._request.idempotent or not end.is_over:
+            self._executors_lost += int(end is AttemptEnd.EXECUTOR_ENDED)
+            if not self._may_run_again(end):
                 return Unknown(reason=UnknownReason.CONNECTION_LOST)
         self.pending_result.reset()
         self._failures += 1
@@ -221,6 +228,13 @@
             return None
         return self._refuse(NotRunReason.NO_EXECUTOR)
 
+    def _may_run_again(self, end: AttemptEnd) -> bool:
+        return (
+            self._request.idempotent
+            and end.is_over
+            and self._executors_lost < _MAX_EXECUTORS_LOST
+        )
+
     def _may_retry(self, executor_id: str) -> bool:
         return try_retry(
             (
--- a/jayshore/routing/router_test.py
+++ b/jayshore/routing/router_test.py
@@ -122,6 +122,25 @@
     run(main)
 
 
+def test_request_that_crashes_its_executors_is_given_up():
+    """Guards against a request that crashes executor after executor."""
+
+    class Crashing(FakeExecutor):
+        async def run(self, request, *, lease_id, timeout_ms):
+            self.started.append(request.request_id)
+            await self.reboot()
+            raise ExecutorLost('restarted')
+
+    async def main():
+        executors = [Crashing() for _ in range(5)]
+        async with run_router(*executors) as harness:
+            assert await harness.route('r', idempotent=True) == LOST
+            starts = sum(len(executor.started) for executor in executors)
+            assert starts == 2
+
+    run(main)
+
+
 def test_executor_that_restarts_after_the_query_proves_nothing():
     """Guards against a restart between opening the lease and the query."""
 
