Give up tasks of jobs whose workers restart soon after each start

Callers would see: an idempotent job or a service of the own interface that crashes its workers ran on one after the other without end.

Change: the record counts in succession the workers that restarted within 10 s of the start, also for attempts of a former leader; after the fourth the task is failed. A reported outcome starts the count anew. A service waits for a second before it restarts after a crash, as after other ends. There is no probation here, so that neighbours count too; hence four and not two.

--- a/jayshore/jobs/inventory.py
+++ b/jayshore/jobs/inventory.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from jayshore.clock import Millis
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
@@ -33,6 +33,9 @@
 
 ProofFactory: TypeAlias = Callable[[WorkerBoot], Proof]
 
+_CRASH_AGE_MS: Final = Millis(10_000)
+"""Age of an attempt from which a restart is not its fault, in ms."""
+
 
 class InventoryReconciler(WorkerObserver):
     """Updates attempts from the inventories and reports of workers."""
@@ -64,6 +67,7 @@
         self._placer = placer
         self._terminations = terminations
         self._registry: WorkerSessionRegistry | None = None
+        self._lost_at: dict[str, Millis] = {}
 
     def attach(self, registry: WorkerSessionRegistry) -> None:
         """Set the worker sessions, whose observer is this reconciler.
@@ -83,10 +87,11 @@
             opened: the new lease with the inventory.
         """
         self._update_worker(worker_id, opened)
+        lost_at = self._lost_at.pop(worker_id, self._context.clock.now())
         reports = {report.task_id: report for report in opened.tasks}
         for attempt in self._attempts.on_worker(worker_id):
             if not _contains_attempt(reports, attempt):
-                await self._handle_missing(attempt, opened)
+                await self._handle_missing(attempt, opened, lost_at)
         for unsettled in self._attempts.unsettled(worker_id):
             is_inherited = unsettled.phase is Phase.INHERITED
             if is_inherited and _contains_attempt(reports, unsettled):
@@ -116,6 +121,7 @@
         Args:
             worker_id: the worker.
         """
+        self._lost_at.setdefault(worker_id, self._context.clock.now())
         if worker_id in self._placer.boots:
             self._health_monitor.mark_lost(worker_id)
 
@@ -154,7 +160,12 @@
         if attempt.phase is Phase.INHERITED:
             self._context.ledger.release(record.team, record.demand)
             await self._terminations.record_in_background(
-                attempt, Termination(outcome=None), None
+                attempt,
+                Termination(
+                    outcome=None,
+                    crashed=any(map(_shows_restart, attempt.proofs(record))),
+                ),
+                None,
             )
         elif attempt.phase is Phase.ENDED:
             await self._terminations.resume(attempt)
@@ -214,7 +225,7 @@
             self._placer.adopt(record, attempt)
 
     async def _handle_missing(
-        self, attempt: Attempt, opened: OpenedWorkerLease
+        self, attempt: Attempt, opened: OpenedWorkerLease, lost_at: Millis
     ) -> None:
         """Handle an attempt on the worker that is not in its inventory.
 
@@ -231,15 +242,25 @@
             self._placer.requeue(record, attempt)
         elif worker is not None:
             report = self._make_report(attempt, worker, Verdict.ENDED)
-            await self._mark_lost(attempt, report)
+            restarted_at = None if same_boot else lost_at
+            await self._mark_lost(attempt, report, restarted_at)
 
-    async def _mark_lost(self, attempt: Attempt, proof: Proof) -> None:
+    async def _mark_lost(
+        self,
+        attempt: Attempt,
+        proof: Proof,
+        restarted_at: Millis | None = None,
+    ) -> None:
+        """End an attempt whose worker is gone, or restarted at some time."""
         record = self._repository.find(attempt.job_id)
+        crashed = False
         if record is not None:
-            self._placer.release(record, attempt)
+            running = self._placer.release(record, attempt)
+            if restarted_at is not None:
+                crashed = restarted_at - running.started_at < _CRASH_AGE_MS
         attempt.add_proof(proof)
         await self._terminations.record_in_background(
-            attempt, Termination(outcome=None), None
+            attempt, Termination(outcome=None, crashed=crashed), None
         )
 
     async def _process_reports(
@@ -317,6 +338,13 @@
         return AckTarget(session=session, attempt_id=attempt_id)
 
 
+def _shows_restart(proof: Proof) -> bool:
+    return (
+        isinstance(proof, WorkerReport)
+        and proof.reporting_boot_id != proof.worker.boot_id
+    )
+
+
 def _contains_attempt(reports: dict[str, TaskReport], attempt: Attempt) -> bool:
     report = reports.get(attempt.name)
     return report is not None and is_report_of(report, attempt)
--- a/jayshore/jobs/record.py
+++ b/jayshore/jobs/record.py
@@ -104,6 +104,8 @@
         state: see `TaskState`.
         worker: where the task ended, None while unknown.
         result: output of the task as text, None until it has ended.
+        crashes: workers that restarted soon after they started the task, since
+            it last ended otherwise.
     """
 
     index: int
@@ -112,6 +114,7 @@
     state: TaskState = TaskState.WAITING
     worker: WorkerBoot | None = None
     result: str | None = None
+    crashes: int = 0
 
     @property
     def is_final(self) -> bool:
--- a/jayshore/jobs/terminations.py
+++ b/jayshore/jobs/terminations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+from typing import Final
 
 import curio
 import eliot
@@ -29,6 +30,13 @@
 # replicas end at once.
 _SERVICE_RESTART_DELAY_MS = Millis(1000)
 
+MAX_CRASHES: Final = 4
+"""Crashes in succession after which a task does not run again.
+
+Neighbours of a task that crashes its workers are counted as well, so two would
+not be enough.
+"""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Termination:
@@ -38,10 +46,12 @@
         outcome: the outcome that the worker reported; None when the attempt
             was lost or withdrawn.
         output: the output that the worker reported.
+        crashed: the worker restarted soon after it had started the task.
     """
 
     outcome: TaskOutcome | None
     output: str = ''
+    crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -198,8 +208,17 @@
             return TaskState.CANCELLED
         if record.is_cancelling:
             return TaskState.UNKNOWN
-        if never_started or record.kind is JobKind.SERVICE:
+        if never_started:
+            return None
+        if _has_crashed_too_often(record, attempt, termination):
+            return TaskState.FAILED
+        if record.kind is JobKind.SERVICE:
             return None
+        return self._state_after_run(record, termination)
+
+    def _state_after_run(
+        self, record: JobRecord, termination: Termination
+    ) -> TaskState | None:
         if termination.outcome is TaskOutcome.FAILED:
             return None if self._may_retry(record) else TaskState.FAILED
         return None if record.idempotent else TaskState.UNKNOWN
@@ -225,6 +244,7 @@
                     worker=attempt.worker,
                     result=termination.output or None,
                 ),
+                is_reported=termination.outcome is not None,
             ),
         )
         self._attempts.remove(attempt)
@@ -243,12 +263,16 @@
                 writer=self._context.writer,
                 attempt=attempt,
                 is_retry=is_retry,
+                crashes=_count_crashes(
+                    record.tasks[attempt.index], termination
+                ),
             ),
         )
         attempt.advance_to(changed.tasks[attempt.index].attempt)
         if failed and failed_worker is not None:
             attempt.avoided |= {failed_worker.worker_id}
-        if record.kind is JobKind.SERVICE and termination.outcome is not None:
+        has_ended = termination.outcome is not None or termination.crashed
+        if record.kind is JobKind.SERVICE and has_ended:
             await curio.sleep(to_seconds(_SERVICE_RESTART_DELAY_MS))
         self._placer.enqueue(attempt)
         # Stop the other members of a gang, so that it restarts as a whole.
@@ -292,8 +316,9 @@
     writer: Writer,
     attempt: Attempt,
     ended: TaskRecord,
+    is_reported: bool,
 ) -> JobRecord:
-    if ended.state in {TaskState.FINISHED, TaskState.FAILED}:
+    if is_reported and ended.state in {TaskState.FINISHED, TaskState.FAILED}:
         updated = transitions.settle_task(record, writer, ended=ended)
     else:
         updated = transitions.close_task(
@@ -312,6 +337,7 @@
     writer: Writer,
     attempt: Attempt,
     is_retry: bool,
+    crashes: int,
 ) -> JobRecord:
     return transitions.retry_task(
         record,
@@ -319,4 +345,21 @@
         index=attempt.index,
         proofs=attempt.proofs(record),
         counts_as_retry=is_retry,
+        crashes=crashes,
     )
+
+
+def _has_crashed_too_often(
+    record: JobRecord, attempt: Attempt, termination: Termination
+) -> bool:
+    """Return whether a task that could run again has crashed its workers."""
+    crashes = _count_crashes(record.tasks[attempt.index], termination)
+    may_repeat = record.idempotent or record.kind is JobKind.SERVICE
+    return termination.crashed and may_repeat and crashes >= MAX_CRASHES
+
+
+def _count_crashes(task: TaskRecord, termination: Termination) -> int:
+    """Count the crashes in succession; another outcome ends the succession."""
+    if termination.crashed:
+        return task.crashes + 1
+    return task.crashes if termination.outcome is None else 0
--- a/jayshore/jobs/transitions.py
+++ b/jayshore/jobs/transitions.py
@@ -169,6 +169,7 @@
     index: int,
     proofs: Iterable[Proof],
     counts_as_retry: bool = True,
+    crashes: int = 0,
 ) -> JobRecord:
     """Create the next attempt of a task.
 
@@ -179,6 +180,7 @@
         proofs: at least one sufficient proof for every worker of the intent.
         counts_as_retry: False when the failure is not attributed to the job,
             as on a worker that fails all tasks.
+        crashes: workers that restarted soon after they started the task.
 
     Returns:
         The record with the next attempt, which has the epoch of the writer.
@@ -197,7 +199,8 @@
     _check_proofs(record, task, proofs, accepted)
     used = record.retries_used + int(counts_as_retry)
     written = _update(record, writer, retries_used=used)
-    return _replace_task(written, _new_attempt(task, writer))
+    following = dataclasses.replace(_new_attempt(task, writer), crashes=crashes)
+    return _replace_task(written, following)
 
 
 def close_task(
@@ -216,7 +219,8 @@
         index: a task in `POSSIBLY_STARTED`.
         proofs: at least one for every worker of the intent.
         state: `UNKNOWN` when the task may have run, `FAILED` when its retries
-            are used up, or `CANCELLED` when the job is being cancelled.
+            are used up or its workers crash, or `CANCELLED` when the job is
+            being cancelled.
 
     Returns:
         The record with the task ended.
