Test the verdict on a crash and the workers of suspects as tables

Both are decisions of their own that need no network: which runs are in doubt, which are given up, where a suspect may run and what keeps away from it.

--- /dev/null
+++ b/jayshore/fleet/blame_test.py
@@ -0,0 +1,68 @@
+"""Tests of which tasks are suspected of a crash, and which are given up."""
+
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.blame import SETTLED_MS, ExposedRun, judge_crash
+from jayshore.fleet.model import TaskId
+
+OLD = Millis(5 * SETTLED_MS)
+
+
+def run(job, age_ms=8, position=0, **fields):
+    """Make a run at a crashed worker."""
+    return ExposedRun(
+        task=TaskId(job, 0, 0, position), age_ms=Millis(age_ms), **fields
+    )
+
+
+VERDICTS = (
+    ('a first crash', [run('a')], 'a', ''),
+    ('only the new runs', [run('a'), run('b', OLD)], 'a', ''),
+    ('several new runs', [run('a'), run('b')], 'ab', ''),
+    ('nobody', [run('a', OLD), run('b', OLD)], '', ''),
+    ('apart, the second crash', [run('a', crashes=1)], 'a', 'a'),
+    (
+        'beside older runs, the second crash',
+        [run('a', crashes=1), run('b', OLD, crashes=1)],
+        'a',
+        'a',
+    ),
+    (
+        'not apart, the second crash',
+        [run('a', crashes=1), run('b')],
+        'ab',
+        '',
+    ),
+    ('not apart, the fourth crash', [run('a', crashes=3), run('b')], 'ab', 'a'),
+    (
+        'tasks of one job',
+        [run('a', crashes=1), run('a', position=1)],
+        'a',
+        'a',
+    ),
+    (
+        'the third crash at any age',
+        [run('a', OLD, exposures=2), run('b', OLD)],
+        'a',
+        '',
+    ),
+    (
+        'at the age of the last crash',
+        [run('a', OLD, crashes=1, doubt_ms=Millis(2 * OLD))],
+        'a',
+        'a',
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ('runs', 'suspects', 'given_up'),
+    [row[1:] for row in VERDICTS],
+    ids=[row[0] for row in VERDICTS],
+)
+def test_verdict_on_a_crash(runs, suspects, given_up):
+    """Guards against tasks that are blamed for others, or never blamed."""
+    verdict = judge_crash(runs)
+    assert {task.job_id for task in verdict.suspects} == set(suspects)
+    assert {task.job_id for task in verdict.given_up} == set(given_up)
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -304,3 +304,83 @@
         if entry.max_per_worker:
             most = max(map(chosen.count, chosen), default=0)
             assert most <= entry.max_per_worker
+
+
+OTHER = GroupId('other', 0, 0)
+SUSPECT = {'suspect': True, 'patient': True}
+APART = (
+    ('an empty worker', [worker(0, 3000), worker(1)], SUSPECT, 1, ['w1']),
+    (
+        'not beside a new task of another group',
+        [worker(0, new_groups={OTHER})],
+        SUSPECT,
+        1,
+        None,
+    ),
+    (
+        'beside new tasks of its own group',
+        [worker(0, new_groups={GroupId('j', 0, 0)})],
+        SUSPECT,
+        1,
+        ['w0'],
+    ),
+    ('waits until a worker is empty', [worker(0, 3000)], SUSPECT, 1, None),
+    ('no worker left for suspects', [worker(0)], SUSPECT, 0, None),
+    (
+        'the last one is kept for less likely ones',
+        [worker(0)],
+        {**SUSPECT, 'likely': True},
+        1,
+        None,
+    ),
+    (
+        'patience is over, the least used worker',
+        [worker(0, 2000), worker(1, 3000)],
+        {'suspect': True},
+        0,
+        ['w1'],
+    ),
+    (
+        'patience is over, no worker without new tasks',
+        [worker(0, new_groups={OTHER})],
+        {'suspect': True},
+        0,
+        ['w0'],
+    ),
+    (
+        'others stay away from a suspect',
+        [worker(0, reserved_for=OTHER), worker(1, 1000)],
+        {},
+        0,
+        ['w1'],
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ('workers', 'fields', 'slots', 'expected'),
+    [row[1:] for row in APART],
+    ids=[row[0] for row in APART],
+)
+def test_suspects_run_apart(workers, fields, slots, expected):
+    """Guards against crashes that cannot be put down to one task."""
+    decisions = PlacementRound(
+        workers=[
+            dataclasses.replace(place, new_groups=set(place.new_groups))
+            for place in workers
+        ],
+        allowances={},
+        now=NOW,
+        probation_slots=slots,
+    ).decide([demand(**fields)])
+    assert chosen_workers(decisions).get('j') == expected
+    if expected is None:
+        assert list(decisions.waiting.values()) == [WaitReason.PROBATION]
+
+
+def test_worker_is_kept_until_it_is_empty_for_a_suspect():
+    """Guards against new tasks at the worker that a suspect waits for."""
+    decisions = PlacementRound(
+        workers=[worker(0, 3000)], allowances={}, now=NOW, probation_slots=1
+    ).decide([demand('a', **SUSPECT), demand('b', due=5)])
+    assert not decisions.placements
