Log no suspects for a crash that has a common cause

Cause: worker:crashed named suspects and tasks to give up also where another worker had failed at the same moment, though nothing was counted then.

Change: the verdict is dropped before it is logged.

tests/fleet_crashing_task_test.py passes.

--- a/jayshore/fleet/crashes.py
+++ b/jayshore/fleet/crashes.py
@@ -79,12 +79,12 @@
         shared = lost.draining or self._has_common_cause(lost, silent)
         if lost.ages:
             self._recent.append((lost.outage, bool(verdict.suspects)))
-        self._log(lost, verdict, shared=shared)
         if shared:
-            return []
+            verdict = Verdict()
+        self._log(lost, verdict, shared=shared)
         given_up = []
         for task, age in lost.ages.items():
-            task.exposures += 1
+            task.exposures += int(not shared)
             if task.task_id in verdict.suspects:
                 task.crashes += 1
                 task.doubt_ms = Millis(max(task.doubt_ms, age + SETTLED_MS))
