Ask for a third crash where the moment of the last one is not known

Cause: the second start of an innocent suspect was sent to a worker that had just lost its power and gave no answer. Its outage was known to 1.4 s only; the start that was never answered was alone in doubt, and the task was given up at its second crash.

Change: two crashes are enough only where the last one is known to 200 ms, as when a connection ends; otherwise three, which stays inside the users' rule.

--- a/jayshore/fleet/blame.py
+++ b/jayshore/fleet/blame.py
@@ -20,6 +20,12 @@
 CRASHES_APART: Final = 2
 """Crashes after which a task is given up that alone was in doubt last."""
 
+CRASHES_APART_UNTIMED: Final = 3
+"""The same when the moment of the last crash is not known well.
+
+The worker may have been down already when the start was sent.
+"""
+
 MAX_CRASHES: Final = 4
 """Crashes after which a task in doubt is given up in any case."""
 
@@ -71,20 +77,23 @@
     alone: bool = False
 
 
-def judge_crash(runs: Sequence[ExposedRun]) -> Verdict:
+def judge_crash(runs: Sequence[ExposedRun], *, timed: bool) -> Verdict:
     """Decide which tasks are suspected of a crash, and which are to blame.
 
     Tasks of one job are not told apart, because the job ends with any of them.
 
     Args:
         runs: the runs at the worker when it crashed.
+        timed: the moment of the crash is known well.
 
     Returns:
         The suspects, and those of them that do not run again.
     """
     suspects = [run for run in runs if run.in_doubt]
     alone = _count_jobs(suspects) == 1
-    limit = CRASHES_APART if alone else MAX_CRASHES
+    limit = MAX_CRASHES
+    if alone:
+        limit = CRASHES_APART if timed else CRASHES_APART_UNTIMED
     return Verdict(
         suspects=frozenset(run.task for run in suspects),
         given_up=frozenset(
--- a/jayshore/fleet/crashes.py
+++ b/jayshore/fleet/crashes.py
@@ -74,7 +74,8 @@
             The tasks that must not run again.
         """
         verdict = judge_crash(
-            [_exposed_run(*item) for item in lost.ages.items()]
+            [_exposed_run(*item) for item in lost.ages.items()],
+            timed=lost.outage.is_timed,
         )
         shared = lost.draining or self._has_common_cause(lost, silent)
         if lost.ages:
--- a/jayshore/fleet/outages.py
+++ b/jayshore/fleet/outages.py
@@ -6,11 +6,15 @@
 
 import dataclasses
 import enum
+from typing import Final
 
 from jayshore.clock import Millis
 from jayshore.fleet.jobtable import PLACED_PHASES, Phase, TaskEntry
 
 
+_TIMED_MS: Final = Millis(200)
+
+
 class LossCause(enum.StrEnum):
     """Why the runs of a worker are lost without a reported end.
 
@@ -37,6 +41,11 @@
     alive_at: Millis
     noticed_at: Millis
 
+    @property
+    def is_timed(self) -> bool:
+        """Whether the moment is known well, as when a connection ended."""
+        return self.noticed_at - self.alive_at <= _TIMED_MS
+
     def overlaps(self, other: 'Outage', slack_ms: Millis) -> bool:
         """Return whether two workers may have failed at the same time.
 
