Keep suspects and others of a group within its limit per worker

Change: a worker that got tasks of the group in this round, or just before while suspects wait, takes no more of a group with such a limit.

Shown: test_suspects_and_others_of_a_group_share_its_limit_per_worker failed before (two tasks on a worker with a limit of one); 105 passed after.

--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -387,6 +387,9 @@
         return 1
     if not demand.max_per_worker:
         return len(demand.indexes)
+    if demand.group_id in worker.new_groups:
+        # `placed` does not count another part of the group in this round.
+        return 0
     placed = demand.placed.get(worker.worker_id, 0)
     return max(0, demand.max_per_worker - placed)
 
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -384,3 +384,12 @@
         workers=[worker(0, 3000)], allowances={}, now=NOW, probation_slots=1
     ).decide([demand('a', **SUSPECT), demand('b', due=5)])
     assert not decisions.placements
+
+
+def test_suspects_and_others_of_a_group_share_its_limit_per_worker():
+    """Guards against two parts of a group that exceed its limit together."""
+    spread = {'max_per_worker': 1}
+    decisions = PlacementRound(
+        workers=[worker(0)], allowances={}, now=NOW, probation_slots=1
+    ).decide([demand(**SUSPECT, **spread), demand(indexes=(1, 2), **spread)])
+    assert chosen_workers(decisions) == {'j': ['w0']}
