--- a/review/lib/platform_test.py
+++ b/review/lib/platform_test.py
@@ -12,7 +12,6 @@
 import urllib.parse
 
 HOST = '127.0.0.1'
-HISTORY_EVENTS = 100_000
 BEAT_S = 1.5
 MISSED_BEATS = 3
 HOLD_MAX_MS = 10_000
@@ -21,7 +20,6 @@
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
 VALUE_BYTES = 1_048_576
-GANG_TIMEOUT_S = 3.0
 
 REASONS = {
     200: 'OK',
@@ -573,8 +571,8 @@
         if not self._see_fence(content):
             return self._refuse('fence')
         self._extend(content.get('ExpiresMs', 0))
-        for _, run in self.finished:
-            if run.noted_at is None and _ <= content['LastSeen']:
+        for number, run in self.finished:
+            if run.noted_at is None and number <= content['LastSeen']:
                 run.noted_at = self.record.now()
         self.finished = [
             row for row in self.finished if row[0] > content['LastSeen']
