Keep runs of a worker whose former incarnation is still registered

What callers saw: work ran in two places at once (TWICE, with LIMIT beside it) when the leader changed soon after a worker had crashed and come back.

Cause: a new leader took any other id at the address of inherited runs for a later incarnation. The registration of the crashed one is listed for up to three heartbeats, and read after the records of the new one it ended the living one. Ruled out: fencing (the runs were started by the former leader, in order) and late orders (none in the trace).

Change: which incarnation is over follows from the starts of the two, which were stored but not compared (fleet/inherited.py). All incarnations at an address are kept, not the last one read, and only the runs placed at the one in question are lost. Also in the check of workers whose lease has expired. The worker in memory refuses calls that name another id.

--- a/jayshore/fleet/losses.py
+++ b/jayshore/fleet/losses.py
@@ -6,6 +6,7 @@
 
 from jayshore.clock import Clock
 from jayshore.fleet.crashes import CrashCounter, LostRuns, collect_lost_runs
+from jayshore.fleet.inherited import InheritedIncarnations, PlacedAt
 from jayshore.fleet.jobtable import Phase, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.metrics import FleetMetrics
@@ -51,8 +52,8 @@
         self._crash_counter = crash_counter
         self._metrics = metrics
         self._sessions = sessions
-        self._expired: dict[str, LostRuns] = {}
-        self._inherited: dict[str, tuple[str, Incarnation]] = {}
+        self._expired: dict[str, tuple[Incarnation, LostRuns]] = {}
+        self._inherited = InheritedIncarnations()
         self._created_at = clock.now()
 
     def inherit(self, task: TaskEntry) -> None:
@@ -61,9 +62,7 @@
         Args:
             task: the task, in `Phase.UNKNOWN`.
         """
-        incarnation = task.incarnation
-        if incarnation.address:
-            self._inherited[incarnation.address] = (task.worker, incarnation)
+        self._inherited.add(PlacedAt(task.worker, task.incarnation))
 
     async def handle_restart(
         self, session: WorkerSession, outage: Outage
@@ -75,13 +74,14 @@
                 incarnation has an id of its own.
             outage: when the earlier incarnation stopped replying.
         """
-        self._inherited.pop(session.entry.address, None)
-        lost = self._expired.pop(session.entry.address, None)
+        worker_id = session.entry.worker_id
+        self._inherited.discard(worker_id, session.entry.address)
+        lost = self._take_expired(worker_id, session.entry.address)
         if lost is None:
             lost = self._collect(session, outage)
         given_up = self._crash_counter.count(lost, self._silent())
-        worker_id = session.entry.worker_id
-        tasks = self._log_loss(worker_id, LossCause.RESTARTED, outage)
+        tasks = self._ledger.tasks_at(worker_id)
+        self._log_loss(tasks, LossCause.RESTARTED, outage)
         for task in tasks:
             if session.closed:
                 await self._run_tracker.mark_lost(task)
@@ -96,11 +96,13 @@
         Args:
             worker: the registration.
         """
-        lost = self._expired.get(worker.address)
-        if lost is not None and lost.worker_id != worker.worker_id:
+        current = worker.incarnation
+        former, lost = self._expired.get(worker.address, (current, None))
+        if lost is not None and former.precedes(current):
             self._expired.pop(worker.address)
             await self._give_up(self._crash_counter.count(lost, self._silent()))
-        await self._check_inherited(worker.worker_id, worker.incarnation)
+        for placed_at in self._inherited.take_preceding(current):
+            await self._handle_inherited_crash(placed_at, worker.worker_id)
 
     async def handle_reply(self, session: WorkerSession, born_ms: int) -> None:
         """Handle a reply of a worker, which ends its silence.
@@ -111,11 +113,10 @@
         """
         address = session.entry.address
         self._expired.pop(address, None)
-        if address in self._inherited:
-            await self._check_inherited(
-                session.entry.worker_id, Incarnation(address, born_ms)
-            )
-            self._inherited.pop(address, None)
+        worker_id = session.entry.worker_id
+        replied = Incarnation(address, born_ms)
+        for placed_at in self._inherited.take_replaced(worker_id, replied):
+            await self._handle_inherited_crash(placed_at, worker_id)
 
     async def handle_expiry(self, session: WorkerSession) -> None:
         """Handle the loss of all runs at a worker whose lease has expired.
@@ -126,9 +127,12 @@
         if session.outage is not None:
             lost = self._collect(session, session.outage)
             if lost.ages:
-                self._expired[session.entry.address] = lost
+                incarnation = session.entry.incarnation
+                self._expired[incarnation.address] = (incarnation, lost)
         await self._mark_lost(
-            session.entry.worker_id, LossCause.LEASE_EXPIRED, session.outage
+            self._ledger.tasks_at(session.entry.worker_id),
+            LossCause.LEASE_EXPIRED,
+            session.outage,
         )
 
     async def handle_unlisted(self, worker_id: str) -> None:
@@ -137,37 +141,53 @@
         Args:
             worker_id: the worker, which has no session.
         """
-        await self._mark_lost(worker_id, LossCause.NOT_LISTED, None)
+        await self._mark_lost(
+            self._ledger.tasks_at(worker_id), LossCause.NOT_LISTED, None
+        )
 
-    async def _check_inherited(
-        self, worker_id: str, current: Incarnation
+    async def _handle_inherited_crash(
+        self, placed_at: PlacedAt, worker_id: str
     ) -> None:
-        """Count a crash before or during the takeover of this leader."""
-        placed_at, former = self._inherited.get(
-            current.address, (worker_id, current)
-        )
-        reborn = 0 < former.born_ms < current.born_ms
-        if worker_id == placed_at and not reborn:
-            return
-        self._inherited.pop(current.address)
+        """Handle a crash before or during the takeover of this leader.
+
+        Args:
+            placed_at: the incarnation that is over.
+            worker_id: id of a later one, at which the reconciliation of its
+                runs finds what is lost.
+        """
         outage = Outage(alive_at=self._created_at, noticed_at=self._clock.now())
-        tasks = [
+        tasks = tuple(
             task
-            for task in self._ledger.tasks_at(placed_at)
-            if task.phase is Phase.UNKNOWN
-        ]
-        lost = collect_lost_runs(placed_at, tasks, outage, draining=False)
-        if not lost.ages:
-            return
+            for task in self._ledger.tasks_at(placed_at.worker_id)
+            if task.incarnation == placed_at.incarnation
+        )
+        lost = collect_lost_runs(
+            placed_at.worker_id,
+            [task for task in tasks if task.phase is Phase.UNKNOWN],
+            outage,
+            draining=False,
+        )
         given_up = self._crash_counter.count(lost, self._silent())
-        if worker_id != placed_at:
-            await self._mark_lost(placed_at, LossCause.RESTARTED, outage)
+        if placed_at.worker_id != worker_id:
+            await self._mark_lost(tasks, LossCause.RESTARTED, outage)
         await self._give_up(given_up)
 
+    def _take_expired(self, worker_id: str, address: str) -> LostRuns | None:
+        """Remove the runs that were lost when a worker's lease expired."""
+        _, lost = self._expired.get(address, (None, None))
+        if lost is None or lost.worker_id != worker_id:
+            return None
+        self._expired.pop(address)
+        return lost
+
     async def _mark_lost(
-        self, worker_id: str, cause: LossCause, outage: Outage | None
+        self,
+        tasks: tuple[TaskEntry, ...],
+        cause: LossCause,
+        outage: Outage | None,
     ) -> None:
-        for task in self._log_loss(worker_id, cause, outage):
+        self._log_loss(tasks, cause, outage)
+        for task in tasks:
             await self._run_tracker.mark_lost(task)
 
     async def _give_up(self, tasks: list[TaskEntry]) -> None:
@@ -201,16 +221,18 @@
                 yield self._collect(session, session.outage)
 
     def _log_loss(
-        self, worker_id: str, cause: LossCause, outage: Outage | None
-    ) -> tuple[TaskEntry, ...]:
-        """Log and count the runs that are lost with a worker; return them."""
-        tasks = self._ledger.tasks_at(worker_id)
+        self,
+        tasks: tuple[TaskEntry, ...],
+        cause: LossCause,
+        outage: Outage | None,
+    ) -> None:
+        """Log and count the runs that are lost with a worker."""
         if not tasks:
-            return ()
+            return
         self._metrics.count_lost_runs(cause, len(tasks))
         eliot.log_message(
             'worker:runs_lost',
-            worker=worker_id,
+            worker=tasks[0].worker,
             cause=cause,
             silent_ms=outage and self._clock.now() - outage.noticed_at,
             count=len(tasks),
@@ -224,4 +246,3 @@
                 for task in tasks[:_MAX_LOGGED_RUNS]
             ],
         )
-        return tasks
--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -44,7 +44,7 @@
 class Incarnation(NamedTuple):
     """One lifetime of the process of a worker.
 
-    Another one at the same address shows that this one is over.
+    A later one at the same address shows that this one is over.
 
     Attributes:
         address: `host:port`, empty when unknown.
@@ -54,6 +54,20 @@
     address: str
     born_ms: int
 
+    def precedes(self, other: 'Incarnation') -> bool:
+        """Return whether another incarnation shows that this one is over.
+
+        Args:
+            other: another incarnation.
+
+        Returns:
+            True when the other one started later at the same address; False
+            also when a start is not known.
+        """
+        return (
+            self.address == other.address and 0 < self.born_ms < other.born_ms
+        )
+
 
 UNKNOWN_INCARNATION = Incarnation('', 0)
 
--- a/standins/memoryworkerclient.py
+++ b/standins/memoryworkerclient.py
@@ -19,15 +19,23 @@
 class MemoryWorkerClient(WorkerClient):
     """Calls an in-memory worker and applies the faults of its connection."""
 
-    def __init__(self, *, worker: MemoryWorker, timeout_ms: Millis) -> None:
+    def __init__(
+        self,
+        *,
+        worker: MemoryWorker,
+        timeout_ms: Millis,
+        worker_id: str = '',
+    ) -> None:
         """Create a client of one worker.
 
         Args:
             worker: the worker.
             timeout_ms: timeout of a call without an answer, in ms.
+            worker_id: id under which the worker is called; its current one by
+                default.
         """
         self._worker = worker
-        self._worker_id = worker.worker_id
+        self._worker_id = worker_id or worker.worker_id
         self._timeout_ms = timeout_ms
 
     async def start(self, order: StartOrder) -> StartReply:
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -150,7 +150,9 @@
     def connect(self, entry):
         name = entry.address.partition(':')[0]
         return MemoryWorkerClient(
-            worker=self._workers[name], timeout_ms=ORDER_TIMEOUT_MS
+            worker=self._workers[name],
+            timeout_ms=ORDER_TIMEOUT_MS,
+            worker_id=entry.worker_id,
         )
 
 
