Let work that waits in vain use quarantined workers

What callers saw: accepted jobs that never start although most of the fleet is free (LOST), after workers had failed for some seconds or after a few jobs whose tasks always fail.

Cause: quarantine excluded workers without a bound and without a way back. Gangs were never placed there, other tasks only as a probe each 10 s, which rounds without placements used up, and release takes several runs that end done. Ruled out: room (the ledger shows it free), limits of the workspace, sessions (the workers reply).

Change: after 1 s without room elsewhere a group may use quarantined workers, unless its service is busy; lasting tasks always. A probe is claimed by a placement, goes to a task whose end tells something, and a success brings the next one forward.

--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -36,7 +36,9 @@
         free: resources that are free.
         failure_score: share of failures among its last results in quarters,
             0 for few or none.
-        probe: quarantined, so that it gets at most one task and no gang.
+        quarantined: many of its tasks have failed.
+        probe: quarantined, and due for one task that shows whether it has
+            recovered.
         reserved_for: group for which it is reserved, a gang or the suspects of
             a crash; None for none.
         new_groups: groups with a run there that is not settled; empty when no
@@ -51,6 +53,7 @@
     free: Resources
     incarnation: Incarnation = UNKNOWN_INCARNATION
     failure_score: int = 0
+    quarantined: bool = False
     probe: bool = False
     reserved_for: GroupId | None = None
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
@@ -73,6 +76,7 @@
         service: service whose workers run it.
         workspace: owner, empty for none.
         gang: all tasks are placed or none.
+        long_running: the tasks run until the job is cancelled.
         same_rack: placed on one rack if possible.
         required_label: label that a worker must have, empty for any.
         data_rack: preferred rack, empty for none.
@@ -86,6 +90,8 @@
         failed_on: workers to use only when no other has headroom.
         last_attempt: the next failure of a task fails the job, so workers on
             which one failed are avoided.
+        any_worker: it has waited in vain for other workers, and may use
+            quarantined ones.
         suspect: the tasks may crash the worker that starts them.
         likely: they very likely do.
         patient: suspects may wait for an empty worker.
@@ -98,6 +104,7 @@
     service: str
     workspace: str = ''
     gang: bool = False
+    long_running: bool = False
     same_rack: bool = False
     required_label: str = ''
     data_rack: str = ''
@@ -109,10 +116,21 @@
     advice_pending: bool = False
     failed_on: frozenset[str] = frozenset()
     last_attempt: bool = False
+    any_worker: bool = False
     suspect: bool = False
     likely: bool = False
     patient: bool = False
 
+    @property
+    def may_probe(self) -> bool:
+        """Whether a task may show that a quarantined worker has recovered.
+
+        Its end has to tell, and its failure must not cost the job.
+        """
+        return not (
+            self.gang or self.long_running or self.suspect or self.failed_on
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
--- /dev/null
+++ b/jayshore/fleet/eligibility.py
@@ -0,0 +1,92 @@
+"""Which workers a demand may use, and how many of its tasks each may take."""
+
+from jayshore.fleet.demands import GroupDemand, WorkerHeadroom
+from jayshore.resources import NOTHING, Resources
+
+
+def is_eligible(worker: WorkerHeadroom, demand: GroupDemand) -> bool:
+    """Return whether a worker may run a demand, regardless of resources.
+
+    Args:
+        worker: the worker.
+        demand: waiting tasks.
+
+    Returns:
+        True when its service and labels match, and it is not quarantined or
+        may be used all the same.
+    """
+    return (
+        worker.service == demand.service
+        and (
+            not demand.required_label or demand.required_label in worker.labels
+        )
+        and (
+            not worker.quarantined
+            or demand.any_worker
+            or (worker.probe and demand.may_probe)
+        )
+    )
+
+
+def avoid_failed_workers(
+    demand: GroupDemand, workers: list[WorkerHeadroom]
+) -> list[WorkerHeadroom]:
+    """Leave out workers on which a task failed, when one attempt is left.
+
+    A worker that fails every task is soon empty again while the others are
+    full. It would use up the attempts of a job that could succeed elsewhere.
+
+    Args:
+        demand: waiting tasks.
+        workers: workers that may run them.
+
+    Returns:
+        The workers without a failure, or all if there is no such worker.
+    """
+    if not demand.last_attempt:
+        return workers
+    others = [
+        worker for worker in workers if worker.worker_id not in demand.failed_on
+    ]
+    return others or workers
+
+
+def slot_limit(worker: WorkerHeadroom, demand: GroupDemand) -> int:
+    """Compute how many tasks of a demand a worker may take.
+
+    Args:
+        worker: an eligible worker.
+        demand: waiting tasks.
+
+    Returns:
+        Number of tasks, regardless of resources.
+    """
+    if worker.quarantined and not demand.any_worker:
+        return int(worker.probe)
+    if not demand.max_per_worker:
+        return len(demand.indexes)
+    if demand.group_id in worker.new_groups:
+        # `placed` does not count another part of the group in this round.
+        return 0
+    placed = demand.placed.get(worker.worker_id, 0)
+    return max(0, demand.max_per_worker - placed)
+
+
+def count_fits(demand: GroupDemand, available: Resources) -> int:
+    """Count how many tasks of a demand fit in an amount of resources.
+
+    Args:
+        demand: waiting tasks.
+        available: the resources.
+
+    Returns:
+        Number of tasks.
+    """
+    if not NOTHING.fits_in(available):
+        return 0
+    counts = [
+        free // wanted
+        for wanted, free in zip(demand.need, available, strict=True)
+        if wanted
+    ]
+    return min(counts, default=len(demand.indexes))
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -20,10 +20,16 @@
     WorkerHeadroom,
 )
 from jayshore.fleet.apart import least_used, without_other_new_tasks
+from jayshore.fleet.eligibility import (
+    avoid_failed_workers,
+    count_fits,
+    is_eligible,
+    slot_limit,
+)
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.pools import WorkerPool
 from jayshore.fleet.ranking import DeadlineStatus, Rank
-from jayshore.resources import NOTHING, Resources
+from jayshore.resources import Resources
 
 TICKET_MARGIN_MS: Final = Millis(150)
 """Minimum remaining validity of a ticket when a start is decided, in ms.
@@ -73,7 +79,7 @@
         """
         self._workers = list(workers)
         self._probation_slots = probation_slots
-        self._pools: dict[tuple[str, str, bool], WorkerPool] = {}
+        self._pools: dict[tuple[str, str, bool, bool], WorkerPool] = {}
         self._allowances = allowances
         self._now = now
         self._reserved_count = 0
@@ -99,14 +105,19 @@
 
     def _find_pool(self, demand: GroupDemand) -> WorkerPool:
         """Find the eligible workers of a demand, regardless of their load."""
-        key = (demand.service, demand.required_label, demand.gang)
+        key = (
+            demand.service,
+            demand.required_label,
+            demand.may_probe,
+            demand.any_worker,
+        )
         pool = self._pools.get(key)
         if pool is None:
             pool = WorkerPool(
                 workers=[
                     worker
                     for worker in self._workers
-                    if _is_eligible(worker, demand)
+                    if is_eligible(worker, demand)
                 ]
             )
             self._pools[key] = pool
@@ -131,7 +142,7 @@
                 self._request_advice_on_new(demand, usable)
                 return WaitReason.NOT_ADVISED
         permitted = self._find_apart(
-            demand, _avoid_failed_workers(demand, permitted)
+            demand, avoid_failed_workers(demand, permitted)
         )
         if not permitted:
             return WaitReason.PROBATION
@@ -177,6 +188,7 @@
             return False
         for index, slot in zip(demand.indexes, slots, strict=False):
             slot.new_groups.add(demand.group_id)
+            slot.probe = False
             if demand.suspect:
                 slot.reserved_for = demand.group_id
             if slot.worker_id not in expired:
@@ -269,7 +281,7 @@
         )
         slots: list[WorkerHeadroom] = []
         for worker in order:
-            limit = _slot_limit(worker, demand)
+            limit = slot_limit(worker, demand)
             while limit and len(slots) < count and need.fits_in(worker.free):
                 worker.free -= need
                 slots.append(worker)
@@ -287,8 +299,8 @@
         wanted = len(demand.indexes)
         slot_count = sum(
             min(
-                _slot_limit(worker, demand),
-                _count_fits(demand, worker.capacity),
+                slot_limit(worker, demand),
+                count_fits(demand, worker.capacity),
             )
             for worker in usable
         )
@@ -308,8 +320,8 @@
             worker.reserved_for = demand.group_id
             self._reserved_count += 1
             wanted -= min(
-                _slot_limit(worker, demand),
-                _count_fits(demand, worker.capacity),
+                slot_limit(worker, demand),
+                count_fits(demand, worker.capacity),
             )
 
     def _request_advice(self, demand: GroupDemand, workers: list[str]) -> None:
@@ -325,7 +337,7 @@
         allowance = self._allowances.get(demand.workspace)
         if allowance is None:
             return len(demand.indexes)
-        return _count_fits(demand, allowance)
+        return count_fits(demand, allowance)
 
     def _charge_allowance(self, demand: GroupDemand) -> None:
         allowance = self._allowances.get(demand.workspace)
@@ -355,62 +367,11 @@
     return demand.rank, demand.group_id
 
 
-def _is_eligible(worker: WorkerHeadroom, demand: GroupDemand) -> bool:
-    """Return whether a worker may run a demand, regardless of resources."""
-    return (
-        worker.service == demand.service
-        and (
-            not demand.required_label or demand.required_label in worker.labels
-        )
-        and not (worker.probe and demand.gang)
-    )
-
-
-def _avoid_failed_workers(
-    demand: GroupDemand, workers: list[WorkerHeadroom]
-) -> list[WorkerHeadroom]:
-    """Leave out workers on which a task failed, when one attempt is left.
-
-    A worker that fails every task is soon empty again while the others are
-    full. It would use up the attempts of a job that could succeed elsewhere.
-    """
-    if not demand.last_attempt:
-        return workers
-    others = [
-        worker for worker in workers if worker.worker_id not in demand.failed_on
-    ]
-    return others or workers
-
-
-def _slot_limit(worker: WorkerHeadroom, demand: GroupDemand) -> int:
-    if worker.probe:
-        return 1
-    if not demand.max_per_worker:
-        return len(demand.indexes)
-    if demand.group_id in worker.new_groups:
-        # `placed` does not count another part of the group in this round.
-        return 0
-    placed = demand.placed.get(worker.worker_id, 0)
-    return max(0, demand.max_per_worker - placed)
-
-
-def _count_fits(demand: GroupDemand, available: Resources) -> int:
-    """Count how many tasks of a demand fit in an amount of resources."""
-    if not NOTHING.fits_in(available):
-        return 0
-    counts = [
-        free // wanted
-        for wanted, free in zip(demand.need, available, strict=True)
-        if wanted
-    ]
-    return min(counts, default=len(demand.indexes))
-
-
 def _choose_workers_to_ask(
     demand: GroupDemand, workers: list[WorkerHeadroom]
 ) -> list[str]:
     """Choose workers for a request for advice, healthy and empty ones first."""
-    per_worker = max(1, _count_fits(demand, workers[0].capacity))
+    per_worker = max(1, count_fits(demand, workers[0].capacity))
     wanted = _ADVICE_WORKERS_PER_NEEDED * math.ceil(
         len(demand.indexes) / per_worker
     )
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -1,6 +1,7 @@
 """Builds the inputs of placement rounds from the state of the leader."""
 
 import collections
+import dataclasses
 from collections.abc import Iterable
 
 from jayshore.clock import Millis
@@ -11,6 +12,7 @@
 from jayshore.fleet.model import FleetConfig, Queue
 from jayshore.fleet.placing import PlacementRound, limit_allowance
 from jayshore.fleet.probation import Probation, is_suspect
+from jayshore.fleet.quarantine import WaitTimes, busy_services
 from jayshore.fleet.ranking import rank_group
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
@@ -50,6 +52,7 @@
         self._probation = probation
         self._job_table = job_table
         self._ledger = ledger
+        self._wait_times = WaitTimes()
 
     def decide(
         self,
@@ -72,13 +75,13 @@
         """
         demands = self._demands(config, now, wall_ms)
         if not demands:
+            self._wait_times.update({}, now)
             return Decisions()
         usable = {
-            session.entry.worker_id: self._headroom(session)
+            session.entry.worker_id: self._headroom(session, now)
             for session in sessions
-            if self._may_use(session.entry.worker_id, now)
         }
-        return PlacementRound(
+        decisions = PlacementRound(
             workers=usable.values(),
             probation_slots=self._reserve_for_suspects(usable, now),
             allowances={
@@ -88,7 +91,11 @@
                 for workspace in config.workspaces
             },
             now=now,
-        ).decide(demands)
+        ).decide(self._admit_to_any_worker(demands, usable, now))
+        self._wait_times.update(decisions.waiting, now)
+        for placement in decisions.placements:
+            self._health.claim_probe(placement.worker_id, now)
+        return decisions
 
     def _reserve_for_suspects(
         self, workers: dict[str, WorkerHeadroom], now: Millis
@@ -100,7 +107,30 @@
         for worker_id, worker in workers.items():
             worker.reserved_for = occupied.get(worker_id)
             worker.new_groups = self._probation.new_groups_at(worker_id, now)
-        return limit_probation(workers.values()) - len(occupied)
+        sound = [
+            candidate
+            for candidate in workers.values()
+            if not candidate.quarantined
+        ]
+        return limit_probation(sound) - len(occupied)
+
+    def _admit_to_any_worker(
+        self,
+        demands: list[GroupDemand],
+        workers: dict[str, WorkerHeadroom],
+        now: Millis,
+    ) -> list[GroupDemand]:
+        """Let demands that have waited in vain use quarantined workers."""
+        if not any(worker.quarantined for worker in workers.values()):
+            return demands
+        busy = busy_services(workers.values())
+        return [
+            dataclasses.replace(demand, any_worker=True)
+            if self._wait_times.is_over(demand.group_id, now)
+            and (demand.long_running or demand.service not in busy)
+            else demand
+            for demand in demands
+        ]
 
     def _demands(
         self, config: FleetConfig, now: Millis, wall_ms: int
@@ -146,6 +176,7 @@
             service=queue.service,
             workspace=group.job.job.workspace,
             gang=spec.gang,
+            long_running=spec.long_running,
             same_rack=spec.same_rack,
             required_label=spec.required_label,
             data_rack=spec.data_rack,
@@ -168,12 +199,7 @@
             and self._probation.is_patient(group, now, likely=likely),
         )
 
-    def _may_use(self, worker_id: str, now: Millis) -> bool:
-        return not self._health.is_quarantined(
-            worker_id
-        ) or self._health.claim_probe(worker_id, now)
-
-    def _headroom(self, session: WorkerSession) -> WorkerHeadroom:
+    def _headroom(self, session: WorkerSession, now: Millis) -> WorkerHeadroom:
         entry = session.entry
         worker_id = entry.worker_id
         return WorkerHeadroom(
@@ -190,7 +216,8 @@
             ),
             failure_score=self._health.scaled_failure_rate(worker_id)
             // _FAILURE_SCORE_STEP,
-            probe=self._health.is_quarantined(worker_id),
+            quarantined=self._health.is_quarantined(worker_id),
+            probe=self._health.is_probe_due(worker_id, now),
         )
 
 
--- a/jayshore/placement/health.py
+++ b/jayshore/placement/health.py
@@ -76,6 +76,8 @@
         counts = self._counts.setdefault(worker_id, _ResultCounts())
         counts.failures *= _DECAY
         counts.successes = counts.successes * _DECAY + 1
+        # A worker that succeeds again is probed without a pause.
+        counts.probe_at = Millis(0)
         if counts.mean < RELEASE_BELOW:
             counts.quarantined = False
             counts.failed_jobs.clear()
@@ -150,6 +152,21 @@
         counts = self._counts.get(worker_id)
         return counts is None or len(counts.failed_jobs) < MIN_FAILED_JOBS
 
+    def is_probe_due(self, worker_id: str, now: Millis) -> bool:
+        """Return whether a quarantined worker should get a probe.
+
+        Args:
+            worker_id: the worker.
+            now: the time.
+
+        Returns:
+            True from the time of its next probe until that is claimed.
+        """
+        counts = self._counts.get(worker_id)
+        return (
+            counts is not None and counts.quarantined and now >= counts.probe_at
+        )
+
     def claim_probe(self, worker_id: str, now: Millis) -> bool:
         """Claim the next probe of a quarantined worker if it is due.
 
@@ -160,12 +177,9 @@
         Returns:
             True when a probe was due; the next one is due an interval later.
         """
-        counts = self._counts.get(worker_id)
-        if counts is None or not counts.quarantined:
-            return False
-        if now < counts.probe_at:
+        if not self.is_probe_due(worker_id, now):
             return False
-        self._schedule_probe(counts, now)
+        self._schedule_probe(self._counts[worker_id], now)
         return True
 
     def _schedule_probe(self, counts: _ResultCounts, now: Millis) -> None:
--- /dev/null
+++ b/tests/fleet_quarantine_test.py
@@ -0,0 +1,74 @@
+"""Deployments in memory whose workers are quarantined after failures."""
+
+import curio
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.jobtable import JobState
+from tests.fleet_checks_test import check_runs
+from tests.memory_fleet_test import (
+    COMPLETED,
+    make_group,
+    make_job,
+    running_fleet,
+    wait_for,
+)
+
+WORKERS = 3
+MAX_WAIT_S = 3
+"""Work that can start has to start within this time."""
+
+GROUPS = (
+    ('a gang', make_group(9, gang=True)),
+    ('tasks that fill the fleet', make_group(9)),
+    ('lasting tasks', make_group(6, long_running=True)),
+    ('one task for each worker', make_group(WORKERS, max_per_worker=1)),
+)
+
+
+@pytest.mark.parametrize(
+    'group', [row[1] for row in GROUPS], ids=[row[0] for row in GROUPS]
+)
+def test_work_starts_while_all_workers_are_quarantined(group):
+    """Guards against work that never starts after failures of other jobs."""
+
+    async def scenario():
+        async with running_fleet(workers=WORKERS) as fleet:
+            failing = [make_job(make_group(4)) for _ in range(4)]
+            for worker in fleet.workers.values():
+                worker.faults.fail_all = True
+            ids = await fleet.submit(*failing)
+            await fleet.wait_state(ids, JobState.FAILED)
+            for worker in fleet.workers.values():
+                worker.faults.fail_all = False
+            job = make_job(group)
+            await fleet.submit(job)
+            await wait_for(
+                lambda: (
+                    sum(
+                        run.task.job_id == job.job_id for run, _ in fleet.runs()
+                    )
+                    == group.count
+                ),
+                'all runs',
+                MAX_WAIT_S,
+            )
+            if not group.long_running:
+                await fleet.wait_state([job.job_id], COMPLETED)
+            check_runs(fleet, [job, *failing])
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_failing_worker_stays_out_while_the_fleet_is_busy():
+    """Guards against jobs that fail because a bad worker is always free."""
+
+    async def scenario():
+        async with running_fleet(workers=4, run_ms=Millis(400)) as fleet:
+            fleet.workers['w0'].faults.fail_all = True
+            jobs = [make_job(make_group(4)) for _ in range(24)]
+            ids = await fleet.submit(*jobs)
+            await fleet.wait_state(ids, COMPLETED, limit_s=20)
+            check_runs(fleet, jobs)
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
