Repeat the stop of runs that never arrived after a change of leader

What callers saw: a workspace whose next job stays queued although nothing of it runs (LOST), after a cancellation while the leadership changed hands.

Cause: a stored cancellation is applied before the new leader has sessions. The stop was given up for want of one and repeated only for runs that a worker lists; a run that never arrived is listed nowhere, and its room stayed held. Ruled out: the limit itself (the ledger of the next leader frees the room at once), and the write of the cancellation (acknowledged and stored).

Change: the stop of every task that holds room at a worker that replies, and has no acknowledged stop, is sent again. The worker refuses the run from then on, and its next reply frees the room.

--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -105,10 +105,11 @@
         """Order a stop again that was given up before it was acknowledged.
 
         A stop is given up while its worker has no session, as after a change
-        of leader.
+        of leader. A run that never arrived needs it too: once it is
+        acknowledged the worker refuses the run, whose room is then free.
 
         Args:
-            task: a task that its worker still reports as running.
+            task: a task that holds resources at a worker that replies.
         """
         if task.phase is Phase.STOPPING and task.acknowledged_at is None:
             await self._tasks.spawn(self._stop(task, task.run, poll=False))
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -131,8 +131,12 @@
         self._measure_unwanted(session, unwanted)
         await self._stop_slow_runs(session, reported)
         for absent in self._ledger.tasks_at(session.entry.worker_id):
-            if absent not in reported and _has_ended(absent, sent_at):
+            if absent in reported:
+                continue
+            if _has_ended(absent, sent_at):
                 await self.mark_lost(absent)
+            else:
+                await self._order_sender.repeat_stop(absent)
 
     async def cancel(self, entry: JobEntry) -> None:
         """Cancel a job.
