Read a full list of ends as a part of the ends

What callers saw: tasks that were done ran a second time (TWICE) after a worker with many runs had been cut off for some seconds.

Cause: a run that a reply lists neither as active nor as ended counted as lost. A worker lists 500 ends at a time, so the ends beyond were taken for losses. Ruled out: the lease (8 s, not over after 5.4 s) and late orders (none).

Change: the adapter says when a list may have a rest, and no run counts as lost until a reply without one. The next renewal then does not wait.

--- a/jayshore/fleet/interfaces.py
+++ b/jayshore/fleet/interfaces.py
@@ -175,6 +175,7 @@
             worker does not report it.
         running: all active runs.
         ended: ends after `last_seen`, in the order of their numbers.
+        more_ends: there may be further ends, which a later reply lists.
     """
 
     fenced: bool = False
@@ -183,6 +184,7 @@
     born_ms: int = 0
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    more_ends: bool = False
 
 
 class WorkerClient(abc.ABC):
--- a/jayshore/fleet/probation.py
+++ b/jayshore/fleet/probation.py
@@ -8,11 +8,13 @@
 from collections.abc import Container, Iterable
 from typing import Final
 
+import eliot
+
 from jayshore.clock import Millis
 from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.demands import Placement
 from jayshore.fleet.jobtable import PLACED_PHASES, GroupEntry, TaskEntry
-from jayshore.fleet.model import GroupId
+from jayshore.fleet.model import GroupId, format_task_id
 
 PATIENCE_MS: Final = Millis(1500)
 """How long a suspect waits for an empty worker, in ms.
@@ -171,3 +173,20 @@
         True when a crash of its worker would not be its fault.
     """
     return task.seen_at is not None and now - task.seen_at >= task.doubt_ms
+
+
+def clear_suspicion(task: TaskEntry) -> None:
+    """End the suspicion against a task that runs longer than its doubt.
+
+    Args:
+        task: a suspect whose current run has settled.
+    """
+    eliot.log_message(
+        'task:cleared',
+        task=format_task_id(task.task_id),
+        run=task.run,
+        crashes=task.crashes,
+    )
+    task.crashes = 0
+    task.exposures = 0
+    task.doubt_ms = SETTLED_MS
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -6,7 +6,6 @@
 import eliot
 
 from jayshore.clock import Clock, Millis
-from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.demands import Placement
 from jayshore.fleet.interfaces import (
     EndedTask,
@@ -28,7 +27,7 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
-from jayshore.fleet.probation import has_settled
+from jayshore.fleet.probation import clear_suspicion, has_settled
 from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
@@ -130,13 +129,11 @@
                 )
         self._measure_unwanted(session, unwanted)
         await self._stop_slow_runs(session, reported)
-        for absent in self._ledger.tasks_at(session.entry.worker_id):
-            if absent in reported:
-                continue
-            if _has_ended(absent, sent_at):
-                await self.mark_lost(absent)
-            else:
-                await self._order_sender.repeat_stop(absent)
+        for task in self._ledger.tasks_at(session.entry.worker_id):
+            if task not in reported:
+                await self._handle_unreported(
+                    task, sent_at, more_ends=reply.more_ends
+                )
 
     async def cancel(self, entry: JobEntry) -> None:
         """Cancel a job.
@@ -190,6 +187,15 @@
         await self._apply_consequence(entry, requeue_task(task))
         self._record(entry)
 
+    async def _handle_unreported(
+        self, task: TaskEntry, sent_at: Millis, *, more_ends: bool
+    ) -> None:
+        """Handle a task that a reply lists neither as active nor as ended."""
+        if not _has_ended(task, sent_at):
+            await self._order_sender.repeat_stop(task)
+        elif not more_ends:
+            await self.mark_lost(task)
+
     def _start_job_tasks(self, entry: JobEntry, tasks: list[TaskEntry]) -> None:
         _align_gangs(tasks)
         if entry.state is JobState.QUEUED:
@@ -219,7 +225,7 @@
         if task.seen_at is None:
             task.seen_at = self._clock.now()
         elif task.crashes and has_settled(task, self._clock.now()):
-            _clear(task)
+            clear_suspicion(task)
         if checkpoint and task.group.spec.checkpoints:
             task.checkpoint = checkpoint
         if task.phase in {Phase.STARTING, Phase.UNKNOWN}:
@@ -350,19 +356,6 @@
         await callback()
 
 
-def _clear(task: TaskEntry) -> None:
-    """End the suspicion against a task that runs longer than its doubt."""
-    eliot.log_message(
-        'task:cleared',
-        task=format_task_id(task.task_id),
-        run=task.run,
-        crashes=task.crashes,
-    )
-    task.crashes = 0
-    task.exposures = 0
-    task.doubt_ms = SETTLED_MS
-
-
 def _is_current_run(task: TaskEntry, run: int, session: WorkerSession) -> bool:
     return task.run == run and task.worker == session.entry.worker_id
 
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -128,6 +128,7 @@
         self._replied_at: Millis | None = None
         self._outage: Outage | None = None
         self._suspected = False
+        self._more_ends = False
         self._last_end = 0
         self._unrecorded: set[int] = set()
         self._created_at = clock.now()
@@ -243,7 +244,8 @@
 
     async def _renew_once(self) -> None:
         wait_ms = Millis(0)
-        if self._lease.clock_known and not self._suspected:
+        hurry = self._suspected or self._more_ends
+        if self._lease.clock_known and not hurry:
             wait_ms = WAIT_MS
         try:
             await self._renew(wait_ms)
@@ -282,6 +284,7 @@
         self._outage = None
         self._replied_at = self._clock.now()
         self._suspected = False
+        self._more_ends = reply.more_ends
         self._lease.note_clock(reply.clock_ms, self._replied_at)
         if former not in {0, reply.born_ms}:
             eliot.log_message(
--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -25,6 +25,7 @@
 _POLL_MS = Millis(2)
 _CLOCK_START_MS = 10_000
 _HUNDRED_PERCENT = 100
+_MAX_LISTED_ENDS = 500
 
 
 def _never(_task: TaskId) -> bool:
@@ -53,6 +54,7 @@
             worker crashes before it answers the start.
         down_ms: how long the worker is down after a crash, in ms.
         new_id: the worker has another id after a crash.
+        listed_ends: number of ends in one reply.
     """
 
     silent: bool = False
@@ -66,6 +68,7 @@
     crash_after_ms: Millis | None = Millis(10)
     down_ms: Millis = Millis(250)
     new_id: bool = True
+    listed_ends: int = _MAX_LISTED_ENDS
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -305,7 +308,8 @@
                 )
                 for run in self.running
             ),
-            ended=tuple(self._ended),
+            ended=tuple(self._ended[: self.faults.listed_ends]),
+            more_ends=len(self._ended) >= self.faults.listed_ends,
         )
 
     def _reset(self) -> None:
