Bound the numbers of registrations and of answers of workers

What callers saw: nothing yet. Operators of similar systems report processes that end over one odd entry of another writer.

Cause: ranges were not checked on decoding.

No process ended over such an entry before either: the odd entries added to test_odd_entries_of_the_store_are_survived pass with and without it.

--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -282,6 +282,9 @@
     return f'{task.job_id}.{task.occurrence}.{task.group}.{task.position}'
 
 
+_MAX_INDEX_DIGITS = 9
+
+
 def parse_task_id(text: str) -> TaskId | None:
     """Parse a task id.
 
@@ -292,6 +295,12 @@
         The task id, or None when the text has another form.
     """
     job_id, *numbers = text.split('.')
-    if len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
+    if len(numbers) != 3 or not all(map(_is_index, numbers)):
         return None
     return TaskId(job_id, *map(int, numbers))
+
+
+def _is_index(text: str) -> bool:
+    return (
+        text.isascii() and text.isdecimal() and len(text) <= _MAX_INDEX_DIGITS
+    )
--- a/jayshore/http/client.py
+++ b/jayshore/http/client.py
@@ -40,6 +40,7 @@
 )
 
 _VALID_PORTS = range(1, 65_536)
+_MAX_PORT_DIGITS = 5
 
 
 class InvalidAddress(JayshoreError):
@@ -72,9 +73,11 @@
             InvalidAddress: the text has another form.
         """
         host, _, digits = text.rpartition(':')
+        is_number = digits.isascii() and digits.isdecimal()
         if (
             not host
-            or not digits.isdecimal()
+            or not is_number
+            or len(digits) > _MAX_PORT_DIGITS
             or int(digits) not in _VALID_PORTS
         ):
             raise InvalidAddress(f'{text!r} is not of the form host:port')
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -1,5 +1,6 @@
 """Processes of `platform/edge.py` beside lost answers and odd entries."""
 
+import json
 import time
 
 import pytest
@@ -17,6 +18,25 @@
 pytestmark = pytest.mark.processes
 
 
+REGISTRATION = {
+    'Service': 'plans',
+    'Addr': '127.0.0.1:9',
+    'Zone': 'north',
+    'State': 'ready',
+    'Capacity': {'Cpu': 16000, 'MemMb': 32768, 'Gpu': 0},
+    'Labels': ['a', 'r1'],
+    'born': 17,
+}
+ODD_FIELDS = (
+    {'Addr': '127.0.0.1:' + '9' * 5000},
+    {'Addr': '127.0.0.1:70000'},
+    {'Addr': '.:80'},
+    {'Capacity': {'Cpu': int('9' * 400), 'MemMb': 1}},
+    {'born': int('9' * 400)},
+    {'Labels': [['a']]},
+)
+
+
 @pytest.fixture
 def deployment(tmp_path):
     """Run a deployment of two instances."""
@@ -56,6 +76,10 @@
         deployment.put('servers/x-odd', value)
         deployment.put('op/config', value)
         time.sleep(0.3)
+    for number, fields in enumerate(ODD_FIELDS):
+        value = json.dumps({**REGISTRATION, **fields})
+        deployment.put(f'servers/x-odd-{number}', value)
+    time.sleep(0.3)
     first, second = deployment.fronts
     assert call('POST', job_url(first, 1), SUBMISSION)[0] == 200
     wait_for(
