--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -18,6 +18,7 @@
 pytestmark = pytest.mark.processes
 
 
+STEP = {'Count': 1, 'Cpu': 500, 'MemMb': 100, 'EstMs': 150}
 REGISTRATION = {
     'Service': 'plans',
     'Addr': '127.0.0.1:9',
@@ -90,6 +91,30 @@
     assert second[0].poll() is None
 
 
+HUGE = int('9' * 400)
+ODD_STEPS = (
+    ('estimates', [{**STEP, 'EstMs': 1.7e308}] * 3),
+    ('processors', [{**STEP, 'Cpu': HUGE}]),
+    ('memory', [{**STEP, 'MemMb': HUGE}]),
+    ('spread', [{**STEP, 'AntiAffinity': HUGE}]),
+)
+
+
+@pytest.mark.parametrize(
+    'steps', [row[1] for row in ODD_STEPS], ids=[row[0] for row in ODD_STEPS]
+)
+def test_submission_with_odd_numbers_is_refused(deployment, steps):
+    """Guards against one submission that makes every leader step down."""
+    first, second = deployment.fronts
+    odd = call('POST', job_url(first, 7), {'Spec': 'fill', 'Steps': steps})
+    assert odd[0] == 400
+    assert call('POST', job_url(first, 1), SUBMISSION)[0] == 200
+    wait_for(
+        lambda: call('GET', job_url(second, 1))[1] == {'State': 'completed'},
+        'the job is completed',
+    )
+
+
 def test_restart_uses_no_withdrawn_key_and_no_worker_that_left(deployment):
     """Guards against a restarted instance that acts on what was withdrawn."""
     deployment.put('op/config', make_config(2, keys=(KEY, 'k-old')))
