Keep a leaving worker out when its quarantine ends

What callers would see: tasks placed on a worker of jayshored that is about to leave, and lost with it. Nobody has reported it; found by reading.

Cause: the end of a quarantine set the state of the worker to usable, also of one that was leaving.

Change: the monitor keeps which workers leave.

Shown: test_worker_that_leaves_is_not_used_again fails 2 of 2 without the change.

--- a/jayshore/jobs/health.py
+++ b/jayshore/jobs/health.py
@@ -25,6 +25,7 @@
         self._health = health
         self._clock = clock
         self._usable: set[str] = set()
+        self._leaving: set[str] = set()
 
     def lease_opened(
         self, worker_id: str, *, is_new_boot: bool, is_leaving: bool
@@ -40,8 +41,9 @@
         if is_new_boot:
             self._health.forget(worker_id)
         self._update_failure_rate(worker_id)
+        self._leaving.discard(worker_id)
         if is_leaving:
-            self._set_state(worker_id, WorkerState.LEAVING)
+            self.mark_leaving(worker_id)
         elif self._health.is_quarantined(worker_id):
             self._set_state(worker_id, WorkerState.QUARANTINED)
         else:
@@ -61,6 +63,7 @@
         Args:
             worker_id: the worker.
         """
+        self._leaving.add(worker_id)
         self._set_state(worker_id, WorkerState.LEAVING)
 
     def record_success(self, worker_id: str) -> None:
@@ -71,7 +74,7 @@
         """
         was_quarantined = self._health.is_quarantined(worker_id)
         if was_quarantined and not self._health.record_success(worker_id):
-            self._set_state(worker_id, WorkerState.USABLE)
+            self._end_quarantine(worker_id)
         elif not was_quarantined:
             self._health.record_success(worker_id)
         self._update_failure_rate(worker_id)
@@ -127,6 +130,10 @@
         """
         return self._health.is_quarantined(worker_id)
 
+    def _end_quarantine(self, worker_id: str) -> None:
+        if worker_id not in self._leaving:
+            self._set_state(worker_id, WorkerState.USABLE)
+
     def _update_failure_rate(self, worker_id: str) -> None:
         failure_rate = self._health.scaled_failure_rate(worker_id)
         self._cell.set_worker_failures(worker_id, failure_rate)
