Use a quarantined worker again that no waiting task can probe

Cause: only small idempotent tasks that are no gang may probe a quarantined worker, and only successes end its quarantine. Where nothing else waits, it never ends.

Change: a worker whose probe is due and that no waiting task can probe is used again. Its evidence stays, so the next failure quarantines it for twice as long.

Shown: test_worker_that_no_task_can_probe_is_used_again.

--- a/jayshore/jobs/health.py
+++ b/jayshore/jobs/health.py
@@ -119,6 +119,18 @@
             return None
         return probe
 
+    def release_unprobed(self, worker_id: str) -> None:
+        """Use a quarantined worker again when no waiting task can probe it.
+
+        Work that may not run as a probe, such as a gang, would otherwise wait
+        for the worker without end.
+
+        Args:
+            worker_id: a worker with an open lease.
+        """
+        if self._health.release_unprobed(worker_id, self._clock.now()):
+            self._end_quarantine(worker_id)
+
     def is_quarantined(self, worker_id: str) -> bool:
         """Check whether a worker is quarantined because of failures.
 
--- a/jayshore/jobs/health_test.py
+++ b/jayshore/jobs/health_test.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from jayshore.clock import ManualClock
+from jayshore.clock import ManualClock, Millis
 from jayshore.jobs.health import WorkerHealthMonitor
-from jayshore.placement.health import WorkerHealth
+from jayshore.placement.health import FIRST_PROBE_INTERVAL_MS, WorkerHealth
 from jayshore.placement.tasks import WorkerState
 
 WORKER = 'w'
@@ -51,6 +51,25 @@
         for number in range(count):
             self.monitor.record_failure(WORKER, f'j{number}')
 
+    def wait_for_release(self):
+        """Wait until the worker is released; return the time in ms."""
+        started = self.clock.now()
+        while self.state is WorkerState.QUARANTINED:
+            self.clock.advance(Millis(100))
+            self.monitor.release_unprobed(WORKER)
+        return self.clock.now() - started
+
+
+def test_worker_that_no_task_can_probe_is_used_again():
+    """Guards against gangs that wait for ever for quarantined workers."""
+    monitored = Monitored()
+    first = monitored.wait_for_release()
+    assert first >= FIRST_PROBE_INTERVAL_MS
+    assert monitored.state is WorkerState.USABLE
+    monitored.fail(1)
+    assert monitored.state is WorkerState.QUARANTINED
+    assert monitored.wait_for_release() > first
+
 
 @pytest.mark.parametrize('opened_again', (False, True))
 def test_worker_that_leaves_is_not_used_again(opened_again):
@@ -63,4 +82,6 @@
         )
     for _ in range(12):
         monitored.monitor.record_success(WORKER)
+    monitored.clock.advance(Millis(10 * FIRST_PROBE_INTERVAL_MS))
+    monitored.monitor.release_unprobed(WORKER)
     assert monitored.state is WorkerState.LEAVING
--- a/jayshore/jobs/probing.py
+++ b/jayshore/jobs/probing.py
@@ -62,12 +62,28 @@
         probe = self._health_monitor.choose_probe(
             view, self._eligible_tasks(view)
         )
-        if probe is not None:
+        if probe is None and self._is_work_waiting(view):
+            self._health_monitor.release_unprobed(view.worker_id)
+        elif probe is not None:
             assignment = Assignment(
                 task_id=probe.task_id, worker_id=view.worker_id
             )
             await self._placer.execute(Place(assignments=(assignment,)))
 
+    def _is_work_waiting(self, view: WorkerView) -> bool:
+        """Return whether a queued task fits in an idle worker."""
+        if any(self._attempts.on_worker(view.worker_id)):
+            return False
+        queued = (
+            self._repository.find(attempt.job_id)
+            for attempt in self._attempts
+            if attempt.phase is Phase.QUEUED
+        )
+        return any(
+            record is not None and record.demand.fits_in(view.capacity)
+            for record in queued
+        )
+
     def _eligible_tasks(self, view: WorkerView) -> list[PendingTask]:
         """List the queued tasks that can probe a worker, none if it is busy."""
         if any(self._attempts.on_worker(view.worker_id)):
--- a/jayshore/placement/health.py
+++ b/jayshore/placement/health.py
@@ -182,6 +182,27 @@
         self._schedule_probe(self._counts[worker_id], now)
         return True
 
+    def release_unprobed(self, worker_id: str, now: Millis) -> bool:
+        """End a quarantine whose probe is due and cannot be made.
+
+        Its evidence stays, so that the next failure quarantines the worker
+        again, for twice as long.
+
+        Args:
+            worker_id: the worker.
+            now: the time.
+
+        Returns:
+            True when the worker was released.
+        """
+        if not self.is_probe_due(worker_id, now):
+            return False
+        counts = self._counts[worker_id]
+        counts.quarantined = False
+        doubled = min(2 * counts.interval_ms, MAX_PROBE_INTERVAL_MS)
+        counts.interval_ms = Millis(doubled)
+        return True
+
     def _schedule_probe(self, counts: _ResultCounts, now: Millis) -> None:
         jitter = 1 + self._rng.uniform(0, _JITTER)
         counts.probe_at = Millis(round(now + counts.interval_ms * jitter))
