Decide the end of a task again that was cancelled before its retry

What callers saw: a cancelled job of jayshored that is not final 20 s later, as one task stays possibly started (test_lost_stops_above_a_lowered_limit).

Cause: a retry that is refused because the job was cancelled meanwhile was logged and forgotten; the attempt counts as ended, so nothing closes the task.

Change: the end is decided again from the current record, which cancels the task.

Shown: test_job_that_is_cancelled_before_its_retry_ends; the case of an idempotent job never ends without the change.

--- a/jayshore/jobs/crashes_test.py
+++ b/jayshore/jobs/crashes_test.py
@@ -11,7 +11,7 @@
 from jayshore.jobs.attempts import AttemptTable, Phase
 from jayshore.jobs.changes import Writer
 from jayshore.jobs.inventory import InventoryReconciler
-from jayshore.jobs.record import JobKind, TaskState, WorkerBoot
+from jayshore.jobs.record import JobKind, JobState, TaskState, WorkerBoot
 from jayshore.jobs.sample_record_test import sample_record
 from jayshore.jobs.terminations import MAX_CRASHES, TerminationRecorder
 from jayshore.leases.worker import OpenedWorkerLease
@@ -35,6 +35,18 @@
         return self.record
 
 
+class CancelledBeforeRetry(OneRecord):
+    """A repository whose job is cancelled before its next change."""
+
+    cancelled = False
+
+    async def change(self, job_id, apply):
+        if not self.cancelled:
+            self.cancelled = True
+            self.record = transitions.cancel(self.record, WRITER)
+        return await super().change(job_id, apply)
+
+
 class OneWorkerPlacer:
     """Places each attempt at once on the only worker."""
 
@@ -72,10 +84,10 @@
 class Leader:
     """The part of a leader that handles restarts of one worker."""
 
-    def __init__(self, record):
+    def __init__(self, record, repository=OneRecord):
         self.clock = ManualClock()
         attempts = AttemptTable()
-        self.repository = OneRecord(
+        self.repository = repository(
             transitions.widen_intent(
                 transitions.claim(record, WRITER),
                 WRITER,
@@ -164,3 +176,20 @@
         assert expected is None
 
     curio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'expected'),
+    ((True, JobState.CANCELLED), (False, JobState.UNKNOWN)),
+)
+def test_job_that_is_cancelled_before_its_retry_ends(idempotent, expected):
+    """Guards against a cancelled task that possibly started and never ends."""
+
+    async def scenario():
+        leader = Leader(
+            sample_record(idempotent=idempotent), CancelledBeforeRetry
+        )
+        await leader.restart_worker(1, 60_000)
+        assert leader.repository.record.state is expected
+
+    curio.run(scenario)
--- a/jayshore/jobs/terminations.py
+++ b/jayshore/jobs/terminations.py
@@ -11,7 +11,12 @@
 from jayshore.clock import Millis, to_seconds
 from jayshore.jobs import transitions
 from jayshore.jobs.attempts import Attempt, AttemptTable, Phase
-from jayshore.jobs.changes import MissingProofError, TransitionError, Writer
+from jayshore.jobs.changes import (
+    MissingProofError,
+    TaskStateError,
+    TransitionError,
+    Writer,
+)
 from jayshore.jobs.context import LeaderContext
 from jayshore.jobs.health import WorkerHealthMonitor
 from jayshore.jobs.placing import Placer
@@ -128,11 +133,7 @@
             if termination.outcome
             else 'lost',
         ):
-            state = self._final_state(record, attempt, termination)
-            if state is None:
-                await self._retry(record, attempt, termination)
-            else:
-                await self._end_task(attempt, termination, state)
+            state = await self._write(record, attempt, termination)
         self._context.events.task_ended(
             record, state.value if state else 'retried'
         )
@@ -185,6 +186,28 @@
         if ack_target is not None:
             ack_target.session.acknowledge(ack_target.attempt_id)
 
+    async def _write(
+        self, record: JobRecord, attempt: Attempt, termination: Termination
+    ) -> TaskState | None:
+        """Write the end of a task, or its retry.
+
+        Returns:
+            The final state of the task, or None when it is retried.
+        """
+        state = self._final_state(record, attempt, termination)
+        if state is not None:
+            await self._end_task(attempt, termination, state)
+            return state
+        try:
+            await self._retry(record, attempt, termination)
+        except TaskStateError:
+            current = self._repository.find(attempt.job_id)
+            if current is None or not current.is_cancelling:
+                raise
+            # The job was cancelled before its retry was written.
+            return await self._write(current, attempt, termination)
+        return None
+
     def _final_state(
         self, record: JobRecord, attempt: Attempt, termination: Termination
     ) -> TaskState | None:
