Log what decides on placements in groups with a limit per worker

The logs could not tell the three hypotheses on the broken limit per worker apart: the line of a placement named neither the tasks of the group that were counted at the worker, nor whether the task probed a quarantined worker, and no line told of the begin and end of a quarantine.

job:placed now has the rows limits and probes, only where there is something to tell; worker:quarantined and worker:quarantine_ended tell of the quarantine; and worker:over_limit names a group of which a worker lists more runs than allowed, from what the worker says rather than from what the leader expects. Three counters follow them. The ledger counts the tasks of limited groups by worker for it. No decision changes.

--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -43,6 +43,7 @@
             a crash; None for none.
         new_groups: groups with a run there that is not settled; empty when no
             suspect waits.
+        group_runs: number of runs there of each group that limits them.
     """
 
     worker_id: str
@@ -57,6 +58,7 @@
     probe: bool = False
     reserved_for: GroupId | None = None
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
+    group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
 
     @property
     def empty(self) -> bool:
@@ -141,12 +143,17 @@
         index: position of the task in the group.
         worker_id: the worker.
         incarnation: where and since when the worker runs.
+        probe: the task probes a quarantined worker.
+        beside: number of tasks of the group that were counted at the worker,
+            0 for a group without a limit.
     """
 
     group_id: GroupId
     index: int
     worker_id: str
     incarnation: Incarnation = UNKNOWN_INCARNATION
+    probe: bool = False
+    beside: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/jayshore/fleet/ledger.py
+++ b/jayshore/fleet/ledger.py
@@ -4,7 +4,10 @@
 it is being stopped and while it is unknown whether it started.
 """
 
+from collections.abc import Mapping
+
 from jayshore.fleet.jobtable import TaskEntry
+from jayshore.fleet.model import GroupId
 from jayshore.resources import NOTHING, Resources
 
 
@@ -16,6 +19,7 @@
         self._by_worker: dict[str, dict[TaskEntry, Resources]] = {}
         self._used: dict[str, Resources] = {}
         self._workspaces: dict[str, Resources] = {}
+        self._group_runs: dict[str, dict[GroupId, int]] = {}
 
     def used_at(self, worker_id: str) -> Resources:
         """Return the resources that tasks hold at a worker.
@@ -39,6 +43,17 @@
         """
         return self._workspaces.get(workspace, NOTHING)
 
+    def group_runs_at(self, worker_id: str) -> Mapping[GroupId, int]:
+        """Count the tasks at a worker of each group that limits them.
+
+        Args:
+            worker_id: the worker.
+
+        Returns:
+            Number of tasks by group, without groups that have none.
+        """
+        return self._group_runs.get(worker_id, {})
+
     def tasks_at(self, worker_id: str) -> tuple[TaskEntry, ...]:
         """List the tasks that hold resources at a worker.
 
@@ -80,6 +95,7 @@
         workspace = task.group.job.job.workspace
         self._used[task.worker] = self.used_at(task.worker) + need
         self._workspaces[workspace] = self.used_by(workspace) + need
+        self._count(task, 1)
 
     def release(self, task: TaskEntry) -> bool:
         """Release the resources of a task.
@@ -99,4 +115,16 @@
         workspace = task.group.job.job.workspace
         self._used[task.worker] = self.used_at(task.worker) - need
         self._workspaces[workspace] = self.used_by(workspace) - need
+        self._count(task, -1)
         return True
+
+    def _count(self, task: TaskEntry, change: int) -> None:
+        group = task.group
+        if not group.spec.max_per_worker:
+            return
+        counts = self._group_runs.setdefault(task.worker, {})
+        counts[group.group_id] = counts.get(group.group_id, 0) + change
+        if not counts[group.group_id]:
+            counts.pop(group.group_id)
+        if not counts:
+            self._group_runs.pop(task.worker)
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -71,6 +71,22 @@
             'Tasks that were given up after crashes of their workers.',
             registry=registry,
         )
+        self._quarantines = Counter(
+            'jayshore_worker_quarantines',
+            'Quarantines of workers that fail their tasks, begun and ended.',
+            ('change',),
+            registry=registry,
+        )
+        self._probes = Counter(
+            'jayshore_worker_probes',
+            'Tasks that were placed to probe a quarantined worker.',
+            registry=registry,
+        )
+        self._over_limit = Counter(
+            'jayshore_groups_over_limit',
+            'Groups that a worker listed with more runs than they allow.',
+            registry=registry,
+        )
         self._takeover = Histogram(
             'jayshore_takeover_seconds',
             'Time from an election until all jobs are known.',
@@ -169,6 +185,22 @@
         """Count a task that was given up after crashes of its workers."""
         self._given_up.inc()
 
+    def count_quarantine(self, change: str) -> None:
+        """Count a change of the quarantine of a worker.
+
+        Args:
+            change: `begun` or `ended`.
+        """
+        self._quarantines.labels(change).inc()
+
+    def count_probe(self) -> None:
+        """Count a task that probes a quarantined worker."""
+        self._probes.inc()
+
+    def count_over_limit(self) -> None:
+        """Count a group with more runs at a worker than it allows."""
+        self._over_limit.inc()
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- /dev/null
+++ b/jayshore/fleet/placementlog.py
@@ -0,0 +1,61 @@
+"""Logs the placements of a round, with what decided on them."""
+
+from typing import Any, NamedTuple
+
+import eliot
+
+from jayshore.clock import Millis
+from jayshore.fleet.demands import Placement
+from jayshore.fleet.jobtable import JobEntry, TaskEntry
+
+
+class PlacedTask(NamedTuple):
+    """A task and its latest placement."""
+
+    task: TaskEntry
+    placement: Placement
+
+
+def log_placements(
+    entry: JobEntry, placed: list[PlacedTask], age_ms: Millis
+) -> None:
+    """Log the tasks of a job that a round has placed.
+
+    Each task is a row of occurrence, group, position, run and worker. The rows
+    of `limits` tell which tasks of groups with a limit per worker were counted
+    at the worker, and those of `probes` which workers were quarantined.
+
+    Args:
+        entry: the job.
+        placed: its tasks with their placements.
+        age_ms: time since the acceptance of the job, in ms.
+    """
+    details: dict[str, Any] = {}
+    limits = [
+        (
+            *task.task_id[1:],
+            placement.beside,
+            task.group.spec.max_per_worker,
+            task.worker,
+        )
+        for task, placement in placed
+        if task.group.spec.max_per_worker
+    ]
+    probes = [
+        (*task.task_id[1:], task.worker)
+        for task, placement in placed
+        if placement.probe
+    ]
+    if limits:
+        details['limits'] = limits
+    if probes:
+        details['probes'] = probes
+    eliot.log_message(
+        'job:placed',
+        job=entry.job.job_id,
+        age_ms=age_ms,
+        tasks=[
+            (*task.task_id[1:], task.run, task.worker) for task, _ in placed
+        ],
+        **details,
+    )
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -15,7 +15,6 @@
     AdviceRequest,
     Decisions,
     GroupDemand,
-    Placement,
     WaitReason,
     WorkerHeadroom,
 )
@@ -29,6 +28,7 @@
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.pools import WorkerPool
 from jayshore.fleet.ranking import DeadlineStatus, Rank
+from jayshore.fleet.slots import occupy_slot, release_slots
 from jayshore.resources import Resources
 
 TICKET_MARGIN_MS: Final = Millis(150)
@@ -187,19 +187,9 @@
         if expired and demand.gang:
             return False
         for index, slot in zip(demand.indexes, slots, strict=False):
-            slot.new_groups.add(demand.group_id)
-            slot.probe = False
-            if demand.suspect:
-                slot.reserved_for = demand.group_id
+            placement = occupy_slot(demand, index, slot)
             if slot.worker_id not in expired:
-                self._decisions.placements.append(
-                    Placement(
-                        group_id=demand.group_id,
-                        index=index,
-                        worker_id=slot.worker_id,
-                        incarnation=slot.incarnation,
-                    )
-                )
+                self._decisions.placements.append(placement)
         return not expired
 
     def _find_apart(
@@ -250,10 +240,10 @@
                 slots = self._fill(demand, in_rack, count)
                 if len(slots) == count:
                     return slots
-                _release_slots(demand, slots)
+                release_slots(demand, slots)
         slots = self._fill(demand, usable, count)
         if demand.gang and len(slots) < count:
-            _release_slots(demand, slots)
+            release_slots(demand, slots)
             return []
         return slots
 
@@ -385,8 +375,3 @@
         ),
     )
     return [worker.worker_id for worker in by_preference[:count]]
-
-
-def _release_slots(demand: GroupDemand, slots: list[WorkerHeadroom]) -> None:
-    for worker in slots:
-        worker.free += demand.need
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -218,6 +218,7 @@
             // _FAILURE_SCORE_STEP,
             quarantined=self._health.is_quarantined(worker_id),
             probe=self._health.is_probe_due(worker_id, now),
+            group_runs=dict(self._ledger.group_runs_at(worker_id)),
         )
 
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -28,16 +28,18 @@
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
 from jayshore.fleet.probation import clear_suspicion, has_settled
+from jayshore.fleet.placementlog import PlacedTask, log_placements
 from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.spread import ListedRun, SpreadMonitor
 from jayshore.fleet.transitions import (
     Consequence,
     end_job,
     end_run,
     requeue_task,
 )
-from jayshore.placement.health import WorkerHealth
+from jayshore.fleet.workerresults import WorkerResults
 from jayshore.resources import total
 from jayshore.store.journal import Journal
 
@@ -55,7 +57,7 @@
         ledger: Ledger,
         journal: Journal,
         order_sender: OrderSender,
-        health: WorkerHealth,
+        results: WorkerResults,
         metrics: FleetMetrics,
         queue_of: Callable[[JobEntry], Queue],
     ) -> None:
@@ -67,7 +69,7 @@
             ledger: resources in use.
             journal: makes progress durable.
             order_sender: sends orders to workers.
-            health: failure rates of the workers.
+            results: counts successes and failures of the workers.
             metrics: metrics of this instance.
             queue_of: returns the current queue of a job.
         """
@@ -76,7 +78,8 @@
         self._ledger = ledger
         self._journal = journal
         self._order_sender = order_sender
-        self._health = health
+        self._results = results
+        self._spread_monitor = SpreadMonitor(metrics=metrics)
         self._metrics = metrics
         self._queue_of = queue_of
 
@@ -86,7 +89,7 @@
         Args:
             placements: placements of a round.
         """
-        starting: dict[str, list[TaskEntry]] = {}
+        starting: dict[str, list[PlacedTask]] = {}
         for placement in placements:
             entry = self._job_table.jobs[placement.group_id.job_id]
             task = entry.groups[placement.group_id].tasks[placement.index]
@@ -98,9 +101,13 @@
             task.seen_at = None
             task.run += 1
             self._ledger.hold(task)
-            starting.setdefault(entry.job.job_id, []).append(task)
-        for job_id, tasks in starting.items():
-            self._start_job_tasks(self._job_table.jobs[job_id], tasks)
+            if placement.probe:
+                self._metrics.count_probe()
+            starting.setdefault(entry.job.job_id, []).append(
+                PlacedTask(task, placement)
+            )
+        for job_id, placed in starting.items():
+            self._start_job_tasks(self._job_table.jobs[job_id], placed)
 
     async def handle_renewal(
         self, session: WorkerSession, reply: RenewalReply, sent_at: Millis
@@ -116,18 +123,21 @@
             if session.note_end(ended.number):
                 await self._handle_end(session, ended)
         reported: dict[TaskEntry, RunningTask] = {}
-        unwanted = []
+        listed = []
         for running in reply.running:
             task = self._job_table.find(running.task)
-            if task is not None and _is_current_run(task, running.run, session):
+            if task is not None:
+                expected = _is_current_run(task, running.run, session)
+                listed.append(ListedRun(task, running.run, expected))
+            if task is not None and expected:
                 reported[task] = running
                 await self._confirm(task, running.checkpoint)
             elif running.task is not None:
-                unwanted.append(running)
                 await self._order_sender.stop_unwanted(
                     session, running.task, running.run
                 )
-        self._measure_unwanted(session, unwanted)
+        self._spread_monitor.check(session.entry.worker_id, listed)
+        self._measure_unwanted(session, listed)
         await self._stop_slow_runs(session, reported)
         for task in self._ledger.tasks_at(session.entry.worker_id):
             if task not in reported:
@@ -196,7 +206,10 @@
         elif not more_ends:
             await self.mark_lost(task)
 
-    def _start_job_tasks(self, entry: JobEntry, tasks: list[TaskEntry]) -> None:
+    def _start_job_tasks(
+        self, entry: JobEntry, placed: list[PlacedTask]
+    ) -> None:
+        tasks = [task for task, _ in placed]
         _align_gangs(tasks)
         if entry.state is JobState.QUEUED:
             entry.state = JobState.RUNNING
@@ -204,13 +217,8 @@
                 entry.job.queue.name,
                 Millis(self._clock.now() - entry.accepted_at),
             )
-        eliot.log_message(
-            'job:placed',
-            job=entry.job.job_id,
-            age_ms=self._clock.now() - entry.accepted_at,
-            tasks=[
-                (*task.task_id[1:], task.run, task.worker) for task in tasks
-            ],
+        log_placements(
+            entry, placed, age_ms=Millis(self._clock.now() - entry.accepted_at)
         )
         runs = [(task, task.run) for task in tasks]
         self._record(entry, partial(self._start, runs))
@@ -246,7 +254,7 @@
             await recorded()
             return
         self._ledger.release(task)
-        self._update_health(task, ended.kind)
+        self._count_result(task, ended.kind)
         self._metrics.count_end(ended.kind)
         if ended.checkpoint and task.group.spec.checkpoints:
             task.checkpoint = ended.checkpoint
@@ -258,15 +266,15 @@
         await self._apply_consequence(entry, consequence)
         self._record(entry, recorded)
 
-    def _update_health(self, task: TaskEntry, kind: EndKind) -> None:
+    def _count_result(self, task: TaskEntry, kind: EndKind) -> None:
         """Count the end of a run as a success or failure of its worker."""
         if kind is EndKind.DONE:
-            self._health.record_success(task.worker)
+            self._results.note_success(task.worker)
         elif kind is EndKind.FAILED:
             now = self._clock.now()
             task.group.failed_on.add(task.worker)
             task.group.failed_at = now
-            self._health.record_failure(task.worker, task.task_id.job_id, now)
+            self._results.note_failure(task.worker, task.task_id.job_id, now)
 
     async def _stop_slow_runs(
         self, session: WorkerSession, reported: Mapping[TaskEntry, RunningTask]
@@ -300,21 +308,20 @@
             slow.moves += 1
             slow.group.failed_on.add(slow.worker)
             if not slow.group.spec.gang:
-                self._health.record_failure(slow.worker, name.job_id, now)
+                self._results.note_failure(slow.worker, name.job_id, now)
             await self._order_sender.stop(slow)
 
     def _measure_unwanted(
-        self, session: WorkerSession, unwanted: list[RunningTask]
+        self, session: WorkerSession, listed: list[ListedRun]
     ) -> None:
         """Sum the resources of unwanted runs that the ledger does not count."""
-        tasks = [self._job_table.find(running.task) for running in unwanted]
         session.unaccounted = total(
-            task.group.spec.reserved
-            for task in tasks
-            if task is not None
+            run.task.group.spec.reserved
+            for run in listed
+            if not run.expected
             and not (
-                self._ledger.holds(task)
-                and task.worker == session.entry.worker_id
+                self._ledger.holds(run.task)
+                and run.task.worker == session.entry.worker_id
             )
         )
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -44,6 +44,7 @@
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
 from jayshore.fleet.submissionrate import SubmissionRateMeter
 from jayshore.fleet.waitlog import WaitReasonLog
+from jayshore.fleet.workerresults import WorkerResults
 from jayshore.placement.health import WorkerHealth
 from jayshore.store.journal import Journal
 
@@ -131,7 +132,7 @@
             ledger=self._ledger,
             journal=journal,
             order_sender=self._order_sender,
-            health=health,
+            results=WorkerResults(health=health, metrics=metrics),
             metrics=metrics,
             queue_of=self._queue_of,
         )
--- /dev/null
+++ b/jayshore/fleet/spread.py
@@ -0,0 +1,78 @@
+"""Checks how many tasks of a group each worker runs against the group's limit.
+
+The check reads what the workers list, not what the leader expects, so that it
+also finds runs that the leader does not count.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import eliot
+
+from jayshore.fleet.jobtable import TaskEntry
+from jayshore.fleet.metrics import FleetMetrics
+from jayshore.fleet.model import GroupId, format_task_id
+
+
+class ListedRun(NamedTuple):
+    """A run that a worker lists as active.
+
+    Attributes:
+        task: its task.
+        run: number of the run.
+        expected: the leader has placed this run there.
+    """
+
+    task: TaskEntry
+    run: int
+    expected: bool
+
+
+class SpreadMonitor:
+    """Logs groups with more runs at a worker than they allow."""
+
+    def __init__(self, *, metrics: FleetMetrics) -> None:
+        """Create a monitor.
+
+        Args:
+            metrics: counts the findings.
+        """
+        self._metrics = metrics
+        self._logged: dict[str, set[GroupId]] = {}
+
+    def check(self, worker_id: str, listed: Iterable[ListedRun]) -> None:
+        """Log each group beyond its limit once for as long as it stays so.
+
+        Args:
+            worker_id: the worker.
+            listed: the runs that it lists.
+        """
+        by_group: dict[GroupId, list[ListedRun]] = collections.defaultdict(list)
+        for run in listed:
+            if run.task.group.spec.max_per_worker:
+                by_group[run.task.group.group_id].append(run)
+        beyond = {
+            group_id: runs
+            for group_id, runs in by_group.items()
+            if len(runs) > runs[0].task.group.spec.max_per_worker
+        }
+        logged = self._logged.pop(worker_id, set())
+        for group_id in beyond.keys() - logged:
+            self._log(worker_id, beyond[group_id])
+        if beyond:
+            self._logged[worker_id] = set(beyond)
+
+    def _log(self, worker_id: str, runs: list[ListedRun]) -> None:
+        group = runs[0].task.group
+        self._metrics.count_over_limit()
+        eliot.log_message(
+            'worker:over_limit',
+            worker=worker_id,
+            job=group.job.job.job_id,
+            limit=group.spec.max_per_worker,
+            runs=[
+                (format_task_id(run.task.task_id), run.run, run.expected)
+                for run in runs
+            ],
+        )
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -37,6 +37,9 @@
         'worker:crashed',
         'worker:fenced',
         'worker:invalid',
+        'worker:quarantined',
+        'worker:quarantine_ended',
+        'worker:over_limit',
     )
 )
 _HIDDEN_FIELDS: Final = frozenset(
@@ -60,6 +63,9 @@
     ('order:stop_refused', 'a stop was refused'),
     ('worker:silent', 'a worker of the job gave no answer'),
     ('worker:crashed', 'a worker has crashed'),
+    ('worker:quarantined', 'a worker failed its tasks and gets probes only'),
+    ('worker:quarantine_ended', 'a worker gets all tasks again'),
+    ('worker:over_limit', 'a worker lists more tasks of a group than allowed'),
     ('task:given_up', 'a task was given up after crashes of its workers'),
     ('task:cleared', 'a task is no longer suspected of crashes'),
     ('worker:runs_lost', 'a worker was lost with its runs'),
