--- a/tests/fleet_quarantine_test.py
+++ b/tests/fleet_quarantine_test.py
@@ -4,7 +4,9 @@
 import pytest
 
 from jayshore.clock import Millis
+from jayshore.fleet.interfaces import EndKind
 from jayshore.fleet.jobtable import JobState
+from jayshore.resources import Resources
 from tests.fleet_checks_test import check_runs
 from tests.memory_fleet_test import (
     COMPLETED,
@@ -72,3 +74,42 @@
             check_runs(fleet, jobs)
 
     curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+@pytest.mark.parametrize('limit', [1, 2])
+def test_probe_keeps_the_limit_of_its_group_per_worker(limit):
+    """Guards against probes beside as many tasks of a group as it allows."""
+    need = Resources(cpu_millis=500, memory_mb=100)
+    one_each = make_group(2, need=need, max_per_worker=1)
+    lasting = make_job(
+        make_group(2 * limit + 2, need=need, max_per_worker=limit)
+    )
+    succeeding = make_job(one_each)
+    failing = [make_job(one_each) for _ in range(2)]
+    run_ms = {lasting.job_id: 1500, succeeding.job_id: 700}
+
+    async def scenario():
+        async with running_fleet(
+            workers=2,
+            run_ms=lambda task: Millis(run_ms.get(task.job_id, 100)),
+        ) as fleet:
+            await fleet.submit(lasting, succeeding)
+            await wait_for(
+                lambda: len(fleet.runs()) == 2 * limit + 2, 'the first runs'
+            )
+            for worker in fleet.workers.values():
+                worker.faults.fail_all = True
+            await fleet.submit(*failing)
+            await wait_for(lambda: _failures(fleet) >= 4, 'failures')
+            for worker in fleet.workers.values():
+                worker.faults.fail_all = False
+            await fleet.wait_state(
+                [lasting.job_id, succeeding.job_id], COMPLETED
+            )
+            check_runs(fleet, [lasting, succeeding, *failing])
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def _failures(fleet):
+    return sum(run.kind is EndKind.FAILED for run, _ in fleet.runs())
