Drop the log lines of earlier tests from the tests of log lines

test_group_beyond_its_limit_is_logged_once failed when other tests had run in its process: eliot keeps the lines that are written before the first destination is added, and hands them to it. Seen in 2 of 2 runs of jayshore/fleet, not in runs of the file alone. The fixture now drops what it holds at the start; the checks are unchanged.

--- a/jayshore/fleet/spread_test.py
+++ b/jayshore/fleet/spread_test.py
@@ -25,6 +25,8 @@
     found = []
     collect = found.append
     eliot.add_destinations(collect)
+    # The first destination also gets the lines of earlier tests.
+    found.clear()
     yield found
     eliot.remove_destination(collect)
 
