Keep the limit of a group per worker for probes as for all other tasks

Cause: slot_limit answered for a quarantined worker with a due probe before it looked at the limit of the group. A success makes the next probe due at once, so one task of a group after the other was placed there. The class: a check after another exit of the same function, beside a count that covers only part of what is there; the runs of the round counted only by a second, coarser mark (new_groups), which had added for one such case.

Change: the smallest of all limits counts. What a worker has of a group is counted at the worker, in its headroom, also within a round, for every kind of placement; the count by demand and the special case for new groups go.

The row 'a probe at the limit of its group' and test_no_way_to_a_placement_skips_a_check, which draws probes, suspects, gangs, labels, tickets and quotas together, fail when the early return is put back.

--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -83,7 +83,6 @@
         required_label: label that a worker must have, empty for any.
         data_rack: preferred rack, empty for none.
         max_per_worker: tasks of the group on one worker, 0 for no limit.
-        placed: number of placed tasks of the group by worker.
         advised: a worker needs a ticket to run it.
         tickets: end of validity of each ticket by worker, on the leader's
             clock.
@@ -111,7 +110,6 @@
     required_label: str = ''
     data_rack: str = ''
     max_per_worker: int = 0
-    placed: Mapping[str, int] = dataclasses.field(default_factory=dict)
     advised: bool = False
     tickets: Mapping[str, Millis] = dataclasses.field(default_factory=dict)
     evaluated: frozenset[str] = frozenset()
--- a/jayshore/fleet/eligibility.py
+++ b/jayshore/fleet/eligibility.py
@@ -54,6 +54,8 @@
 def slot_limit(worker: WorkerHeadroom, demand: GroupDemand) -> int:
     """Compute how many tasks of a demand a worker may take.
 
+    Every limit holds beside the others.
+
     Args:
         worker: an eligible worker.
         demand: waiting tasks.
@@ -61,15 +63,13 @@
     Returns:
         Number of tasks, regardless of resources.
     """
+    limits = [len(demand.indexes)]
     if worker.quarantined and not demand.any_worker:
-        return int(worker.probe)
-    if not demand.max_per_worker:
-        return len(demand.indexes)
-    if demand.group_id in worker.new_groups:
-        # `placed` does not count another part of the group in this round.
-        return 0
-    placed = demand.placed.get(worker.worker_id, 0)
-    return max(0, demand.max_per_worker - placed)
+        limits.append(int(worker.probe))
+    if demand.max_per_worker:
+        placed = worker.group_runs.get(demand.group_id, 0)
+        limits.append(demand.max_per_worker - placed)
+    return max(0, min(limits))
 
 
 def count_fits(demand: GroupDemand, available: Resources) -> int:
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -16,6 +16,7 @@
 NOW = Millis(10_000)
 CAPACITY = Resources(cpu_millis=4000, memory_mb=4000)
 NEED = Resources(cpu_millis=1000, memory_mb=100)
+GROUP = GroupId('j', 0, 0)
 
 
 def worker(number, free_cpu=4000, **fields):
@@ -82,8 +83,8 @@
     ('near data', [worker(0, 1000), worker(1)], demand(data_rack='r1'), ['w1']),
     ('spread', [worker(0), worker(1)], demand(count=2, max_per_worker=1),
      ['w0', 'w1']),
-    ('spread counts what runs', [worker(0), worker(1)],
-     demand(count=2, max_per_worker=1, placed={'w0': 1}), ['w1']),
+    ('spread counts what runs', [worker(0, group_runs={GROUP: 1}), worker(1)],
+     demand(count=2, max_per_worker=1), ['w1']),
     ('part of a group', [worker(0, 1000)], demand(count=3), ['w0']),
     ('whole gang', [worker(0), worker(1)], demand(count=8, gang=True),
      ['w0'] * 4 + ['w1'] * 4),
@@ -319,7 +320,7 @@
     ),
     (
         'beside new tasks of its own group',
-        [worker(0, new_groups={GroupId('j', 0, 0)})],
+        [worker(0, new_groups={GROUP})],
         SUSPECT,
         1,
         ['w0'],
--- a/jayshore/fleet/quarantine_test.py
+++ b/jayshore/fleet/quarantine_test.py
@@ -81,6 +81,33 @@
         [demand('x', 3), demand('y', 3, due=1)],
         ['w0'],
     ),
+    (
+        'a probe at the limit of its group',
+        [{'probe': True, 'group_runs': {GROUP: 1}}],
+        [demand(count=2, max_per_worker=1)],
+        [],
+    ),
+    (
+        'a probe below the limit of its group',
+        [{'probe': True, 'group_runs': {GROUP: 1}}],
+        [demand(count=2, max_per_worker=2)],
+        ['w0'],
+    ),
+    (
+        'a probe beside another part of its group',
+        [{'probe': True}],
+        [
+            demand(suspect=True, any_worker=True, max_per_worker=1),
+            demand(indexes=(1,), max_per_worker=1, due=1),
+        ],
+        ['w0'],
+    ),
+    (
+        'waited in vain at the limit of its group',
+        [{'group_runs': {GROUP: 1}}],
+        [demand(count=2, any_worker=True, max_per_worker=1)],
+        [],
+    ),
     ('a gang is no probe', [{'probe': True}], [demand(gang=True)], []),
     ('nor what lasts', [{'probe': True}], [demand(long_running=True)], []),
     (
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -1,6 +1,5 @@
 """Builds the inputs of placement rounds from the state of the leader."""
 
-import collections
 import dataclasses
 from collections.abc import Iterable
 
@@ -138,26 +137,29 @@
         queues = {queue.name: queue for queue in config.queues}
         found: list[GroupDemand] = []
         for group in self._job_table.open_groups():
-            if group.due_at_ms > wall_ms:
+            waiting = group.waiting()
+            if not waiting or not self._may_start(group, wall_ms):
                 continue
             accepted = group.job.job.queue
             queue = queues.get(accepted.name, accepted)
-            waiting = group.waiting()
-            if not waiting or not group.job.is_ready(group):
-                continue
-            held = [task for task in group.tasks if self._ledger.holds(task)]
-            if not (group.spec.gang and held):
-                found.extend(
-                    self._demand(group, part, held, queue, now)
-                    for part in _split_suspects(group, waiting)
-                )
+            found.extend(
+                self._demand(group, part, queue, now)
+                for part in _split_suspects(group, waiting)
+            )
         return found
 
+    def _may_start(self, group: GroupEntry, wall_ms: int) -> bool:
+        """Return whether waiting tasks of a group may start now."""
+        if group.due_at_ms > wall_ms or not group.job.is_ready(group):
+            return False
+        return not (
+            group.spec.gang and any(map(self._ledger.holds, group.tasks))
+        )
+
     def _demand(
         self,
         group: GroupEntry,
         waiting: list[TaskEntry],
-        held: list[TaskEntry],
         queue: Queue,
         now: Millis,
     ) -> GroupDemand:
@@ -181,7 +183,6 @@
             required_label=spec.required_label,
             data_rack=spec.data_rack,
             max_per_worker=spec.max_per_worker,
-            placed=collections.Counter(task.worker for task in held),
             advised=queue.advice is not None,
             tickets={
                 worker: ticket.valid_until
