Acknowledge the ends of a restarted worker by its incarnation

A worker that restarts under its id counts its ends anew. When the record of an end of the former incarnation became durable after the restart, it released the end of the same number of the later one, which the worker could forget before its own record was durable. A change of leader then ran the task again.

The test failed before (last_seen 1 instead of 0) and passes now.

--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -254,7 +254,9 @@
     async def _handle_end(
         self, session: WorkerSession, ended: EndedTask
     ) -> None:
-        recorded = partial(_note_recorded, session, ended.number)
+        recorded = partial(
+            _note_recorded, session, ended.number, session.born_ms
+        )
         task = self._job_table.find(ended.task)
         if task is None or not _is_current_run(task, ended.run, session):
             await recorded()
@@ -375,8 +377,10 @@
             task.checkpoint = max(member.checkpoint for member in members)
 
 
-async def _note_recorded(session: WorkerSession, number: int) -> None:
-    session.mark_recorded(number)
+async def _note_recorded(
+    session: WorkerSession, number: int, born_ms: int
+) -> None:
+    session.mark_recorded(number, born_ms=born_ms)
 
 
 def _log_end(task: TaskEntry, ended: EndedTask) -> None:
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -148,6 +148,11 @@
         """Epoch under which the worker is called."""
         return self._fence
 
+    @property
+    def born_ms(self) -> int:
+        """Start of the incarnation that replied last, 0 when unknown."""
+        return self._born_ms
+
     @property
     def outage(self) -> Outage | None:
         """When the worker stopped replying, None while it replies."""
@@ -215,13 +220,16 @@
         self._unrecorded.add(number)
         return True
 
-    def mark_recorded(self, number: int) -> None:
+    def mark_recorded(self, number: int, *, born_ms: int) -> None:
         """Mark an end as recorded durably, so that the worker may forget it.
 
         Args:
             number: number of the end.
+            born_ms: start of the incarnation that reported it; a later one
+                counts its ends anew.
         """
-        self._unrecorded.discard(number)
+        if born_ms == self._born_ms:
+            self._unrecorded.discard(number)
 
     async def run(self) -> None:
         """Renew the lease repeatedly until the session is closed."""
--- a/jayshore/fleet/sessions_test.py
+++ b/jayshore/fleet/sessions_test.py
@@ -21,6 +21,8 @@
 
     def __init__(self, lost):
         self.renewals = []
+        self.last_seen = []
+        self.born_ms = 1
         self._lost = lost
         self._clock = MonotonicClock()
 
@@ -35,10 +37,11 @@
 
     async def renew(self, request):
         self.renewals.append((self._clock.now(), request.wait_ms))
+        self.last_seen.append(request.last_seen)
         await curio.sleep(0.02)
         if len(self.renewals) in self._lost:
             raise WorkerUnreachable('no answer in time', sent=True)
-        return RenewalReply(clock_ms=5000, born_ms=1)
+        return RenewalReply(clock_ms=5000, born_ms=self.born_ms)
 
     async def close(self):
         """Do nothing."""
@@ -61,8 +64,8 @@
         return Millis(self._clock.now() + LEASE_MS)
 
 
-async def renew_five_times(worker):
-    clock = MonotonicClock()
+def make_session(worker, leader, clock):
+    """Make the session of a leader with a worker."""
     entry = WorkerEntry(
         worker_id='w1',
         born_ms=1,
@@ -73,15 +76,20 @@
         labels=frozenset(),
         capacity=Resources(cpu_millis=4000, memory_mb=8000),
     )
-    session = WorkerSession(
+    return WorkerSession(
         entry=entry,
         connector=worker,
         clock=clock,
-        observer=Leader(clock),
+        observer=leader,
         fence=1,
         inherited_until=Millis(0),
         max_lease_ms=LEASE_MS,
     )
+
+
+async def renew_five_times(worker):
+    clock = MonotonicClock()
+    session = make_session(worker, Leader(clock), clock)
     task = await curio.spawn(session.run)
     while len(worker.renewals) < 5:
         await curio.sleep(0.005)
@@ -107,3 +115,33 @@
     times = [sent_at for sent_at, _ in worker.renewals]
     assert times[3] - times[2] >= 200
     assert times[4] - times[3] >= 200
+
+
+class RestartedLeader(Leader):
+    """Takes note of restarts."""
+
+    async def worker_restarted(self, session, outage):
+        """Ignore the restart."""
+
+
+async def renew_across_a_restart(worker):
+    """Record an end of a former life while the same number is in use."""
+    clock = MonotonicClock()
+    session = make_session(worker, RestartedLeader(clock), clock)
+    await session.poll_now()
+    session.note_end(1)
+    worker.born_ms = 2
+    await session.poll_now()
+    session.note_end(1)
+    session.mark_recorded(1, born_ms=1)
+    await session.poll_now()
+
+
+def test_end_of_a_later_life_is_not_forgotten_before_it_is_recorded():
+    """Guards against ends that a worker forgets and no record holds.
+
+    The end of the former life was recorded late, under the same number.
+    """
+    worker = LossyWorker(lost=())
+    curio.run(renew_across_a_restart, worker)
+    assert worker.last_seen[-1] == 0
