Use a restarted worker once its registration is that of the new incarnation

A worker that restarts under its id may be of another kind. Until its registration followed, tasks were placed by its former labels and capacity, and starts that had been recorded before the restart were sent after it (ROUTE: without the label in Requires). The registration and the last reply have to name the same incarnation now, and a start goes to the incarnation that it was placed at.

Two cases of tests/fleet_reserved_room_test.py failed with the change alone, since the worker in memory never registered again after a reboot; it now does so at once, like the heartbeat of a worker of the platform, and their checks are unchanged.

--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -141,9 +141,10 @@
         attempts = 0
         while _is_starting(task, run):
             session = self._observer.find_session(task.worker)
-            if session is None or session.closed:
+            obstacle = _find_obstacle(task, session)
+            if session is None or obstacle:
                 if not attempts:
-                    await self._report_not_started(task, run, 'no_session')
+                    await self._report_not_started(task, run, obstacle)
                 return
             lease_until = session.grant()
             if lease_until is None:
@@ -292,6 +293,13 @@
     return task.run == run and task.phase is Phase.STARTING
 
 
+def _find_obstacle(task: TaskEntry, session: WorkerSession | None) -> str:
+    """Return why a start cannot be sent, empty when it can."""
+    if session is None or session.closed:
+        return 'no_session'
+    return '' if session.is_incarnation(task.incarnation) else 'other_life'
+
+
 def _start_order(
     task: TaskEntry, session: WorkerSession, lease_until: int
 ) -> StartOrder:
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -14,7 +14,7 @@
     WorkerUnreachable,
 )
 from jayshore.fleet.leasing import WorkerLease
-from jayshore.fleet.model import WorkerEntry
+from jayshore.fleet.model import Incarnation, WorkerEntry
 from jayshore.fleet.outages import Outage
 from jayshore.fleet.progress import ProgressTracker
 from jayshore.fleet.spread import UnaccountedRuns
@@ -160,7 +160,11 @@
 
     @property
     def usable(self) -> bool:
-        """Whether tasks may be placed here."""
+        """Whether tasks may be placed here.
+
+        False while the registration is that of another incarnation than the
+        one that replied, whose labels and capacity may differ.
+        """
         if self._replied_at is None or self._suspected or self.closed:
             return False
         age = self._clock.now() - self._replied_at
@@ -168,6 +172,21 @@
             self.registered
             and not self._entry.draining
             and age < _UNRESPONSIVE_AFTER_MS
+            and self.is_incarnation(self._entry.incarnation)
+        )
+
+    def is_incarnation(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation may be the one that replied last.
+
+        Args:
+            incarnation: an incarnation of this worker.
+
+        Returns:
+            False when it is known to be another one.
+        """
+        return (
+            0 in {self._born_ms, incarnation.born_ms}
+            or self._born_ms == incarnation.born_ms
         )
 
     def update(self, entry: WorkerEntry) -> WorkerClient | None:
--- a/standins/memoryworker.py
+++ b/standins/memoryworker.py
@@ -168,12 +168,17 @@
         self.reboot()
 
     def reboot(self) -> None:
-        """Restart the worker: runs end, lease, fence and results are lost."""
+        """Restart the worker: runs end, lease, fence and results are lost.
+
+        One that is not down registers its new incarnation at once.
+        """
         self._advance()
         for run in self.running:
             run.ended_at = self._clock.now()
         self._born_ms += 1
         self._reset()
+        if self._down_until is None:
+            self.restarted(self, self.worker_id)
 
     def start(self, order: StartOrder) -> StartReply:
         """Start a run, unless the order is fenced, outdated or late.
