Wait for the longest lease after a worker restarted under its id

The first renewal that reaches the later incarnation of a worker names a time on the clock of the former one, which grants the longest lease on a clock that started anew. The leader forgot its grants at the restart and gave up the runs of a silent worker while they went on: they ran twice (TWICE), and beyond the limit of their group (ROUTE). The lease of a restarted worker now counts as over when the longest one is.

--- a/jayshore/fleet/leasing.py
+++ b/jayshore/fleet/leasing.py
@@ -47,10 +47,12 @@
         Args:
             max_ms: longest lease that the worker accepts, in ms.
         """
+        self._max_ms = max_ms
         self._length_ms = min(LEASE_MS, max_ms)
         self._clock_reading: int | None = None
         self._read_at = Millis(0)
         self._granted_until = 0
+        self._former_until = Millis(0)
 
     @property
     def clock_known(self) -> bool:
@@ -67,8 +69,17 @@
         self._clock_reading = reading
         self._read_at = received_at
 
-    def reset(self) -> None:
-        """Discard the reading after a new incarnation of the worker began."""
+    def reset(self, now: Millis) -> None:
+        """Discard the reading after a new incarnation of the worker began.
+
+        An order with a time on the former clock may have reached it before its
+        first reply, and may have granted it the longest lease.
+
+        Args:
+            now: time on the local clock, in ms.
+        """
+        if self._granted_until:
+            self._former_until = latest_expiry(now, self._max_ms)
         self._clock_reading = None
         self._granted_until = 0
 
@@ -107,6 +118,7 @@
             Time on the local clock, in ms; 0 when nothing was granted.
         """
         if self._clock_reading is None or not self._granted_until:
-            return Millis(0)
+            return self._former_until
         remaining_ms = Millis(max(0, self._granted_until - self._clock_reading))
-        return latest_expiry(self._read_at, remaining_ms)
+        own_until = latest_expiry(self._read_at, remaining_ms)
+        return max(own_until, self._former_until)
--- a/jayshore/fleet/leasing_test.py
+++ b/jayshore/fleet/leasing_test.py
@@ -56,6 +56,18 @@
     assert lease.expires_by() == expires_by
 
 
+def test_lease_of_a_former_incarnation_may_last_at_the_next_one():
+    """Guards against runs that go on after their worker was given up."""
+    lease = make_lease()
+    lease.grant(Millis(1000), LATER, extend=True)
+    lease.reset(Millis(2000))
+    longest = latest_expiry(Millis(2000), MAX_LEASE_MS)
+    assert lease.expires_by() == longest
+    lease.note_clock(100, Millis(2100))
+    lease.grant(Millis(2100), LATER, extend=True)
+    assert lease.expires_by() >= longest
+
+
 @pytest.mark.parametrize('rate', [0.98, 0.99, 1.0, 1.02])
 def test_lease_is_over_on_every_clock(rate):
     """Guards against a second run while a slow clock keeps the first alive."""
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -306,7 +306,7 @@
         if reply.born_ms != former:
             self._last_end = 0
             self._unrecorded.clear()
-            self._lease.reset()
+            self._lease.reset(self._clock.now())
         outage = self._describe_outage(alive=False)
         self._outage = None
         self._replied_at = self._clock.now()
