Stop late starts at a worker that restarted under its id

A start without an answer may be carried out seconds later. The stop that follows it makes the worker refuse it, for as long as the worker lives. After a restart under the same id a late start was carried out: the task ran twice, or beside more tasks of its group than allowed, or once more than its attempts. The leader stopped only what was still being started. It now keeps the starts that got no answer and stops each of these runs at the later incarnation; a run that holds resources holds them until the worker refuses it.

--- a/jayshore/fleet/losses.py
+++ b/jayshore/fleet/losses.py
@@ -88,6 +88,8 @@
             elif task.phase is Phase.STARTING and task.ordered_at is not None:
                 # The order may still arrive at the new incarnation.
                 await self._order_sender.stop(task)
+        if not session.closed:
+            await self._order_sender.stop_unanswered(session)
         await self._give_up(given_up)
 
     async def handle_registration(self, worker: WorkerEntry) -> None:
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -24,6 +24,7 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import TaskId, format_task_id
 from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.unanswered import UnansweredStart, UnansweredStarts
 
 _START_ATTEMPTS: Final = 3
 _RETRY_MS: Final = Millis(200)
@@ -80,6 +81,7 @@
         self._tasks = BackgroundTasks()
         self._stopping: set[tuple[TaskId, int]] = set()
         self._stopping_unwanted: set[tuple[str, str, int]] = set()
+        self._unanswered = UnansweredStarts()
 
     async def start(self, task: TaskEntry) -> None:
         """Start a task whose placement is recorded.
@@ -131,6 +133,26 @@
                 self._send_unwanted_stop(session, task_id, run, key)
             )
 
+    async def stop_unanswered(self, session: WorkerSession) -> None:
+        """Stop the runs that a restarted worker may still start.
+
+        What holds resources there does so until the worker refuses the run.
+
+        Args:
+            session: session of a worker that is back under its id.
+        """
+        worker_id = session.entry.worker_id
+        held = {task.task_id: task for task in self._ledger.tasks_at(worker_id)}
+        runs = self._unanswered.at(worker_id, self._clock.now())
+        for task_id, run in runs.items():
+            task = held.get(task_id)
+            if task is None or task.run != run or task.phase is Phase.DONE:
+                await self.stop_unwanted(session, task_id, run)
+            else:
+                task.phase = Phase.STOPPING
+                task.acknowledged_at = None
+                await self._tasks.spawn(self._stop(task, run, poll=False))
+
     async def close(self) -> None:
         """Cancel all orders."""
         await self._tasks.close()
@@ -172,6 +194,12 @@
         try:
             reply = await session.client.start(order)
         except WorkerUnreachable as error:
+            if error.sent:
+                self._unanswered.note(
+                    task.worker,
+                    task.task_id,
+                    UnansweredStart(order.run, self._clock.now()),
+                )
             if attempts > 1 or not error.sent:
                 session.suspect()
             await self._handle_lost_reply(
