Ignore a reply of a worker's former life that comes late

A leader may have two renewals on their way to a worker. When the worker restarts in between, the reply of its later incarnation can arrive first. The reply of the former one was then taken for a further restart, and the next one again: the runs of the living incarnation were given up, the numbers of its ends and its clock mixed with those of the former one. A reply of another incarnation counts now only if it was asked for after the present one was seen.

Births are not compared, as the time of day of a worker may be set back.

--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -125,6 +125,7 @@
         self._inherited_until = inherited_until
         self._lease = WorkerLease(max_ms=max_lease_ms)
         self._born_ms = 0
+        self._born_seen_at = Millis(0)
         self._replied_at: Millis | None = None
         self._outage: Outage | None = None
         self._suspected = False
@@ -302,8 +303,12 @@
 
     async def _handle_reply(self, reply: RenewalReply, sent_at: Millis) -> None:
         former = self._born_ms
+        if reply.born_ms != former and sent_at < self._born_seen_at:
+            # A reply of the current incarnation has overtaken this one.
+            return
         self._born_ms = reply.born_ms
         if reply.born_ms != former:
+            self._born_seen_at = self._clock.now()
             self._last_end = 0
             self._unrecorded.clear()
             self._lease.reset(self._clock.now())
--- a/jayshore/fleet/sessions_test.py
+++ b/jayshore/fleet/sessions_test.py
@@ -47,6 +47,16 @@
         """Do nothing."""
 
 
+class OvertakingWorker(LossyWorker):
+    """Restarts during the first renewal, whose reply comes last."""
+
+    async def renew(self, request):
+        born_ms = self.born_ms
+        self.born_ms += 1
+        await curio.sleep(0.1 / born_ms)
+        return RenewalReply(clock_ms=5000, born_ms=born_ms)
+
+
 class Leader(SessionObserver):
     def __init__(self, clock):
         self._clock = clock
@@ -118,10 +128,12 @@
 
 
 class RestartedLeader(Leader):
-    """Takes note of restarts."""
+    """Counts restarts."""
+
+    restarts = 0
 
     async def worker_restarted(self, session, outage):
-        """Ignore the restart."""
+        self.restarts += 1
 
 
 async def renew_across_a_restart(worker):
@@ -145,3 +157,19 @@
     worker = LossyWorker(lost=())
     curio.run(renew_across_a_restart, worker)
     assert worker.last_seen[-1] == 0
+
+
+def test_reply_of_a_former_life_that_comes_late_is_no_restart():
+    """Guards against runs that are given up by a reply that was overtaken."""
+
+    async def scenario():
+        clock = MonotonicClock()
+        leader = RestartedLeader(clock)
+        session = make_session(OvertakingWorker(lost=()), leader, clock)
+        async with curio.TaskGroup() as renewals:
+            for _ in range(2):
+                await renewals.spawn(session.poll_now)
+        assert session.born_ms == 2
+        assert not leader.restarts
+
+    curio.run(scenario)
