Count runs that the leader does not expect for the limit of their workspace

They also use up what their workspace may run, so a start beside them could exceed it (QUOTA).

test_unexpected_runs_count_for_the_limit_of_a_workspace failed before ('3 run', where the limit of one and one more are allowed).

--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -15,7 +15,7 @@
 from jayshore.fleet.ranking import rank_group
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
-from jayshore.resources import Resources
+from jayshore.resources import NOTHING, Resources
 
 _FAILURE_SCORE_STEP = FAILURE_RATE_SCALE // 4
 """Scores count in quarters, so that one failure among many successes is 0."""
@@ -76,16 +76,21 @@
         if not demands:
             self._wait_times.update({}, now)
             return Decisions()
-        usable = {
-            session.entry.worker_id: self._headroom(session, now)
-            for session in sessions
-        }
+        usable: dict[str, WorkerHeadroom] = {}
+        unaccounted: dict[str, Resources] = {}
+        for session in sessions:
+            worker = self._headroom(session, now)
+            usable[worker.worker_id] = worker
+            for name, used in session.unaccounted.workspaces.items():
+                unaccounted[name] = unaccounted.get(name, NOTHING) + used
         decisions = PlacementRound(
             workers=usable.values(),
             probation_slots=self._reserve_for_suspects(usable, now),
             allowances={
                 workspace.name: limit_allowance(
-                    workspace.maximum, self._ledger.used_by(workspace.name)
+                    workspace.maximum,
+                    self._ledger.used_by(workspace.name)
+                    + unaccounted.get(workspace.name, NOTHING),
                 )
                 for workspace in config.workspaces
             },
--- a/jayshore/fleet/spread.py
+++ b/jayshore/fleet/spread.py
@@ -39,10 +39,14 @@
     Attributes:
         resources: resources of these runs.
         group_runs: number of runs of each group that limits them.
+        workspaces: resources of these runs by workspace.
     """
 
     resources: Resources = NOTHING
     group_runs: Mapping[GroupId, int] = dataclasses.field(default_factory=dict)
+    workspaces: Mapping[str, Resources] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def measure_unaccounted(
@@ -56,7 +60,7 @@
         ledger: resources in use.
 
     Returns:
-        Their resources and groups.
+        Their resources, groups and workspaces.
     """
     groups = [
         run.task.group
@@ -64,11 +68,17 @@
         if not run.expected
         and not (run.task.worker == worker_id and ledger.holds(run.task))
     ]
+    workspaces: dict[str, Resources] = {}
+    for unaccounted in groups:
+        name = unaccounted.job.job.workspace
+        used = workspaces.get(name, NOTHING)
+        workspaces[name] = used + unaccounted.spec.reserved
     return UnaccountedRuns(
         resources=total(group.spec.reserved for group in groups),
         group_runs=collections.Counter(
             group.group_id for group in groups if group.spec.max_per_worker
         ),
+        workspaces=workspaces,
     )
 
 
--- /dev/null
+++ b/tests/fleet_unexpected_runs_test.py
@@ -0,0 +1,139 @@
+"""Deployments in memory: runs that a worker lists and no record expects."""
+
+import dataclasses
+
+import curio
+import msgspec
+import pytest
+
+from jayshore.clock import Millis
+from jayshore.fleet.interfaces import StartOrder
+from jayshore.fleet.jobtable import JobState
+from jayshore.fleet.model import TaskId
+from jayshore.fleet.records import encode_job, job_key, progress_key
+from tests.memory_fleet_test import (
+    CONFIG,
+    NEED,
+    WORKSPACE,
+    Fleet,
+    make_group,
+    make_job,
+    running_fleet,
+    wait_for,
+)
+
+RUN_MS = Millis(5000)
+LEASE_MS = 8000
+STOP_MS = Millis(400)
+"""How long a run takes to stop, in ms."""
+
+
+def write_records(fleet, job, rows):
+    """Write the records of a former leader."""
+    record = msgspec.json.encode({'state': JobState.RUNNING, 'tasks': rows})
+    fleet.store.write(job_key(job.job_id), encode_job(job))
+    fleet.store.write(progress_key(job.job_id), record.decode())
+
+
+def start_run(worker, job, position, run):
+    """Start a run at a worker, as by an order that is carried out late."""
+    worker.start(
+        StartOrder(
+            task=TaskId(job.job_id, 0, 0, position),
+            run=run,
+            payload=job.payload,
+            lease_until_ms=worker.clock_ms + LEASE_MS,
+            fence=max(1, worker._fence),
+        )
+    )
+
+
+EXPECTED = (
+    ('a later run at another worker', (0, 0, 1, 'p', 2, 'w9', 0, '')),
+    ('none, as a later run is done', (0, 0, 1, 'd', 2, '', 0, '')),
+)
+
+
+@pytest.mark.parametrize(
+    'expected', [row[1] for row in EXPECTED], ids=[row[0] for row in EXPECTED]
+)
+def test_unexpected_runs_count_for_the_limit_per_worker(expected):
+    """Guards against a start beside an unexpected run that is stopped."""
+
+    async def scenario():
+        fleet = Fleet(run_ms=RUN_MS)
+        worker = fleet.add_worker('w0')
+        worker.faults.stop_ms = STOP_MS
+        job = make_job(make_group(2, max_per_worker=1))
+        write_records(fleet, job, [expected])
+        start_run(worker, job, position=1, run=1)
+        instance = await fleet.add_instance('i0')
+        try:
+            await wait_for(lambda: len(worker.history) > 1, 'the other task')
+            beside = [run.task.position for run in worker.running]
+            assert beside == [0], f'{beside} run there, and one may'
+        finally:
+            await instance.kill()
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_unexpected_runs_count_for_the_limit_of_a_workspace():
+    """Guards against starts beyond a limit that unexpected runs use up.
+
+    One task more than the limit is allowed.
+    """
+    limited = dataclasses.replace(
+        CONFIG, workspaces=(dataclasses.replace(WORKSPACE, maximum=NEED),)
+    )
+
+    async def scenario():
+        fleet = Fleet(run_ms=RUN_MS, config=limited)
+        worker = fleet.add_worker('w0')
+        worker.faults.stop_ms = STOP_MS
+        job = make_job(make_group(3))
+        done = [(0, 0, index, 'd', 2, '', 0, '') for index in (1, 2)]
+        write_records(fleet, job, done)
+        for index in (1, 2):
+            start_run(worker, job, position=index, run=1)
+        instance = await fleet.add_instance('i0')
+        try:
+            await wait_for(lambda: len(worker.history) > 2, 'the other task')
+            assert len(worker.running) <= 2, f'{len(worker.running)} run'
+        finally:
+            await instance.kill()
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_task_waits_for_the_end_of_an_unexpected_run_of_its_group():
+    """Guards against starts beside a run of the group that is being stopped."""
+    job = make_job(make_group(3, max_per_worker=1, estimate_ms=RUN_MS))
+
+    async def scenario():
+        async with running_fleet(
+            workers=2,
+            run_ms=lambda task: Millis(400 if task.position else 8000),
+        ) as fleet:
+            await fleet.submit(job)
+            await wait_for(
+                lambda: all(
+                    worker.running for worker in fleet.workers.values()
+                ),
+                'a task at each worker',
+            )
+            (worker,) = [
+                candidate
+                for candidate in fleet.workers.values()
+                if candidate.running[0].task.position
+            ]
+            worker.faults.stop_ms = STOP_MS
+            start_run(worker, job, position=0, run=1)
+            unexpected = worker.history[-1]
+            await wait_for(lambda: len(worker.history) == 3, 'the last task')
+            started = worker.history[-1]
+            assert started.task.position
+            assert unexpected.ended_at is not None
+            assert started.started_at >= unexpected.ended_at
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
