Stop a run that was taken for lost when its worker lists it again

The leader compared worker and number of a listed run with the latest run of its task, not whether it still holds resources for it. A run that it had taken for lost and not placed again was therefore neither stopped nor counted for any limit, and was logged as expected. It is unexpected now.

test_run_that_was_taken_for_lost_is_stopped_when_it_is_listed_again failed before ('not within 3 s: the stop') and passes in 3 of 3 runs. jayshore/fleet, tests/fleet_* and tests/memory_fleet_test.py: 371 passed.

--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -27,8 +27,8 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
-from jayshore.fleet.probation import clear_suspicion, has_settled
 from jayshore.fleet.placementlog import PlacedTask, log_placements
+from jayshore.fleet.probation import clear_suspicion, has_settled
 from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
@@ -130,7 +130,7 @@
         for running in reply.running:
             task = self._job_table.find(running.task)
             if task is not None:
-                expected = _is_current_run(task, running.run, session)
+                expected = self._is_expected(task, running.run, session)
                 listed.append(ListedRun(task, running.run, expected))
             if task is not None and expected:
                 reported[task] = running
@@ -203,6 +203,12 @@
         await self._apply_consequence(entry, requeue_task(task))
         self._record(entry)
 
+    def _is_expected(
+        self, task: TaskEntry, run: int, session: WorkerSession
+    ) -> bool:
+        """Return whether a listed run is the one that holds resources there."""
+        return self._ledger.holds(task) and _is_current_run(task, run, session)
+
     async def _handle_unreported(
         self, task: TaskEntry, sent_at: Millis, *, more_ends: bool
     ) -> None:
--- a/jayshore/fleet/spread.py
+++ b/jayshore/fleet/spread.py
@@ -24,7 +24,7 @@
     Attributes:
         task: its task.
         run: number of the run.
-        expected: the leader has placed this run there.
+        expected: it is the run for which the leader holds resources there.
     """
 
     task: TaskEntry
--- a/tests/fleet_unexpected_runs_test.py
+++ b/tests/fleet_unexpected_runs_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from jayshore.clock import Millis
-from jayshore.fleet.interfaces import StartOrder
+from jayshore.fleet.interfaces import EndKind, StartOrder
 from jayshore.fleet.jobtable import JobState
 from jayshore.fleet.model import TaskId
 from jayshore.fleet.records import encode_job, job_key, progress_key
@@ -27,6 +27,9 @@
 STOP_MS = Millis(400)
 """How long a run takes to stop, in ms."""
 
+MAX_STOP_S = 3
+"""A run that is not wanted has to be gone within this time."""
+
 
 def write_records(fleet, job, rows):
     """Write the records of a former leader."""
@@ -137,3 +140,25 @@
             assert started.started_at >= unexpected.ended_at
 
     curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_run_that_was_taken_for_lost_is_stopped_when_it_is_listed_again():
+    """Guards against a run that nobody counts and nobody stops."""
+    job = make_job(make_group(1, estimate_ms=RUN_MS))
+
+    async def scenario():
+        async with running_fleet(workers=1, run_ms=RUN_MS) as fleet:
+            worker = fleet.workers['w0']
+            await fleet.submit(job)
+            await wait_for(lambda: worker.running, 'a run')
+            (run,) = worker.running
+            fleet.register('w0', born_ms=worker.incarnation, draining=True)
+            await curio.sleep(0.1)
+            scheduler = fleet.leading().leader_role.scheduler
+            (task,) = scheduler._ledger.tasks_at('w0')
+            await scheduler._run_tracker.mark_lost(task)
+            await wait_for(
+                lambda: run.kind is EndKind.STOPPED, 'the stop', MAX_STOP_S
+            )
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
