Return a task to waiting when its worker leaves while its start is recorded

A start is sent once it is recorded. With a slow store the worker may have said that it leaves in between, and a start later than DrainMs after that breaks DRAIN; the task is lost with the worker. The start is not sent then.

--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -158,8 +158,9 @@
         await self._tasks.close()
 
     async def _start(self, task: TaskEntry, run: int) -> None:
-        if self._is_ticket_expired(task):
-            await self._report_not_started(task, run, 'old_ticket')
+        change = self._find_change(task)
+        if change:
+            await self._report_not_started(task, run, change)
         attempts = 0
         while _is_starting(task, run):
             session = self._observer.find_session(task.worker)
@@ -219,10 +220,18 @@
             task.phase = Phase.STOPPING
             await self._stop(task, run, poll=True)
 
-    def _is_ticket_expired(self, task: TaskEntry) -> bool:
-        """Return whether the ticket expired while the start was recorded."""
+    def _find_change(self, task: TaskEntry) -> str:
+        """Return what forbids a start since it was decided, empty for nothing.
+
+        Recording a start takes as long as the store does.
+        """
         ticket = task.group.tickets.get(task.worker)
-        return ticket is not None and ticket.valid_until < self._clock.now()
+        if ticket is not None and ticket.valid_until < self._clock.now():
+            return 'old_ticket'
+        session = self._observer.find_session(task.worker)
+        if session is not None and session.entry.draining:
+            return 'draining'
+        return ''
 
     async def _handle_reply(
         self, task: TaskEntry, run: int, reply: StartReply, *, uncertain: bool
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -109,8 +109,8 @@
             starting.setdefault(entry.job.job_id, []).append(
                 PlacedTask(task, placement)
             )
-        for job_id, placed in starting.items():
-            self._start_job_tasks(self._job_table.jobs[job_id], placed)
+        for placed in starting.values():
+            self._start_job_tasks(placed[0].task.group.job, placed)
 
     async def handle_renewal(
         self, session: WorkerSession, reply: RenewalReply, sent_at: Millis
@@ -206,7 +206,7 @@
     def _is_expected(
         self, task: TaskEntry, run: int, session: WorkerSession
     ) -> bool:
-        """Return whether a listed run is the one that holds resources there."""
+        """Return whether a listed run holds resources there."""
         return self._ledger.holds(task) and _is_current_run(task, run, session)
 
     async def _handle_unreported(
--- a/tests/fleet_other_kind_test.py
+++ b/tests/fleet_changed_worker_test.py
@@ -1,6 +1,7 @@
-"""Deployments in memory: workers that are back as another kind.
+"""Deployments in memory: workers that change after a task was placed.
 
-A worker is back under its id with other labels; its registration follows.
+A worker is back under its id with other labels, and its registration follows;
+or it is about to leave.
 """
 
 import curio
@@ -74,3 +75,21 @@
             assert not worker.history, 'started without the required label'
 
     curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_start_that_is_recorded_before_a_drain_is_not_sent_after_it():
+    """Guards against starts at a worker that is known to leave."""
+
+    async def scenario():
+        async with running_fleet(workers=1) as fleet:
+            worker = fleet.workers['w0']
+            await wait_for(lambda: worker._fence, 'a first renewal')
+            ledger = fleet.leading().leader_role.scheduler._ledger
+            fleet.store.faults.answer_ms = Millis(250)
+            await fleet.submit(make_job())
+            await wait_for(ledger.workers, 'a placement')
+            fleet.register('w0', born_ms=worker.incarnation, draining=True)
+            await curio.sleep(1)
+            assert not worker.history, 'started at a worker that leaves'
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
