Split the log lines of placements of large jobs, which were dropped

Lines over 8 KB are dropped. A line has 100 tasks at most now. align_gangs moves to the other transitions, and the end of a quarantine is noted in plainer steps.

test_placements_of_a_large_job_fit_in_log_lines covers 250 tasks.

--- a/jayshore/fleet/placementlog.py
+++ b/jayshore/fleet/placementlog.py
@@ -1,6 +1,6 @@
 """Logs the placements of a round, with what decided on them."""
 
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import eliot
 
@@ -9,6 +9,10 @@
 from jayshore.fleet.jobtable import JobEntry, TaskEntry
 
 
+_MAX_TASKS: Final = 100
+"""Maximum number of tasks in a log line, since lines over 8 KB are dropped."""
+
+
 class PlacedTask(NamedTuple):
     """A task and its latest placement."""
 
@@ -22,14 +26,22 @@
     """Log the tasks of a job that a round has placed.
 
     Each task is a row of occurrence, group, position, run and worker. The rows
-    of `limits` tell which tasks of groups with a limit per worker were counted
-    at the worker, and those of `probes` which workers were quarantined.
+    of `limits` tell how many tasks of a group with a limit per worker were
+    counted at the worker, and those of `probes` which tasks probe a
+    quarantined worker.
 
     Args:
         entry: the job.
         placed: its tasks with their placements.
         age_ms: time since the acceptance of the job, in ms.
     """
+    for first in range(0, len(placed), _MAX_TASKS):
+        _log_line(entry, placed[first : first + _MAX_TASKS], age_ms)
+
+
+def _log_line(
+    entry: JobEntry, placed: list[PlacedTask], age_ms: Millis
+) -> None:
     details: dict[str, Any] = {}
     limits = [
         (
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -39,6 +39,7 @@
 )
 from jayshore.fleet.transitions import (
     Consequence,
+    align_gangs,
     end_job,
     end_run,
     requeue_task,
@@ -222,7 +223,7 @@
         self, entry: JobEntry, placed: list[PlacedTask]
     ) -> None:
         tasks = [task for task, _ in placed]
-        _align_gangs(tasks)
+        align_gangs(tasks)
         if entry.state is JobState.QUEUED:
             entry.state = JobState.RUNNING
             self._metrics.note_first_start(
@@ -374,15 +375,6 @@
     return task.acknowledged_at is not None and task.acknowledged_at < sent_at
 
 
-def _align_gangs(tasks: list[TaskEntry]) -> None:
-    """Set the same run number and checkpoint for all members of a gang."""
-    for task in tasks:
-        if task.group.spec.gang:
-            members = task.group.tasks
-            task.run = max(member.run for member in members)
-            task.checkpoint = max(member.checkpoint for member in members)
-
-
 async def _note_recorded(
     session: WorkerSession, number: int, born_ms: int
 ) -> None:
--- a/jayshore/fleet/spread_test.py
+++ b/jayshore/fleet/spread_test.py
@@ -1,5 +1,6 @@
 """Tests of the log lines on limits of groups per worker, and on quarantine."""
 
+import json
 import random
 
 import eliot
@@ -13,6 +14,7 @@
 from jayshore.fleet.placementlog import PlacedTask, log_placements
 from jayshore.fleet.spread import ListedRun, SpreadMonitor
 from jayshore.fleet.workerresults import WorkerResults
+from jayshore.logs import MAX_LINE_BYTES
 from jayshore.placement.health import WorkerHealth
 from jayshore.resources import NOTHING
 
@@ -31,7 +33,7 @@
     eliot.remove_destination(collect)
 
 
-def _job(limit):
+def _job(limit, count=4):
     job = Job(
         job_id='5c0e7a21d94b36f8',
         queue=QUEUE,
@@ -39,7 +41,7 @@
         payload='',
         groups=(
             TaskGroup(
-                count=4,
+                count=count,
                 need=NOTHING,
                 estimate_ms=Millis(100),
                 max_per_worker=limit,
@@ -143,3 +145,21 @@
     for _ in range(6):
         results.note_success('w0')
     assert _kinds(lines) == ['worker:quarantined', 'worker:quarantine_ended']
+
+
+def test_placements_of_a_large_job_fit_in_log_lines(lines):
+    """Guards against lines that are dropped for their length."""
+    entry = _job(3, count=250)
+    placed = []
+    for task in entry.tasks():
+        task.worker = f'i-{task.task_id.position:010x}'
+        placement = Placement(
+            group_id=task.group.group_id,
+            index=task.task_id.position,
+            worker_id=task.worker,
+            beside=2,
+        )
+        placed.append(PlacedTask(task, placement))
+    log_placements(entry, placed, age_ms=Millis(5))
+    assert sum(len(line['tasks']) for line in lines) == 250
+    assert max(len(json.dumps(line)) for line in lines) < MAX_LINE_BYTES
--- a/jayshore/fleet/transitions.py
+++ b/jayshore/fleet/transitions.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from jayshore.fleet.interfaces import EndKind
 from jayshore.fleet.jobtable import (
@@ -32,6 +33,19 @@
 NO_CONSEQUENCE = Consequence()
 
 
+def align_gangs(tasks: Iterable[TaskEntry]) -> None:
+    """Set the same run number and checkpoint for all members of a gang.
+
+    Args:
+        tasks: tasks that were placed.
+    """
+    for task in tasks:
+        if task.group.spec.gang:
+            members = task.group.tasks
+            task.run = max(member.run for member in members)
+            task.checkpoint = max(member.checkpoint for member in members)
+
+
 def end_run(
     task: TaskEntry, kind: EndKind, *, max_attempts: int
 ) -> Consequence:
--- a/jayshore/fleet/workerresults.py
+++ b/jayshore/fleet/workerresults.py
@@ -27,11 +27,10 @@
             worker_id: the worker.
         """
         was_quarantined = self._health.is_quarantined(worker_id)
-        if was_quarantined and not self._health.record_success(worker_id):
+        quarantined = self._health.record_success(worker_id)
+        if was_quarantined and not quarantined:
             self._metrics.count_quarantine('ended')
             eliot.log_message('worker:quarantine_ended', worker=worker_id)
-        elif not was_quarantined:
-            self._health.record_success(worker_id)
 
     def note_failure(self, worker_id: str, job_id: str, now: Millis) -> None:
         """Count a run that failed, or that was far too slow.
--- a/jayshore/logs.py
+++ b/jayshore/logs.py
@@ -12,7 +12,7 @@
 
 from jayshore.clock import Clock, Millis
 
-_MAX_LINE_BYTES = 8192
+MAX_LINE_BYTES = 8192
 _REPORT_MS = Millis(1000)
 
 
@@ -44,9 +44,9 @@
 
         Args:
             line: the line with its newline; a line longer than
-                `_MAX_LINE_BYTES` is dropped.
+                `MAX_LINE_BYTES` is dropped.
         """
-        if len(line) > _MAX_LINE_BYTES:
+        if len(line) > MAX_LINE_BYTES:
             self._count_dropped()
             return
         self._report_dropped()
