Acknowledge no end after a silence until the worker replies

The first renewal after a restart under the same id named the last end of the former incarnation, so the later one forgot its own ends up to that number, and a task that had ended done ran again (TWICE). This needs no late order: a start that was recorded before the restart may reach the later incarnation in time. After a call without an answer the renewal acknowledges nothing; the worker repeats what it has, and ends that are known are skipped by their number.

--- a/jayshore/fleet/placing_checks_test.py
+++ b/jayshore/fleet/placing_checks_test.py
@@ -7,34 +7,51 @@
 
 from jayshore.clock import Millis
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.placing import PlacementRound, limit_allowance
-from jayshore.resources import NOTHING, Resources, total
+from jayshore.fleet.placing import (
+    TICKET_MARGIN_MS,
+    PlacementRound,
+    limit_allowance,
+)
 from jayshore.fleet.placing_test import NEED, NOW, demand, worker
+from jayshore.resources import NOTHING, Resources, total
 
 GROUPS = tuple(GroupId(f'j{number}', 0, 0) for number in range(3))
-RARELY = st.sampled_from((False, False, False, True))
-EXPIRY = st.integers(-100, 1000).map(lambda left: Millis(NOW + left))
+NAMES = ('w0', 'w1', 'w2', 'w3')
+RARELY = st.sampled_from((False, False, False, False, False, True))
+EXPIRY = st.sampled_from((0, TICKET_MARGIN_MS - 1, TICKET_MARGIN_MS, 1000))
+HEALTH = st.sampled_from(
+    (
+        {'quarantined': False, 'probe': False},
+        {'quarantined': True, 'probe': False},
+        {'quarantined': True, 'probe': True},
+        {'quarantined': True, 'probe': True},
+    )
+)
+MIN_PLACED = {'probe': 100, 'any_worker': 40, 'sound': 100, 'gang': 10}
+"""Placements that the examples have to cover, by kind."""
 
 WORKERS = st.lists(
     st.fixed_dictionaries(
         {
-            'free_cpu': st.integers(0, 4) | st.integers(1000, 4000),
-            'quarantined': st.booleans(),
-            'probe': st.booleans(),
-            'service': st.sampled_from(('s', 's', 's', 't')),
+            'health': HEALTH,
+            'free_cpu': st.sampled_from((4000, 4000, 2500, 999)),
+            'service': st.sampled_from(('s', 's', 's', 's', 't')),
             'labels': st.sampled_from((frozenset('a'), frozenset('b'))),
             'group_runs': st.dictionaries(
                 st.sampled_from(GROUPS), st.integers(1, 2)
             ),
         }
     ),
-    max_size=4,
+    min_size=1,
+    max_size=len(NAMES),
 )
 PARTS = st.fixed_dictionaries(
     {
         'suspect': RARELY,
         'patient': st.booleans(),
-        'failed_on': st.sampled_from((frozenset(), frozenset(('w0',)))),
+        'failed_on': st.sampled_from(
+            (frozenset(), frozenset(), frozenset(('w0',)))
+        ),
     }
 )
 DEMANDS = st.lists(
@@ -44,15 +61,17 @@
             'same_rack': RARELY,
             'long_running': RARELY,
             'any_worker': RARELY,
-            'required_label': st.sampled_from(('', '', 'a')),
+            'required_label': st.sampled_from(('', '', '', 'a')),
             'max_per_worker': st.sampled_from((1, 1, 2, 0)),
             'advised': RARELY,
             'tickets': st.dictionaries(
-                st.sampled_from(('w0', 'w1', 'w2', 'w3')), EXPIRY
+                st.sampled_from(NAMES),
+                EXPIRY.map(lambda left: Millis(NOW + left)),
             ),
             'parts': st.lists(PARTS, min_size=1, max_size=2),
         }
     ),
+    min_size=1,
     max_size=len(GROUPS),
 )
 
@@ -77,62 +96,89 @@
     return found
 
 
-@hypothesis.given(
-    shapes=WORKERS, groups=DEMANDS, limit=st.just(0) | st.integers(0, 8000)
-)
-@hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
-def test_no_way_to_a_placement_skips_a_check(shapes, groups, limit):
-    """Guards against probes, suspects or gangs that pass a check by."""
-    workers = {
-        f'w{number}': worker(number, **shape)
-        for number, shape in enumerate(shapes)
-    }
-    before = {name: place.free for name, place in workers.items()}
-    runs = collections.Counter(
-        {
-            (name, group): count
-            for name, place in workers.items()
-            for group, count in place.group_runs.items()
+def _make_workers(shapes):
+    """Make the headroom of workers by name."""
+    made = {}
+    for number, shape in enumerate(shapes):
+        health = shape.pop('health')
+        made[f'w{number}'] = worker(number, **shape, **health)
+    return made
+
+
+class Checker:
+    """Checks the placements of a round against all that it was given."""
+
+    def __init__(self, workers, demands):
+        self._workers = workers
+        self._free = {name: place.free for name, place in workers.items()}
+        self._probes = {name for name, one in workers.items() if one.probe}
+        self._runs = collections.Counter(
+            {
+                (name, group): count
+                for name, place in workers.items()
+                for group, count in place.group_runs.items()
+            }
+        )
+        self._by_task = {
+            (entry.group_id, index): entry
+            for entry in demands
+            for index in entry.indexes
         }
+
+    def check(self, placements, limit):
+        """Check all placements; return the kind of each one."""
+        used = collections.Counter(one.worker_id for one in placements)
+        for name, count in used.items():
+            assert total([NEED] * count).fits_in(self._free[name])
+        spent = total([NEED] * len(placements)).cpu_millis
+        assert not limit or spent <= limit
+        tasks = {(one.group_id, one.index) for one in placements}
+        assert len(tasks) == len(placements)
+        return [self._check_one(placed) for placed in placements]
+
+    def _check_one(self, placed):
+        entry = self._by_task[placed.group_id, placed.index]
+        place = self._workers[placed.worker_id]
+        key = placed.worker_id, placed.group_id
+        assert place.service == entry.service
+        assert entry.required_label in {'', *place.labels}
+        if entry.advised:
+            until = entry.tickets[placed.worker_id]
+            assert until >= NOW + TICKET_MARGIN_MS
+        if entry.max_per_worker:
+            assert placed.beside == self._runs[key]
+            assert placed.beside < entry.max_per_worker
+        self._runs[key] += 1
+        if not place.quarantined:
+            return 'gang' if entry.gang else 'sound'
+        if entry.any_worker:
+            return 'any_worker'
+        assert placed.probe
+        self._probes.remove(placed.worker_id)
+        return 'probe'
+
+
+def test_no_way_to_a_placement_skips_a_check():
+    """Guards against probes, suspects or gangs that pass a check by."""
+    kinds = collections.Counter()
+
+    @hypothesis.given(
+        shapes=WORKERS, groups=DEMANDS, limit=st.sampled_from((0, 0, 0, 2500))
     )
-    probes = {name for name, place in workers.items() if place.probe}
-    demands = _demands(groups)
-    by_task = {
-        (entry.group_id, index): entry
-        for entry in demands
-        for index in entry.indexes
-    }
-    placements = (
-        PlacementRound(
+    @hypothesis.settings(max_examples=1000, derandomize=True, deadline=None)
+    def check_round(shapes, groups, limit):
+        workers = _make_workers(shapes)
+        demands = _demands(groups)
+        checker = Checker(workers, demands)
+        allowance = limit_allowance(Resources(cpu_millis=limit), NOTHING)
+        decisions = PlacementRound(
             workers=workers.values(),
-            allowances={
-                't': limit_allowance(Resources(cpu_millis=limit), NOTHING)
-            },
+            allowances={'t': allowance},
             now=NOW,
             probation_slots=2,
-        )
-        .decide(demands)
-        .placements
-    )
-    used = collections.Counter()
-    for placed in placements:
-        entry = by_task[placed.group_id, placed.index]
-        place = workers[placed.worker_id]
-        used[placed.worker_id] += 1
-        runs[placed.worker_id, placed.group_id] += 1
-        assert place.service == entry.service
-        assert entry.required_label in {'', *place.labels}
-        assert not entry.advised or entry.tickets[placed.worker_id] >= NOW
-        assert (
-            not entry.max_per_worker
-            or runs[placed.worker_id, placed.group_id] <= entry.max_per_worker
-        )
-        if place.quarantined and not entry.any_worker:
-            assert placed.worker_id in probes, 'no probe was due'
-            probes.remove(placed.worker_id)
-    for name, count in used.items():
-        assert total([NEED] * count).fits_in(before[name])
-    assert not limit or total([NEED] * len(placements)).cpu_millis <= limit
-    assert len({(one.group_id, one.index) for one in placements}) == len(
-        placements
-    )
+        ).decide(demands)
+        kinds.update(checker.check(decisions.placements, limit))
+
+    check_round()
+    for kind, least in MIN_PLACED.items():
+        assert kinds[kind] >= least, f'{kinds} placements are too few'
--- a/jayshore/fleet/quarantine_test.py
+++ b/jayshore/fleet/quarantine_test.py
@@ -1,5 +1,6 @@
 """Tests of when waiting work may use quarantined workers."""
 
+import copy
 import random
 
 import pytest
@@ -129,7 +130,11 @@
     headrooms = [
         worker(
             number,
-            **{'quarantined': True, 'failure_score': 4, **fields},
+            **{
+                'quarantined': True,
+                'failure_score': 4,
+                **copy.deepcopy(fields),
+            },
         )
         for number, fields in enumerate(workers)
     ]
@@ -167,3 +172,16 @@
         health.record_success('w0')
         assert health.is_probe_due('w0', NOW) or not health.is_quarantined('w0')
     assert not health.is_quarantined('w0')
+
+
+@pytest.mark.parametrize('any_worker', [False, True])
+def test_placement_tells_whether_it_is_a_probe(any_worker):
+    """Guards against logs that do not show why a bad worker was used."""
+    bad = worker(0, quarantined=True, probe=True, group_runs={GROUP: 1})
+    wanted = demand(count=2, max_per_worker=2, any_worker=any_worker)
+    decisions = PlacementRound(workers=[bad], allowances={}, now=NOW).decide(
+        [wanted]
+    )
+    (placement,) = decisions.placements
+    assert placement.probe is not any_worker
+    assert placement.beside == 1
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -288,7 +288,7 @@
         reply = await self._client.renew(
             RenewalRequest(
                 fence=self._fence,
-                last_seen=min(self._unrecorded, default=self._last_end + 1) - 1,
+                last_seen=self._acknowledged_end(),
                 lease_until_ms=self.grant(),
                 wait_ms=wait_ms,
             )
@@ -301,6 +301,16 @@
         else:
             await self._handle_reply(reply, sent_at)
 
+    def _acknowledged_end(self) -> int:
+        """Return up to which number the worker may forget its ends.
+
+        After a silence it may be another incarnation, whose ends have the same
+        numbers, so nothing is acknowledged until it replies.
+        """
+        if self._suspected:
+            return 0
+        return min(self._unrecorded, default=self._last_end + 1) - 1
+
     async def _handle_reply(self, reply: RenewalReply, sent_at: Millis) -> None:
         former = self._born_ms
         if reply.born_ms != former and sent_at < self._born_seen_at:
--- a/tests/fleet_unexpected_runs_test.py
+++ b/tests/fleet_unexpected_runs_test.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import curio
+import eliot
 import msgspec
 import pytest
 
@@ -142,6 +143,40 @@
     curio.run(scenario, taskcls=curio.task.ContextTask)
 
 
+def test_runs_of_a_group_beyond_its_limit_are_logged():
+    """Guards against a broken limit of which no log line tells."""
+    job = make_job(make_group(2, max_per_worker=1, estimate_ms=RUN_MS))
+    lines = []
+
+    async def scenario():
+        async with running_fleet(workers=1, run_ms=RUN_MS) as fleet:
+            worker = fleet.workers['w0']
+            await fleet.submit(job)
+            await wait_for(lambda: worker.running, 'a run')
+            start_run(worker, job, position=1, run=1)
+            await wait_for(
+                lambda: 'worker:over_limit' in _kinds(lines), 'the line'
+            )
+
+    collect = lines.append
+    eliot.add_destinations(collect)
+    try:
+        curio.run(scenario, taskcls=curio.task.ContextTask)
+    finally:
+        eliot.remove_destination(collect)
+    (placed,) = (
+        line
+        for line in lines
+        if line.get('job') == job.job_id
+        and line['message_type'] == 'job:placed'
+    )
+    assert placed['limits'] == [(0, 0, 0, 0, 1, 'w0')]
+
+
+def _kinds(lines):
+    return [line['message_type'] for line in lines]
+
+
 def test_run_that_was_taken_for_lost_is_stopped_when_it_is_listed_again():
     """Guards against a run that nobody counts and nobody stops."""
     job = make_job(make_group(1, estimate_ms=RUN_MS))
