--- a/tests/fleet_changed_worker_test.py
+++ b/tests/fleet_changed_worker_test.py
@@ -33,6 +33,16 @@
     return register, restarts
 
 
+async def place_beside_slow_store(fleet, job):
+    """Wait until a job is placed; recording that takes a while."""
+    worker = fleet.workers['w0']
+    await wait_for(lambda: worker._fence, 'a first renewal')
+    ledger = fleet.leading().leader_role.scheduler._ledger
+    fleet.store.faults.answer_ms = Millis(250)
+    await fleet.submit(job)
+    await wait_for(ledger.workers, 'a placement')
+
+
 @pytest.mark.parametrize('registered_after_s', [0.3, 0.6])
 def test_former_labels_of_a_restarted_worker_are_not_used(registered_after_s):
     """Guards against a start at a worker without the required label."""
@@ -61,11 +71,9 @@
     async def scenario():
         async with running_fleet(workers=1) as fleet:
             worker = fleet.workers['w0']
-            await wait_for(lambda: worker._fence, 'a first renewal')
-            ledger = fleet.leading().leader_role.scheduler._ledger
-            fleet.store.faults.answer_ms = Millis(250)
-            await fleet.submit(make_job(make_group(1, required_label='a')))
-            await wait_for(ledger.workers, 'a placement')
+            await place_beside_slow_store(
+                fleet, make_job(make_group(1, required_label='a'))
+            )
             register, _ = restart_as_other_kind(
                 worker, fleet, registered_after_s=0
             )
@@ -83,11 +91,7 @@
     async def scenario():
         async with running_fleet(workers=1) as fleet:
             worker = fleet.workers['w0']
-            await wait_for(lambda: worker._fence, 'a first renewal')
-            ledger = fleet.leading().leader_role.scheduler._ledger
-            fleet.store.faults.answer_ms = Millis(250)
-            await fleet.submit(make_job())
-            await wait_for(ledger.workers, 'a placement')
+            await place_beside_slow_store(fleet, make_job())
             fleet.register('w0', born_ms=worker.incarnation, draining=True)
             await curio.sleep(1)
             assert not worker.history, 'started at a worker that leaves'
