--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -315,6 +315,12 @@
         former = self._born_ms
         if reply.born_ms != former and sent_at < self._born_seen_at:
             # A reply of the current incarnation has overtaken this one.
+            eliot.log_message(
+                'worker:old_reply',
+                worker=self._entry.worker_id,
+                born_ms=reply.born_ms,
+                current_ms=former,
+            )
             return
         self._born_ms = reply.born_ms
         if reply.born_ms != former:
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -40,6 +40,7 @@
         'worker:quarantined',
         'worker:quarantine_ended',
         'worker:over_limit',
+        'worker:old_reply',
     )
 )
 _HIDDEN_FIELDS: Final = frozenset(
@@ -65,6 +66,7 @@
     ('worker:crashed', 'a worker has crashed'),
     ('worker:quarantined', 'a worker failed its tasks and gets probes only'),
     ('worker:quarantine_ended', 'a worker gets all tasks again'),
+    ('worker:old_reply', 'a reply of a former life of a worker was ignored'),
     ('worker:over_limit', 'a worker lists more tasks of a group than allowed'),
     ('task:given_up', 'a task was given up after crashes of its workers'),
     ('task:cleared', 'a task is no longer suspected of crashes'),
