--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -15,6 +15,7 @@
 )
 
 from jayshore.clock import Millis, to_seconds
+from jayshore.fleet.speeds import SpeedRange
 from jayshore.store.relay import StoreCallObserver
 
 _WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
@@ -87,6 +88,18 @@
             'Groups that a worker listed with more runs than they allow.',
             registry=registry,
         )
+        self._slow_runs = Counter(
+            'jayshore_slow_runs',
+            'Runs far behind their estimate, by what was done with them.',
+            ('verdict',),
+            registry=registry,
+        )
+        self._speeds = Gauge(
+            'jayshore_worker_speed',
+            'Learned speeds of the workers, 1 for that of the estimates.',
+            ('of',),
+            registry=registry,
+        )
         self._takeover = Histogram(
             'jayshore_takeover_seconds',
             'Time from an election until all jobs are known.',
@@ -201,6 +214,26 @@
         """Count a group with more runs at a worker than it allows."""
         self._over_limit.inc()
 
+    def count_slow_run(self, verdict: str) -> None:
+        """Count a run that is far behind its estimate.
+
+        Args:
+            verdict: `moved` when its worker is slow, `kept` when the task is
+                long.
+        """
+        self._slow_runs.labels(verdict).inc()
+
+    def note_speeds(self, speeds: SpeedRange | None) -> None:
+        """Set the learned speeds of the workers.
+
+        Args:
+            speeds: their range, None when none is known.
+        """
+        self._speeds.clear()
+        if speeds is not None:
+            for name, value in speeds._asdict().items():
+                self._speeds.labels(name).set(value)
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -27,9 +27,9 @@
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import Queue, format_task_id
 from jayshore.fleet.orders import OrderSender
+from jayshore.fleet.pacemonitor import PaceMonitor
 from jayshore.fleet.placementlog import PlacedTask, log_placements
 from jayshore.fleet.probation import clear_suspicion, has_settled
-from jayshore.fleet.progress import ProgressSample
 from jayshore.fleet.records import encode_progress, progress_key
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.fleet.spread import (
@@ -83,10 +83,16 @@
         self._journal = journal
         self._order_sender = order_sender
         self._results = results
+        self._pace_monitor = PaceMonitor(metrics=metrics)
         self._spread_monitor = SpreadMonitor(metrics=metrics)
         self._metrics = metrics
         self._queue_of = queue_of
 
+    @property
+    def pace_monitor(self) -> PaceMonitor:
+        """Judges the progress of the runs."""
+        return self._pace_monitor
+
     def place(self, placements: list[Placement]) -> None:
         """Record placements, and start the tasks once the record is durable.
 
@@ -269,6 +275,8 @@
             await recorded()
             return
         self._ledger.release(task)
+        if ended.kind is EndKind.DONE:
+            self._pace_monitor.note_end(session, task, self._clock.now())
         self._count_result(task, ended.kind)
         self._metrics.count_end(ended.kind)
         if ended.checkpoint and task.group.spec.checkpoints:
@@ -294,36 +302,15 @@
     async def _stop_slow_runs(
         self, session: WorkerSession, reported: Mapping[TaskEntry, RunningTask]
     ) -> None:
-        """Stop runs that are stalled or far too slow, to run them elsewhere."""
-        samples = [
-            ProgressSample(
-                task=task.task_id,
-                run=task.run,
-                percent=running.percent,
-                estimate_ms=task.group.spec.estimate_ms,
-                gang=task.group.spec.gang,
-                moves=task.moves,
-            )
-            for task, running in reported.items()
-            if task.phase is Phase.RUNNING and not task.group.spec.long_running
-        ]
+        """Stop runs that are stalled or too slow, to run them elsewhere."""
         now = self._clock.now()
-        for name, pace in session.progress.update(samples, now):
-            slow = self._job_table.find(name)
-            if slow is None or slow.phase is not Phase.RUNNING:
-                continue
-            eliot.log_message(
-                'task:slow',
-                task=format_task_id(name),
-                run=slow.run,
-                worker=slow.worker,
-                pace=pace.value,
-                percent=reported[slow].percent,
-            )
+        for slow in self._pace_monitor.find_slow(session, reported, now):
             slow.moves += 1
             slow.group.failed_on.add(slow.worker)
             if not slow.group.spec.gang:
-                self._results.note_failure(slow.worker, name.job_id, now)
+                self._results.note_failure(
+                    slow.worker, slow.task_id.job_id, now
+                )
             await self._order_sender.stop(slow)
 
     async def _apply_consequence(
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -336,6 +336,7 @@
         worker_id = session.entry.worker_id
         if session.closed and self._sessions.get(worker_id) is session:
             self._sessions.pop(worker_id)
+            self._run_tracker.pace_monitor.forget(worker_id)
 
     def _restore(self, entry: JobEntry, progress: ProgressRecord) -> None:
         restore_progress(entry, progress)
@@ -349,6 +350,7 @@
             entry.ended_at = self._clock.now()
 
     async def _close(self) -> None:
+        self._run_tracker.pace_monitor.close()
         await self._advisor.close()
         await self._order_sender.close()
         await self._tasks.close()
@@ -391,6 +393,7 @@
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
                     await self._loss_tracker.handle_unlisted(worker_id)
+        self._run_tracker.pace_monitor.publish()
         if self._backlog.update(self._job_table.active()):
             eliot.log_message(
                 'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -41,6 +41,7 @@
         'worker:quarantine_ended',
         'worker:over_limit',
         'worker:old_reply',
+        'worker:speed',
     )
 )
 _HIDDEN_FIELDS: Final = frozenset(
@@ -60,6 +61,7 @@
     ('task:not_started', 'a start was refused'),
     ('task:ended', 'a run ended without success'),
     ('task:slow', 'a run was stopped for its pace'),
+    ('task:long', 'a run is far behind its estimate and runs on'),
     ('order:stop_unwanted', 'an unwanted run was stopped'),
     ('order:stop_refused', 'a stop was refused'),
     ('worker:silent', 'a worker of the job gave no answer'),
@@ -68,6 +70,7 @@
     ('worker:quarantine_ended', 'a worker gets all tasks again'),
     ('worker:old_reply', 'a reply of a former life of a worker was ignored'),
     ('worker:over_limit', 'a worker lists more tasks of a group than allowed'),
+    ('worker:speed', 'a worker is much slower than the others, or no longer'),
     ('task:given_up', 'a task was given up after crashes of its workers'),
     ('task:cleared', 'a task is no longer suspected of crashes'),
     ('worker:runs_lost', 'a worker was lost with its runs'),
