--- a/jayshore/fleet/pacemonitor.py
+++ b/jayshore/fleet/pacemonitor.py
@@ -12,6 +12,11 @@
 from jayshore.fleet.progress import EndedRun, Pace, ProgressSample
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.fleet.speeds import Advance, Verdict, WorkerSpeeds
+from jayshore.placement.durations import (
+    CAUTIOUS_PERCENT,
+    TYPICAL_PERCENT,
+    DurationRatios,
+)
 
 _DIGITS = 2
 
@@ -26,6 +31,7 @@
             metrics: counts the verdicts, and shows the speeds.
         """
         self._speeds = WorkerSpeeds()
+        self._durations = DurationRatios()
         self._metrics = metrics
 
     @property
@@ -33,6 +39,11 @@
         """Speeds of the workers."""
         return self._speeds
 
+    @property
+    def durations(self) -> DurationRatios:
+        """Ratios of real to estimated durations, by workspace and queue."""
+        return self._durations
+
     def publish(self) -> None:
         """Show the speeds of the workers in the metrics."""
         self._metrics.note_speeds(self._speeds.range())
@@ -61,9 +72,10 @@
         """
         if task.group.spec.long_running:
             return
-        ended = _measure_end(session, task, now)
+        ended = self._measure_end(session, task, now)
         if ended is None:
             return
+        self._note_duration(task, ended.duration_ms)
         worker_id = session.entry.worker_id
         self._speeds.begin(worker_id, session.born_ms)
         self._speeds.note_progress(worker_id, ended.last, now)
@@ -86,7 +98,7 @@
             Tasks whose runs should be stopped, to run elsewhere.
         """
         samples = {
-            task: _sample(task, running.percent)
+            task: self._sample(task, running.percent)
             for task, running in reported.items()
             if task.phase is Phase.RUNNING and not task.group.spec.long_running
         }
@@ -133,40 +145,60 @@
             percent=percent,
         )
 
+    def _expected_ms(self, task: TaskEntry, percent: int) -> Millis:
+        job = task.group.job.job
+        return self._durations.expected_ms(
+            job.workspace,
+            job.queue.name,
+            task.group.spec.estimate_ms,
+            percent=percent,
+        )
+
+    def _note_duration(self, task: TaskEntry, duration_ms: Millis) -> None:
+        """Note a duration; the members of a gang count as one task."""
+        if task.group.spec.gang and task.task_id.position:
+            return
+        job = task.group.job.job
+        self._durations.observe(
+            job.workspace,
+            job.queue.name,
+            stated_ms=task.group.spec.estimate_ms,
+            real_ms=duration_ms,
+        )
+
+    def _sample(self, task: TaskEntry, percent: int) -> ProgressSample:
+        return ProgressSample(
+            task=task.task_id,
+            run=task.run,
+            percent=percent,
+            estimate_ms=self._expected_ms(task, TYPICAL_PERCENT),
+            gang=task.group.spec.gang,
+            moves=task.moves,
+            cautious_ms=self._expected_ms(task, CAUTIOUS_PERCENT),
+        )
 
-def _sample(task: TaskEntry, percent: int) -> ProgressSample:
-    return ProgressSample(
-        task=task.task_id,
-        run=task.run,
-        percent=percent,
-        estimate_ms=task.group.spec.estimate_ms,
-        gang=task.group.spec.gang,
-        moves=task.moves,
-    )
-
-
-def _measure_end(
-    session: WorkerSession, task: TaskEntry, now: Millis
-) -> EndedRun | None:
-    """Measure a run, also one that started and ended between two reports."""
-    progress = session.progress
-    ended = progress.end(task.task_id, task.run, now)
-    if ended is not None:
-        return ended
-    started_at = task.acknowledged_at
-    if (
-        started_at is None
-        or task.ordered_at is None
-        or task.checkpoint
-        or progress.was_silent(now)
-    ):
-        # Begin or end of the run is not known, or it resumed an earlier one.
-        return None
-    whole = Advance(
-        task=task.task_id,
-        run=task.run,
-        work_ms=task.group.spec.estimate_ms,
-        took_ms=Millis(max(1, now - started_at)),
-        gang=task.group.spec.gang,
-    )
-    return EndedRun(last=whole, whole=whole)
+    def _measure_end(
+        self, session: WorkerSession, task: TaskEntry, now: Millis
+    ) -> EndedRun | None:
+        """Measure a run, also one that was never listed as active."""
+        progress = session.progress
+        ended = progress.end(task.task_id, task.run, now)
+        if ended is not None:
+            return ended
+        started_at = task.acknowledged_at
+        if (
+            started_at is None
+            or task.ordered_at is None
+            or task.checkpoint
+            or progress.was_silent(now)
+        ):
+            # Its begin or end is not known, or it resumed an earlier run.
+            return None
+        whole = Advance(
+            task=task.task_id,
+            run=task.run,
+            work_ms=self._expected_ms(task, TYPICAL_PERCENT),
+            took_ms=Millis(max(1, now - started_at)),
+            gang=task.group.spec.gang,
+        )
+        return EndedRun(last=whole, whole=whole, duration_ms=whole.took_ms)
--- a/jayshore/fleet/progress.py
+++ b/jayshore/fleet/progress.py
@@ -58,6 +58,7 @@
 """
 
 _MIN_MEASURED_PERCENT: Final = 4
+_MIN_ENDED_PERCENT: Final = 10
 _FULL_PERCENT: Final = 100
 
 
@@ -86,6 +87,8 @@
         gang: the task is a member of a gang.
         moves: number of earlier runs that were stopped because they were slow
             or stalled.
+        cautious_ms: duration that most tasks of its queue and workspace with
+            this estimate keep within, in ms; None for the estimate.
     """
 
     task: TaskId
@@ -94,6 +97,12 @@
     estimate_ms: Millis
     gang: bool
     moves: int = 0
+    cautious_ms: Millis | None = None
+
+    @property
+    def limit_ms(self) -> Millis:
+        """Duration with which the run is compared, in ms."""
+        return self.cautious_ms or self.estimate_ms
 
 
 class _Mark(NamedTuple):
@@ -135,10 +144,13 @@
     Attributes:
         last: since the begin of the last step.
         whole: since the run was first seen.
+        duration_ms: duration of the whole work, in ms, also when an earlier
+            run did a part of it.
     """
 
     last: Advance
     whole: Advance
+    duration_ms: Millis
 
 
 class ProgressTracker:
@@ -199,16 +211,22 @@
             now: arrival of the report on the local clock, in ms.
 
         Returns:
-            Its progress, or None when the run was not seen before, or its end
-            may have been reported late.
+            Its progress, or None when the run was not seen before or hardly
+            anything was left, or when its end may have been reported late.
         """
         track = self._tracks.get(task)
         if track is None or track.sample.run != run or self.was_silent(now):
             return None
+        gained = _FULL_PERCENT - track.first.percent
+        if gained < _MIN_ENDED_PERCENT:
+            return None
         done = dataclasses.replace(track.sample, percent=_FULL_PERCENT)
         return EndedRun(
             last=_advance(done, track.step, now, track.nominal_ms),
             whole=_advance(done, track.first, now, done.estimate_ms),
+            duration_ms=Millis(
+                (now - track.first.at) * _FULL_PERCENT // gained
+            ),
         )
 
     def judge(self, now: Millis, worker: Verdict) -> list[tuple[TaskId, Pace]]:
@@ -282,9 +300,10 @@
     if worker_slow:
         # The run may have been fast before the worker turned slow.
         since = track.former_step
-        behind = _is_behind(track, since, now, track.nominal_ms, SLOW_FACTOR)
+        whole_ms = track.nominal_ms if track.is_measured else sample.limit_ms
+        behind = _is_behind(track, since, now, whole_ms, SLOW_FACTOR)
         return Pace.SLOW if behind else Pace.GOOD
-    whole_ms = sample.estimate_ms
+    whole_ms = sample.limit_ms
     behind = _is_behind(track, track.first, now, whole_ms, LONG_FACTOR)
     return Pace.LONG if behind else Pace.GOOD
 
--- a/jayshore/placement/estimates.py
+++ b/jayshore/placement/estimates.py
@@ -1,27 +1,23 @@
 """Estimates of task sizes and run times per team and queue.
 
-Source: per-queue correction of user estimates as in Tsafrir, Etsion and
-Feitelson, "Backfilling Using System-Generated Predictions", IEEE TPDS 18(6),
-2007. A size is raised as soon as one task needs more, margin included, and
-lowered only after a full window of tasks, since a size that is too low
-overcommits a worker and one that is too high only wastes capacity.
+Run times are corrected as in `durations`, with the same source. A size is
+raised as soon as one task needs more, margin included, and lowered only after
+a full window of tasks, since a size that is too low overcommits a worker and
+one that is too high only wastes capacity.
 """
 
 import collections
 import dataclasses
 
 from jayshore.clock import Millis
+from jayshore.placement.durations import WINDOW_TASKS, DurationRatios
 from jayshore.placement.tasks import component_max, component_min
 from jayshore.resources import Resources
 
-WINDOW_TASKS = 20
-"""Number of completed tasks required to lower a declared size."""
-_P80_INDEX = WINDOW_TASKS * 4 // 5
 _SIZE_STEPS = 16
 """Sizes are corrected in sixteenths, which keeps the number of shapes low."""
 _MARGIN_STEPS = 2
 """Margin of an eighth above the peak, as reports lag and miss short peaks."""
-_MILLI = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,6 +49,7 @@
         self._windows: dict[
             tuple[str, str], collections.deque[CompletedTask]
         ] = collections.defaultdict(_empty_window)
+        self._durations = DurationRatios()
 
     def observe(self, ended: CompletedTask) -> None:
         """Add a completed task.
@@ -62,6 +59,12 @@
                 failed, as they may not have reached their peak.
         """
         self._windows[ended.team, ended.queue].append(ended)
+        self._durations.observe(
+            ended.team,
+            ended.queue,
+            stated_ms=ended.declared_run_ms,
+            real_ms=ended.run_ms,
+        )
 
     def demand(self, team: str, queue: str, declared: Resources) -> Resources:
         """Estimate the size of a task that is to be enqueued.
@@ -112,16 +115,9 @@
             when no time is declared; the declared time until the window is
             full.
         """
-        window = self._windows.get((team, queue), ())
-        if len(window) < WINDOW_TASKS:
-            return declared_run_ms
         if declared_run_ms is None:
-            return sorted(one.run_ms for one in window)[_P80_INDEX]
-        ratios = sorted(
-            one.run_ms * _MILLI // max(1, one.declared_run_ms or one.run_ms)
-            for one in window
-        )
-        return Millis(max(1, declared_run_ms * ratios[_P80_INDEX] // _MILLI))
+            return self._durations.usual_ms(team, queue)
+        return self._durations.expected_ms(team, queue, declared_run_ms)
 
 
 def running_charge(
--- a/jayshore/placement/estimates_test.py
+++ b/jayshore/placement/estimates_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from jayshore.placement.durations import WINDOW_TASKS
 from jayshore.placement.estimates import (
-    WINDOW_TASKS,
     CompletedTask,
     Estimates,
     running_charge,
