--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -44,6 +44,8 @@
         new_groups: groups with a run there that is not settled; empty when no
             suspect waits.
         group_runs: number of runs there of each group that limits them.
+        speed: learned speed relative to the median of the workers, 1.0 when
+            unknown.
     """
 
     worker_id: str
@@ -59,6 +61,7 @@
     reserved_for: GroupId | None = None
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
     group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
+    speed: float = 1.0
 
     @property
     def empty(self) -> bool:
@@ -96,6 +99,8 @@
         suspect: the tasks may crash the worker that starts them.
         likely: they very likely do.
         patient: suspects may wait for an empty worker.
+        path_ms: critical path of the job from this group on, by its estimates
+            in ms, 0 when unknown.
     """
 
     group_id: GroupId
@@ -120,6 +125,7 @@
     suspect: bool = False
     likely: bool = False
     patient: bool = False
+    path_ms: int = 0
 
     @property
     def may_probe(self) -> bool:
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -29,6 +29,7 @@
 from jayshore.fleet.pools import WorkerPool
 from jayshore.fleet.ranking import DeadlineStatus, Rank
 from jayshore.fleet.slots import occupy_slot, release_slots
+from jayshore.fleet.speedorder import SpeedPreference
 from jayshore.resources import Resources
 
 TICKET_MARGIN_MS: Final = Millis(150)
@@ -252,17 +253,21 @@
     ) -> list[WorkerHeadroom]:
         """Assign slots by best fit, on workers near the data first."""
         need = demand.need
+        candidates = [
+            worker
+            for worker in usable
+            if worker.reserved_for in {None, demand.group_id}
+            and need.fits_in(worker.free)
+        ]
+        speed = SpeedPreference(demand, candidates)
         order = sorted(
-            (
-                worker
-                for worker in usable
-                if worker.reserved_for in {None, demand.group_id}
-                and need.fits_in(worker.free)
-            ),
+            candidates,
             key=lambda worker: (
                 worker.worker_id in demand.failed_on,
                 worker.failure_score,
+                speed.avoids(worker),
                 worker.rack != demand.data_rack if demand.data_rack else False,
+                speed.rank(worker),
                 -worker.free.cpu_millis
                 if demand.suspect
                 else worker.free.cpu_millis,
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -12,8 +12,9 @@
 from jayshore.fleet.placing import PlacementRound, limit_allowance
 from jayshore.fleet.probation import Probation, is_suspect
 from jayshore.fleet.quarantine import WaitTimes, busy_services
-from jayshore.fleet.ranking import rank_group
+from jayshore.fleet.ranking import longest_chain_ms, rank_group
 from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.speeds import WorkerSpeeds
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
 from jayshore.resources import NOTHING, Resources
 
@@ -38,6 +39,7 @@
         ledger: Ledger,
         health: WorkerHealth,
         probation: Probation,
+        speeds: WorkerSpeeds,
     ) -> None:
         """Create a planner.
 
@@ -46,7 +48,9 @@
             ledger: resources in use.
             health: failure rates of the workers.
             probation: knows the tasks under suspicion.
+            speeds: speeds of the workers.
         """
+        self._speeds = speeds
         self._health = health
         self._probation = probation
         self._job_table = job_table
@@ -203,6 +207,7 @@
             likely=likely,
             patient=suspect
             and self._probation.is_patient(group, now, likely=likely),
+            path_ms=longest_chain_ms(group.job.job, group.group_id.group),
         )
 
     def _headroom(self, session: WorkerSession, now: Millis) -> WorkerHeadroom:
@@ -229,6 +234,7 @@
             quarantined=self._health.is_quarantined(worker_id),
             probe=self._health.is_probe_due(worker_id, now),
             group_runs=group_runs,
+            speed=self._speeds.speed(worker_id, session.born_ms),
         )
 
 
--- a/jayshore/fleet/rounds_test.py
+++ b/jayshore/fleet/rounds_test.py
@@ -1,13 +1,25 @@
-"""Tests of avoiding workers on which a task has failed before."""
+"""Tests of the inputs of placement rounds."""
 
 import dataclasses
+import random
+import types
 
 import pytest
 
 from jayshore.clock import Millis
-from jayshore.fleet.jobtable import JobEntry
-from jayshore.fleet.model import GroupId
-from jayshore.fleet.rounds import AVOID_FAILED_MS, _should_avoid_failed_workers
+from jayshore.fleet.jobtable import JobEntry, JobTable
+from jayshore.fleet.ledger import Ledger
+from jayshore.fleet.model import GroupId, TaskId, WorkerEntry
+from jayshore.fleet.probation import Probation
+from jayshore.fleet.rounds import (
+    AVOID_FAILED_MS,
+    RoundPlanner,
+    _should_avoid_failed_workers,
+)
+from jayshore.fleet.speeds import MIN_RUNS, Advance, WorkerSpeeds
+from jayshore.fleet.spread import UnaccountedRuns
+from jayshore.placement.health import WorkerHealth
+from jayshore.resources import Resources
 from tests.memory_fleet_test import QUEUE, make_group, make_job
 
 
@@ -43,3 +55,36 @@
     queue = dataclasses.replace(QUEUE, max_attempts=3)
     found = _should_avoid_failed_workers(group, group.waiting(), queue, now)
     assert found is expected
+
+
+@pytest.mark.parametrize(('born_ms', 'speed'), [(1, 2.0), (2, 1.0)])
+def test_learned_speed_reaches_the_round(born_ms, speed):
+    """Guards against speeds that are not used, or used for another life."""
+    speeds = WorkerSpeeds()
+    for name, pace in (('w0', 1), ('w1', 1), ('w2', 2)):
+        speeds.begin(name, 1)
+        for number in range(MIN_RUNS):
+            done = Advance(TaskId('j', 0, 0, number), 1, pace, Millis(1), False)
+            speeds.note_end(name, done)
+    speeds.judge('w2', Millis(0))
+    planner = RoundPlanner(
+        job_table=JobTable(),
+        ledger=Ledger(),
+        health=WorkerHealth(rng=random.Random(1)),
+        probation=Probation(),
+        speeds=speeds,
+    )
+    entry = WorkerEntry(
+        worker_id='w2',
+        born_ms=born_ms,
+        service='s',
+        address='w2:1',
+        domain='d',
+        rack='',
+        labels=frozenset(),
+        capacity=Resources(cpu_millis=1),
+    )
+    session = types.SimpleNamespace(
+        entry=entry, born_ms=born_ms, unaccounted=UnaccountedRuns()
+    )
+    assert planner._headroom(session, Millis(0)).speed == speed
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -117,12 +117,6 @@
         self._ledger = Ledger()
         health = WorkerHealth(rng=random.Random())  # noqa: S311 jitter
         self._probation = Probation()
-        self._round_planner = RoundPlanner(
-            job_table=self._job_table,
-            ledger=self._ledger,
-            health=health,
-            probation=self._probation,
-        )
         self._order_sender = OrderSender(
             clock=clock, ledger=self._ledger, observer=self, metrics=metrics
         )
@@ -136,6 +130,13 @@
             metrics=metrics,
             queue_of=self._queue_of,
         )
+        self._round_planner = RoundPlanner(
+            job_table=self._job_table,
+            ledger=self._ledger,
+            health=health,
+            probation=self._probation,
+            speeds=self._run_tracker.pace_monitor.speeds,
+        )
         self._sessions: dict[str, WorkerSession] = {}
         self._loss_tracker = LossTracker(
             clock=clock,
