--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -14,6 +14,7 @@
     """Reason for which waiting tasks were not placed."""
 
     NO_WORKER = 'no_worker'
+    EVACUATED = 'evacuated'
     NO_ADVICE = 'no_advice'
     NOT_ADVISED = 'not_advised'
     LIMIT = 'limit'
@@ -44,6 +45,8 @@
         new_groups: groups with a run there that is not settled; empty when no
             suspect waits.
         group_runs: number of runs there of each group that limits them.
+        domain: failure domain, empty when unknown.
+        evacuated: nothing may start in this domain.
     """
 
     worker_id: str
@@ -59,6 +62,8 @@
     reserved_for: GroupId | None = None
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
     group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
+    domain: str = ''
+    evacuated: bool = False
 
     @property
     def empty(self) -> bool:
--- a/jayshore/fleet/eligibility.py
+++ b/jayshore/fleet/eligibility.py
@@ -1,6 +1,8 @@
 """Which workers a demand may use, and how many of its tasks each may take."""
 
-from jayshore.fleet.demands import GroupDemand, WorkerHeadroom
+from collections.abc import Iterable
+
+from jayshore.fleet.demands import GroupDemand, WaitReason, WorkerHeadroom
 from jayshore.resources import NOTHING, Resources
 
 
@@ -12,8 +14,21 @@
         demand: waiting tasks.
 
     Returns:
-        True when its service and labels match, and it is not quarantined or
-        may be used all the same.
+        True when its service and labels match, its domain is not evacuated,
+        and it is not quarantined or may be used all the same.
+    """
+    return not worker.evacuated and is_suitable(worker, demand)
+
+
+def is_suitable(worker: WorkerHeadroom, demand: GroupDemand) -> bool:
+    """Return whether a worker may run a demand unless it is evacuated.
+
+    Args:
+        worker: the worker.
+        demand: waiting tasks.
+
+    Returns:
+        True when it is eligible outside evacuations.
     """
     return (
         worker.service == demand.service
@@ -28,6 +43,31 @@
     )
 
 
+def explain_lack(
+    demand: GroupDemand,
+    evacuated: Iterable[WorkerHeadroom],
+    otherwise: WaitReason,
+) -> WaitReason:
+    """Explain why a demand has no worker that may run it.
+
+    Args:
+        demand: waiting tasks.
+        evacuated: the workers in evacuated domains.
+        otherwise: the reason when none of these could run it either.
+
+    Returns:
+        `EVACUATED` when one of them could.
+    """
+    for worker in evacuated:
+        if (
+            is_suitable(worker, demand)
+            and demand.need.fits_in(worker.capacity)
+            and (not demand.evaluated or worker.worker_id in demand.tickets)
+        ):
+            return WaitReason.EVACUATED
+    return otherwise
+
+
 def avoid_failed_workers(
     demand: GroupDemand, workers: list[WorkerHeadroom]
 ) -> list[WorkerHeadroom]:
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -13,6 +13,7 @@
 from jayshore.daemon.signals import SignalWatch
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.configuration import ConfigHolder
+from jayshore.fleet.evacuation import EvacuationSettings
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
 from jayshore.fleet.jobservice import JobService
 from jayshore.fleet.leaderfailure import LeaderFailureDetector
@@ -89,6 +90,7 @@
         worker_prefix: prefix of the keys of worker registrations.
         decode_worker: decodes the id and the value of a registration; returns
             None for an invalid one.
+        evacuation: where evacuations are stored; None where there are none.
         make_front: creates the handler of calls of callers.
         settings_stamp: returns a value that changes with the settings file.
         reload: reads the settings again and applies those that may change.
@@ -102,6 +104,7 @@
     decode_config: Callable[[str], FleetConfig]
     worker_prefix: str
     decode_worker: Callable[[str, str], WorkerEntry | None]
+    evacuation: EvacuationSettings | None
     make_front: Callable[['FrontDependencies'], Handler]
     settings_stamp: Callable[[], int]
     reload: Callable[[], Awaitable[None]]
@@ -228,6 +231,7 @@
             ),
             worker_prefix=adapter.worker_prefix,
             decode_worker=adapter.decode_worker,
+            evacuation=adapter.evacuation,
         )
         self._leadership = Leadership(
             store=store,
--- a/jayshore/fleet/leaderrole.py
+++ b/jayshore/fleet/leaderrole.py
@@ -7,6 +7,12 @@
 import eliot
 
 from jayshore.clock import Millis, to_seconds
+from jayshore.fleet.evacuation import (
+    Evacuations,
+    EvacuationSettings,
+    EvacuationSubscriber,
+    no_evacuations,
+)
 from jayshore.fleet.model import WorkerEntry
 from jayshore.fleet.records import (
     HEAD_KEY,
@@ -29,6 +35,7 @@
 _WORKER_BATCH_MS = Millis(400)
 _JOB_BATCH_MS = Millis(40)
 _JOURNAL_BATCH_MS = Millis(35)
+_NO_PAUSE = Millis(0)
 _RETRY_MS = Millis(100)
 
 
@@ -116,6 +123,7 @@
         dependencies: SchedulerDependencies,
         worker_prefix: str,
         decode_worker: Callable[[str, str], WorkerEntry | None],
+        evacuation: EvacuationSettings | None = None,
     ) -> None:
         """Create the role of an instance that does not lead yet.
 
@@ -125,6 +133,8 @@
             worker_prefix: prefix of the keys of registrations.
             decode_worker: decodes the id and the value of a registration;
                 returns None for an invalid one.
+            evacuation: where evacuations of failure domains are stored; None
+                where there are none, so that no key is read.
         """
         self._store = store
         self._dependencies = dependencies
@@ -132,6 +142,7 @@
         self._metrics = dependencies.metrics
         self._worker_prefix = worker_prefix
         self._decode_worker = decode_worker
+        self._evacuation = evacuation
         self._leadership: Leadership | None = None
         self._scheduler: Scheduler | None = None
         self._ready = False
@@ -170,6 +181,7 @@
         """Stop the scheduler after the leadership ended."""
         self._ready = False
         self._metrics.leader_epoch.set(0)
+        self._metrics.evacuated_domains.set(0)
         scheduler_task = self._scheduler_task
         self._scheduler_task = None
         if scheduler_task is not None:
@@ -214,11 +226,13 @@
         )
         await journal.claim()
         progress = await self._read_progress()
+        evacuations, evacuation_mirror = self._follow_evacuations()
         scheduler = Scheduler(
             dependencies=self._dependencies,
             journal=journal,
             epoch=epoch,
             confirmed_at=lambda: leadership.confirmed_at,
+            evacuations=evacuations,
         )
         self._scheduler = scheduler
         jobs = self._mirror(
@@ -238,6 +252,8 @@
         group = curio.TaskGroup(wait=any)
         async with group:
             await group.spawn(journal.run)
+            if evacuation_mirror is not None:
+                await group.spawn(evacuation_mirror.run)
             await group.spawn(jobs.run)
             await jobs.wait_loaded()
             self._ready = True
@@ -262,18 +278,43 @@
                 await curio.sleep(to_seconds(_RETRY_MS))
         return _decode_progress(listing)
 
+    def _follow_evacuations(self) -> tuple[Evacuations, Mirror | None]:
+        """Create the evacuations of a new epoch, of which none is known."""
+        settings = self._evacuation
+        if settings is None:
+            return no_evacuations(), None
+        evacuations = Evacuations(
+            age_ms=lambda: mirror.age_ms, max_age_ms=settings.max_age_ms
+        )
+        mirror = self._mirror(
+            settings.prefix,
+            EvacuationSubscriber(
+                evacuations=evacuations,
+                prefix=settings.prefix,
+                changed=self._apply_evacuations,
+            ),
+            wait_ms=settings.watch_ms,
+        )
+        return evacuations, mirror
+
+    async def _apply_evacuations(self) -> None:
+        if self._scheduler is not None:
+            await self._scheduler.apply_evacuations()
+
     def _mirror(
         self,
         prefix: str,
         observer: MirrorObserver,
-        pause_ms: Millis,
+        *,
+        pause_ms: Millis = _NO_PAUSE,
+        wait_ms: Millis = _WATCH_MS,
     ) -> Mirror:
         return Mirror(
             store=self._store,
             clock=self._clock,
             prefix=prefix,
             observer=observer,
-            wait_ms=_WATCH_MS,
+            wait_ms=wait_ms,
             pause_ms=pause_ms,
         )
 
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -116,6 +116,11 @@
             'Epoch of the leadership, 0 when not leading.',
             registry=registry,
         )
+        self.evacuated_domains = Gauge(
+            'jayshore_evacuated_domains',
+            'Failure domains in which this leader starts nothing.',
+            registry=registry,
+        )
 
     def add_gauge(
         self, name: str, text: str, read: Callable[[], float]
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -13,6 +13,7 @@
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
+from jayshore.fleet.evacuation import UNKNOWN, Evacuations
 from jayshore.fleet.interfaces import (
     StartOrder,
     StartReply,
@@ -65,6 +66,7 @@
         ledger: Ledger,
         observer: OrderObserver,
         metrics: FleetMetrics,
+        evacuations: Evacuations,
     ) -> None:
         """Create a sender without orders.
 
@@ -73,7 +75,9 @@
             ledger: knows which tasks still hold resources.
             observer: provides sessions and receives failed starts.
             metrics: counts the starts.
+            evacuations: failure domains in which nothing may start.
         """
+        self._evacuations = evacuations
         self._metrics = metrics
         self._clock = clock
         self._ledger = ledger
@@ -158,9 +162,13 @@
         await self._tasks.close()
 
     async def _start(self, task: TaskEntry, run: int) -> None:
+        await self._wait_until_known(task, run)
         change = self._find_change(task)
         if change:
             await self._report_not_started(task, run, change)
+        await self._send_until_answered(task, run)
+
+    async def _send_until_answered(self, task: TaskEntry, run: int) -> None:
         attempts = 0
         while _is_starting(task, run):
             session = self._observer.find_session(task.worker)
@@ -169,15 +177,32 @@
                 if not attempts:
                     await self._report_not_started(task, run, obstacle)
                 return
-            lease_until = session.grant()
+            lease_until = await self._obtain_lease(task, run, session, attempts)
             if lease_until is None:
-                await curio.sleep(to_seconds(_RETRY_MS))
                 continue
             order = _start_order(task, session, lease_until)
             attempts += 1
             if await self._send_start(task, order, session, attempts):
                 return
 
+    async def _obtain_lease(
+        self, task: TaskEntry, run: int, session: WorkerSession, attempts: int
+    ) -> int | None:
+        """Return the end of the lease of an order, unless it is held back.
+
+        None after a pause, or after the start was given up because its domain
+        is evacuated. Nothing is awaited between the check and the order.
+        """
+        ban = self._evacuations.find_ban(session.entry.domain)
+        lease_until = None if ban else session.grant()
+        if ban == UNKNOWN and not attempts:
+            await self._wait_until_known(task, run)
+        elif ban:
+            await self._give_up(task, run, ban, uncertain=attempts > 0)
+        elif lease_until is None:
+            await curio.sleep(to_seconds(_RETRY_MS))
+        return lease_until
+
     async def _send_start(
         self,
         task: TaskEntry,
@@ -249,11 +274,26 @@
             session = self._observer.find_session(task.worker)
             if session is not None:
                 session.suspect()
+        await self._give_up(task, run, reply.result.value, uncertain=uncertain)
+
+    async def _give_up(
+        self, task: TaskEntry, run: int, result: str, *, uncertain: bool
+    ) -> None:
+        """Give up a start, with a stop when an order may have arrived."""
         if uncertain:
             task.phase = Phase.STOPPING
             await self._stop(task, run, poll=True)
         else:
-            await self._report_not_started(task, run, reply.result.value)
+            await self._report_not_started(task, run, result)
+
+    async def _wait_until_known(self, task: TaskEntry, run: int) -> None:
+        """Hold a start back while the evacuations are not known well enough.
+
+        The record of a start that was decided before a store outage may be
+        stored before the keys are read again.
+        """
+        while _is_starting(task, run) and not self._evacuations.known:
+            await curio.sleep(to_seconds(_RETRY_MS))
 
     async def _report_not_started(
         self, task: TaskEntry, run: int, result: str
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -22,6 +22,7 @@
 from jayshore.fleet.eligibility import (
     avoid_failed_workers,
     count_fits,
+    explain_lack,
     is_eligible,
     slot_limit,
 )
@@ -78,6 +79,11 @@
                 those that they occupy already.
         """
         self._workers = list(workers)
+        self._evacuated = {
+            worker.worker_id: worker
+            for worker in self._workers
+            if worker.evacuated
+        }
         self._probation_slots = probation_slots
         self._pools: dict[tuple[str, str, bool, bool], WorkerPool] = {}
         self._allowances = allowances
@@ -128,7 +134,9 @@
     ) -> WaitReason | None:
         usable = pool.workers
         if not usable:
-            return WaitReason.NO_WORKER
+            return explain_lack(
+                demand, self._evacuated.values(), WaitReason.NO_WORKER
+            )
         if demand.advised and not demand.evaluated:
             if not demand.advice_pending:
                 self._request_advice(
@@ -140,7 +148,9 @@
             permitted = pool.choose(demand.tickets)
             if not permitted:
                 self._request_advice_on_new(demand, usable)
-                return WaitReason.NOT_ADVISED
+                return explain_lack(
+                    demand, self._evacuated.values(), WaitReason.NOT_ADVISED
+                )
         permitted = self._find_apart(
             demand, avoid_failed_workers(demand, permitted)
         )
@@ -182,7 +192,12 @@
             self._charge_allowance(demand)
         if expired and not demand.advice_pending:
             self._request_advice(
-                demand, list(demand.tickets)[:_MAX_ADVICE_WORKERS]
+                demand,
+                [
+                    name
+                    for name in demand.tickets
+                    if name not in self._evacuated
+                ][:_MAX_ADVICE_WORKERS],
             )
         if expired and demand.gang:
             return False
@@ -299,7 +314,9 @@
             or demand.rank.deadline_status is not DeadlineStatus.IN_TIME
         ):
             return
-        max_reserved = round(_MAX_RESERVED_SHARE * len(self._workers))
+        max_reserved = round(
+            _MAX_RESERVED_SHARE * (len(self._workers) - len(self._evacuated))
+        )
         by_preference = sorted(
             (worker for worker in usable if worker.reserved_for is None),
             key=lambda worker: (-worker.free.cpu_millis, worker.worker_id),
--- a/jayshore/fleet/placing_checks_test.py
+++ b/jayshore/fleet/placing_checks_test.py
@@ -40,6 +40,7 @@
             'group_runs': st.dictionaries(
                 st.sampled_from(GROUPS), st.integers(1, 2)
             ),
+            'evacuated': RARELY,
         }
     ),
     min_size=1,
@@ -140,6 +141,7 @@
         entry = self._by_task[placed.group_id, placed.index]
         place = self._workers[placed.worker_id]
         key = placed.worker_id, placed.group_id
+        assert not place.evacuated
         assert place.service == entry.service
         assert entry.required_label in {'', *place.labels}
         if entry.advised:
--- a/jayshore/fleet/quarantine.py
+++ b/jayshore/fleet/quarantine.py
@@ -28,7 +28,12 @@
 """
 
 _LACKS_WORKERS: Final = frozenset(
-    (WaitReason.NO_WORKER, WaitReason.NOT_ADVISED, WaitReason.NO_ROOM)
+    (
+        WaitReason.NO_WORKER,
+        WaitReason.EVACUATED,
+        WaitReason.NOT_ADVISED,
+        WaitReason.NO_ROOM,
+    )
 )
 
 
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -58,6 +58,7 @@
         *,
         config: FleetConfig,
         sessions: Iterable[WorkerSession],
+        evacuated: frozenset[str],
         now: Millis,
         wall_ms: int,
     ) -> Decisions:
@@ -66,6 +67,7 @@
         Args:
             config: the configuration in force.
             sessions: sessions of the usable workers.
+            evacuated: failure domains in which nothing may start.
             now: time on the local clock, in ms.
             wall_ms: time of day, in ms since the Unix epoch.
 
@@ -79,7 +81,7 @@
         usable: dict[str, WorkerHeadroom] = {}
         unaccounted: dict[str, Resources] = {}
         for session in sessions:
-            worker = self._headroom(session, now)
+            worker = self._headroom(session, now, evacuated)
             usable[worker.worker_id] = worker
             for name, used in session.unaccounted.workspaces.items():
                 unaccounted[name] = unaccounted.get(name, NOTHING) + used
@@ -114,7 +116,7 @@
         sound = [
             candidate
             for candidate in workers.values()
-            if not candidate.quarantined
+            if not (candidate.quarantined or candidate.evacuated)
         ]
         return limit_probation(sound) - len(occupied)
 
@@ -127,7 +129,9 @@
         """Let demands that have waited in vain use quarantined workers."""
         if not any(worker.quarantined for worker in workers.values()):
             return demands
-        busy = busy_services(workers.values())
+        busy = busy_services(
+            worker for worker in workers.values() if not worker.evacuated
+        )
         return [
             dataclasses.replace(demand, any_worker=True)
             if self._wait_times.is_over(demand.group_id, now)
@@ -205,7 +209,9 @@
             and self._probation.is_patient(group, now, likely=likely),
         )
 
-    def _headroom(self, session: WorkerSession, now: Millis) -> WorkerHeadroom:
+    def _headroom(
+        self, session: WorkerSession, now: Millis, evacuated: frozenset[str]
+    ) -> WorkerHeadroom:
         entry = session.entry
         worker_id = entry.worker_id
         unaccounted = session.unaccounted
@@ -229,6 +235,8 @@
             quarantined=self._health.is_quarantined(worker_id),
             probe=self._health.is_probe_due(worker_id, now),
             group_runs=group_runs,
+            domain=entry.domain,
+            evacuated=entry.domain in evacuated,
         )
 
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -7,6 +7,7 @@
 
 from jayshore.clock import Clock, Millis
 from jayshore.fleet.demands import Placement
+from jayshore.fleet.evacuation import EVACUATED
 from jayshore.fleet.interfaces import (
     EndedTask,
     EndKind,
@@ -43,6 +44,7 @@
     end_job,
     end_run,
     requeue_task,
+    unsent_members,
 )
 from jayshore.fleet.workerresults import WorkerResults
 from jayshore.store.journal import Journal
@@ -181,14 +183,17 @@
             task: the task.
             result: reason, for the log and the metrics.
         """
-        eliot.log_message(
-            'task:not_started',
-            task=format_task_id(task.task_id),
-            run=task.run,
-            worker=task.worker,
-            result=result,
-        )
-        self._metrics.count_start(result)
+        for member in unsent_members(task) if result == EVACUATED else (task,):
+            eliot.log_message(
+                'task:not_started',
+                task=format_task_id(member.task_id),
+                run=member.run,
+                worker=member.worker,
+                result=result,
+            )
+            self._metrics.count_start(result)
+            self._ledger.release(member)
+            member.phase = Phase.WAITING
         if result in _TICKET_RESULTS:
             invalidate_ticket(task.group, task.worker)
         await self.mark_lost(task)
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -16,6 +16,7 @@
 from jayshore.fleet.advising import AdviceRelay, Advisor
 from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
 from jayshore.fleet.crashes import CrashCounter
+from jayshore.fleet.evacuation import Evacuations, Evacuator
 from jayshore.fleet.interfaces import RenewalReply, WorkerConnector
 from jayshore.fleet.jobtable import (
     JobEntry,
@@ -93,6 +94,7 @@
         journal: Journal,
         epoch: int,
         confirmed_at: Callable[[], Millis],
+        evacuations: Evacuations,
     ) -> None:
         """Create a scheduler without jobs and workers.
 
@@ -101,6 +103,7 @@
             journal: journal whose head this leader has claimed.
             epoch: epoch of this leader, the fencing token of its orders.
             confirmed_at: returns when the store last confirmed the leadership.
+            evacuations: failure domains in which nothing may start.
         """
         clock = dependencies.clock
         metrics = dependencies.metrics
@@ -123,8 +126,13 @@
             health=health,
             probation=self._probation,
         )
+        self._evacuations = evacuations
         self._order_sender = OrderSender(
-            clock=clock, ledger=self._ledger, observer=self, metrics=metrics
+            clock=clock,
+            ledger=self._ledger,
+            observer=self,
+            metrics=metrics,
+            evacuations=evacuations,
         )
         self._run_tracker = RunTracker(
             clock=clock,
@@ -148,6 +156,14 @@
             metrics=metrics,
             sessions=self._sessions,
         )
+        self._evacuator = Evacuator(
+            clock=clock,
+            evacuations=evacuations,
+            ledger=self._ledger,
+            sessions=self._sessions,
+            give_up=self.run_not_started,
+            metrics=metrics,
+        )
         self._advisor = Advisor(
             relay=dependencies.relay, clock=clock, changed=self._request_round
         )
@@ -247,6 +263,11 @@
         )
         await self._tasks.spawn(self._sessions[worker_id].run())
 
+    async def apply_evacuations(self) -> None:
+        """Apply changed evacuations of failure domains."""
+        await self._evacuator.apply()
+        self._request_round()
+
     async def run(self) -> None:
         """Run placement rounds and periodic sweeps until cancelled."""
         swept_at = self._clock.now()
@@ -357,12 +378,18 @@
         self._changed = True
 
     async def _decide(self) -> None:
+        if not self._evacuations.known:
+            # Nothing may start now, and nothing else requests the next round.
+            self._request_round()
+            return
         config = self._config()
+        sessions = [one for one in self._sessions.values() if one.usable]
         decisions = self._round_planner.decide(
             config=config,
-            sessions=[
-                session for session in self._sessions.values() if session.usable
-            ],
+            sessions=sessions,
+            evacuated=self._evacuations.among(
+                session.entry.domain for session in sessions
+            ),
             now=self._clock.now(),
             wall_ms=self._wall_clock.now(),
         )
@@ -379,6 +406,8 @@
 
     async def _sweep(self) -> None:
         """Add due occurrences, drop old jobs and runs of missing workers."""
+        await self._evacuator.apply()
+        self._evacuator.report_unmatched()
         now = self._clock.now()
         wall_ms = self._wall_clock.now()
         for entry in tuple(self._job_table.jobs.values()):
--- a/jayshore/fleet/transitions.py
+++ b/jayshore/fleet/transitions.py
@@ -97,6 +97,25 @@
     )
 
 
+def unsent_members(task: TaskEntry) -> tuple[TaskEntry, ...]:
+    """List the starts that are given up with one that was not sent.
+
+    Args:
+        task: a task whose start was not sent.
+
+    Returns:
+        The members of its gang whose starts were not sent either, which need
+        no stop; the task alone when it is in no gang.
+    """
+    if not task.group.spec.gang:
+        return (task,)
+    return tuple(
+        member
+        for member in task.group.tasks
+        if member.phase is Phase.STARTING and member.ordered_at is None
+    )
+
+
 def end_job(entry: JobEntry, state: JobState) -> Consequence:
     """End a job before its tasks are done.
 
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -16,6 +16,7 @@
 from jayshore.fleet import leasing, sessions
 from jayshore.fleet.advising import AdviceRelay
 from jayshore.fleet.candidacy import Candidacy
+from jayshore.fleet.evacuation import EvacuationSettings
 from jayshore.fleet.interfaces import (
     Advice,
     AdviceUnavailable,
@@ -58,6 +59,7 @@
 from standins.memoryworkerclient import MemoryWorkerClient
 
 WORKERS = 'workers/'
+EVACUATIONS = 'evacuations/'
 SERVICE = 'plans'
 QUEUE = Queue(
     name='checks',
@@ -199,6 +201,7 @@
             ),
             worker_prefix=WORKERS,
             decode_worker=decode_worker,
+            evacuation=fleet.evacuation_settings(),
         )
         self.leadership = Leadership(
             store=self.store,
@@ -275,6 +278,7 @@
     clock: Clock = dataclasses.field(default_factory=MonotonicClock)
     run_ms: object = RUN_MS
     config: FleetConfig = CONFIG
+    evacuate_ms: Millis | None = None
 
     def __post_init__(self):
         self.store = MemoryStore()
@@ -325,6 +329,17 @@
             f'{WORKERS}{name}', msgspec.json.encode(entry).decode()
         )
 
+    def evacuation_settings(self):
+        if self.evacuate_ms is None:
+            return None
+        return EvacuationSettings(prefix=EVACUATIONS, bound_ms=self.evacuate_ms)
+
+    def evacuate(self, domain):
+        self.store.write(f'{EVACUATIONS}{domain}', '{}')
+
+    def take_back(self, domain):
+        self.store.write(f'{EVACUATIONS}{domain}', None)
+
     def unregister(self, name):
         self.store.write(f'{WORKERS}{name}', None)
 
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -67,7 +67,7 @@
         self.settings = {}
         self.reservation = PortReservation()
 
-    def start(self, instances):
+    def start(self, instances, **settings):
         self._spawn(
             'platform',
             '-m',
@@ -79,9 +79,11 @@
         wait_for(path.exists, 'the stand-in')
         self.ports = json.loads(path.read_text())
         self.put('op/config', make_config(1))
-        self.fronts = [self.add(f'i{number}') for number in range(instances)]
+        self.fronts = [
+            self.add(f'i{number}', **settings) for number in range(instances)
+        ]
 
-    def add(self, name):
+    def add(self, name, **fields):
         front, ready, internal_port = self.reservation.reserve(3)
         settings = {
             'Node': name,
@@ -94,6 +96,7 @@
             'Advice': f'127.0.0.1:{self.ports["advice"]}',
             'platform': {'Addr': f'127.0.0.1:{self.ports["store"]}'},
             'Unknown': {'new': 1},
+            **fields,
         }
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings))
@@ -138,11 +141,11 @@
 
 
 @contextlib.contextmanager
-def running_deployment(directory):
+def running_deployment(directory, **settings):
     """Run a deployment of two instances."""
     running = Deployment(directory)
     try:
-        running.start(2)
+        running.start(2, **settings)
         yield running
     finally:
         running.stop()
