--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -47,6 +47,7 @@
         group_runs: number of runs there of each group that limits them.
         domain: failure domain, empty when unknown.
         evacuated: nothing may start in this domain.
+        cold: it is slower than usual for a while.
     """
 
     worker_id: str
@@ -64,6 +65,7 @@
     group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
     domain: str = ''
     evacuated: bool = False
+    cold: bool = False
 
     @property
     def empty(self) -> bool:
--- a/jayshore/fleet/evacuation_test.py
+++ b/jayshore/fleet/evacuation_test.py
@@ -15,6 +15,7 @@
 )
 from jayshore.fleet.placing_test import (
     NOW,
+    chosen_workers,
     decide,
     demand,
     worker,
@@ -110,3 +111,34 @@
     outside = {f'w{number}' for number in range(90, 100)}
     for request in decide(workers, fresh, expired).advice_requests:
         assert set(request.workers) == outside
+
+
+COLD = {'cold': True}
+PREFERENCES = (
+    ('warm before the tightest', [worker(0, 1500, **COLD), worker(1)], {},
+     ['w1']),
+    ('cold when the warm is full', [worker(0, **COLD), worker(1, 500)], {},
+     ['w0']),
+    ('cold for the rest', [worker(0, **COLD), worker(1, 1000)], {'count': 2},
+     ['w1', 'w0']),
+    ('sound before warm', [worker(0, **COLD), worker(1, failure_score=2)], {},
+     ['w0']),
+    ('near the data before warm', [worker(0), worker(1, **COLD)],
+     {'data_rack': 'r1'}, ['w1']),
+    ('warm rack for a gang', [worker(0, **COLD), worker(1)],
+     {'count': 4, 'gang': True, 'same_rack': True}, ['w1'] * 4),
+    ('cold rack for a gang', [worker(0, **COLD), worker(1, 3000)],
+     {'count': 4, 'gang': True, 'same_rack': True}, ['w0'] * 4),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('workers', 'fields', 'expected'),
+    [row[1:] for row in PREFERENCES],
+    ids=[row[0] for row in PREFERENCES],
+)
+def test_warm_workers_are_preferred(workers, fields, expected):
+    """Guards against slow runs beside idle warm workers."""
+    copies = [dataclasses.replace(one) for one in workers]
+    decisions = decide(copies, demand(**fields))
+    assert chosen_workers(decisions) == {'j': expected}
--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -252,6 +252,8 @@
         labels: all labels.
         capacity: total resources.
         draining: it is about to leave and takes no new tasks.
+        cold_left_ms: how much longer it is slow, counted from the time at which
+            the registration is read, in ms.
     """
 
     worker_id: str
@@ -263,6 +265,7 @@
     labels: frozenset[str]
     capacity: Resources
     draining: bool = False
+    cold_left_ms: Millis = Millis(0)
 
     @property
     def incarnation(self) -> Incarnation:
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -250,7 +250,9 @@
         self, demand: GroupDemand, usable: list[WorkerHeadroom], count: int
     ) -> list[WorkerHeadroom]:
         if demand.same_rack:
-            for rack in {worker.rack for worker in usable}:
+            cold = {worker.rack for worker in usable if worker.cold}
+            racks = {worker.rack for worker in usable}
+            for rack in sorted(racks, key=cold.__contains__):
                 in_rack = [worker for worker in usable if worker.rack == rack]
                 slots = self._fill(demand, in_rack, count)
                 if len(slots) == count:
@@ -278,6 +280,7 @@
                 worker.worker_id in demand.failed_on,
                 worker.failure_score,
                 worker.rack != demand.data_rack if demand.data_rack else False,
+                worker.cold,
                 -worker.free.cpu_millis
                 if demand.suspect
                 else worker.free.cpu_millis,
@@ -387,6 +390,7 @@
         workers,
         key=lambda worker: (
             worker.failure_score,
+            worker.cold,
             -worker.free.cpu_millis,
             worker.worker_id,
         ),
--- a/jayshore/fleet/placing_checks_test.py
+++ b/jayshore/fleet/placing_checks_test.py
@@ -41,6 +41,7 @@
                 st.sampled_from(GROUPS), st.integers(1, 2)
             ),
             'evacuated': RARELY,
+            'cold': st.booleans(),
         }
     ),
     min_size=1,
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -237,6 +237,7 @@
             group_runs=group_runs,
             domain=entry.domain,
             evacuated=entry.domain in evacuated,
+            cold=session.cold,
         )
 
 
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -133,6 +133,7 @@
         self._last_end = 0
         self._unrecorded: set[int] = set()
         self._created_at = clock.now()
+        self._warm_at = Millis(self._created_at + entry.cold_left_ms)
 
     @property
     def entry(self) -> WorkerEntry:
@@ -176,6 +177,11 @@
             and self.is_incarnation(self._entry.incarnation)
         )
 
+    @property
+    def cold(self) -> bool:
+        """Whether the worker is still slow, as its registration says."""
+        return self._clock.now() < self._warm_at
+
     def is_incarnation(self, incarnation: Incarnation) -> bool:
         """Return whether an incarnation may be the one that replied last.
 
@@ -205,6 +211,7 @@
             former = self._client
             self._client = self._connector.connect(entry)
         self._entry = entry
+        self._warm_at = Millis(self._clock.now() + entry.cold_left_ms)
         self.registered = True
         return former
 
--- a/tests/fleet_evacuated_domain_test.py
+++ b/tests/fleet_evacuated_domain_test.py
@@ -194,6 +194,27 @@
     run_scenario(scenario)
 
 
+def test_warm_worker_is_preferred_until_the_cold_one_is_warm():
+    """Guards against tasks on a cold worker beside a warm one with room."""
+
+    async def scenario():
+        async with running_domains(south=False) as fleet:
+            fleet.register(NORTH, domain='north', cold_left_ms=1500)
+            await curio.sleep(0.5)
+            fleet.add_worker(SOUTH, domain='south')
+            await wait_usable(fleet, 2)
+            jobs = [make_job(make_group(4)), make_job(make_group(1))]
+            await fleet.submit(jobs[0])
+            await fleet.wait_state([jobs[0].job_id], COMPLETED)
+            assert workers_of(fleet, jobs[0]) == {SOUTH}
+            await curio.sleep(1.5)
+            await fleet.submit(jobs[1])
+            await fleet.wait_state([jobs[1].job_id], COMPLETED)
+            assert workers_of(fleet, jobs[1]) == {NORTH}
+
+    run_scenario(scenario)
+
+
 def evacuated_count(instance):
     """Read the gauge of an instance."""
     text = instance.leader_role._metrics.render().decode()
