--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -25,6 +25,8 @@
         'journal:write_failed',
         'config:in_force',
         'config:invalid',
+        'evacuation:begun',
+        'evacuation:ended',
         'instance:started',
         'instance:draining',
     )
@@ -78,6 +80,8 @@
     ('leadership:ended', 'the leadership of an ended process was ended'),
     ('leadership:handed_over', 'a leader handed over to a better instance'),
     ('leader:ready', 'the leader knows all jobs'),
+    ('evacuation:begun', 'nothing more starts in a failure domain'),
+    ('evacuation:ended', 'a failure domain is used again'),
     ('config:in_force', 'a version of the configuration came into force'),
 )
 
