--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -14,6 +14,7 @@
     """Reason for which waiting tasks were not placed."""
 
     NO_WORKER = 'no_worker'
+    EVACUATED = 'evacuated'
     NO_ADVICE = 'no_advice'
     NOT_ADVISED = 'not_advised'
     LIMIT = 'limit'
@@ -46,6 +47,9 @@
         group_runs: number of runs there of each group that limits them.
         speed: learned speed relative to the median of the workers, 1.0 when
             unknown.
+        domain: failure domain, empty when unknown.
+        evacuated: nothing may start in this domain.
+        cold: it is slower than usual for a while.
     """
 
     worker_id: str
@@ -62,6 +66,9 @@
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
     group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
     speed: float = 1.0
+    domain: str = ''
+    evacuated: bool = False
+    cold: bool = False
 
     @property
     def empty(self) -> bool:
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -62,6 +62,7 @@
         *,
         config: FleetConfig,
         sessions: Iterable[WorkerSession],
+        evacuated: frozenset[str],
         now: Millis,
         wall_ms: int,
     ) -> Decisions:
@@ -70,6 +71,7 @@
         Args:
             config: the configuration in force.
             sessions: sessions of the usable workers.
+            evacuated: failure domains in which nothing may start.
             now: time on the local clock, in ms.
             wall_ms: time of day, in ms since the Unix epoch.
 
@@ -83,7 +85,7 @@
         usable: dict[str, WorkerHeadroom] = {}
         unaccounted: dict[str, Resources] = {}
         for session in sessions:
-            worker = self._headroom(session, now)
+            worker = self._headroom(session, now, evacuated)
             usable[worker.worker_id] = worker
             for name, used in session.unaccounted.workspaces.items():
                 unaccounted[name] = unaccounted.get(name, NOTHING) + used
@@ -118,7 +120,7 @@
         sound = [
             candidate
             for candidate in workers.values()
-            if not candidate.quarantined
+            if not (candidate.quarantined or candidate.evacuated)
         ]
         return limit_probation(sound) - len(occupied)
 
@@ -131,7 +133,9 @@
         """Let demands that have waited in vain use quarantined workers."""
         if not any(worker.quarantined for worker in workers.values()):
             return demands
-        busy = busy_services(workers.values())
+        busy = busy_services(
+            worker for worker in workers.values() if not worker.evacuated
+        )
         return [
             dataclasses.replace(demand, any_worker=True)
             if self._wait_times.is_over(demand.group_id, now)
@@ -210,7 +214,9 @@
             path_ms=longest_chain_ms(group.job.job, group.group_id.group),
         )
 
-    def _headroom(self, session: WorkerSession, now: Millis) -> WorkerHeadroom:
+    def _headroom(
+        self, session: WorkerSession, now: Millis, evacuated: frozenset[str]
+    ) -> WorkerHeadroom:
         entry = session.entry
         worker_id = entry.worker_id
         unaccounted = session.unaccounted
@@ -235,6 +241,9 @@
             probe=self._health.is_probe_due(worker_id, now),
             group_runs=group_runs,
             speed=self._speeds.speed(worker_id, session.born_ms),
+            domain=entry.domain,
+            evacuated=entry.domain in evacuated,
+            cold=session.cold,
         )
 
 
--- a/jayshore/fleet/rounds_test.py
+++ b/jayshore/fleet/rounds_test.py
@@ -87,4 +87,4 @@
     session = types.SimpleNamespace(
         entry=entry, born_ms=born_ms, unaccounted=UnaccountedRuns()
     )
-    assert planner._headroom(session, Millis(0)).speed == speed
+    assert planner._headroom(session, Millis(0), frozenset()).speed == speed
