--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -44,6 +44,9 @@
         new_groups: groups with a run there that is not settled; empty when no
             suspect waits.
         group_runs: number of runs there of each group that limits them.
+        domain: failure domain, empty when unknown.
+        speed: learned factor on the nominal speed, 1.0 when unknown.
+        cold: its tasks run slower for a while, as after its start.
     """
 
     worker_id: str
@@ -59,6 +62,9 @@
     reserved_for: GroupId | None = None
     new_groups: set[GroupId] = dataclasses.field(default_factory=set)
     group_runs: dict[GroupId, int] = dataclasses.field(default_factory=dict)
+    domain: str = ''
+    speed: float = 1.0
+    cold: bool = False
 
     @property
     def empty(self) -> bool:
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -229,6 +229,7 @@
             quarantined=self._health.is_quarantined(worker_id),
             probe=self._health.is_probe_due(worker_id, now),
             group_runs=group_runs,
+            domain=entry.domain,
         )
 
 
