--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -183,6 +183,7 @@
         placements: tasks to start.
         advice_requests: advice to request, best ranked first.
         waiting: reason by group for tasks that were not placed.
+        considered: number of groups that were considered.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
@@ -190,3 +191,4 @@
         default_factory=list
     )
     waiting: dict[GroupId, WaitReason] = dataclasses.field(default_factory=dict)
+    considered: int = 0
--- a/jayshore/fleet/leaderrole.py
+++ b/jayshore/fleet/leaderrole.py
@@ -176,6 +176,14 @@
             await scheduler_task.cancel()
         self._scheduler = None
 
+    def renewal_sent(self, late_ms: Millis) -> None:
+        """Record how late a renewal of the leadership is sent.
+
+        Args:
+            late_ms: how much later than planned, in ms.
+        """
+        self._metrics.note_renewal(late_ms)
+
     async def wait_for_step_down(self) -> None:
         """Wait until this instance should step down.
 
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -4,7 +4,7 @@
 are set by the operator, and outcomes by this code.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from prometheus_client import (
     CollectorRegistry,
@@ -19,6 +19,8 @@
 
 _WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
 _STORE_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2)
+_ROUND_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1)
+_RENEWAL_LATE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2)
 _TAKEOVER_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 12)
 
 
@@ -93,6 +95,24 @@
             buckets=_TAKEOVER_BUCKETS_S,
             registry=registry,
         )
+        self._round_seconds = Histogram(
+            'jayshore_round_seconds',
+            'Time that a placement round kept the event loop.',
+            buckets=_ROUND_BUCKETS_S,
+            registry=registry,
+        )
+        self._waiting_groups = Gauge(
+            'jayshore_waiting_groups',
+            'Groups with waiting tasks at the leader, by reason.',
+            ('reason',),
+            registry=registry,
+        )
+        self._renewal_late = Histogram(
+            'jayshore_renewal_late_seconds',
+            'How much later than planned the leadership was renewed.',
+            buckets=_RENEWAL_LATE_BUCKETS_S,
+            registry=registry,
+        )
         self._store_calls = Counter(
             'jayshore_store_calls',
             'Calls to the store, by kind and outcome.',
@@ -209,6 +229,34 @@
         """
         self._takeover.observe(to_seconds(took_ms))
 
+    def note_round(self, took_ms: Millis) -> None:
+        """Record how long a placement round kept the event loop.
+
+        Args:
+            took_ms: time from its inputs to the records of its placements,
+                in ms.
+        """
+        self._round_seconds.observe(to_seconds(took_ms))
+
+    def update_waiting_groups(self, counts: Mapping[str, int]) -> None:
+        """Update the number of waiting groups of the leader.
+
+        Args:
+            counts: number of groups by reason; a reason that is missing has
+                none.
+        """
+        self._waiting_groups.clear()
+        for reason, count in counts.items():
+            self._waiting_groups.labels(reason).set(count)
+
+    def note_renewal(self, late_ms: Millis) -> None:
+        """Record a renewal of the leadership.
+
+        Args:
+            late_ms: how much later than planned it was sent, in ms.
+        """
+        self._renewal_late.observe(to_seconds(late_ms))
+
     def note_store_call(self, kind: str, outcome: str, took_ms: Millis) -> None:
         """Record a call to the store.
 
--- /dev/null
+++ b/jayshore/fleet/roundrunner.py
@@ -0,0 +1,96 @@
+"""Runs placement rounds of the leader and applies their decisions."""
+
+from collections.abc import Callable, Iterable
+
+from jayshore.clock import Clock, Millis
+from jayshore.fleet.advising import Advisor
+from jayshore.fleet.demands import AdviceRequest
+from jayshore.fleet.jobtable import JobEntry, JobTable
+from jayshore.fleet.metrics import FleetMetrics
+from jayshore.fleet.model import FleetConfig, Queue
+from jayshore.fleet.probation import Probation
+from jayshore.fleet.roundlog import RoundLog
+from jayshore.fleet.rounds import RoundPlanner
+from jayshore.fleet.runs import RunTracker
+from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.waitlog import WaitReasonLog
+
+
+class RoundRunner:
+    """Decides with a planner, starts what it places, and requests advice."""
+
+    def __init__(
+        self,
+        *,
+        planner: RoundPlanner,
+        job_table: JobTable,
+        run_tracker: RunTracker,
+        probation: Probation,
+        advisor: Advisor,
+        clock: Clock,
+        metrics: FleetMetrics,
+        queue_of: Callable[[JobEntry], Queue],
+    ) -> None:
+        """Create a runner.
+
+        Args:
+            planner: decides.
+            job_table: the jobs.
+            run_tracker: records and starts what is placed.
+            probation: notes the starts at each worker.
+            advisor: requests advice.
+            clock: local clock.
+            metrics: metrics of this instance.
+            queue_of: returns the current queue of a job.
+        """
+        self._planner = planner
+        self._job_table = job_table
+        self._run_tracker = run_tracker
+        self._probation = probation
+        self._advisor = advisor
+        self._clock = clock
+        self._queue_of = queue_of
+        self._wait_log = WaitReasonLog()
+        self._round_log = RoundLog(metrics=metrics)
+
+    async def run_round(
+        self,
+        *,
+        config: FleetConfig,
+        sessions: Iterable[WorkerSession],
+        wall_ms: int,
+    ) -> None:
+        """Run a round.
+
+        Nothing else runs between the decisions and their records, so that they
+        hold for the state that they were made on.
+
+        Args:
+            config: the configuration in force.
+            sessions: sessions of all workers.
+            wall_ms: time of day, in ms since the Unix epoch.
+        """
+        started = self._clock.now()
+        decisions = self._planner.decide(
+            config=config,
+            sessions=[session for session in sessions if session.usable],
+            now=started,
+            wall_ms=wall_ms,
+        )
+        self._run_tracker.place(decisions.placements)
+        now = self._clock.now()
+        self._probation.note_starts(decisions.placements, now)
+        self._wait_log.record(decisions.waiting, now)
+        self._round_log.record(
+            decisions, took_ms=Millis(self._clock.now() - started), now=now
+        )
+        for request in decisions.advice_requests:
+            await self._request_advice(request)
+
+    async def _request_advice(self, request: AdviceRequest) -> None:
+        entry = self._job_table.jobs[request.group_id.job_id]
+        policy = self._queue_of(entry).advice
+        if policy is not None:
+            await self._advisor.ask(
+                request, entry.groups[request.group_id], policy
+            )
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -96,6 +96,7 @@
             },
             now=now,
         ).decide(self._admit_to_any_worker(demands, usable, now))
+        decisions.considered = len(demands)
         self._wait_times.update(decisions.waiting, now)
         for placement in decisions.placements:
             self._health.claim_probe(placement.worker_id, now)
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -39,11 +39,11 @@
     progress_key,
     restore_progress,
 )
+from jayshore.fleet.roundrunner import RoundRunner
 from jayshore.fleet.rounds import RoundPlanner, count_pending
 from jayshore.fleet.runs import RunTracker
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
 from jayshore.fleet.submissionrate import SubmissionRateMeter
-from jayshore.fleet.waitlog import WaitReasonLog
 from jayshore.fleet.workerresults import WorkerResults
 from jayshore.placement.health import WorkerHealth
 from jayshore.store.journal import Journal
@@ -117,12 +117,6 @@
         self._ledger = Ledger()
         health = WorkerHealth(rng=random.Random())  # noqa: S311 jitter
         self._probation = Probation()
-        self._round_planner = RoundPlanner(
-            job_table=self._job_table,
-            ledger=self._ledger,
-            health=health,
-            probation=self._probation,
-        )
         self._order_sender = OrderSender(
             clock=clock, ledger=self._ledger, observer=self, metrics=metrics
         )
@@ -153,7 +147,21 @@
         )
         self._submission_rate = SubmissionRateMeter()
         self._backlog = BacklogMeter()
-        self._wait_log = WaitReasonLog()
+        self._round_runner = RoundRunner(
+            planner=RoundPlanner(
+                job_table=self._job_table,
+                ledger=self._ledger,
+                health=health,
+                probation=self._probation,
+            ),
+            job_table=self._job_table,
+            run_tracker=self._run_tracker,
+            probation=self._probation,
+            advisor=self._advisor,
+            clock=clock,
+            metrics=metrics,
+            queue_of=self._queue_of,
+        )
         self._tasks = BackgroundTasks()
         self._changed = True
 
@@ -255,7 +263,11 @@
                 started = self._clock.now()
                 if self._changed:
                     self._changed = False
-                    await self._decide()
+                    await self._round_runner.run_round(
+                        config=self._config(),
+                        sessions=self._sessions.values(),
+                        wall_ms=self._wall_clock.now(),
+                    )
                 if self._clock.now() - swept_at >= _SWEEP_INTERVAL_MS:
                     swept_at = self._clock.now()
                     await self._sweep()
@@ -356,27 +368,6 @@
     def _request_round(self) -> None:
         self._changed = True
 
-    async def _decide(self) -> None:
-        config = self._config()
-        decisions = self._round_planner.decide(
-            config=config,
-            sessions=[
-                session for session in self._sessions.values() if session.usable
-            ],
-            now=self._clock.now(),
-            wall_ms=self._wall_clock.now(),
-        )
-        self._run_tracker.place(decisions.placements)
-        self._probation.note_starts(decisions.placements, self._clock.now())
-        self._wait_log.record(decisions.waiting, self._clock.now())
-        for request in decisions.advice_requests:
-            entry = self._job_table.jobs[request.group_id.job_id]
-            policy = self._queue_of(entry).advice
-            if policy is not None:
-                await self._advisor.ask(
-                    request, entry.groups[request.group_id], policy
-                )
-
     async def _sweep(self) -> None:
         """Add due occurrences, drop old jobs and runs of missing workers."""
         now = self._clock.now()
--- a/jayshore/leases/leadership.py
+++ b/jayshore/leases/leadership.py
@@ -60,6 +60,15 @@
     async def leadership_lost(self) -> None:
         """Stop the leader's work; another daemon may have been elected."""
 
+    def renewal_sent(self, late_ms: Millis) -> None:
+        """Note that a renewal is being sent; by default nothing is noted.
+
+        A renewal is late when other work of the process keeps the event loop.
+
+        Args:
+            late_ms: how much later than planned, in ms.
+        """
+
 
 class VacancyMonitor(abc.ABC):
     """Tells when an election may be tried, without a read of the leader key."""
@@ -175,9 +184,13 @@
         entry = await self._store.get(self._key)
         return entry is not None and epoch == entry.revision
 
+    @property
+    def _renewal_interval_ms(self) -> Millis:
+        return Millis(self._ttl_ms // _RENEWALS_PER_TTL)
+
     @property
     def _renewal_interval_s(self) -> float:
-        return to_seconds(Millis(self._ttl_ms // _RENEWALS_PER_TTL))
+        return to_seconds(self._renewal_interval_ms)
 
     async def _campaign(self) -> bool:
         """Acquire the leadership if there is no leader, and hold it.
@@ -222,8 +235,10 @@
         await self._observer.elected(epoch)
         renewed: StoreLease | LeaseGone = lease
         while not isinstance(renewed, LeaseGone):
+            planned_at = self._clock.now() + self._renewal_interval_ms
             await curio.sleep(self._renewal_interval_s)
             sent_at = self._clock.now()
+            self._observer.renewal_sent(Millis(max(0, sent_at - planned_at)))
             try:
                 renewed = await self._store.renew_lease(lease.lease_id)
             except StoreError as error:
