--- a/bench/main.py
+++ b/bench/main.py
@@ -7,6 +7,7 @@
 MEASUREMENTS = (
     'differential',
     'placement',
+    'rounds',
     'relay',
     'control',
     'urgent',
