--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -18,6 +18,7 @@
     TaskGroup,
     TaskId,
 )
+from jayshore.fleet.tickets import Ticket
 
 _DONE_VALUE = 'done'
 
@@ -68,7 +69,7 @@
     Attributes:
         task_id: identifies the task.
         group: its task group.
-        phase: lifecycle phase.
+        current_phase: set it as `phase`, which notes the change.
         run: highest number of a run that may have been used.
         worker: worker of that run, empty when there is none.
         incarnation: incarnation of that worker.
@@ -91,7 +92,7 @@
 
     task_id: TaskId
     group: 'GroupEntry'
-    phase: Phase = Phase.WAITING
+    current_phase: Phase = Phase.WAITING
     run: int = 0
     worker: str = ''
     incarnation: Incarnation = UNKNOWN_INCARNATION
@@ -106,18 +107,15 @@
     exposures: int = 0
     doubt_ms: Millis = SETTLED_MS
 
+    @property
+    def phase(self) -> Phase:
+        """Lifecycle phase."""
+        return self.current_phase
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ticket:
-    """A worker's permission to run the tasks of a group.
-
-    Attributes:
-        text: the ticket.
-        valid_until: end of its validity on the local clock, in ms.
-    """
-
-    text: str
-    valid_until: Millis
+    @phase.setter
+    def phase(self, phase: Phase) -> None:
+        self.current_phase = phase
+        self.group.job.note_change()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -179,24 +177,37 @@
         accepted_at: time of acceptance on the local clock in ms, which may be
             before the origin of that clock.
         over_rate: submitted beyond the rate that its workspace is entitled to.
-        state: state as decided by the leader.
+        current_state: set it as `state`, which notes the change.
         durable_state: state that is recorded durably and may be reported to
             callers.
         cancelled: a cancellation is stored.
         groups: entries of all occurrences that are due.
         next_occurrence: the first occurrence without entries.
         ended_at: when the state became final, on the local clock.
+        changed_jobs: collects the jobs whose waiting groups may have changed,
+            by id; None before the job is in a table.
     """
 
     job: Job
     accepted_at: Millis
     over_rate: bool = False
-    state: JobState = JobState.QUEUED
+    current_state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
     cancelled: bool = False
     groups: dict[GroupId, GroupEntry] = dataclasses.field(default_factory=dict)
     next_occurrence: int = 0
     ended_at: Millis | None = None
+    changed_jobs: dict[str, 'JobEntry'] | None = None
+
+    @property
+    def state(self) -> JobState:
+        """State as decided by the leader."""
+        return self.current_state
+
+    @state.setter
+    def state(self, state: JobState) -> None:
+        self.current_state = state
+        self.note_change()
 
     @property
     def occurrences(self) -> int:
@@ -208,6 +219,11 @@
         """Whether the state is final."""
         return self.state in FINAL_STATES
 
+    def note_change(self) -> None:
+        """Note that groups may have begun or ceased to wait."""
+        if self.changed_jobs is not None:
+            self.changed_jobs[self.job.job_id] = self
+
     def due_at_ms(self, occurrence: int) -> int:
         """Compute the due time of an occurrence.
 
@@ -264,6 +280,7 @@
                 for index in range(spec.count)
             ]
             self.groups[group_id] = entry
+        self.note_change()
 
     def is_ready(self, group: GroupEntry) -> bool:
         """Return whether all groups that a group depends on are done.
@@ -299,22 +316,6 @@
         )
 
 
-def invalidate_ticket(group: GroupEntry, worker: str) -> None:
-    """Mark a ticket as expired, so that it is renewed before the next start.
-
-    The worker remains one that may run the group.
-
-    Args:
-        group: the group.
-        worker: worker whose ticket was refused or has expired.
-    """
-    ticket = group.tickets.get(worker)
-    if ticket is not None:
-        group.tickets[worker] = dataclasses.replace(
-            ticket, valid_until=Millis(0)
-        )
-
-
 class JobTable:
     """All jobs that the leader knows, by id."""
 
@@ -322,6 +323,17 @@
         """Create an empty table."""
         self._jobs: dict[str, JobEntry] = {}
         self._active: dict[str, JobEntry] = {}
+        self._changed: dict[str, JobEntry] = {}
+
+    @property
+    def changed(self) -> dict[str, JobEntry]:
+        """Jobs whose waiting groups may have changed; a reader removes them.
+
+        Every change of the phase of a task, of the state of a job and of the
+        resources that a task holds is noted, so that rounds need not look at
+        all jobs.
+        """
+        return self._changed
 
     @property
     def jobs(self) -> dict[str, JobEntry]:
@@ -336,6 +348,7 @@
         """
         self._jobs[entry.job.job_id] = entry
         self._active[entry.job.job_id] = entry
+        entry.changed_jobs = self._changed
         if not entry.job.schedule.repeats:
             entry.add_occurrence()
 
--- a/jayshore/fleet/ledger.py
+++ b/jayshore/fleet/ledger.py
@@ -116,6 +116,8 @@
         self._used[task.worker] = self.used_at(task.worker) - need
         self._workspaces[workspace] = self.used_by(workspace) - need
         self._count(task, -1)
+        # A gang waits until none of its tasks holds resources.
+        task.group.job.note_change()
         return True
 
     def _count(self, task: TaskEntry, change: int) -> None:
--- a/jayshore/fleet/outages_test.py
+++ b/jayshore/fleet/outages_test.py
@@ -13,12 +13,16 @@
     ('confirmed long before', {'ordered_at': 90, 'seen_at': 100}, 900),
     ('confirmed just before', {'ordered_at': 985, 'seen_at': 990}, 10),
     ('confirmed within', {'ordered_at': 1100, 'seen_at': 1110}, 0),
-    ('reply lost', {'phase': Phase.STARTING, 'ordered_at': 990}, 0),
-    ('given up', {'phase': Phase.STOPPING, 'ordered_at': 990}, 0),
-    ('ordered later', {'phase': Phase.STARTING, 'ordered_at': 1500}, None),
-    ('not ordered yet', {'phase': Phase.STARTING}, None),
-    ('of a former leader', {'phase': Phase.UNKNOWN}, 0),
-    ('not placed', {'phase': Phase.WAITING, 'ordered_at': 10}, None),
+    ('reply lost', {'current_phase': Phase.STARTING, 'ordered_at': 990}, 0),
+    ('given up', {'current_phase': Phase.STOPPING, 'ordered_at': 990}, 0),
+    (
+        'ordered later',
+        {'current_phase': Phase.STARTING, 'ordered_at': 1500},
+        None,
+    ),
+    ('not ordered yet', {'current_phase': Phase.STARTING}, None),
+    ('of a former leader', {'current_phase': Phase.UNKNOWN}, 0),
+    ('not placed', {'current_phase': Phase.WAITING, 'ordered_at': 10}, None),
 )
 
 
@@ -32,7 +36,7 @@
     task = TaskEntry(
         task_id=TaskId('j', 0, 0, 0),
         group=None,
-        **{'phase': Phase.RUNNING, **fields},
+        **{'current_phase': Phase.RUNNING, **fields},
     )
     assert age_in_outage(task, OUTAGE) == expected
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -21,7 +21,6 @@
     JobTable,
     Phase,
     TaskEntry,
-    invalidate_ticket,
 )
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.metrics import FleetMetrics
@@ -37,6 +36,7 @@
     SpreadMonitor,
     measure_unaccounted,
 )
+from jayshore.fleet.tickets import invalidate_ticket
 from jayshore.fleet.transitions import (
     Consequence,
     align_gangs,
@@ -190,7 +190,7 @@
         )
         self._metrics.count_start(result)
         if result in _TICKET_RESULTS:
-            invalidate_ticket(task.group, task.worker)
+            invalidate_ticket(task.group.tickets, task.worker)
         await self.mark_lost(task)
 
     async def mark_lost(self, task: TaskEntry) -> None:
