--- a/jayshore/fleet/advising.py
+++ b/jayshore/fleet/advising.py
@@ -11,16 +11,20 @@
 from typing import Final
 
 import eliot
+from sortedcontainers import SortedKeyList
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis
+from jayshore.fleet.adviceneeds import (
+    LONG_CALL_MS,
+    CallBudget,
+    expected_call_ms,
+)
 from jayshore.fleet.demands import AdviceRequest
 from jayshore.fleet.interfaces import Advice, AdviceUnavailable
-from jayshore.fleet.jobtable import GroupEntry, Ticket
+from jayshore.fleet.jobtable import GroupEntry
 from jayshore.fleet.model import AdvicePolicy, GroupId
-
-LONG_CALL_MS: Final = 60
-"""Expected duration from which a call counts as long, in ms."""
+from jayshore.fleet.tickets import Ticket
 
 _MAX_LONG_SHARE: Final = 0.7
 _TIMEOUT_FACTOR: Final = 2
@@ -37,6 +41,13 @@
 # time old when it arrives here.
 _TICKET_TRANSFER_MS: Final = 20
 
+_HORIZON_MS: Final = 2500
+"""Calling time of each instance that requests may take up, in ms.
+
+A ticket holds as long, so a call that begins later is worth more when it is
+requested later, by the ranks of that time.
+"""
+
 
 class AdviceRelay(abc.ABC):
     """Calls the advice service through a chosen entry instance."""
@@ -100,7 +111,9 @@
         self._relay = relay
         self._clock = clock
         self._changed = changed
-        self._waiting: list[_QueuedCall] = []
+        self._short = SortedKeyList(key=_call_rank)
+        self._long = SortedKeyList(key=_call_rank)
+        self._outstanding_ms = {False: 0, True: 0}
         self._busy: dict[str, bool] = {}
         self._avoided_until: dict[str, Millis] = {}
         self._tasks = BackgroundTasks()
@@ -117,36 +130,66 @@
             policy: response times of the service.
         """
         group.advice_pending = True
-        expected = policy.decision_ms + policy.per_worker_ms * len(
-            request.workers
-        )
-        self._waiting.append(
-            _QueuedCall(
-                request=request, group=group, expected_ms=round(expected)
-            )
+        expected = expected_call_ms(policy, len(request.workers))
+        call = _QueuedCall(
+            request=request, group=group, expected_ms=round(expected)
         )
+        self._outstanding_ms[_is_long(call)] += call.expected_ms
+        queue = self._long if _is_long(call) else self._short
+        queue.add(call)
         await self._start_calls()
 
+    def budget(self) -> CallBudget:
+        """Compute the calling time that further requests may take up.
+
+        Returns:
+            What the instances can complete while a ticket holds, without the
+            calls that are queued or in flight.
+        """
+        instance_count = len(self._usable_callers())
+        long_ms = self._outstanding_ms[True]
+        return CallBudget(
+            long_ms=_HORIZON_MS * _limit_long(instance_count) - long_ms,
+            all_ms=_HORIZON_MS * instance_count
+            - long_ms
+            - self._outstanding_ms[False],
+        )
+
     async def close(self) -> None:
         """Cancel all calls."""
-        self._waiting.clear()
+        self._short.clear()
+        self._long.clear()
         await self._tasks.close()
 
     async def _start_calls(self) -> None:
         relay_instances = self._usable_callers()
-        self._waiting.sort(key=_call_rank)
-        for call in tuple(self._waiting):
-            free = [name for name in relay_instances if name not in self._busy]
-            if not free:
+        free = [name for name in relay_instances if name not in self._busy]
+        while free:
+            call = self._next_call(len(relay_instances))
+            if call is None:
                 return
-            if _is_long(call) and not self._may_add_long(len(relay_instances)):
-                continue
-            self._waiting.remove(call)
             if not call.group.waiting() or call.group.job.ended:
-                call.group.advice_pending = False
+                self._finish(call)
                 continue
-            self._busy[free[0]] = _is_long(call)
-            await self._tasks.spawn(self._call(free[0], call))
+            caller = free.pop(0)
+            self._busy[caller] = _is_long(call)
+            await self._tasks.spawn(self._call(caller, call))
+
+    def _next_call(self, instance_count: int) -> _QueuedCall | None:
+        """Take the best ranked call that may begin."""
+        may_add_long = sum(self._busy.values()) < _limit_long(instance_count)
+        queues = [self._short, self._long] if may_add_long else [self._short]
+        heads = [queue[0] for queue in queues if queue]
+        if not heads:
+            return None
+        call: _QueuedCall = min(heads, key=_call_rank)
+        queue = self._long if _is_long(call) else self._short
+        queue.remove(call)
+        return call
+
+    def _finish(self, call: _QueuedCall) -> None:
+        call.group.advice_pending = False
+        self._outstanding_ms[_is_long(call)] -= call.expected_ms
 
     def _usable_callers(self) -> tuple[str, ...]:
         """List the instances without a recent failure, or all if none is."""
@@ -159,10 +202,6 @@
         )
         return usable or relay_instances
 
-    def _may_add_long(self, instance_count: int) -> bool:
-        max_long = max(1, int(_MAX_LONG_SHARE * instance_count))
-        return sum(self._busy.values()) < max_long
-
     async def _call(self, caller: str, call: _QueuedCall) -> None:
         request = call.request
         timeout = _TIMEOUT_FACTOR * call.expected_ms + _TIMEOUT_EXTRA_MS
@@ -183,7 +222,7 @@
         else:
             self._store_tickets(call, advice)
         finally:
-            call.group.advice_pending = False
+            self._finish(call)
             self._busy.pop(caller, None)
         self._changed()
         await self._start_calls()
@@ -200,6 +239,11 @@
             )
 
 
+def _limit_long(instance_count: int) -> int:
+    """Compute how many instances may make long calls at a time."""
+    return max(1, int(_MAX_LONG_SHARE * instance_count))
+
+
 def _call_rank(call: _QueuedCall) -> tuple[object, ...]:
     return call.request.rank, call.request.group_id
 
--- a/jayshore/fleet/advising_test.py
+++ b/jayshore/fleet/advising_test.py
@@ -94,3 +94,42 @@
     relay = Relay(('a', 'b', 'c', 'd'))
     ask(relay, 12, policy)
     assert relay.most == most
+
+
+@pytest.mark.parametrize(
+    ('policy', 'calls', 'long_left', 'all_left'),
+    [
+        # Four instances have 10 s of calling time while a ticket holds, two of
+        # them for long calls.
+        (QUICK, 0, True, True),
+        (QUICK, 1900, True, True),
+        (QUICK, 2000, False, False),
+        (LONG, 9, True, True),
+        (LONG, 10, False, True),
+        (LONG, 20, False, False),
+    ],
+)
+def test_requests_are_bounded_by_what_can_be_answered(
+    policy, calls, long_left, all_left
+):
+    """Guards against calls that begin after the tickets of others expired.
+
+    After a change of leader 1,621 groups waited for advice in one second.
+    """
+
+    async def scenario():
+        advisor = Advisor(
+            relay=Relay(('a', 'b', 'c', 'd')),
+            clock=MonotonicClock(),
+            changed=lambda: None,
+        )
+        request, group = make_group()
+        for _ in range(calls):
+            await advisor.ask(request, group, policy)
+        budget = advisor.budget()
+        await advisor.close()
+        return budget
+
+    budget = curio.run(scenario, taskcls=curio.task.ContextTask)
+    assert budget.has_time_for(LONG.decision_ms) is long_left
+    assert budget.has_time_for(QUICK.decision_ms) is all_left
--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -5,13 +5,21 @@
 from collections.abc import Mapping
 
 from jayshore.clock import Millis
-from jayshore.fleet.model import UNKNOWN_INCARNATION, GroupId, Incarnation
+from jayshore.fleet.model import (
+    UNKNOWN_INCARNATION,
+    AdvicePolicy,
+    GroupId,
+    Incarnation,
+)
 from jayshore.fleet.ranking import Rank
 from jayshore.resources import Resources
 
 
 class WaitReason(enum.StrEnum):
-    """Reason for which waiting tasks were not placed."""
+    """Reason for which waiting tasks were not placed.
+
+    `NOT_REACHED`: the round ended before, because too many groups wait.
+    """
 
     NO_WORKER = 'no_worker'
     NO_ADVICE = 'no_advice'
@@ -20,6 +28,7 @@
     NO_ROOM = 'no_room'
     OLD_TICKET = 'old_ticket'
     PROBATION = 'probation'
+    NOT_REACHED = 'not_reached'
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -102,6 +111,7 @@
         suspect: the tasks may crash the worker that starts them.
         likely: they very likely do.
         patient: suspects may wait for an empty worker.
+        policy: response times of the advice service, None when unknown.
     """
 
     group_id: GroupId
@@ -126,6 +136,7 @@
     suspect: bool = False
     likely: bool = False
     patient: bool = False
+    policy: AdvicePolicy | None = None
 
     @property
     def may_probe(self) -> bool:
@@ -184,6 +195,7 @@
         advice_requests: advice to request, best ranked first.
         waiting: reason by group for tasks that were not placed.
         considered: number of groups that were considered.
+        cut: the round ended at its budget, and another one should follow.
     """
 
     placements: list[Placement] = dataclasses.field(default_factory=list)
@@ -192,3 +204,4 @@
     )
     waiting: dict[GroupId, WaitReason] = dataclasses.field(default_factory=dict)
     considered: int = 0
+    cut: bool = False
