--- a/bench/backlog.py
+++ b/bench/backlog.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from jayshore.clock import Millis
-from jayshore.fleet.jobtable import JobEntry, JobTable, Phase, Ticket
+from jayshore.fleet.jobtable import JobEntry, JobTable, Phase
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import (
     AdvicePolicy,
@@ -19,6 +19,7 @@
 from jayshore.fleet.probation import Probation
 from jayshore.fleet.rounds import RoundPlanner
 from jayshore.fleet.spread import UnaccountedRuns
+from jayshore.fleet.tickets import Ticket
 from jayshore.placement.health import WorkerHealth
 from jayshore.resources import Resources
 
@@ -191,6 +192,14 @@
             config=self.config, sessions=sessions, now=now, wall_ms=NOW
         )
 
+    def update_index(self) -> bool:
+        """Let the planner take in a part of the changes.
+
+        Returns:
+            True when no change is left.
+        """
+        return self.planner.update_index(self.config, NOW, NOW)
+
     def add_waiting(self) -> JobEntry:
         """Add a job with a waiting group.
 
--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -33,7 +33,7 @@
 
     Attributes:
         load: size of the state.
-        first: the first round.
+        first: the first round, or a longer step of indexing before it.
         median: median of the later rounds.
         worst: longest of the later rounds.
         placed: placements of the first round.
@@ -93,12 +93,16 @@
         The processor time.
     """
     backlog = Backlog(load)
+    first = float()
     # A collection in the middle of a round says nothing about the round.
     gc.collect()
     gc.freeze()
     started = time.process_time()
+    while not backlog.update_index():
+        first = max(first, _since_ms(started))
+        started = time.process_time()
     decisions = backlog.decide()
-    first = _since_ms(started)
+    first = max(first, _since_ms(started))
     later = []
     for number in range(1, rounds + 1):
         for _ in range(_CHANGES):
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -6,11 +6,18 @@
 ranked gangs that do not fit reserve workers against lower ranked work.
 """
 
-import math
 from collections.abc import Iterable
+from functools import partial
 from typing import Final
 
 from jayshore.clock import Millis
+from jayshore.fleet.adviceneeds import (
+    MAX_ADVICE_WORKERS,
+    AdviceGate,
+    OpenGate,
+    choose_workers_to_ask,
+)
+from jayshore.fleet.apart import least_used, without_other_new_tasks
 from jayshore.fleet.demands import (
     AdviceRequest,
     Decisions,
@@ -18,7 +25,6 @@
     WaitReason,
     WorkerHeadroom,
 )
-from jayshore.fleet.apart import least_used, without_other_new_tasks
 from jayshore.fleet.eligibility import (
     avoid_failed_workers,
     count_fits,
@@ -26,8 +32,15 @@
     slot_limit,
 )
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.pools import WorkerPool
-from jayshore.fleet.ranking import DeadlineStatus, Rank
+from jayshore.fleet.pools import (
+    PoolKey,
+    RoundWork,
+    WorkerPool,
+    may_hold,
+    sort_by_free,
+)
+from jayshore.fleet.ranking import Rank
+from jayshore.fleet.reservations import Reservations
 from jayshore.fleet.slots import occupy_slot, release_slots
 from jayshore.resources import Resources
 
@@ -37,22 +50,6 @@
 Covers the time to record the start and to send it to the worker.
 """
 
-_MAX_RESERVED_SHARE: Final = 0.4
-"""Share of the workers that may be reserved for waiting gangs."""
-
-_MIN_ADVICE_WORKERS: Final = 24
-"""Minimum number of workers in a request for advice, if that many exist."""
-
-_MAX_ADVICE_WORKERS: Final = 80
-"""Maximum number of workers in a request; the service accepts up to 100."""
-
-_ADVICE_WORKERS_PER_NEEDED: Final = 10
-"""Workers in a request for each empty worker that the group would fill.
-
-The service permits a third of the workers for the widest groups, and on a busy
-fleet a quarter of a worker is free.
-"""
-
 _UNLIMITED: Final = 1 << 60
 
 
@@ -66,6 +63,7 @@
         allowances: dict[str, Resources],
         now: Millis,
         probation_slots: int = 0,
+        gate: AdviceGate | None = None,
     ) -> None:
         """Create a round.
 
@@ -76,14 +74,22 @@
             now: time on the leader's clock, in ms.
             probation_slots: number of workers that suspects may occupy beside
                 those that they occupy already.
+            gate: limits the requests for advice, None for no limit.
         """
+        self.work = RoundWork()
+        self.decisions = Decisions()
         self._workers = list(workers)
         self._probation_slots = probation_slots
-        self._pools: dict[tuple[str, str, bool, bool], WorkerPool] = {}
+        self._pools: dict[PoolKey, WorkerPool] = {}
         self._allowances = allowances
         self._now = now
-        self._reserved_count = 0
-        self._decisions = Decisions()
+        self._reservations = Reservations(worker_count=len(self._workers))
+        self._gate = gate or OpenGate()
+
+    @property
+    def may_reserve(self) -> bool:
+        """Whether gangs without room may still reserve workers."""
+        return not self._reservations.exhausted
 
     def decide(self, demands: Iterable[GroupDemand]) -> Decisions:
         """Decide on all demands.
@@ -95,17 +101,54 @@
             Placements, requests for advice, and reasons of waiting groups.
         """
         for demand in sorted(demands, key=_demand_rank):
-            self._consider(demand)
-        return self._decisions
+            reason = self.consider(demand)
+            if reason is not None:
+                self.decisions.waiting[demand.group_id] = reason
+        return self.decisions
+
+    def consider(self, demand: GroupDemand) -> WaitReason | None:
+        """Decide on a demand, after all that rank before it.
+
+        Args:
+            demand: waiting tasks.
+
+        Returns:
+            Why tasks were not placed, None when all were.
+        """
+        return self._try_place(
+            demand, self._find_pool(demand).limit_to(demand.need)
+        )
+
+    def known_pool(self, key: PoolKey) -> WorkerPool | None:
+        """Return the workers that an earlier demand of the round could use.
 
-    def _consider(self, demand: GroupDemand) -> None:
-        reason = self._try_place(demand, self._find_pool(demand))
-        if reason is not None:
-            self._decisions.waiting[demand.group_id] = reason
+        Args:
+            key: what the eligibility of workers depends on.
+
+        Returns:
+            The workers, None when there was no such demand.
+        """
+        return self._pools.get(key)
+
+    def is_at_limit(self, workspace: str, need: Resources, least: int) -> bool:
+        """Return whether a workspace may start too few tasks.
+
+        Args:
+            workspace: its name.
+            need: resources of one task.
+            least: number of tasks that have to start together.
+
+        Returns:
+            True when its allowance does not hold them.
+        """
+        allowance = self._allowances.get(workspace)
+        return allowance is not None and not need.scaled(least).fits_in(
+            allowance
+        )
 
     def _find_pool(self, demand: GroupDemand) -> WorkerPool:
         """Find the eligible workers of a demand, regardless of their load."""
-        key = (
+        key = PoolKey(
             demand.service,
             demand.required_label,
             demand.may_probe,
@@ -118,28 +161,25 @@
                     worker
                     for worker in self._workers
                     if is_eligible(worker, demand)
-                ]
+                ],
+                work=self.work,
             )
             self._pools[key] = pool
-        return pool.limit_to(demand.need)
+        return pool
 
     def _try_place(
         self, demand: GroupDemand, pool: WorkerPool
     ) -> WaitReason | None:
-        usable = pool.workers
-        if not usable:
+        if not pool.workers:
             return WaitReason.NO_WORKER
         if demand.advised and not demand.evaluated:
-            if not demand.advice_pending:
-                self._request_advice(
-                    demand, _choose_workers_to_ask(demand, usable)
-                )
+            self._request_advice_on_new(demand, pool)
             return WaitReason.NO_ADVICE
-        permitted = usable
+        permitted = pool.workers
         if demand.advised:
             permitted = pool.choose(demand.tickets)
             if not permitted:
-                self._request_advice_on_new(demand, usable)
+                self._request_advice_on_new(demand, pool)
                 return WaitReason.NOT_ADVISED
         permitted = self._find_apart(
             demand, avoid_failed_workers(demand, permitted)
@@ -150,19 +190,43 @@
         count = min(wanted, self._allowed(demand))
         if not count or (demand.gang and count < wanted):
             return WaitReason.LIMIT
-        slots = self._find_slots(demand, permitted, count)
+        roomy = self._find_roomy(demand, pool, permitted)
+        slots = self._find_slots(demand, roomy, count)
         if demand.gang and len(slots) < count:
-            self._reserve_workers(demand, permitted)
-            self._request_advice_on_new(demand, usable)
+            self._reservations.reserve(
+                demand,
+                permitted,
+                pool.by_free
+                if permitted is pool.workers
+                else partial(sort_by_free, permitted),
+            )
+            self._request_advice_on_new(demand, pool)
             return WaitReason.NO_ROOM
         complete = self._commit_slots(demand, slots)
         if not complete:
             return WaitReason.OLD_TICKET
         if len(slots) == wanted:
             return None
-        self._request_advice_on_new(demand, usable)
+        self._request_advice_on_new(demand, pool)
         return WaitReason.NO_ROOM
 
+    def _find_roomy(
+        self,
+        demand: GroupDemand,
+        pool: WorkerPool,
+        permitted: list[WorkerHeadroom],
+    ) -> list[WorkerHeadroom]:
+        """Find the permitted workers that have room for a task."""
+        if permitted is pool.workers:
+            return pool.with_room(demand.need, demand.group_id)
+        self.work.examined += len(permitted)
+        return [
+            worker
+            for worker in permitted
+            if worker.reserved_for in {None, demand.group_id}
+            and demand.need.fits_in(worker.free)
+        ]
+
     def _commit_slots(
         self, demand: GroupDemand, slots: list[WorkerHeadroom]
     ) -> bool:
@@ -181,15 +245,16 @@
         for _ in slots:
             self._charge_allowance(demand)
         if expired and not demand.advice_pending:
+            # Room is held for the group, so that it need not pass the gate.
             self._request_advice(
-                demand, list(demand.tickets)[:_MAX_ADVICE_WORKERS]
+                demand, list(demand.tickets)[:MAX_ADVICE_WORKERS]
             )
         if expired and demand.gang:
             return False
         for index, slot in zip(demand.indexes, slots, strict=False):
             placement = occupy_slot(demand, index, slot)
             if slot.worker_id not in expired:
-                self._decisions.placements.append(placement)
+                self.decisions.placements.append(placement)
         return not expired
 
     def _find_apart(
@@ -218,104 +283,66 @@
         return []
 
     def _request_advice_on_new(
-        self, demand: GroupDemand, usable: list[WorkerHeadroom]
+        self, demand: GroupDemand, pool: WorkerPool
     ) -> None:
         """Request advice on workers that earlier advice did not cover."""
-        unevaluated = [
-            worker
-            for worker in usable
-            if worker.worker_id not in demand.evaluated
-        ]
-        if demand.advised and unevaluated and not demand.advice_pending:
+        if (
+            not demand.advised
+            or demand.advice_pending
+            or not self._gate.may_ask(
+                demand.service, demand.workspace, demand.policy
+            )
+        ):
+            return
+        known = demand.evaluated
+        first = next(
+            (one for one in pool.workers if one.worker_id not in known), None
+        )
+        if first is not None:
             self._request_advice(
-                demand, _choose_workers_to_ask(demand, unevaluated)
+                demand,
+                choose_workers_to_ask(demand, first, pool.by_preference()),
             )
 
     def _find_slots(
-        self, demand: GroupDemand, usable: list[WorkerHeadroom], count: int
+        self, demand: GroupDemand, roomy: list[WorkerHeadroom], count: int
     ) -> list[WorkerHeadroom]:
+        if demand.gang and not may_hold(demand.need, roomy, count):
+            return []
         if demand.same_rack:
-            for rack in {worker.rack for worker in usable}:
-                in_rack = [worker for worker in usable if worker.rack == rack]
+            for rack in sorted({worker.rack for worker in roomy}):
+                in_rack = [worker for worker in roomy if worker.rack == rack]
                 slots = self._fill(demand, in_rack, count)
                 if len(slots) == count:
                     return slots
                 release_slots(demand, slots)
-        slots = self._fill(demand, usable, count)
+        slots = self._fill(demand, roomy, count)
         if demand.gang and len(slots) < count:
             release_slots(demand, slots)
             return []
         return slots
 
     def _fill(
-        self, demand: GroupDemand, usable: list[WorkerHeadroom], count: int
+        self, demand: GroupDemand, roomy: list[WorkerHeadroom], count: int
     ) -> list[WorkerHeadroom]:
         """Assign slots by best fit, on workers near the data first."""
         need = demand.need
-        order = sorted(
-            (
-                worker
-                for worker in usable
-                if worker.reserved_for in {None, demand.group_id}
-                and need.fits_in(worker.free)
-            ),
-            key=lambda worker: (
-                worker.worker_id in demand.failed_on,
-                worker.failure_score,
-                worker.rack != demand.data_rack if demand.data_rack else False,
-                -worker.free.cpu_millis
-                if demand.suspect
-                else worker.free.cpu_millis,
-                worker.worker_id,
-            ),
-        )
         slots: list[WorkerHeadroom] = []
-        for worker in order:
+        self.work.examined += len(roomy)
+        for worker in sorted(roomy, key=partial(fill_order, demand)):
+            if len(slots) == count:
+                break
             limit = slot_limit(worker, demand)
             while limit and len(slots) < count and need.fits_in(worker.free):
                 worker.free -= need
                 slots.append(worker)
                 limit -= 1
+        self.work.charges += bool(slots)
         return slots
 
-    def _reserve_workers(
-        self, demand: GroupDemand, usable: list[WorkerHeadroom]
-    ) -> None:
-        """Reserve the workers with the most free processor for a gang.
-
-        Nothing is reserved for a gang that does not fit even in empty workers,
-        nor for one that is late, because others would wait for it in vain.
-        """
-        wanted = len(demand.indexes)
-        slot_count = sum(
-            min(
-                slot_limit(worker, demand),
-                count_fits(demand, worker.capacity),
-            )
-            for worker in usable
-        )
-        if (
-            slot_count < wanted
-            or demand.rank.deadline_status is not DeadlineStatus.IN_TIME
-        ):
-            return
-        max_reserved = round(_MAX_RESERVED_SHARE * len(self._workers))
-        by_preference = sorted(
-            (worker for worker in usable if worker.reserved_for is None),
-            key=lambda worker: (-worker.free.cpu_millis, worker.worker_id),
-        )
-        for worker in by_preference:
-            if wanted <= 0 or self._reserved_count >= max_reserved:
-                return
-            worker.reserved_for = demand.group_id
-            self._reserved_count += 1
-            wanted -= min(
-                slot_limit(worker, demand),
-                count_fits(demand, worker.capacity),
-            )
-
     def _request_advice(self, demand: GroupDemand, workers: list[str]) -> None:
-        self._decisions.advice_requests.append(
+        self._gate.note_request(demand.policy, len(workers))
+        self.decisions.advice_requests.append(
             AdviceRequest(
                 group_id=demand.group_id,
                 rank=demand.rank,
@@ -357,21 +384,15 @@
     return demand.rank, demand.group_id
 
 
-def _choose_workers_to_ask(
-    demand: GroupDemand, workers: list[WorkerHeadroom]
-) -> list[str]:
-    """Choose workers for a request for advice, healthy and empty ones first."""
-    per_worker = max(1, count_fits(demand, workers[0].capacity))
-    wanted = _ADVICE_WORKERS_PER_NEEDED * math.ceil(
-        len(demand.indexes) / per_worker
-    )
-    count = min(_MAX_ADVICE_WORKERS, max(_MIN_ADVICE_WORKERS, wanted))
-    by_preference = sorted(
-        workers,
-        key=lambda worker: (
-            worker.failure_score,
-            -worker.free.cpu_millis,
-            worker.worker_id,
-        ),
+def fill_order(
+    demand: GroupDemand, worker: WorkerHeadroom
+) -> tuple[bool, int, bool, int, str]:
+    """Order the workers for the tasks of a demand, the best one first."""
+    free = worker.free.cpu_millis
+    return (
+        worker.worker_id in demand.failed_on,
+        worker.failure_score,
+        worker.rack != demand.data_rack if demand.data_rack else False,
+        -free if demand.suspect else free,
+        worker.worker_id,
     )
-    return [worker.worker_id for worker in by_preference[:count]]
--- a/jayshore/fleet/probation.py
+++ b/jayshore/fleet/probation.py
@@ -43,6 +43,11 @@
         """Whether there are suspects."""
         return bool(self._suspects)
 
+    @property
+    def groups(self) -> set[GroupId]:
+        """Groups with tasks that are suspects, or were lately."""
+        return {task.group.group_id for task in self._suspects}
+
     def add(self, task: TaskEntry, *, alone: bool = False) -> None:
         """Add a suspect.
 
--- a/jayshore/fleet/quarantine.py
+++ b/jayshore/fleet/quarantine.py
@@ -27,9 +27,12 @@
 stopped count here as well.
 """
 
-_LACKS_WORKERS: Final = frozenset(
-    (WaitReason.NO_WORKER, WaitReason.NOT_ADVISED, WaitReason.NO_ROOM)
+_LACKS_WORKERS: Final = (
+    WaitReason.NO_ROOM,
+    WaitReason.NOT_ADVISED,
+    WaitReason.NO_WORKER,
 )
+"""A tuple, as thousands of reasons a round are compared by identity first."""
 
 
 class WaitTimes:
@@ -40,19 +43,31 @@
         self._since: dict[GroupId, Millis] = {}
 
     def update(
-        self, waiting: Mapping[GroupId, WaitReason], now: Millis
+        self, reached: Mapping[GroupId, WaitReason | None], now: Millis
     ) -> None:
         """Apply the result of a placement round.
 
+        Groups that the round did not reach go on waiting.
+
         Args:
-            waiting: reason by waiting group.
+            reached: reason by group that the round has reached, None for one
+                that waits no longer.
             now: time on the local clock, in ms.
         """
-        self._since = {
-            group_id: self._since.get(group_id, now)
-            for group_id, reason in waiting.items()
-            if reason in _LACKS_WORKERS
-        }
+        since = self._since
+        for group_id, reason in reached.items():
+            if reason in _LACKS_WORKERS:
+                since.setdefault(group_id, now)
+            elif group_id in since:
+                since.pop(group_id)
+
+    def forget(self, group_id: GroupId) -> None:
+        """Drop a group that waits no longer.
+
+        Args:
+            group_id: the group.
+        """
+        self._since.pop(group_id, None)
 
     def is_over(self, group_id: GroupId, now: Millis) -> bool:
         """Return whether a group has waited long enough.
--- /dev/null
+++ b/jayshore/fleet/reservations.py
@@ -0,0 +1,72 @@
+"""Workers that a placement round reserves for gangs that do not fit yet."""
+
+from collections.abc import Callable
+from typing import Final
+
+from jayshore.fleet.demands import GroupDemand, WorkerHeadroom
+from jayshore.fleet.eligibility import count_fits, slot_limit
+from jayshore.fleet.ranking import DeadlineStatus
+
+_MAX_SHARE: Final = 0.4
+"""Share of the workers that may be reserved for waiting gangs."""
+
+
+class Reservations:
+    """The reservations of one round, made in the order of ranks."""
+
+    def __init__(self, *, worker_count: int) -> None:
+        """Create an account without reservations.
+
+        Args:
+            worker_count: number of usable workers.
+        """
+        self._left = round(_MAX_SHARE * worker_count)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no more workers may be reserved."""
+        return self._left <= 0
+
+    def reserve(
+        self,
+        demand: GroupDemand,
+        usable: list[WorkerHeadroom],
+        by_free: Callable[[], list[WorkerHeadroom]],
+    ) -> None:
+        """Reserve the workers with the most free processor for a gang.
+
+        Nothing is reserved for a gang that does not fit even in empty workers,
+        nor for one that is late, because others would wait for it in vain.
+
+        Args:
+            demand: a gang without room.
+            usable: workers that may run it.
+            by_free: returns them in the order of their free processor.
+        """
+        if (
+            self.exhausted
+            or demand.rank.deadline_status is not DeadlineStatus.IN_TIME
+            or not _fits_when_empty(demand, usable)
+        ):
+            return
+        wanted = len(demand.indexes)
+        for worker in by_free():
+            if wanted <= 0 or self.exhausted:
+                return
+            if worker.reserved_for is None:
+                worker.reserved_for = demand.group_id
+                self._left -= 1
+                wanted -= _slots_when_empty(demand, worker)
+
+
+def _fits_when_empty(demand: GroupDemand, usable: list[WorkerHeadroom]) -> bool:
+    wanted = len(demand.indexes)
+    for worker in usable:
+        wanted -= _slots_when_empty(demand, worker)
+        if wanted <= 0:
+            return True
+    return False
+
+
+def _slots_when_empty(demand: GroupDemand, worker: WorkerHeadroom) -> int:
+    return min(slot_limit(worker, demand), count_fits(demand, worker.capacity))
--- a/jayshore/fleet/roundlog.py
+++ b/jayshore/fleet/roundlog.py
@@ -17,6 +17,7 @@
 """
 
 _LOG_INTERVAL_MS: Final = Millis(1000)
+_COUNT_INTERVAL_MS: Final = Millis(250)
 
 
 class RoundLog:
@@ -30,7 +31,7 @@
         """
         self._metrics = metrics
         self._logged_at: Millis | None = None
-        self._counts: dict[str, int] = {}
+        self._counted_at: Millis | None = None
 
     def record(
         self, decisions: Decisions, *, took_ms: Millis, now: Millis
@@ -43,10 +44,12 @@
             now: time on the local clock, in ms.
         """
         self._metrics.note_round(took_ms)
-        counts = collections.Counter(map(str, decisions.waiting.values()))
-        if counts != self._counts:
-            self._counts = counts
-            self._metrics.update_waiting_groups(counts)
+        counted = self._counted_at
+        if counted is None or now - counted >= _COUNT_INTERVAL_MS:
+            self._counted_at = now
+            self._metrics.update_waiting_groups(
+                collections.Counter(map(str, decisions.waiting.values()))
+            )
         since = self._logged_at
         if took_ms < SLOW_ROUND_MS or (
             since is not None and now - since < _LOG_INTERVAL_MS
--- a/jayshore/fleet/roundrunner.py
+++ b/jayshore/fleet/roundrunner.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+import curio
+
 from jayshore.clock import Clock, Millis
 from jayshore.fleet.advising import Advisor
 from jayshore.fleet.demands import AdviceRequest
@@ -59,23 +61,33 @@
         config: FleetConfig,
         sessions: Iterable[WorkerSession],
         wall_ms: int,
-    ) -> None:
+    ) -> bool:
         """Run a round.
 
         Nothing else runs between the decisions and their records, so that they
-        hold for the state that they were made on.
+        hold for the state that they were made on. The changes since the last
+        round are taken in before, in steps between which others run.
 
         Args:
             config: the configuration in force.
             sessions: sessions of all workers.
             wall_ms: time of day, in ms since the Unix epoch.
+
+        Returns:
+            True when the round ended at its budget, so that another one should
+            follow.
         """
+        while not self._planner.update_index(
+            config, self._clock.now(), wall_ms
+        ):
+            await curio.sleep(0)
         started = self._clock.now()
         decisions = self._planner.decide(
             config=config,
             sessions=[session for session in sessions if session.usable],
             now=started,
             wall_ms=wall_ms,
+            call_budget=self._advisor.budget(),
         )
         self._run_tracker.place(decisions.placements)
         now = self._clock.now()
@@ -86,6 +98,7 @@
         )
         for request in decisions.advice_requests:
             await self._request_advice(request)
+        return decisions.cut
 
     async def _request_advice(self, request: AdviceRequest) -> None:
         entry = self._job_table.jobs[request.group_id.job_id]
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -1,19 +1,24 @@
 """Builds the inputs of placement rounds from the state of the leader."""
 
-import dataclasses
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from jayshore.clock import Millis
+from jayshore.fleet.adviceneeds import SOON_SHARE, AdviceGate, CallBudget
 from jayshore.fleet.apart import limit_probation
-from jayshore.fleet.demands import Decisions, GroupDemand, WorkerHeadroom
-from jayshore.fleet.jobtable import GroupEntry, JobTable, Phase, TaskEntry
+from jayshore.fleet.backlogwalk import BacklogWalk
+from jayshore.fleet.demandmaker import DemandMaker
+from jayshore.fleet.demands import Decisions, WaitReason, WorkerHeadroom
+from jayshore.fleet.jobtable import GroupEntry, JobTable, Phase
 from jayshore.fleet.ledger import Ledger
-from jayshore.fleet.model import FleetConfig, Queue
+from jayshore.fleet.model import FleetConfig, GroupId
 from jayshore.fleet.placing import PlacementRound, limit_allowance
-from jayshore.fleet.probation import Probation, is_suspect
+from jayshore.fleet.probation import Probation
 from jayshore.fleet.quarantine import WaitTimes, busy_services
-from jayshore.fleet.ranking import rank_group
+from jayshore.fleet.screening import Screen
 from jayshore.fleet.sessions import WorkerSession
+from jayshore.fleet.waiting import SortKey, WaitingGroup, WaitingIndex
 from jayshore.placement.health import FAILURE_RATE_SCALE, WorkerHealth
 from jayshore.resources import NOTHING, Resources
 
@@ -21,13 +26,6 @@
 """Scores count in quarters, so that one failure among many successes is 0."""
 
 
-AVOID_FAILED_MS = Millis(1500)
-"""How long a last attempt waits for a worker without a failure, in ms.
-
-Work that can start has to start within 3 s, and a run takes about one second.
-"""
-
-
 class RoundPlanner:
     """Runs placement rounds over the jobs and workers of a leader."""
 
@@ -49,9 +47,31 @@
         """
         self._health = health
         self._probation = probation
-        self._job_table = job_table
         self._ledger = ledger
         self._wait_times = WaitTimes()
+        self._index = WaitingIndex(job_table=job_table, ledger=ledger)
+        self._demand_maker = DemandMaker(probation=probation)
+        self._reasons: dict[GroupId, WaitReason] = {}
+        self._resume: SortKey | None = None
+        self._free: dict[str, _KnownFree] = {}
+
+    def update_index(
+        self, config: FleetConfig, now: Millis, wall_ms: int
+    ) -> bool:
+        """Take in some of the changes of jobs since the last round.
+
+        After a change of leader there are thousands; a caller lets others run
+        in between.
+
+        Args:
+            config: the configuration in force.
+            now: time on the local clock, in ms.
+            wall_ms: time of day, in ms since the Unix epoch.
+
+        Returns:
+            True when no change is left.
+        """
+        return self._index.update(config, now, wall_ms)
 
     def decide(
         self,
@@ -60,6 +80,7 @@
         sessions: Iterable[WorkerSession],
         now: Millis,
         wall_ms: int,
+        call_budget: CallBudget | None = None,
     ) -> Decisions:
         """Run a placement round.
 
@@ -68,14 +89,19 @@
             sessions: sessions of the usable workers.
             now: time on the local clock, in ms.
             wall_ms: time of day, in ms since the Unix epoch.
+            call_budget: calling time that is left for advice, None for no
+                limit.
 
         Returns:
             Placements, requests for advice, and reasons of waiting groups.
         """
-        demands = self._demands(config, now, wall_ms)
-        if not demands:
-            self._wait_times.update({}, now)
+        self._index.requeue_later()
+        self._index.update(config, now, wall_ms)
+        self._drop_removed()
+        if not self._index:
+            self._resume = None
             return Decisions()
+        self._index.renew_ranks(now)
         usable: dict[str, WorkerHeadroom] = {}
         unaccounted: dict[str, Resources] = {}
         for session in sessions:
@@ -83,25 +109,93 @@
             usable[worker.worker_id] = worker
             for name, used in session.unaccounted.workspaces.items():
                 unaccounted[name] = unaccounted.get(name, NOTHING) + used
-        decisions = PlacementRound(
+        allowances = self._allowances(config, unaccounted)
+        gate = AdviceGate(
+            workers=usable.values(),
+            limits=_limits_soon(config, allowances),
+            budget=call_budget or CallBudget(long_ms=math.inf, all_ms=math.inf),
+        )
+        placement_round = PlacementRound(
             workers=usable.values(),
             probation_slots=self._reserve_for_suspects(usable, now),
-            allowances={
-                workspace.name: limit_allowance(
-                    workspace.maximum,
-                    self._ledger.used_by(workspace.name)
-                    + unaccounted.get(workspace.name, NOTHING),
-                )
-                for workspace in config.workspaces
-            },
+            allowances=allowances,
             now=now,
-        ).decide(self._admit_to_any_worker(demands, usable, now))
-        decisions.considered = len(demands)
-        self._wait_times.update(decisions.waiting, now)
+            gate=gate,
+        )
+        walk = BacklogWalk(
+            index=self._index,
+            demand_maker=self._demand_maker,
+            placement_round=placement_round,
+            gate=gate,
+            screen=Screen(
+                placement_round=placement_round,
+                gate=gate,
+                suspects=self._probation.groups,
+                may_use_any=self._find_any_rule(usable, now),
+            ),
+            now=now,
+        )
+        self._resume = walk.run(self._resume)
+        return self._conclude(placement_round.decisions, walk, now)
+
+    def _drop_removed(self) -> None:
+        """Follow the groups that have begun or ceased to wait."""
+        for group_id in self._index.take_touched():
+            if group_id in self._index:
+                self._reasons.setdefault(group_id, WaitReason.NOT_REACHED)
+            else:
+                self._reasons.pop(group_id, None)
+                self._wait_times.forget(group_id)
+
+    def _conclude(
+        self, decisions: Decisions, walk: BacklogWalk, now: Millis
+    ) -> Decisions:
+        """Add what is known of all waiting groups to the decisions."""
+        for group_id, reason in walk.reasons.items():
+            if reason is None:
+                self._reasons.pop(group_id, None)
+            else:
+                self._reasons[group_id] = reason
+        decisions.waiting = dict(self._reasons)
+        decisions.considered = len(walk.reasons)
+        decisions.cut = self._resume is not None
+        self._wait_times.update(walk.reasons, now)
         for placement in decisions.placements:
             self._health.claim_probe(placement.worker_id, now)
         return decisions
 
+    def _find_any_rule(
+        self, workers: dict[str, WorkerHeadroom], now: Millis
+    ) -> Callable[[WaitingGroup], bool] | None:
+        """Let groups that have waited in vain use quarantined workers.
+
+        Returns None when no worker is quarantined.
+        """
+        if not any(worker.quarantined for worker in workers.values()):
+            return None
+        busy = busy_services(workers.values())
+        return lambda waiting: (
+            self._wait_times.is_over(waiting.group_id, now)
+            and (
+                waiting.group.spec.long_running
+                or waiting.queue.service not in busy
+            )
+        )
+
+    def _allowances(
+        self, config: FleetConfig, unaccounted: dict[str, Resources]
+    ) -> dict[str, Resources]:
+        """Compute what each workspace with a maximum may still start."""
+        return {
+            workspace.name: limit_allowance(
+                workspace.maximum,
+                self._ledger.used_by(workspace.name)
+                + unaccounted.get(workspace.name, NOTHING),
+            )
+            for workspace in config.workspaces
+            if workspace.maximum != NOTHING
+        }
+
     def _reserve_for_suspects(
         self, workers: dict[str, WorkerHeadroom], now: Millis
     ) -> int:
@@ -119,93 +213,6 @@
         ]
         return limit_probation(sound) - len(occupied)
 
-    def _admit_to_any_worker(
-        self,
-        demands: list[GroupDemand],
-        workers: dict[str, WorkerHeadroom],
-        now: Millis,
-    ) -> list[GroupDemand]:
-        """Let demands that have waited in vain use quarantined workers."""
-        if not any(worker.quarantined for worker in workers.values()):
-            return demands
-        busy = busy_services(workers.values())
-        return [
-            dataclasses.replace(demand, any_worker=True)
-            if self._wait_times.is_over(demand.group_id, now)
-            and (demand.long_running or demand.service not in busy)
-            else demand
-            for demand in demands
-        ]
-
-    def _demands(
-        self, config: FleetConfig, now: Millis, wall_ms: int
-    ) -> list[GroupDemand]:
-        queues = {queue.name: queue for queue in config.queues}
-        found: list[GroupDemand] = []
-        for group in self._job_table.open_groups():
-            waiting = group.waiting()
-            if not waiting or not self._may_start(group, wall_ms):
-                continue
-            accepted = group.job.job.queue
-            queue = queues.get(accepted.name, accepted)
-            found.extend(
-                self._demand(group, part, queue, now)
-                for part in _split_suspects(group, waiting)
-            )
-        return found
-
-    def _may_start(self, group: GroupEntry, wall_ms: int) -> bool:
-        """Return whether waiting tasks of a group may start now."""
-        if group.due_at_ms > wall_ms or not group.job.is_ready(group):
-            return False
-        return not (
-            group.spec.gang and any(map(self._ledger.holds, group.tasks))
-        )
-
-    def _demand(
-        self,
-        group: GroupEntry,
-        waiting: list[TaskEntry],
-        queue: Queue,
-        now: Millis,
-    ) -> GroupDemand:
-        spec = group.spec
-        suspect = any(map(is_suspect, waiting))
-        likely = (
-            suspect
-            and not (spec.gang or spec.long_running)
-            and self._probation.is_likely(waiting)
-        )
-        return GroupDemand(
-            group_id=group.group_id,
-            rank=rank_group(group, group.job, queue, now),
-            indexes=tuple(entry.task_id.position for entry in waiting),
-            need=spec.reserved,
-            service=queue.service,
-            workspace=group.job.job.workspace,
-            gang=spec.gang,
-            long_running=spec.long_running,
-            same_rack=spec.same_rack,
-            required_label=spec.required_label,
-            data_rack=spec.data_rack,
-            max_per_worker=spec.max_per_worker,
-            advised=queue.advice is not None,
-            tickets={
-                worker: ticket.valid_until
-                for worker, ticket in group.tickets.items()
-            },
-            evaluated=frozenset(group.evaluated),
-            advice_pending=group.advice_pending,
-            failed_on=frozenset(group.failed_on),
-            last_attempt=_should_avoid_failed_workers(
-                group, waiting, queue, now
-            ),
-            suspect=suspect,
-            likely=likely,
-            patient=suspect
-            and self._probation.is_patient(group, now, likely=likely),
-        )
-
     def _headroom(self, session: WorkerSession, now: Millis) -> WorkerHeadroom:
         entry = session.entry
         worker_id = entry.worker_id
@@ -220,10 +227,8 @@
             rack=entry.rack,
             labels=entry.labels,
             capacity=entry.capacity,
-            free=_clamp_to_zero(
-                entry.capacity
-                - self._ledger.used_at(worker_id)
-                - unaccounted.resources
+            free=self._free_at(
+                worker_id, entry.capacity, unaccounted.resources
             ),
             failure_score=self._health.scaled_failure_rate(worker_id)
             // _FAILURE_SCORE_STEP,
@@ -233,30 +238,45 @@
             domain=entry.domain,
         )
 
-
-def _split_suspects(
-    group: GroupEntry, waiting: list[TaskEntry]
-) -> list[list[TaskEntry]]:
-    """Split waiting tasks into those under suspicion and the others."""
-    suspects = [task for task in waiting if is_suspect(task)]
-    if group.spec.gang or not suspects:
-        return [waiting]
-    others = [task for task in waiting if not is_suspect(task)]
-    return [part for part in (suspects, others) if part]
-
-
-def _should_avoid_failed_workers(
-    group: GroupEntry, waiting: list[TaskEntry], queue: Queue, now: Millis
-) -> bool:
-    """Return whether a last attempt should wait for a worker without failures.
-
-    Gangs never wait, because they need many workers at once.
-    """
-    if group.spec.gang or group.failed_at is None:
-        return False
-    if now - group.failed_at >= AVOID_FAILED_MS:
-        return False
-    return any(entry.failures >= queue.max_attempts - 1 for entry in waiting)
+    def _free_at(
+        self, worker_id: str, capacity: Resources, unaccounted: Resources
+    ) -> Resources:
+        """Compute the free resources of a worker anew when they changed."""
+        used = self._ledger.used_at(worker_id)
+        known = self._free.get(worker_id)
+        if (
+            known is None
+            or known.used is not used
+            or known.capacity is not capacity
+            or known.unaccounted is not unaccounted
+        ):
+            known = _KnownFree(
+                used,
+                capacity,
+                unaccounted,
+                _clamp_to_zero(capacity - used - unaccounted),
+            )
+            self._free[worker_id] = known
+        return known.free
+
+
+class _KnownFree(NamedTuple):
+    used: Resources
+    capacity: Resources
+    unaccounted: Resources
+    free: Resources
+
+
+def _limits_soon(
+    config: FleetConfig, allowances: dict[str, Resources]
+) -> dict[str, float]:
+    """Compute which processors workspaces with a maximum may use soon."""
+    return {
+        workspace.name: allowances[workspace.name].cpu_millis
+        + SOON_SHARE * workspace.maximum.cpu_millis
+        for workspace in config.workspaces
+        if workspace.maximum.cpu_millis
+    }
 
 
 def count_pending(job_table: JobTable, queue: str) -> int:
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -9,12 +9,10 @@
 from collections.abc import Callable
 
 import curio
-import eliot
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
-from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
 from jayshore.fleet.crashes import CrashCounter
 from jayshore.fleet.interfaces import RenewalReply, WorkerConnector
 from jayshore.fleet.jobtable import (
@@ -32,18 +30,13 @@
 from jayshore.fleet.orders import OrderObserver, OrderSender
 from jayshore.fleet.outages import Outage
 from jayshore.fleet.probation import Probation
-from jayshore.fleet.records import (
-    ProgressRecord,
-    cancel_key,
-    job_key,
-    progress_key,
-    restore_progress,
-)
+from jayshore.fleet.records import ProgressRecord, restore_progress
 from jayshore.fleet.roundrunner import RoundRunner
 from jayshore.fleet.rounds import RoundPlanner, count_pending
 from jayshore.fleet.runs import RunTracker
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
 from jayshore.fleet.submissionrate import SubmissionRateMeter
+from jayshore.fleet.sweeping import Sweeper
 from jayshore.fleet.workerresults import WorkerResults
 from jayshore.placement.health import WorkerHealth
 from jayshore.store.journal import Journal
@@ -57,7 +50,6 @@
 """
 
 _SWEEP_INTERVAL_MS = Millis(250)
-_JOB_RETENTION_MS = Millis(180_000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,7 +138,16 @@
             relay=dependencies.relay, clock=clock, changed=self._request_round
         )
         self._submission_rate = SubmissionRateMeter()
-        self._backlog = BacklogMeter()
+        self._sweeper = Sweeper(
+            job_table=self._job_table,
+            ledger=self._ledger,
+            loss_tracker=self._loss_tracker,
+            sessions=self._sessions,
+            journal=journal,
+            clock=clock,
+            wall_clock=dependencies.wall_clock,
+            inherited_until=self._inherited_until,
+        )
         self._round_runner = RoundRunner(
             planner=RoundPlanner(
                 job_table=self._job_table,
@@ -263,14 +264,11 @@
                 started = self._clock.now()
                 if self._changed:
                     self._changed = False
-                    await self._round_runner.run_round(
-                        config=self._config(),
-                        sessions=self._sessions.values(),
-                        wall_ms=self._wall_clock.now(),
-                    )
+                    await self._run_round()
                 if self._clock.now() - swept_at >= _SWEEP_INTERVAL_MS:
                     swept_at = self._clock.now()
-                    await self._sweep()
+                    await self._sweeper.sweep()
+                    self._request_round()
                 took = self._clock.now() - started
                 pause = max(_ROUND_INTERVAL_MS, _PAUSE_FACTOR * took)
                 await curio.sleep(to_seconds(Millis(pause)))
@@ -368,35 +366,14 @@
     def _request_round(self) -> None:
         self._changed = True
 
-    async def _sweep(self) -> None:
-        """Add due occurrences, drop old jobs and runs of missing workers."""
-        now = self._clock.now()
-        wall_ms = self._wall_clock.now()
-        for entry in tuple(self._job_table.jobs.values()):
-            if entry.ended_at is not None:
-                if now - entry.ended_at > _JOB_RETENTION_MS:
-                    self._forget(entry)
-            elif entry.is_due(wall_ms):
-                entry.add_occurrence()
-        if now >= self._inherited_until:
-            for worker_id in self._ledger.workers():
-                if worker_id not in self._sessions:
-                    await self._loss_tracker.handle_unlisted(worker_id)
-        if self._backlog.update(self._job_table.active()):
-            eliot.log_message(
-                'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
-            )
-            self._journal.write(
-                FULL_KEY,
-                lambda: encode_workspaces(self._backlog.full_workspaces),
-            )
-        self._request_round()
-
-    def _forget(self, entry: JobEntry) -> None:
-        job_id = entry.job.job_id
-        self._job_table.jobs.pop(job_id)
-        for key in (job_key(job_id), progress_key(job_id), cancel_key(job_id)):
-            self._journal.write(key, _encode_removal)
+    async def _run_round(self) -> None:
+        cut = await self._round_runner.run_round(
+            config=self._config(),
+            sessions=self._sessions.values(),
+            wall_ms=self._wall_clock.now(),
+        )
+        if cut:
+            self._request_round()
 
     def _queue_of(self, entry: JobEntry) -> Queue:
         accepted = entry.job.queue
@@ -404,7 +381,3 @@
             if queue.name == accepted.name:
                 return queue
         return accepted
-
-
-def _encode_removal() -> str | None:
-    """Encode the removal of a key; the journal deletes a key without value."""
--- /dev/null
+++ b/jayshore/fleet/screening.py
@@ -0,0 +1,147 @@
+"""Passes over waiting groups for which a round can do nothing.
+
+Most groups of a backlog find no room on any worker, and the workers that could
+be reserved or asked about go to better ranked ones. This is found out from the
+pools of the round, without a demand and without a scan of the workers.
+"""
+
+from collections.abc import Callable, Collection, Mapping
+
+from jayshore.fleet.adviceneeds import AdviceGate
+from jayshore.fleet.demands import WaitReason
+from jayshore.fleet.model import GroupId
+from jayshore.fleet.placing import PlacementRound
+from jayshore.fleet.pools import PoolKey, WorkerPool, may_hold
+from jayshore.fleet.ranking import DeadlineStatus
+from jayshore.fleet.waiting import WaitingGroup
+
+
+class Screen:
+    """Screens the waiting groups of one round in the order of their ranks."""
+
+    def __init__(
+        self,
+        *,
+        placement_round: PlacementRound,
+        gate: AdviceGate,
+        suspects: Collection[GroupId],
+        may_use_any: Callable[[WaitingGroup], bool] | None,
+    ) -> None:
+        """Create a screen.
+
+        Args:
+            placement_round: the round.
+            gate: limits the requests for advice.
+            suspects: groups with tasks under suspicion.
+            may_use_any: returns whether a group may use quarantined workers,
+                None when no worker is quarantined.
+        """
+        self._round = placement_round
+        self._gate = gate
+        self._suspects = suspects
+        self._may_use_any = may_use_any
+        self._pools: dict[tuple[str, str, bool], WorkerPool] = {}
+
+    def may_use_any(self, waiting: WaitingGroup) -> bool:
+        """Return whether a group may use quarantined workers.
+
+        Args:
+            waiting: the group.
+
+        Returns:
+            True after it has waited in vain for other workers.
+        """
+        return self._may_use_any is not None and self._may_use_any(waiting)
+
+    def find_reason(self, waiting: WaitingGroup) -> WaitReason | None:
+        """Return why a group waits, without considering it.
+
+        Args:
+            waiting: the group.
+
+        Returns:
+            The reason that a consideration would give and that is all that it
+            would do; None when the group has to be considered.
+        """
+        if waiting.group_id in self._suspects:
+            return None
+        pool = self._find_pool(waiting)
+        if pool is None:
+            return None
+        need = waiting.need
+        if not pool.holds_each(need):
+            pool = pool.limit_to(need)
+            if not pool.workers:
+                return WaitReason.NO_WORKER
+        if waiting.queue.advice is not None:
+            return self._screen_advised(waiting, pool)
+        if self._round.is_at_limit(waiting.workspace, need, waiting.least):
+            return WaitReason.LIMIT
+        if self._may_reserve(waiting) or _has_room(waiting, pool, None):
+            return None
+        return WaitReason.NO_ROOM
+
+    def _screen_advised(
+        self, waiting: WaitingGroup, pool: WorkerPool
+    ) -> WaitReason | None:
+        group = waiting.group
+        if (
+            not group.advice_pending
+            and self._gate.may_ask(
+                waiting.queue.service, waiting.workspace, waiting.queue.advice
+            )
+            and not pool.is_covered(group.evaluated)
+        ):
+            return None
+        if not group.evaluated:
+            return WaitReason.NO_ADVICE
+        if not pool.has_any(group.tickets):
+            return WaitReason.NOT_ADVISED
+        if self._round.is_at_limit(
+            waiting.workspace, waiting.need, waiting.least
+        ):
+            return WaitReason.LIMIT
+        if self._may_reserve(waiting):
+            return None
+        if _has_room(waiting, pool, group.tickets):
+            return None
+        return WaitReason.NO_ROOM
+
+    def _find_pool(self, waiting: WaitingGroup) -> WorkerPool | None:
+        if self._may_use_any is None and not waiting.group.failed_on:
+            pool = self._pools.get(waiting.kind)
+            if pool is not None:
+                return pool
+        service, label, never_probes = waiting.kind
+        key = PoolKey(
+            service,
+            label,
+            not (never_probes or waiting.group.failed_on),
+            self.may_use_any(waiting),
+        )
+        pool = self._round.known_pool(key)
+        if pool is not None and not waiting.group.failed_on:
+            self._pools[waiting.kind] = pool
+        return pool
+
+    def _may_reserve(self, waiting: WaitingGroup) -> bool:
+        return (
+            waiting.group.spec.gang
+            and self._round.may_reserve
+            and waiting.rank.deadline_status is DeadlineStatus.IN_TIME
+        )
+
+
+def _has_room(
+    waiting: WaitingGroup,
+    pool: WorkerPool,
+    tickets: Mapping[str, object] | None,
+) -> bool:
+    """Return whether enough tasks of a group may fit now."""
+    need = waiting.need
+    if not pool.may_have_room(need):
+        return False
+    roomy = pool.with_room(need, waiting.group_id)
+    if tickets is not None:
+        roomy = [worker for worker in roomy if worker.worker_id in tickets]
+    return may_hold(need, roomy, waiting.least)
