--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -412,16 +412,20 @@
 
 def fill_order(
     demand: GroupDemand, speed: SpeedPreference, worker: WorkerHeadroom
-) -> tuple[bool, int, bool, bool, int, bool, int, str]:
+) -> tuple[tuple[bool, int, bool], tuple[bool, int, bool], int, str]:
     """Order the workers for the tasks of a demand, the best one first."""
     free = worker.free.cpu_millis
     return (
-        worker.worker_id in demand.failed_on,
-        worker.failure_score,
-        speed.avoids(worker),
-        worker.rack != demand.data_rack if demand.data_rack else False,
-        speed.rank(worker),
-        worker.cold,
+        (
+            worker.worker_id in demand.failed_on,
+            worker.failure_score,
+            speed.avoids(worker),
+        ),
+        (
+            worker.rack != demand.data_rack if demand.data_rack else False,
+            speed.rank(worker),
+            worker.cold,
+        ),
         -free if demand.suspect else free,
         worker.worker_id,
     )
--- a/jayshore/fleet/roundrunner.py
+++ b/jayshore/fleet/roundrunner.py
@@ -30,7 +30,6 @@
         run_tracker: RunTracker,
         probation: Probation,
         advisor: Advisor,
-        evacuations: Evacuations,
         clock: Clock,
         metrics: FleetMetrics,
         queue_of: Callable[[JobEntry], Queue],
@@ -43,7 +42,6 @@
             run_tracker: records and starts what is placed.
             probation: notes the starts at each worker.
             advisor: requests advice.
-            evacuations: failure domains in which nothing may start.
             clock: local clock.
             metrics: metrics of this instance.
             queue_of: returns the current queue of a job.
@@ -53,7 +51,6 @@
         self._run_tracker = run_tracker
         self._probation = probation
         self._advisor = advisor
-        self._evacuations = evacuations
         self._clock = clock
         self._queue_of = queue_of
         self._wait_log = WaitReasonLog()
@@ -64,6 +61,7 @@
         *,
         config: FleetConfig,
         sessions: Iterable[WorkerSession],
+        evacuations: Evacuations,
         wall_ms: int,
     ) -> bool:
         """Run a round.
@@ -75,6 +73,7 @@
         Args:
             config: the configuration in force.
             sessions: sessions of all workers.
+            evacuations: failure domains in which nothing may start.
             wall_ms: time of day, in ms since the Unix epoch.
 
         Returns:
@@ -85,14 +84,14 @@
             config, self._clock.now(), wall_ms
         ):
             await curio.sleep(0)
-        if not self._evacuations.known:
+        if not evacuations.known:
             return True
         started = self._clock.now()
         usable = [session for session in sessions if session.usable]
         decisions = self._planner.decide(
             config=config,
             sessions=usable,
-            evacuated=self._evacuations.among(
+            evacuated=evacuations.among(
                 session.entry.domain for session in usable
             ),
             now=started,
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -112,6 +112,7 @@
         self._ledger = Ledger()
         health = WorkerHealth(rng=random.Random())  # noqa: S311 jitter
         self._probation = Probation()
+        self._evacuations = evacuations
         self._order_sender = OrderSender(
             clock=clock,
             ledger=self._ledger,
@@ -162,8 +163,6 @@
             clock=clock,
             wall_clock=dependencies.wall_clock,
             inherited_until=self._inherited_until,
-            evacuator=self._evacuator,
-            pace_monitor=self._run_tracker.pace_monitor,
         )
         self._round_runner = RoundRunner(
             planner=RoundPlanner(
@@ -177,7 +176,6 @@
             run_tracker=self._run_tracker,
             probation=self._probation,
             advisor=self._advisor,
-            evacuations=evacuations,
             clock=clock,
             metrics=metrics,
             queue_of=self._queue_of,
@@ -291,8 +289,7 @@
                     await self._run_round()
                 if self._clock.now() - swept_at >= _SWEEP_INTERVAL_MS:
                     swept_at = self._clock.now()
-                    await self._sweeper.sweep()
-                    self._request_round()
+                    await self._sweep()
                 took = self._clock.now() - started
                 pause = max(_ROUND_INTERVAL_MS, _PAUSE_FACTOR * took)
                 await curio.sleep(to_seconds(Millis(pause)))
@@ -396,11 +393,19 @@
         cut = await self._round_runner.run_round(
             config=self._config(),
             sessions=self._sessions.values(),
+            evacuations=self._evacuations,
             wall_ms=self._wall_clock.now(),
         )
         if cut:
             self._request_round()
 
+    async def _sweep(self) -> None:
+        await self._evacuator.apply()
+        self._evacuator.report_unmatched()
+        self._run_tracker.pace_monitor.publish()
+        await self._sweeper.sweep()
+        self._request_round()
+
     def _queue_of(self, entry: JobEntry) -> Queue:
         accepted = entry.job.queue
         for queue in self._config().queues:
--- a/jayshore/fleet/sweeping.py
+++ b/jayshore/fleet/sweeping.py
@@ -8,11 +8,9 @@
 
 from jayshore.clock import Clock, Millis
 from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
-from jayshore.fleet.evacuation import Evacuator
 from jayshore.fleet.jobtable import JobEntry, JobTable
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.losses import LossTracker
-from jayshore.fleet.pacemonitor import PaceMonitor
 from jayshore.fleet.records import cancel_key, job_key, progress_key
 from jayshore.store.journal import Journal
 
@@ -38,8 +36,6 @@
         clock: Clock,
         wall_clock: Clock,
         inherited_until: Millis,
-        evacuator: Evacuator,
-        pace_monitor: PaceMonitor,
     ) -> None:
         """Create a sweeper.
 
@@ -53,8 +49,6 @@
             wall_clock: time of day, for due times.
             inherited_until: when all leases of former leaders have expired, on
                 the local clock.
-            evacuator: applies evacuations of failure domains.
-            pace_monitor: shows the speeds of workers.
         """
         self._job_table = job_table
         self._ledger = ledger
@@ -64,14 +58,10 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._inherited_until = inherited_until
-        self._evacuator = evacuator
-        self._pace_monitor = pace_monitor
         self._backlog = BacklogMeter()
 
     async def sweep(self) -> None:
         """Look at all jobs once, and let others run in between."""
-        await self._evacuator.apply()
-        self._evacuator.report_unmatched()
         now = self._clock.now()
         wall_ms = self._wall_clock.now()
         for number, entry in enumerate(tuple(self._job_table.jobs.values())):
@@ -82,7 +72,6 @@
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
                     await self._loss_tracker.handle_unlisted(worker_id)
-        self._pace_monitor.publish()
         if self._backlog.update(self._job_table.active()):
             eliot.log_message(
                 'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
