--- a/jayshore/fleet/demandmaker.py
+++ b/jayshore/fleet/demandmaker.py
@@ -7,7 +7,8 @@
 from jayshore.fleet.jobtable import GroupEntry, TaskEntry
 from jayshore.fleet.model import Queue
 from jayshore.fleet.probation import Probation, is_suspect
-from jayshore.fleet.ranking import Rank, longest_chain_ms
+from jayshore.fleet.ranking import Rank, longest_chain_ms, objective_ms
+from jayshore.fleet.speedorder import is_tight
 from jayshore.fleet.waiting import WaitingGroup
 
 AVOID_FAILED_MS: Final = Millis(1500)
@@ -65,6 +66,9 @@
         group = waiting.group
         queue = waiting.queue
         spec = group.spec
+        job = group.job.job
+        path_ms = longest_chain_ms(job, group.group_id.group)
+        due_at = group.job.accepted_at + objective_ms(job, queue)
         suspect = any(map(is_suspect, tasks))
         likely = (
             suspect
@@ -99,7 +103,8 @@
             policy=queue.advice,
             patient=suspect
             and self._probation.is_patient(group, now, likely=likely),
-            path_ms=longest_chain_ms(group.job.job, group.group_id.group),
+            path_ms=path_ms,
+            tight=is_tight(path_ms, Millis(due_at - now)),
         )
 
 
--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -117,6 +117,8 @@
         patient: suspects may wait for an empty worker.
         path_ms: critical path of the job from this group on, by its estimates
             in ms, 0 when unknown.
+        tight: on a slower worker the job would miss its objective, which it
+            can still meet.
         policy: response times of the advice service, None when unknown.
     """
 
@@ -143,6 +145,7 @@
     likely: bool = False
     patient: bool = False
     path_ms: int = 0
+    tight: bool = False
     policy: AdvicePolicy | None = None
 
     @property
--- a/jayshore/fleet/speedorder.py
+++ b/jayshore/fleet/speedorder.py
@@ -29,6 +29,13 @@
 The next class saves it a third, that is a second.
 """
 
+TIGHT_FACTOR: Final = 2.25
+"""Ratio of the time left to the critical path below which a job is tight.
+
+A worker of the next lower class takes 1.5 times as long, and half as much again
+goes to wrong estimates, advice, and the records of starts and ends.
+"""
+
 
 class SpeedClass(enum.IntEnum):
     """Speed of a worker compared with the median of the workers.
@@ -68,6 +75,20 @@
     return SpeedClass.SLOWER if speed >= SLOW_SHARE else SpeedClass.MUCH_SLOWER
 
 
+def is_tight(path_ms: int, left_ms: Millis) -> bool:
+    """Return whether a job meets its objective only on fast workers.
+
+    Args:
+        path_ms: its remaining critical path, in ms.
+        left_ms: time until its objective, in ms.
+
+    Returns:
+        False for jobs with time to spare, and for jobs that are late on any
+        worker.
+    """
+    return path_ms / CLASS_FACTOR <= left_ms < TIGHT_FACTOR * path_ms
+
+
 class SpeedPreference:
     """Preference of one demand among the workers that have room for it."""
 
@@ -82,8 +103,10 @@
             workers: workers with room for a task.
         """
         self._even = demand.suspect or _are_even(workers)
-        self._prefers_fast = demand.path_ms >= LONG_PATH_MS or (
-            demand.gang and len(demand.indexes) >= WIDE_GANG
+        self._prefers_fast = (
+            demand.tight
+            or demand.path_ms >= LONG_PATH_MS
+            or (demand.gang and len(demand.indexes) >= WIDE_GANG)
         )
         self._lowest = SpeedClass.SLOWER
         self._gang = demand.gang
--- a/jayshore/fleet/speedorder_test.py
+++ b/jayshore/fleet/speedorder_test.py
@@ -16,6 +16,7 @@
     WIDE_GANG,
     SpeedClass,
     classify_speed,
+    is_tight,
 )
 
 SPEEDS = (
@@ -36,12 +37,33 @@
     assert classify_speed(speed) is speed_class
 
 
+TIGHT = (
+    ('ample time', 1000, 2250, False),
+    ('late on a slower worker', 1000, 2249, True),
+    ('in time on a fast worker only', 1000, 700, True),
+    ('late on any worker', 1000, 600, False),
+    ('overdue', 1000, -1, False),
+    ('unknown path', 0, 1000, False),
+)
+
+
+@pytest.mark.parametrize(
+    ('path_ms', 'left_ms', 'expected'),
+    [row[1:] for row in TIGHT],
+    ids=[row[0] for row in TIGHT],
+)
+def test_tight_job(path_ms, left_ms, expected):
+    """Guards against urgent jobs that are late for the pace of a worker."""
+    assert is_tight(path_ms, left_ms) is expected
+
+
 LONG = {'path_ms': LONG_PATH_MS}
 WIDE = {'count': WIDE_GANG, 'gang': True}
 
 # Workers are empty and hold four tasks, unless their free processor is given.
 CHOICES = (
     ('long path to fast', [(1, 1000), (2, 4000)], demand(**LONG), ['w1']),
+    ('tight work to fast', [(1, 1000), (2, 4000)], demand(tight=True), ['w1']),
     ('short work leaves the fast', [(2, 1000), (1, 4000)], demand(), ['w1']),
     ('short work fills the fast', [(2, 1000), (1, 500)], demand(), ['w0']),
     ('short work avoids the slow', [(0.3, 1000), (2, 4000)], demand(), ['w1']),
