--- a/jayshore/placement/fairness.py
+++ b/jayshore/placement/fairness.py
@@ -17,14 +17,14 @@
     Attributes:
         used: the sum of the demands of its running tasks.
         capacity: the capacity of all workers of the cell.
-        weight: the configured share of the team, a positive integer.
+        weight: the configured share of the team, positive.
         weight_sum: the sum of all configured shares.
     """
 
     used: Resources
     capacity: Resources
-    weight: int
-    weight_sum: int
+    weight: float
+    weight_sum: float
 
 
 class DominantShare(Policy[ShareCase, float]):
