--- a/jayshore/fleet/advising_test.py
+++ b/jayshore/fleet/advising_test.py
@@ -45,7 +45,7 @@
     entry = JobEntry(job=make_job(), accepted_at=Millis(0))
     JobTable().add(entry)
     group = entry.groups[GroupId(entry.job.job_id, 0, 0)]
-    rank = Rank(False, DeadlineStatus.IN_TIME, priority, Millis(0))
+    rank = Rank(False, False, DeadlineStatus.IN_TIME, priority, Millis(0))
     request = AdviceRequest(group_id=group.group_id, rank=rank, workers=('w',))
     return request, group
 
--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -18,6 +18,7 @@
     TaskGroup,
     TaskId,
 )
+from jayshore.fleet.standing import Standing
 
 _DONE_VALUE = 'done'
 
@@ -179,6 +180,7 @@
         accepted_at: time of acceptance on the local clock in ms, which may be
             before the origin of that clock.
         over_rate: submitted beyond the rate that its workspace is entitled to.
+        standing: standing among the waiting jobs while capacity is full.
         state: state as decided by the leader.
         durable_state: state that is recorded durably and may be reported to
             callers.
@@ -191,6 +193,7 @@
     job: Job
     accepted_at: Millis
     over_rate: bool = False
+    standing: Standing = Standing.USUAL
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
     cancelled: bool = False
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -37,7 +37,8 @@
 def demand(job='j', count=1, *, due=0, priority=0, **fields):
     """Make a demand of a job."""
     rank = fields.pop(
-        'rank', Rank(False, DeadlineStatus.IN_TIME, priority, Millis(due))
+        'rank',
+        Rank(False, False, DeadlineStatus.IN_TIME, priority, Millis(due)),
     )
     return GroupDemand(
         **{
@@ -116,13 +117,13 @@
     ('earlier objective first', {'due': 20}, {'due': 10}),
     (
         'in time before late',
-        {'rank': Rank(False, DeadlineStatus.LATE, 0, Millis(0))},
+        {'rank': Rank(False, False, DeadlineStatus.LATE, 0, Millis(0))},
         {'priority': 1},
     ),
     (
         'within its rate first',
-        {'rank': Rank(True, DeadlineStatus.IN_TIME, 0, Millis(0))},
-        {'rank': Rank(False, DeadlineStatus.MISSED, 2, Millis(0))},
+        {'rank': Rank(False, True, DeadlineStatus.IN_TIME, 0, Millis(0))},
+        {'rank': Rank(False, False, DeadlineStatus.MISSED, 2, Millis(0))},
     ),
 )
 
