--- a/jayshore/fleet/backlog.py
+++ b/jayshore/fleet/backlog.py
@@ -1,4 +1,4 @@
-"""Admission limit: workspaces with too many waiting jobs are refused.
+"""Publishes what instances refuse, and limits the waiting jobs of a workspace.
 
 Without a limit one workspace could fill the leader's memory and the store, and
 slow every placement round down for all others.
@@ -8,10 +8,9 @@
 from collections.abc import Iterable
 from typing import Final
 
-import msgspec
-
-from jayshore.decoding import DECODE_ERRORS
+from jayshore.clock import Millis
 from jayshore.fleet.jobtable import JobEntry, JobState
+from jayshore.fleet.refusals import Refusal, RefusalNotice
 
 MAX_WAITING: Final = 3000
 """Waiting jobs from which a workspace is refused.
@@ -27,74 +26,76 @@
 and accepted.
 """
 
-FULL_KEY: Final = 'domains/deployment/full'
-"""Key under which the leader publishes the refused workspaces to instances."""
+CONFIRM_MS: Final = Millis(1000)
+"""Time after which the leader confirms what is refused, in ms.
+
+Instances stop refusing when a value has not been confirmed for 3,000 ms, so
+two confirmations may be lost.
+"""
 
 
 class BacklogMeter:
-    """Tracks which workspaces have a full backlog."""
+    """Tracks what is refused, and when it has to be published."""
 
     def __init__(self) -> None:
         """Create a meter that does not know what a former leader published."""
-        self._full: frozenset[str] | None = None
+        self._notice: RefusalNotice | None = None
+        self._published_at = Millis(0)
 
     @property
-    def full_workspaces(self) -> frozenset[str]:
-        """Workspaces that are refused."""
-        return self._full or frozenset()
-
-    def update(self, jobs: Iterable[JobEntry]) -> bool:
-        """Count the waiting jobs and update the refused workspaces.
+    def notice(self) -> RefusalNotice:
+        """What is refused."""
+        return self._notice or RefusalNotice()
+
+    def update(
+        self,
+        jobs: Iterable[JobEntry],
+        refusals: tuple[Refusal, ...] = (),
+        now: Millis | None = None,
+    ) -> bool:
+        """Count the waiting jobs and update what is refused.
 
         Args:
             jobs: all jobs that have not ended.
+            refusals: submissions that would wait too long.
+            now: time on the leader's clock in ms, None for no confirmation.
 
         Returns:
-            True when the refused workspaces have to be published: on the first
-            call, and when they have changed.
+            True when the notice has to be published: on the first call, when
+            it has changed, and when it has to be confirmed.
         """
         waiting = collections.Counter(
             entry.job.workspace
             for entry in jobs
             if entry.state is JobState.QUEUED
         )
-        full = frozenset(
-            workspace
-            for workspace, count in waiting.items()
-            if count >= self._limit(workspace)
+        full = tuple(
+            sorted(
+                workspace
+                for workspace, count in waiting.items()
+                if count >= self._limit(workspace)
+            )
         )
-        changed = full != self._full
-        self._full = full
-        return changed
-
-    def _limit(self, workspace: str) -> int:
-        return (
-            RESUME_WAITING if workspace in self.full_workspaces else MAX_WAITING
+        known = self._notice
+        if (
+            known is not None
+            and (known.workspaces, known.refusals) == (full, refusals)
+            and not self._is_confirmation_due(now)
+        ):
+            return False
+        self._notice = RefusalNotice(
+            workspaces=full,
+            refusals=refusals,
+            confirmed=self.notice.confirmed + 1,
         )
+        self._published_at = self._published_at if now is None else now
+        return True
 
+    def _limit(self, workspace: str) -> int:
+        full = workspace in self.notice.workspaces
+        return RESUME_WAITING if full else MAX_WAITING
 
-def encode_workspaces(workspaces: Iterable[str]) -> str:
-    """Encode the names of refused workspaces.
-
-    Args:
-        workspaces: the names.
-
-    Returns:
-        JSON text.
-    """
-    return msgspec.json.encode(sorted(workspaces)).decode()
-
-
-def decode_workspaces(text: str) -> frozenset[str]:
-    """Decode the names of refused workspaces.
-
-    Args:
-        text: JSON text.
-
-    Returns:
-        The names; none for a value that cannot be decoded.
-    """
-    try:
-        return frozenset(msgspec.json.decode(text, type=list[str]))
-    except DECODE_ERRORS:
-        return frozenset()
+    def _is_confirmation_due(self, now: Millis | None) -> bool:
+        if now is None or not (self.notice.workspaces or self.notice.refusals):
+            return False
+        return now - self._published_at >= CONFIRM_MS
--- a/jayshore/fleet/backlog_test.py
+++ b/jayshore/fleet/backlog_test.py
@@ -6,13 +6,18 @@
 import pytest
 
 from jayshore.fleet import backlog
-from jayshore.fleet.backlog import (
-    BacklogMeter,
-    decode_workspaces,
-    encode_workspaces,
-)
-from jayshore.fleet.jobservice import Refused, RefusedReason
+from jayshore.clock import Millis
+from jayshore.fleet.admission import RefusedReason
+from jayshore.fleet.backlog import BacklogMeter
+from jayshore.fleet.jobservice import Refused
 from jayshore.fleet.jobtable import JobState
+from jayshore.fleet.refusals import (
+    NOTHING_REFUSED,
+    Refusal,
+    RefusalNotice,
+    decode_notice,
+    encode_notice,
+)
 from tests.memory_fleet_test import (
     COMPLETED,
     CONFIG,
@@ -46,7 +51,7 @@
     meter = BacklogMeter()
     for count in counts:
         meter.update(waiting(count) + waiting(50, state=JobState.RUNNING))
-    assert meter.full_workspaces == full
+    assert set(meter.notice.workspaces) == full
     assert not meter.update(waiting(counts[-1]))
 
 
@@ -57,11 +62,35 @@
     assert not meter.update([])
 
 
-@pytest.mark.parametrize('text', ['', '{', '7', '[1]', '{"a": 1}'])
+def test_refusals_are_confirmed():
+    """Guards against a notice that ages while its leader leads."""
+    meter = BacklogMeter()
+    refusals = (Refusal(queue='q', wait_ms=9000),)
+    published = [
+        meter.update([], refusals, Millis(now)) for now in range(0, 3000, 250)
+    ]
+    assert published == [True, False, False, False] * 3
+    assert meter.update([], (), Millis(3000))
+    assert not meter.update([], (), Millis(9000))
+
+
+@pytest.mark.parametrize(
+    'text', ['', '{', '7', '[1]', '{"workspaces": 1}', '{"refusals": [{}]}']
+)
 def test_unreadable_value_refuses_nobody(text):
     """Guards against an instance that fails on an unreadable value."""
-    assert decode_workspaces(text) == frozenset()
-    assert decode_workspaces(encode_workspaces({'a', 'b'})) == {'a', 'b'}
+    assert decode_notice(text) == NOTHING_REFUSED
+
+
+def test_notice_is_read_as_it_was_written():
+    """Guards against a notice that instances or earlier leaders misread."""
+    notice = RefusalNotice(
+        workspaces=('a', 'b'),
+        refusals=(Refusal(queue='q', workspace='a', wait_ms=7, share=0.5),),
+        confirmed=3,
+    )
+    assert decode_notice(encode_notice(notice)) == notice
+    assert decode_notice('["a", "b"]').workspaces == ('a', 'b')
 
 
 def test_workspace_with_too_many_jobs_is_refused_and_others_are_not(
@@ -93,8 +122,11 @@
             # Workers drain the backlog, after which jobs are accepted again.
             fleet.add_worker('w0')
             await fleet.wait_state([job.job_id for job in jobs], COMPLETED)
+            membership = fleet.instances['i0'].membership
             await wait_for(
-                lambda: not fleet.instances['i0'].membership.full_workspaces,
+                lambda: (
+                    membership.refused('checks', 'riverbend') == NOTHING_REFUSED
+                ),
                 'accepted',
             )
             await fleet.submit(make_job())
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -11,6 +11,7 @@
 
 from jayshore.clock import BootClock, Millis, WallClock, to_seconds
 from jayshore.daemon.signals import SignalWatch
+from jayshore.fleet.admission import Admission
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.configuration import ConfigHolder
 from jayshore.fleet.interfaces import AdviceService, WorkerConnector
@@ -250,7 +251,9 @@
             leader=peers,
             scheduler=lambda: self._leader_role.scheduler,
             clock=clock,
-            full_workspaces=lambda: self._membership.full_workspaces,
+            admission=Admission(
+                refused=self._membership.refused, clock=clock, metrics=metrics
+            ),
         )
         self._front = _server(
             settings.front,
--- a/jayshore/fleet/jobservice.py
+++ b/jayshore/fleet/jobservice.py
@@ -5,13 +5,13 @@
 """
 
 import dataclasses
-import enum
 from collections.abc import Callable
 from typing import TypeAlias
 
 import eliot
 
 from jayshore.clock import Clock, Millis
+from jayshore.fleet.admission import Admission, RefusedReason, Verdict
 from jayshore.fleet.jobtable import JobState
 from jayshore.fleet.model import Job
 from jayshore.fleet.peering import (
@@ -60,14 +60,6 @@
 _NO_VALUE = '{}'
 
 
-class RefusedReason(enum.StrEnum):
-    """Reason for which a job was certainly not accepted."""
-
-    STORE_UNAVAILABLE = 'store_unavailable'
-    OTHER_JOB = 'other_job'
-    BACKLOG_FULL = 'backlog_full'
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Accepted:
     """The store holds the job.
@@ -115,7 +107,7 @@
         leader: LeaderClient,
         scheduler: Callable[[], Scheduler | None],
         clock: Clock,
-        full_workspaces: Callable[[], frozenset[str]],
+        admission: Admission,
     ) -> None:
         """Create the service of one instance.
 
@@ -125,10 +117,10 @@
             scheduler: returns the scheduler, None while this instance does not
                 lead.
             clock: local clock.
-            full_workspaces: returns the workspaces whose backlog is full.
+            admission: decides what is refused under load.
         """
         self._clock = clock
-        self._full_workspaces = full_workspaces
+        self._admission = admission
         self._store = store
         self._leader = leader
         self._scheduler = scheduler
@@ -159,12 +151,11 @@
         Returns:
             Outcome to report to the caller.
         """
-        if job.workspace in self._full_workspaces():
-            return Refused(
-                reason=RefusedReason.BACKLOG_FULL, retry_after_ms=MAX_RETRY_MS
-            )
         if self._store.reachability.no_route:
             return self._refuse_unavailable()
+        verdict = self._admission.check(job)
+        if verdict is not None:
+            return await self._refuse(job, verdict)
         key = job_key(job.job_id)
         put = Put(key=key, value=encode_job(job))
         transaction = Transaction(expected=((key, 0),), puts=(put,))
@@ -260,6 +251,23 @@
         except LeaderUnavailable as error:
             raise JobServiceUnavailable(str(error)) from None
 
+    async def _refuse(self, job: Job, verdict: Verdict) -> SubmitResult:
+        """Refuse a job unless an earlier attempt has been accepted.
+
+        A caller whose first attempt got no answer repeats it, and may not be
+        told that the job never runs.
+        """
+        try:
+            entry = await self._store.get(job_key(job.job_id))
+        except StoreError:
+            return Uncertain()
+        if entry is not None:
+            return await self._compare_stored(job, uncertain=False)
+        self._admission.note_refused(job, verdict)
+        return Refused(
+            reason=verdict.reason, retry_after_ms=verdict.retry_after_ms
+        )
+
     def _refuse_unavailable(self) -> Refused:
         return Refused(
             reason=RefusedReason.STORE_UNAVAILABLE,
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -12,7 +12,12 @@
 
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.decoding import DECODE_ERRORS
-from jayshore.fleet.backlog import FULL_KEY, decode_workspaces
+from jayshore.fleet.refusals import (
+    FULL_KEY,
+    NOTHING_REFUSED,
+    RefusalNotice,
+    decode_notice,
+)
 from jayshore.http.client import Address, InvalidAddress
 from jayshore.leases.leadership import LeaderEntry, VacancyMonitor, leader_key
 from jayshore.store.mirror import Mirror, MirrorObserver
@@ -36,6 +41,12 @@
 _RETRY_MS = Millis(400)
 _WATCH_MS = Millis(1500)
 
+_REFUSALS_VALID_MS = Millis(3000)
+"""Time for which a notice refuses submissions without confirmation, in ms.
+
+A leader that was lost confirms nothing, so its refusals end.
+"""
+
 
 _DEFAULT_CORES = 1.0
 """Processor capacity assumed for a registration without one, in cores."""
@@ -96,7 +107,8 @@
         self._domain = domain
         self._cores = cores
         self._members: dict[str, Member] = {}
-        self._full: frozenset[str] = frozenset()
+        self._notice = NOTHING_REFUSED
+        self._noticed_at = clock.now()
         self._leader = ''
         self._leader_lease = 0
         self._leader_seen = False
@@ -119,11 +131,6 @@
         """Store lease of the leader, 0 when unknown."""
         return self._leader_lease
 
-    @property
-    def full_workspaces(self) -> frozenset[str]:
-        """Workspaces whose backlog is full, as published by the leader."""
-        return self._full
-
     @property
     def leader(self) -> str:
         """Name of the leading instance, empty when none is known."""
@@ -139,7 +146,8 @@
         if key == leader_key(DEPLOYMENT):
             await self._set_leader(entry)
         elif key == FULL_KEY:
-            self._full = decode_workspaces('' if entry is None else entry.value)
+            self._notice = decode_notice('' if entry is None else entry.value)
+            self._noticed_at = self._clock.now()
         elif key.startswith(_MEMBERS):
             self._set_member(key.removeprefix(_MEMBERS), entry)
 
@@ -155,6 +163,21 @@
             if name != self._name
         ]
 
+    def refused(self, queue: str, workspace: str) -> RefusalNotice:
+        """Tell what the leader refuses of a workspace's submissions to a queue.
+
+        Args:
+            queue: name of the queue.
+            workspace: name of the workspace.
+
+        Returns:
+            The notice that concerns them; nothing when the leader has not
+            confirmed it for 3,000 ms.
+        """
+        if self._clock.now() - self._noticed_at >= _REFUSALS_VALID_MS:
+            return NOTHING_REFUSED
+        return self._notice.select(queue, workspace)
+
     async def follow(self) -> None:
         """Follow registrations and the leader until cancelled."""
         await self._mirror.run()
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -106,6 +106,17 @@
             buckets=_STORE_BUCKETS_S,
             registry=registry,
         )
+        self._refused_jobs = Counter(
+            'jayshore_refused_jobs',
+            'Submissions that were refused because of load, by reason.',
+            ('reason',),
+            registry=registry,
+        )
+        self.deferred_jobs = Gauge(
+            'jayshore_deferred_jobs',
+            'Waiting jobs that the leader defers, as capacity is full.',
+            registry=registry,
+        )
         self.config_version = Gauge(
             'jayshore_config_version',
             'Version of the configuration in force.',
@@ -201,6 +212,14 @@
         """Count a group with more runs at a worker than it allows."""
         self._over_limit.inc()
 
+    def count_refused(self, reason: str) -> None:
+        """Count a submission that was refused because of load.
+
+        Args:
+            reason: reason of the refusal.
+        """
+        self._refused_jobs.labels(reason).inc()
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -9,12 +9,10 @@
 from collections.abc import Callable
 
 import curio
-import eliot
 
 from jayshore.background import BackgroundTasks
 from jayshore.clock import Clock, Millis, to_seconds
 from jayshore.fleet.advising import AdviceRelay, Advisor
-from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
 from jayshore.fleet.crashes import CrashCounter
 from jayshore.fleet.interfaces import RenewalReply, WorkerConnector
 from jayshore.fleet.jobtable import (
@@ -39,6 +37,7 @@
     progress_key,
     restore_progress,
 )
+from jayshore.fleet.refusalpublisher import RefusalPublisher
 from jayshore.fleet.rounds import RoundPlanner, count_pending
 from jayshore.fleet.runs import RunTracker
 from jayshore.fleet.sessions import SessionObserver, WorkerSession
@@ -152,7 +151,13 @@
             relay=dependencies.relay, clock=clock, changed=self._request_round
         )
         self._submission_rate = SubmissionRateMeter()
-        self._backlog = BacklogMeter()
+        self._refusal_publisher = RefusalPublisher(
+            job_table=self._job_table,
+            ledger=self._ledger,
+            journal=journal,
+            metrics=metrics,
+            confirmed_at=confirmed_at,
+        )
         self._wait_log = WaitReasonLog()
         self._tasks = BackgroundTasks()
         self._changed = True
@@ -391,14 +396,9 @@
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
                     await self._loss_tracker.handle_unlisted(worker_id)
-        if self._backlog.update(self._job_table.active()):
-            eliot.log_message(
-                'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
-            )
-            self._journal.write(
-                FULL_KEY,
-                lambda: encode_workspaces(self._backlog.full_workspaces),
-            )
+        self._refusal_publisher.sweep(
+            self._sessions.values(), self._config(), now
+        )
         self._request_round()
 
     def _forget(self, entry: JobEntry) -> None:
--- /dev/null
+++ b/jayshore/fleet/serviceplan.py
@@ -0,0 +1,168 @@
+"""Plans the waiting jobs of one service.
+
+Two limits may be full: the workers of the service, and the maximum of a
+workspace. Where only a workspace is at its maximum, only its jobs wait, so each
+full limit is planned and predicted by itself.
+"""
+
+import dataclasses
+import operator
+from collections.abc import Iterable, Mapping, Sequence
+
+from jayshore.clock import Millis
+from jayshore.fleet.refusaltable import QueueWait
+from jayshore.fleet.waitingwork import JobWork
+from jayshore.placement.fairness import ShareCase
+from jayshore.placement.overload import OverloadPlan, OverloadPolicy
+from jayshore.placement.waiting_jobs import (
+    DeferReason,
+    OverloadCase,
+    Prospect,
+)
+
+_POLICY = OverloadPolicy()
+_WANTED = operator.attrgetter('wanted')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limit:
+    """A capacity that may be full.
+
+    Attributes:
+        cores: the capacity, in cores.
+        used: cores that tasks hold.
+        planned: cores that serve the waiting work, as estimates are off and
+            wide jobs leave cores free.
+        workspace: workspace whose maximum it is, empty for the workers.
+    """
+
+    cores: float
+    used: float
+    planned: float
+    workspace: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsualJob:
+    """The usual new job of a queue.
+
+    Attributes:
+        prospect: as the policy takes it.
+        useful_ms: longest wait that is of use, in ms.
+    """
+
+    prospect: Prospect
+    useful_ms: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ServicePlan:
+    """Plan of the waiting jobs of a service.
+
+    Attributes:
+        full: more is waiting than the workers have room for.
+        limited: workspaces that are at their maximum.
+        deferred: reason by deferred job.
+        missed: waiting jobs of a full limit that are of no use any more.
+        waits: predicted wait of each queue at each full limit.
+    """
+
+    full: bool = False
+    limited: set[str] = dataclasses.field(default_factory=set)
+    deferred: dict[str, DeferReason] = dataclasses.field(default_factory=dict)
+    missed: list[JobWork] = dataclasses.field(default_factory=list)
+    waits: list[QueueWait] = dataclasses.field(default_factory=list)
+
+
+def plan_service(
+    works: Sequence[JobWork],
+    *,
+    limits: Iterable[Limit],
+    shares: Mapping[str, ShareCase],
+    usual: Sequence[UsualJob],
+    now: Millis,
+) -> ServicePlan:
+    """Plan the waiting jobs of a service.
+
+    Args:
+        works: its waiting jobs.
+        limits: the maximums of workspaces, and then the workers.
+        shares: use and weight of each workspace.
+        usual: the usual new job of each queue.
+        now: time on the leader's clock, in ms.
+
+    Returns:
+        The plan; no job is planned while no limit is full.
+    """
+    plan = ServicePlan()
+    for limit in limits:
+        own = works
+        if limit.workspace:
+            own = [
+                work
+                for work in works
+                if work.waiting.workspace == limit.workspace
+            ]
+        if limit.used + sum(map(_WANTED, own)) <= limit.cores:
+            continue
+        if limit.workspace:
+            plan.limited.add(limit.workspace)
+        else:
+            plan.full = True
+        _plan_limit(plan, limit, own, shares, usual, now)
+    return plan
+
+
+def _plan_limit(
+    plan: ServicePlan,
+    limit: Limit,
+    works: Sequence[JobWork],
+    shares: Mapping[str, ShareCase],
+    usual: Sequence[UsualJob],
+    now: Millis,
+) -> None:
+    """Plan what a full limit shares and no former limit has deferred."""
+    known = plan.deferred
+    if known:
+        works = [work for work in works if work.waiting.job_id not in known]
+    missed = [work for work in works if work.waiting.useful_until < now]
+    plan.missed.extend(missed)
+    known.update(
+        dict.fromkeys(
+            [work.waiting.job_id for work in missed], DeferReason.LATE
+        )
+    )
+    jobs = [work.waiting for work in works if work.waiting.useful_until >= now]
+    # What a workspace at its maximum will submit is not known by queue, so its
+    # arrivals count only for the workers.
+    prospects = [
+        dataclasses.replace(one.prospect, inflow=0)
+        if limit.workspace
+        else one.prospect
+        for one in usual
+    ]
+    result = _POLICY.evaluate(
+        OverloadCase(
+            jobs=jobs,
+            cores=limit.planned,
+            now=now,
+            shares={} if limit.workspace else shares,
+            prospects=prospects,
+        )
+    )
+    known.update(result.deferred)
+    plan.waits.extend(_queue_waits(limit, result, usual))
+
+
+def _queue_waits(
+    limit: Limit, result: OverloadPlan, usual: Iterable[UsualJob]
+) -> list[QueueWait]:
+    return [
+        QueueWait(
+            queue=one.prospect.queue,
+            useful_ms=one.useful_ms,
+            predicted=result.waits[one.prospect.queue],
+            workspace=limit.workspace,
+        )
+        for one in usual
+    ]
--- a/jayshore/placement/predicted_waits.py
+++ b/jayshore/placement/predicted_waits.py
@@ -87,24 +87,23 @@
     urgent: float = 0
     kept: float = 0
     put_off: float = 0
-    density_limit: float = 0
-    for job in useful:
-        if job.over_rate:
-            continue
+    highest: float = 0
+    for job in [one for one in useful if not one.over_rate]:
         reason = deferred.get(job.job_id)
+        if not job.priority and reason is not DeferReason.LATE:
+            urgent += job.work
         if reason is None:
             kept += job.work
-            urgent += 0 if job.priority else job.work
         else:
             put_off += job.work
-            if reason is DeferReason.COSTLIER:
-                density_limit = max(density_limit, job.density)
+            if reason is DeferReason.COSTLIER and job.density > highest:
+                highest = job.density
     return _Backlog(
         urgent=urgent,
         kept=kept,
         in_rate=kept + put_off,
         everything=sum(map(_WORK, useful)),
-        density_limit=density_limit,
+        density_limit=highest,
         limits=_limit_waits(useful, case.now),
     )
 
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -14,6 +14,7 @@
 
 from jayshore.clock import Clock, Millis, MonotonicClock, WallClock
 from jayshore.fleet import leasing, sessions
+from jayshore.fleet.admission import Admission
 from jayshore.fleet.advising import AdviceRelay
 from jayshore.fleet.candidacy import Candidacy
 from jayshore.fleet.interfaces import (
@@ -221,7 +222,11 @@
             leader=self,
             scheduler=lambda: self.leader_role.scheduler,
             clock=clock,
-            full_workspaces=lambda: self.membership.full_workspaces,
+            admission=Admission(
+                refused=self.membership.refused,
+                clock=clock,
+                metrics=FleetMetrics(),
+            ),
         )
         self.alive = True
         self._tasks = []
