--- a/jayshore/fleet/placementlog.py
+++ b/jayshore/fleet/placementlog.py
@@ -28,7 +28,8 @@
     Each task is a row of occurrence, group, position, run and worker. The rows
     of `limits` tell how many tasks of a group with a limit per worker were
     counted at the worker, and those of `probes` which tasks probe a
-    quarantined worker.
+    quarantined worker. Queue, workspace and standing tell what went before
+    the jobs that waited meanwhile.
 
     Args:
         entry: the job.
@@ -65,6 +66,9 @@
     eliot.log_message(
         'job:placed',
         job=entry.job.job_id,
+        queue=entry.job.queue.name,
+        workspace=entry.job.workspace,
+        standing=entry.standing.value,
         age_ms=age_ms,
         tasks=[
             (*task.task_id[1:], task.run, task.worker) for task, _ in placed
--- a/jayshore/report/timeline.py
+++ b/jayshore/report/timeline.py
@@ -27,6 +27,8 @@
         'config:invalid',
         'instance:started',
         'instance:draining',
+        'overload:begun',
+        'overload:ended',
     )
 )
 _WORKER_KINDS: Final = frozenset(
@@ -47,6 +49,7 @@
     ('timestamp', 'task_uuid', 'task_level', 'message_type', 'job')
 )
 _MS_PER_S: Final = 1000
+_PLACED: Final = 'job:placed'
 
 _MEANINGS: Final = (
     ('call:answered', 'a caller was answered'),
@@ -54,6 +57,12 @@
     ('job:placed', 'tasks were placed'),
     ('job:cancelled', 'a cancellation was stored'),
     ('job:ended', 'the job ended'),
+    ('job:refused', 'the job was refused because of load'),
+    ('job:deferred', 'the job waits for jobs that cost callers more'),
+    ('job:promoted', 'the job is late beyond use and goes first now'),
+    ('overload:begun', 'the workers are full, and jobs are deferred'),
+    ('overload:ended', 'no job is deferred any more'),
+    ('jobs:placed_before', 'other jobs were placed while it waited'),
     ('job:leader_silent', 'no leader answered for its state'),
     ('group:waiting', 'tasks wait'),
     ('advice:failed', 'no placement advice came'),
@@ -166,12 +175,42 @@
         return []
     workers = {name for line in own for name in _worker_ids(line)}
     first, last = own[0].at, own[-1].at
-    return [
-        _make_entry(line, first)
+    chosen = [
+        line
         for line in ordered
         if _mentions_job(line, job_id)
         or (first <= line.at <= last and _is_context(line, workers))
     ]
+    before = _sum_placed_before(ordered, own)
+    if before is not None:
+        chosen.insert(chosen.index(_end_of_wait(own)), before)
+    return [_make_entry(line, first) for line in chosen]
+
+
+def _end_of_wait(own: list[LogLine]) -> LogLine:
+    """Return the first placement of a job, or the last line on it."""
+    placed = (line for line in own if line.kind == _PLACED)
+    return next(placed, own[-1])
+
+
+def _sum_placed_before(
+    ordered: Iterable[LogLine], own: list[LogLine]
+) -> LogLine | None:
+    """Count by queue the other jobs that were placed while a job waited."""
+    since, end = own[0], _end_of_wait(own)
+    jobs: dict[str, set[str]] = {}
+    for line in ordered:
+        if line.kind == _PLACED and since.at <= line.at < end.at:
+            queue = str(line.fields.get('queue', ''))
+            jobs.setdefault(queue, set()).add(str(line.fields.get('job')))
+    if not jobs:
+        return None
+    counts = {queue: len(names) for queue, names in sorted(jobs.items())}
+    return LogLine(
+        at=end.at,
+        source='',
+        fields={'message_type': 'jobs:placed_before', **counts},
+    )
 
 
 def _line_time(line: LogLine) -> float:
--- a/jayshore/report/timeline_test.py
+++ b/jayshore/report/timeline_test.py
@@ -63,3 +63,41 @@
             [text, '{' + text, f'{{"timestamp":1,"job":{text}}}'], source
         )
     )
+
+
+WAITED = (
+    row(1.0, 'call:answered', method='POST', path=f'/p/{JOB}', status=200),
+    row(1.1, 'job:placed', job='a', queue='checks'),
+    row(1.2, 'overload:begun', service='s'),
+    row(1.3, 'job:deferred', job=JOB, reason='costlier', jobs_before=2),
+    row(1.4, 'job:placed', job='a', queue='checks'),
+    row(1.5, 'job:placed', job='b', queue='audits'),
+    row(2.0, 'job:placed', job=JOB, queue='stacking'),
+    row(2.1, 'job:placed', job='c', queue='audits'),
+    row(3.0, 'job:ended', job=JOB),
+)
+
+
+def test_timeline_tells_what_went_before():
+    """Guards against a wait whose cause the timeline does not show."""
+    timeline = build_timeline(parse_log_lines(WAITED), JOB)
+    assert [(line.at_ms, line.kind) for line in timeline] == [
+        (0, 'call:answered'),
+        (200, 'overload:begun'),
+        (300, 'job:deferred'),
+        (1000, 'jobs:placed_before'),
+        (1000, 'job:placed'),
+        (2000, 'job:ended'),
+    ]
+    assert timeline[3].details == 'audits=1 checks=1'
+
+
+def test_timeline_tells_why_a_job_was_refused():
+    """Guards against a refusal that does not name its reason."""
+    rows = (
+        row(1.0, 'job:refused', job=JOB, reason='overloaded', wait_ms=9000),
+        row(1.0, 'call:answered', path=f'/p/{JOB}', status=429),
+    )
+    timeline = build_timeline(parse_log_lines(rows), JOB)
+    assert timeline[0].meaning == 'the job was refused because of load'
+    assert 'reason=overloaded wait_ms=9000' in timeline[0].details
