--- a/jayshore/fleet/overload.py
+++ b/jayshore/fleet/overload.py
@@ -6,14 +6,14 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Mapping, Sequence
+import itertools
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import eliot
 
 from jayshore.clock import Millis
-from jayshore.fleet.admission import has_other_times
-from jayshore.fleet.jobtable import JobEntry, JobState
+from jayshore.fleet.jobtable import JobEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import FleetConfig, Queue, WorkerEntry
@@ -29,13 +29,8 @@
     plan_service,
 )
 from jayshore.fleet.standing import Standing
-from jayshore.fleet.waitingwork import (
-    Capacity,
-    JobWork,
-    measure_job,
-    sum_capacity,
-    unplanned_job,
-)
+from jayshore.fleet.waitingwork import Capacity, JobWork, sum_capacity
+from jayshore.fleet.worktracker import WorkTracker
 from jayshore.placement.fairness import ShareCase
 from jayshore.placement.overload import choose_promoted
 from jayshore.placement.waiting_jobs import (
@@ -54,18 +49,9 @@
 """Age of the last confirmation of the leadership from which the store counts
 as away, in ms; it is renewed every 670 ms."""
 
-_NEW_MS: Final = Millis(2000)
-"""Age up to which a job counts as arriving, in ms; older ones are inherited."""
-
 PROMOTED_SHARE: Final = 0.03
 """Share of a full capacity that finishes accepted jobs of no use any more."""
 
-_MAX_MEASURED: Final = 250
-"""Jobs that one evaluation measures for the first time.
-
-Each takes some 30 microseconds, and 1,000 a second are far more than arrive.
-"""
-
 _MAX_PROMOTED_MS: Final = 1000
 """Capacity of this time, in ms, is promoted at most at once."""
 
@@ -74,9 +60,8 @@
 class _Service:
     """State of a service between evaluations.
 
-    `settled_from` is the time since which its workers are known, `done` the
-    work that ended since the last evaluation, and `allowance` the work that may
-    be promoted, both in core-milliseconds.
+    `settled_from` is the time since which its workers are known, `allowance`
+    the work that may be promoted, in core-milliseconds.
     """
 
     workers: list[WorkerEntry]
@@ -84,7 +69,6 @@
     settled_from: Millis
     throughput: Throughput = dataclasses.field(default_factory=Throughput)
     allowance: float = 0
-    done: float = 0
     full: bool = False
 
 
@@ -101,14 +85,13 @@
         self._ledger = ledger
         self._metrics = metrics
         self._services: dict[str, _Service] = {}
-        self._works: dict[str, JobWork] = {}
         self._loads: dict[str, QueueLoad] = {}
         self._rates = OfferedRates()
+        self._tracker = WorkTracker(loads=self._loads, rates=self._rates)
         self._table = RefusalTable()
         self._log = OverloadLog()
         self._config = FleetConfig(version=0)
-        self._measured_for: set[str] = set()
-        self._updated_at: Millis | None = None
+        self._updated_at = Millis(0)
 
     def update(
         self,
@@ -131,28 +114,37 @@
         Returns:
             What instances have to refuse.
         """
-        elapsed = 0 if self._updated_at is None else now - self._updated_at
+        elapsed = now - (self._updated_at or now)
         self._updated_at = now
-        if config.version != self._config.version:
-            self._works.clear()
-        self._config = config
         away = now - confirmed_at >= _UNCONFIRMED_MS
+        former = self._services.keys()
         self._update_services(workers, now, away=away)
-        if self._services.keys() != self._measured_for:
+        if (
+            config.version != self._config.version
+            or self._services.keys() != former
+        ):
             # Jobs of a service without workers were not measured.
-            self._works.clear()
-            self._measured_for = set(self._services)
-        by_service = self._measure(active, now)
+            self._tracker.reset()
+        self._config = config
+        self._tracker.update(
+            active,
+            queues={queue.name: queue for queue in config.queues},
+            capacities={
+                name: service.capacity
+                for name, service in self._services.items()
+            },
+            now=now,
+        )
         for load in self._loads.values():
             load.step(elapsed)
         waits: list[QueueWait] = []
         deferred = 0
         for name, service in self._services.items():
-            works = by_service.get(name, [])
+            works = self._tracker.live(name)
             plan = self._plan(name, service, works, now, elapsed)
             waits.extend(plan.waits)
-            deferred += _set_standings(works, plan)
-            self._promote(service, plan, now, elapsed)
+            deferred += self._set_standings(name, works, plan)
+            self._promote(name, service, plan, now, elapsed)
             self._log.record(name, plan, works, now)
         shares = self._rates.step(elapsed, config, self._table.shares())
         self._table.update(waits, shares)
@@ -182,75 +174,6 @@
             service.capacity = capacity
             self._services[name] = service
 
-    def _measure(
-        self, active: Sequence[JobEntry], now: Millis
-    ) -> dict[str, list[JobWork]]:
-        """Measure the waiting work of all jobs, by service.
-
-        A job of which nothing has started keeps its first measure, so a backlog
-        of thousands costs little. Thousands of unknown jobs, as after a change
-        of leader, are measured over several evaluations.
-        """
-        queues = {queue.name: queue for queue in self._config.queues}
-        works = self._works
-        unmeasured = _MAX_MEASURED
-        found: dict[str, list[JobWork]] = {}
-        for entry in active:
-            work = works.get(entry.job.job_id)
-            if work is None:
-                if not unmeasured:
-                    continue
-                unmeasured -= 1
-                work = self._first_work(entry, queues, now)
-                works[entry.job.job_id] = work
-            elif entry.state is not JobState.QUEUED:
-                self._refresh(work, queues)
-            if work.waiting.work:
-                found.setdefault(work.service, []).append(work)
-        if len(works) > len(active):
-            self._count_ended()
-        found.pop('', None)
-        return found
-
-    def _count_ended(self) -> None:
-        """Forget ended jobs, and count what they had left as done."""
-        ended = [work for work in self._works.values() if work.entry.ended]
-        for work in ended:
-            self._works.pop(work.entry.job.job_id)
-            service = self._services.get(work.service)
-            if work.started and service is not None:
-                service.done += work.whole - work.done
-
-    def _first_work(
-        self, entry: JobEntry, queues: Mapping[str, Queue], now: Millis
-    ) -> JobWork:
-        """Measure a new job; one that is not to be planned has no service."""
-        queue = queues.get(entry.job.queue.name, entry.job.queue)
-        service = self._services.get(queue.service)
-        if (
-            service is None
-            or not has_objective(queue)
-            or has_other_times(entry.job)
-        ):
-            entry.standing = Standing.USUAL
-            return unplanned_job(entry, queue)
-        load = self._loads.setdefault(queue.name, QueueLoad())
-        work = measure_job(entry, queue, service.capacity, load)
-        if now - entry.accepted_at <= _NEW_MS:
-            self._rates.add(entry.job.workspace)
-            load.arrived += 0 if entry.over_rate else work.whole
-        if work.started:
-            work.refresh(queue, service.capacity)
-        return work
-
-    def _refresh(self, work: JobWork, queues: Mapping[str, Queue]) -> None:
-        service = self._services.get(work.service)
-        if service is not None:
-            accepted = work.entry.job.queue
-            done = work.done
-            work.refresh(queues.get(accepted.name, accepted), service.capacity)
-            service.done += max(0, work.done - done)
-
     def _plan(
         self,
         name: str,
@@ -260,15 +183,15 @@
         elapsed: int,
     ) -> ServicePlan:
         """Plan a service, unless its workers are not known for long enough."""
+        done = self._tracker.take_done(name)
         if service.full:
-            service.throughput.step(
-                service.done, service.capacity.cores, elapsed
-            )
-        service.done = 0
+            service.throughput.step(done, service.capacity.cores, elapsed)
         plan = ServicePlan()
-        if works and now - service.settled_from >= SETTLED_MS:
+        missed = self._tracker.missed(name)
+        if (works or missed) and now - service.settled_from >= SETTLED_MS:
             plan = plan_service(
                 works,
+                missed=missed,
                 limits=self._limits(service),
                 shares=self._shares(service.capacity),
                 usual=self._usual_jobs(name),
@@ -332,8 +255,35 @@
             and queue.name in self._loads
         ]
 
+    def _set_standings(
+        self, name: str, works: Iterable[JobWork], plan: ServicePlan
+    ) -> int:
+        """Set the standing of the jobs of a service; count the deferred."""
+        missed = self._tracker.missed(name)
+        if self._tracker.rechecked:
+            works = itertools.chain(works, missed)
+        for work in works:
+            if work.entry.standing is not Standing.PROMOTED:
+                work.entry.standing = self._standing(work, plan)
+        return len(plan.deferred) + (len(missed) if plan.full else 0)
+
+    def _standing(self, work: JobWork, plan: ServicePlan) -> Standing:
+        waiting = work.waiting
+        if waiting.job_id in plan.deferred:
+            return Standing.DEFERRED
+        if not plan.full and waiting.workspace not in plan.limited:
+            return Standing.USUAL
+        if waiting.useful_until < self._updated_at:
+            return Standing.DEFERRED
+        return Standing.PLANNED
+
     def _promote(
-        self, service: _Service, plan: ServicePlan, now: Millis, elapsed: int
+        self,
+        name: str,
+        service: _Service,
+        plan: ServicePlan,
+        now: Millis,
+        elapsed: int,
     ) -> None:
         """Let the oldest jobs of no use go first, within their allowance."""
         cores = service.capacity.cores
@@ -343,8 +293,8 @@
         )
         missed = {
             work.waiting.job_id: work
-            for work in plan.missed
-            if work.entry.standing is not Standing.PROMOTED
+            for work in self._tracker.oldest_missed(name)
+            if plan.full or work.waiting.workspace in plan.limited
         }
         chosen, left = choose_promoted(
             [work.waiting for work in missed.values()], service.allowance
@@ -370,21 +320,3 @@
         ),
         useful_ms=useful_start_ms(objective, load.path_ms),
     )
-
-
-def _set_standings(works: Iterable[JobWork], plan: ServicePlan) -> int:
-    """Set the standing of the jobs of a service; count the deferred ones."""
-    deferred = plan.deferred
-    whole = plan.full
-    for work in works:
-        entry = work.entry
-        job_id = work.waiting.job_id
-        if entry.standing is Standing.PROMOTED:
-            continue
-        if job_id in deferred:
-            entry.standing = Standing.DEFERRED
-        elif whole or work.waiting.workspace in plan.limited:
-            entry.standing = Standing.PLANNED
-        else:
-            entry.standing = Standing.USUAL
-    return len(deferred)
--- a/jayshore/fleet/overloadlog.py
+++ b/jayshore/fleet/overloadlog.py
@@ -61,7 +61,6 @@
         service=service,
         jobs=jobs,
         deferred=len(plan.deferred),
-        missed=len(plan.missed),
         waits=[
             [
                 wait.queue,
--- a/jayshore/fleet/serviceplan.py
+++ b/jayshore/fleet/serviceplan.py
@@ -63,20 +63,19 @@
         full: more is waiting than the workers have room for.
         limited: workspaces that are at their maximum.
         deferred: reason by deferred job.
-        missed: waiting jobs of a full limit that are of no use any more.
         waits: predicted wait of each queue at each full limit.
     """
 
     full: bool = False
     limited: set[str] = dataclasses.field(default_factory=set)
     deferred: dict[str, DeferReason] = dataclasses.field(default_factory=dict)
-    missed: list[JobWork] = dataclasses.field(default_factory=list)
     waits: list[QueueWait] = dataclasses.field(default_factory=list)
 
 
 def plan_service(
     works: Sequence[JobWork],
     *,
+    missed: Sequence[JobWork],
     limits: Iterable[Limit],
     shares: Mapping[str, ShareCase],
     usual: Sequence[UsualJob],
@@ -85,7 +84,8 @@
     """Plan the waiting jobs of a service.
 
     Args:
-        works: its waiting jobs.
+        works: its waiting jobs that may still be of use.
+        missed: its other waiting jobs, which only count as wanting room.
         limits: the maximums of workspaces, and then the workers.
         shares: use and weight of each workspace.
         usual: the usual new job of each queue.
@@ -96,14 +96,10 @@
     """
     plan = ServicePlan()
     for limit in limits:
-        own = works
-        if limit.workspace:
-            own = [
-                work
-                for work in works
-                if work.waiting.workspace == limit.workspace
-            ]
-        if limit.used + sum(map(_WANTED, own)) <= limit.cores:
+        own = _select(works, limit.workspace)
+        wanted = sum(map(_WANTED, own))
+        wanted += sum(map(_WANTED, _select(missed, limit.workspace)))
+        if limit.used + wanted <= limit.cores:
             continue
         if limit.workspace:
             plan.limited.add(limit.workspace)
@@ -113,6 +109,13 @@
     return plan
 
 
+def _select(works: Sequence[JobWork], workspace: str) -> Sequence[JobWork]:
+    """Return the jobs of a workspace, or all when none is named."""
+    if not workspace:
+        return works
+    return [work for work in works if work.waiting.workspace == workspace]
+
+
 def _plan_limit(
     plan: ServicePlan,
     limit: Limit,
@@ -125,14 +128,7 @@
     known = plan.deferred
     if known:
         works = [work for work in works if work.waiting.job_id not in known]
-    missed = [work for work in works if work.waiting.useful_until < now]
-    plan.missed.extend(missed)
-    known.update(
-        dict.fromkeys(
-            [work.waiting.job_id for work in missed], DeferReason.LATE
-        )
-    )
-    jobs = [work.waiting for work in works if work.waiting.useful_until >= now]
+    jobs = [work.waiting for work in works]
     # What a workspace at its maximum will submit is not known by queue, so its
     # arrivals count only for the workers.
     prospects = [
--- a/jayshore/fleet/waitingwork.py
+++ b/jayshore/fleet/waitingwork.py
@@ -80,12 +80,12 @@
 
     Attributes:
         entry: the job.
-        service: service whose workers run it, empty for a job that is not
-            planned.
+        service: service whose workers run it.
         waiting: its waiting work, as the policy takes it.
         whole: its whole work, in core-milliseconds.
         wanted: cores of the tasks that may start now.
         done: work of the tasks that are done, in core-milliseconds.
+        untouched: not measured since a task has started.
         logged: its deferral has been logged.
     """
 
@@ -95,6 +95,7 @@
     whole: float
     wanted: float
     done: float = 0
+    untouched: bool = True
     logged: bool = False
 
     @property
@@ -110,6 +111,7 @@
             capacity: capacity of its service.
         """
         entry = self.entry
+        self.untouched = False
         work: float = 0
         self.done = 0
         self.wanted = 0
@@ -162,25 +164,6 @@
     )
 
 
-def unplanned_job(entry: JobEntry, queue: Queue) -> JobWork:
-    """Represent a job that is not planned.
-
-    Args:
-        entry: the job.
-        queue: its queue.
-
-    Returns:
-        A job without work and service.
-    """
-    return JobWork(
-        entry=entry,
-        service='',
-        waiting=_make_waiting(entry, queue, 0, 1, 0),
-        whole=0,
-        wanted=0,
-    )
-
-
 def _group_work(spec: TaskGroup, capacity: Capacity) -> float:
     return spec.count * spec.estimate_ms * capacity.in_cores(spec.reserved)
 
