--- a/jayshore/fleet/overload.py
+++ b/jayshore/fleet/overload.py
@@ -295,7 +295,7 @@
         )
         missed = {
             work.waiting.job_id: work
-            for work in self._tracker.oldest_missed(name)
+            for work in self._tracker.oldest_missed(name, now)
             if plan.full or work.waiting.workspace in plan.limited
         }
         chosen, left = choose_promoted(
--- a/jayshore/fleet/overload_test.py
+++ b/jayshore/fleet/overload_test.py
@@ -219,6 +219,18 @@
     assert old[-2].standing is Standing.PROMOTED
 
 
+def test_started_job_that_waits_again_is_finished():
+    """Guards against a job that was started, lost runs and waits for ever."""
+    leader = Leader()
+    leader.run()
+    entry = leader.add(WIDE, tasks=2, age=9000)
+    entry.state = JobState.RUNNING
+    for _ in range(60):
+        leader.add(WIDE)
+    leader.run(2500)
+    assert entry.standing is Standing.PROMOTED
+
+
 def test_started_work_counts_no_more():
     """Guards against a plan that counts running tasks as waiting."""
     leader = Leader()
--- a/jayshore/fleet/worktracker.py
+++ b/jayshore/fleet/worktracker.py
@@ -125,21 +125,29 @@
         """
         return self._missed.get(service, [])
 
-    def oldest_missed(self, service: str) -> list[JobWork]:
+    def oldest_missed(self, service: str, now: Millis) -> list[JobWork]:
         """List the first missed jobs that are not being finished yet.
 
         Args:
             service: name of the service.
+            now: time on the leader's clock, in ms.
 
         Returns:
-            At most 50 jobs.
+            At most 50 jobs that have not started, and all that have started
+            and wait again.
         """
         waiting = (
             work
             for work in self.missed(service)
             if work.entry.standing is not Standing.PROMOTED and not work.started
         )
-        return list(itertools.islice(waiting, _MAX_OLDEST))
+        started = [
+            work
+            for work in self.live(service)
+            if work.waiting.useful_until < now
+            and work.entry.standing is not Standing.PROMOTED
+        ]
+        return started + list(itertools.islice(waiting, _MAX_OLDEST))
 
     def take_done(self, service: str) -> float:
         """Return the work that was done since the last call.
