--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -18,6 +18,7 @@
     TaskGroup,
     TaskId,
 )
+from jayshore.fleet.standing import Standing
 from jayshore.fleet.tickets import Ticket
 
 _DONE_VALUE = 'done'
@@ -177,6 +178,8 @@
         accepted_at: time of acceptance on the local clock in ms, which may be
             before the origin of that clock.
         over_rate: submitted beyond the rate that its workspace is entitled to.
+        standing: standing among the waiting jobs while capacity is full; set
+            by `change_standing`.
         current_state: set it as `state`, which notes the change.
         durable_state: state that is recorded durably and may be reported to
             callers.
@@ -191,6 +194,7 @@
     job: Job
     accepted_at: Millis
     over_rate: bool = False
+    standing: Standing = Standing.USUAL
     current_state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
     cancelled: bool = False
@@ -224,6 +228,16 @@
         if self.changed_jobs is not None:
             self.changed_jobs[self.job.job_id] = self
 
+    def change_standing(self, standing: Standing) -> None:
+        """Set the standing, and note a change, as ranks depend on it.
+
+        Args:
+            standing: the new standing.
+        """
+        if self.standing is not standing:
+            self.standing = standing
+            self.note_change()
+
     def due_at_ms(self, occurrence: int) -> int:
         """Compute the due time of an occurrence.
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -32,6 +32,7 @@
 from jayshore.fleet.outages import Outage
 from jayshore.fleet.probation import Probation
 from jayshore.fleet.records import ProgressRecord, restore_progress
+from jayshore.fleet.refusalpublisher import RefusalPublisher
 from jayshore.fleet.roundrunner import RoundRunner
 from jayshore.fleet.rounds import RoundPlanner, count_pending
 from jayshore.fleet.runs import RunTracker
@@ -180,6 +181,13 @@
             metrics=metrics,
             queue_of=self._queue_of,
         )
+        self._refusal_publisher = RefusalPublisher(
+            job_table=self._job_table,
+            ledger=self._ledger,
+            journal=journal,
+            metrics=metrics,
+            confirmed_at=confirmed_at,
+        )
         self._tasks = BackgroundTasks()
         self._changed = True
 
@@ -404,6 +412,15 @@
         self._evacuator.report_unmatched()
         self._run_tracker.pace_monitor.publish()
         await self._sweeper.sweep()
+        self._refusal_publisher.sweep(
+            [
+                session
+                for session in self._sessions.values()
+                if not self._evacuations.includes(session.entry.domain)
+            ],
+            self._config(),
+            self._clock.now(),
+        )
         self._request_round()
 
     def _queue_of(self, entry: JobEntry) -> Queue:
--- a/jayshore/fleet/sweeping.py
+++ b/jayshore/fleet/sweeping.py
@@ -4,10 +4,8 @@
 from typing import Final
 
 import curio
-import eliot
 
 from jayshore.clock import Clock, Millis
-from jayshore.fleet.backlog import FULL_KEY, BacklogMeter, encode_workspaces
 from jayshore.fleet.jobtable import JobEntry, JobTable
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.losses import LossTracker
@@ -58,7 +56,6 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._inherited_until = inherited_until
-        self._backlog = BacklogMeter()
 
     async def sweep(self) -> None:
         """Look at all jobs once, and let others run in between."""
@@ -72,14 +69,6 @@
             for worker_id in self._ledger.workers():
                 if worker_id not in self._sessions:
                     await self._loss_tracker.handle_unlisted(worker_id)
-        if self._backlog.update(self._job_table.active()):
-            eliot.log_message(
-                'backlog:full', workspaces=sorted(self._backlog.full_workspaces)
-            )
-            self._journal.write(
-                FULL_KEY,
-                lambda: encode_workspaces(self._backlog.full_workspaces),
-            )
 
     def _sweep_job(self, entry: JobEntry, now: Millis, wall_ms: int) -> None:
         if entry.ended_at is not None:
