--- a/jayshore/daemon/settings.py
+++ b/jayshore/daemon/settings.py
@@ -90,6 +90,9 @@
         max_wait_ms: longest wait for the end of a job in one call.
         max_request_ms: longest timeout of a request.
         intent_width: number of workers named in a job's recorded intent.
+        memory_mb: memory of this process, in millions of bytes, None for no
+            budget.
+        max_fds: file descriptors of this process, None for no budget.
     """
 
     max_body_bytes: int = 1_000_000
@@ -103,6 +106,8 @@
     max_wait_ms: int = 30_000
     max_request_ms: int = 120_000
     intent_width: int = 8
+    memory_mb: int | None = None
+    max_fds: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -155,7 +160,8 @@
         raise SettingsError(f'{path}: {error}') from error
     for group in (settings.timing, settings.limits):
         for field in dataclasses.fields(group):
-            if getattr(group, field.name) <= 0:
+            chosen = getattr(group, field.name)
+            if chosen is not None and chosen <= 0:
                 raise SettingsError(f'{path}: {field.name} must be positive')
     return settings
 
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -81,7 +81,7 @@
         self.put('op/config', make_config(1))
         self.fronts = [self.add(f'i{number}') for number in range(instances)]
 
-    def add(self, name):
+    def add(self, name, **changes):
         front, ready, internal_port = self.reservation.reserve(3)
         settings = {
             'Node': name,
@@ -94,6 +94,7 @@
             'Advice': f'127.0.0.1:{self.ports["advice"]}',
             'platform': {'Addr': f'127.0.0.1:{self.ports["store"]}'},
             'Unknown': {'new': 1},
+            **changes,
         }
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings))
