--- a/jayshore/fleet/model.py
+++ b/jayshore/fleet/model.py
@@ -229,12 +229,18 @@
         queues: all queues.
         workspaces: all workspaces.
         max_body_bytes: limit on the body of a call, in bytes.
+        max_header_bytes: limit on the head of a call, in bytes.
+        header_timeout_ms: time to send the head of a call, in ms.
+        idle_timeout_ms: how long an idle connection is kept, in ms.
     """
 
     version: int
     queues: tuple[Queue, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 16_384
+    header_timeout_ms: Millis = Millis(5000)
+    idle_timeout_ms: Millis = Millis(60_000)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
