--- a/jayshore/daemon/main.py
+++ b/jayshore/daemon/main.py
@@ -24,9 +24,13 @@
 from jayshore.daemon.slo import EventFanout, SloTracker
 from jayshore.daemon.status import StatusReporter
 from jayshore.daemon.upstreams import UpstreamConnector
+from jayshore.http.budgets import (
+    ClientBudgets,
+    descriptor_budget,
+    memory_budget,
+)
 from jayshore.http.client import Address, HttpClient
-from jayshore.http.requestreader import ServerLimits
-from jayshore.http.server import HttpServer
+from jayshore.http.server import HttpServer, ServerLimits
 from jayshore.leases.leadership import Leadership
 from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.store.httpcalls import PlatformCaller
@@ -178,6 +182,11 @@
             handler=api,
             limits=_server_limits(settings),
             traffic=flow('callers'),
+            budget=ClientBudgets(
+                memory=memory_budget(settings.limits.memory_mb),
+                descriptors=descriptor_budget(settings.limits.max_fds),
+                count=self._metrics.client_limited,
+            ).address(trusted=False),
         )
 
     async def run(self) -> None:
--- a/jayshore/daemon/metrics.py
+++ b/jayshore/daemon/metrics.py
@@ -88,6 +88,12 @@
             ('kind', 'how'),
             registry=registry,
         )
+        self._client_limits = Counter(
+            'jayshore_client_limits',
+            'Requests refused and connections closed by limits on clients.',
+            ('cause',),
+            registry=registry,
+        )
         self.leader_epoch = Gauge(
             'jayshore_leader_epoch',
             'Epoch of the leadership, 0 when not leading.',
@@ -145,6 +151,14 @@
         self._requests.labels(service, tag, reason).inc()
         self._request_seconds.labels(service).observe(to_seconds(took_ms))
 
+    def client_limited(self, cause: str) -> None:
+        """Count a request refused, or a connection closed, by a limit.
+
+        Args:
+            cause: which limit, one of a fixed number of names.
+        """
+        self._client_limits.labels(cause).inc()
+
     def job_submitted(self, outcome: str) -> None:
         """Count a submission.
 
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -24,10 +24,16 @@
 from jayshore.fleet.peerhandler import PeerHandler
 from jayshore.fleet.peering import InstanceClient
 from jayshore.fleet.scheduler import SchedulerDependencies
+from jayshore.fleet.servers import (
+    ConfiguredLimits,
+    ReadinessHandler,
+    caller_limits,
+    make_budgets,
+    make_server,
+    peer_limits,
+)
 from jayshore.http.client import Address
-from jayshore.http.messages import Request, Response
-from jayshore.http.requestreader import ServerLimits
-from jayshore.http.server import Handler, HttpServer
+from jayshore.http.server import Handler
 from jayshore.leases.leadership import Leadership
 from jayshore.outcomes import JayshoreError
 from jayshore.retry import PLATFORM_BACKOFF
@@ -47,8 +53,6 @@
 _UNREADY_MS = Millis(1500)
 _DRAIN_MS = Millis(3000)
 _SETTINGS_POLL_MS = Millis(2000)
-_STATUS_OK = 200
-_STATUS_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +68,9 @@
         cores: processor capacity of this instance, in cores.
         max_connections: maximum number of open connections per address.
         max_lease_ms: longest lease that a worker accepts, in ms.
+        memory_mb: memory of the process, in millions of bytes, None for no
+            limit on what clients use of it.
+        max_fds: file descriptors of the process, None likewise.
     """
 
     name: str
@@ -74,6 +81,8 @@
     cores: float = 1.0
     max_connections: int = 1500
     max_lease_ms: Millis = MAX_LEASE_MS
+    memory_mb: float | None = None
+    max_fds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,31 +134,6 @@
     metrics: FleetMetrics
 
 
-class ReadinessHandler(Handler):
-    """Answers the readiness checks of the balancer."""
-
-    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
-        """Create a handler.
-
-        Args:
-            is_ready: returns whether this instance can serve.
-        """
-        self._is_ready = is_ready
-
-    async def handle(self, request: Request) -> Response:
-        """Answer a readiness check.
-
-        Args:
-            request: the check.
-
-        Returns:
-            Status 200 while this instance can serve, otherwise 503.
-        """
-        if self._is_ready():
-            return Response(status=_STATUS_OK)
-        return Response(status=_STATUS_UNAVAILABLE)
-
-
 class Instance:
     """One process of the deployment and all its components."""
 
@@ -252,7 +236,20 @@
             clock=clock,
             full_workspaces=lambda: self._membership.full_workspaces,
         )
-        self._front = _server(
+        budgets = make_budgets(
+            memory_mb=settings.memory_mb,
+            max_fds=settings.max_fds,
+            count=metrics.count_client_limit,
+        )
+        callers, peers_only = (
+            ConfiguredLimits(
+                holder=self._holder,
+                derive=derive,
+                max_connections=settings.max_connections,
+            )
+            for derive in (caller_limits, peer_limits)
+        )
+        self._front = make_server(
             settings.front,
             adapter.make_front(
                 FrontDependencies(
@@ -262,9 +259,10 @@
                     metrics=metrics,
                 )
             ),
-            settings.max_connections,
+            callers,
+            budgets.address(trusted=False),
         )
-        self._internal = _server(
+        self._internal = make_server(
             settings.internal,
             PeerHandler(
                 scheduler=lambda: self._leader_role.scheduler,
@@ -275,7 +273,8 @@
                 note_peer_call=store.reachability.note_peer_call,
                 metrics=metrics,
             ),
-            settings.max_connections,
+            peers_only,
+            budgets.address(trusted=True),
         )
         metrics.add_gauge(
             'jayshore_config_age_seconds',
@@ -292,10 +291,12 @@
             'Log lines that nobody read in time.',
             adapter.count_dropped_lines,
         )
-        self._readiness = _server(
+        metrics.follow_client_budgets(budgets)
+        self._readiness = make_server(
             settings.readiness,
             ReadinessHandler(is_ready=self._is_ready),
-            settings.max_connections,
+            callers,
+            budgets.address(trusted=True),
         )
 
     async def run(self) -> None:
@@ -384,14 +385,3 @@
             and self._is_fresh()
             and self._reachability.reachable
         )
-
-
-def _server(
-    address: Address, handler: Handler, max_connections: int
-) -> HttpServer:
-    return HttpServer(
-        host=address.host,
-        port=address.port,
-        handler=handler,
-        limits=ServerLimits(max_connections=max_connections),
-    )
--- a/jayshore/fleet/metrics.py
+++ b/jayshore/fleet/metrics.py
@@ -15,6 +15,7 @@
 )
 
 from jayshore.clock import Millis, to_seconds
+from jayshore.http.budgets import ClientBudgets
 from jayshore.store.relay import StoreCallObserver
 
 _WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
@@ -87,6 +88,12 @@
             'Groups that a worker listed with more runs than they allow.',
             registry=registry,
         )
+        self._client_limits = Counter(
+            'jayshore_client_limits',
+            'Requests refused and connections closed by limits on clients.',
+            ('cause',),
+            registry=registry,
+        )
         self._takeover = Histogram(
             'jayshore_takeover_seconds',
             'Time from an election until all jobs are known.',
@@ -201,6 +208,31 @@
         """Count a group with more runs at a worker than it allows."""
         self._over_limit.inc()
 
+    def count_client_limit(self, cause: str) -> None:
+        """Count a request refused, or a connection closed, by a limit.
+
+        Args:
+            cause: which limit, one of a fixed number of names.
+        """
+        self._client_limits.labels(cause).inc()
+
+    def follow_client_budgets(self, budgets: ClientBudgets) -> None:
+        """Export what clients use of the budgets of the process.
+
+        Args:
+            budgets: the budgets.
+        """
+        self.add_gauge(
+            'jayshore_client_memory_bytes',
+            'Memory that connections, requests and responses use.',
+            lambda: budgets.memory.used,
+        )
+        self.add_gauge(
+            'jayshore_client_connections',
+            'Connections of clients that are open.',
+            lambda: budgets.descriptors.used,
+        )
+
     def note_takeover(self, took_ms: Millis) -> None:
         """Record a takeover by this instance.
 
--- /dev/null
+++ b/jayshore/http/accounts.py
@@ -0,0 +1,122 @@
+"""What one server connection uses of the budgets of its process."""
+
+from jayshore.http.budgets import CONNECTION_BYTES, AddressBudget
+from jayshore.http.evictions import ConnectionState, Evictable
+
+_COVERED_BY_CONNECTION = 4096
+_STEP_BYTES = 16_384
+
+
+class ConnectionAccount:
+    """Takes descriptors and memory for one connection, and returns them.
+
+    Memory is taken in steps of 16 KiB. A small request takes none, since the
+    share of its connection covers it.
+    """
+
+    def __init__(self, *, address: AddressBudget, owner: Evictable) -> None:
+        """Create an account that uses nothing yet.
+
+        Args:
+            address: budget of the address.
+            owner: the connection, which is closed when it is slow or idle and
+                others need room.
+        """
+        self._address = address
+        self._budgets = address.budgets
+        self._owner = owner
+        self._state: ConnectionState | None = None
+        self._covered = 0
+
+    @property
+    def evicted(self) -> bool:
+        """Whether the connection is closed to make room for others."""
+        return self._state is ConnectionState.EVICTED
+
+    async def open(self) -> bool:
+        """Take a descriptor and the memory of a connection.
+
+        Returns:
+            False when there is none, and no connection is slow or idle.
+        """
+        if not await self._address.make_room(self._take_connection):
+            self._budgets.report.note('refused_connection')
+            return False
+        self._address.queue.enter(self._owner, None, ConnectionState.IDLE)
+        self._state = ConnectionState.IDLE
+        return True
+
+    def close(self) -> None:
+        """Return everything, when the connection is closed."""
+        if self._state is None:
+            return
+        self.release()
+        self._address.queue.remove(self._owner, self._state)
+        self._state = None
+        trusted = self._address.trusted
+        self._budgets.memory.give(CONNECTION_BYTES, trusted=trusted)
+        self._budgets.descriptors.give(1, trusted=trusted)
+
+    def enter(self, state: ConnectionState) -> None:
+        """Note what the connection is doing.
+
+        Args:
+            state: its new state; an evicted connection keeps its state.
+        """
+        if self._state is not None and not self.evicted:
+            self._address.queue.enter(self._owner, self._state, state)
+            self._state = state
+
+    async def cover(self, amount: int) -> bool:
+        """Take the memory of the current request or response.
+
+        Args:
+            amount: bytes that the request or response uses in all.
+
+        Returns:
+            False when there is too little, and no connection is slow or idle.
+            It is always taken when no other request uses memory.
+        """
+        needed = amount - _COVERED_BY_CONNECTION - self._covered
+        if needed <= 0 or self._state is None:
+            return True
+        steps = -(-needed // _STEP_BYTES) * _STEP_BYTES
+        if await self._address.make_room(lambda: self._take_bytes(steps)):
+            return not self.evicted
+        self._budgets.report.note('refused_memory')
+        return False
+
+    def release(self) -> None:
+        """Return the memory of the current request and response."""
+        self._budgets.memory.give(self._covered, trusted=self._address.trusted)
+        self._budgets.request_bytes -= self._covered
+        self._covered = 0
+
+    def note(self, cause: str) -> None:
+        """Count a refused request.
+
+        Args:
+            cause: kind of the refusal.
+        """
+        self._budgets.report.note(cause)
+
+    def _take_connection(self) -> bool:
+        trusted = self._address.trusted
+        budgets = self._budgets
+        if not budgets.descriptors.take(1, trusted=trusted):
+            return False
+        if budgets.memory.take(CONNECTION_BYTES, trusted=trusted):
+            return True
+        budgets.descriptors.give(1, trusted=trusted)
+        return False
+
+    def _take_bytes(self, amount: int) -> bool:
+        budgets = self._budgets
+        trusted = self._address.trusted
+        if not budgets.memory.take(amount, trusted=trusted):
+            if budgets.request_bytes > self._covered:
+                return False
+            budgets.memory.force(amount, trusted=trusted)
+        budgets.request_bytes += amount
+        self._covered += amount
+        return True
--- a/jayshore/http/messages.py
+++ b/jayshore/http/messages.py
@@ -74,6 +74,8 @@
     HEADER_TIMEOUT = 'header_timeout'
     BODY_TIMEOUT = 'body_timeout'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
+    CHUNK_OVERHEAD = 'chunk_overhead'
+    OVERLOADED = 'overloaded'
     INTERNAL = 'internal'
 
 
--- a/jayshore/http/requestreader.py
+++ b/jayshore/http/requestreader.py
@@ -1,7 +1,6 @@
 """Reads complete requests from a connection, within the server's limits."""
 
-import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
@@ -9,58 +8,47 @@
 
 from jayshore.clock import Millis, MonotonicClock
 from jayshore.http import sockets
+from jayshore.http.accounts import ConnectionAccount
+from jayshore.http.evictions import ConnectionState
 from jayshore.http.headers import decode_headers
-from jayshore.http.messages import ErrorKind, Request, error_response
+from jayshore.http.messages import ErrorKind, Request
+from jayshore.http.serverlimits import (
+    BadRequest,
+    ServerLimits,
+    body_too_large,
+    chunk_overhead,
+    headers_too_large,
+    overloaded,
+)
+from jayshore.http.turns import Turn
 from jayshore.outcomes import JayshoreError
 from jayshore.traffic import Traffic
 
+__all__ = (  # noqa: WPS410
+    'BadRequest',
+    'CallerGone',
+    'RequestReader',
+    'ServerLimits',
+)
+
 _STATUS_REQUEST_TIMEOUT = 408
-_STATUS_BODY_TOO_LARGE = 413
 _STATUS_HEADERS_TOO_LARGE = 431
 
+# The framing of a chunk takes at least 5 bytes. A body may have twice as much
+# framing as content, which allows chunks of 3 bytes, and some more for a few
+# small chunks.
+_CHUNK_FRAMING_BYTES = 5
+_FRAMING_FACTOR = 2
+_FRAMING_ALLOWANCE = 2048
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServerLimits:
-    """Limits on the resources that callers use.
-
-    Attributes:
-        max_header_bytes: size of request line and headers together.
-        max_body_bytes: size of the body of a request.
-        header_timeout_ms: time from the first byte of a request to the end of
-            its headers.
-        body_timeout_ms: time from the end of the headers to the end of the
-            body.
-        idle_timeout_ms: time until the first byte of a request.
-        write_timeout_ms: time for the caller to receive a response.
-        max_connections: connections of all callers open at a time.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_048_576
-    header_timeout_ms: Millis = Millis(5000)
-    body_timeout_ms: Millis = Millis(10_000)
-    idle_timeout_ms: Millis = Millis(60_000)
-    write_timeout_ms: Millis = Millis(10_000)
-    max_connections: int = 4096
-
-
-class BadRequest(JayshoreError):
-    """A request is malformed or exceeds a limit.
+# Parsing a head of short lines takes 0.7 ms for each kilobyte. Large heads and
+# bodies wait for a turn of their own.
+_CHEAP_BYTES = 2048
 
-    Attributes:
-        response: the response to the caller.
-    """
-
-    def __init__(self, status: int, kind: ErrorKind, detail: str) -> None:
-        """Create the error with its response.
-
-        Args:
-            status: status code.
-            kind: type of the error.
-            detail: explanation in one line.
-        """
-        super().__init__(detail)
-        self.response = error_response(status, kind, detail)
+# While a request is handled, its body is held again as decoded value, as the
+# value to store, in base 64, and in the call to the store: 1.2 MB were counted
+# for 262 kB.
+_HANDLING_FACTOR = 6
 
 
 class CallerGone(JayshoreError):
@@ -79,24 +67,31 @@
         *,
         sock: Any,
         connection: h11.Connection,
-        limits: ServerLimits,
+        read_limits: Callable[[], ServerLimits],
         traffic: Traffic,
+        account: ConnectionAccount,
+        turn: Turn,
     ) -> None:
         """Create a reader for an accepted connection.
 
         Args:
             sock: a curio socket.
             connection: protocol state of the server's side.
-            limits: limits on size and time.
+            read_limits: returns the limits in force for the next request.
             traffic: counts received bytes.
+            account: takes memory for what was received.
+            turn: bounds the work between two turns of other tasks.
         """
         self.idle = True
         self._sock = sock
         self._http = connection
-        self._limits = limits
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._traffic = traffic
+        self._account = account
+        self._turn = turn
         self._clock = MonotonicClock()
-        self._head_bytes = 0
+        self._received_bytes = 0
 
     async def next_request(self) -> Request:
         """Read one request with its complete body.
@@ -105,25 +100,39 @@
             The request.
 
         Raises:
-            BadRequest: the request is malformed, too large or too slow.
+            BadRequest: the request is malformed, too large or too slow, or
+                finds no memory.
+            CallerGone: the connection has ended.
         """
+        self._limits = self._read_limits()
         try:
             head = await self._read_head()
             headers = decode_headers(head)
             body = await self._read_body(headers.get('content-length'))
-            return _build_request(head, headers, body)
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == _STATUS_HEADERS_TOO_LARGE:
-                raise self._headers_too_large() from None
+                raise headers_too_large(self._limits) from None
             raise BadRequest(
                 error.error_status_hint, ErrorKind.MALFORMED, str(error)
             ) from None
+        if len(body) > _CHEAP_BYTES:
+            await self._turn.end()
+        await self._cover(self._received_bytes + _HANDLING_FACTOR * len(body))
+        if self._account.evicted:
+            raise CallerGone('closed for others, who need its memory')
+        return _build_request(head, headers, body)
 
     async def _read_head(self) -> h11.Request:
-        self._head_bytes = 0
-        if not self._http.trailing_data[0]:
+        pipelined = self._http.trailing_data[0]
+        self._received_bytes = len(pipelined)
+        if pipelined:
+            self._account.enter(ConnectionState.RECEIVING)
+            await self._turn.end()
+        else:
             await self._wait_for_first_byte()
-        event = self._http.next_event()
+        if self._received_bytes > _CHEAP_BYTES:
+            await self._turn.end()
+        event = await self._next_event()
         if event is h11.NEED_DATA:
             event = await self._wait_for_head()
         if isinstance(event, h11.ConnectionClosed):
@@ -132,9 +141,9 @@
             raise BadRequest(400, ErrorKind.MALFORMED, 'a request must follow')
         # h11 limits only incomplete heads, so the size of a large head that
         # arrived at once is checked here.
-        if self._head_bytes > self._limits.max_header_bytes:
+        if self._received_bytes > self._limits.max_header_bytes:
             if _head_size(event) > self._limits.max_header_bytes:
-                raise self._headers_too_large()
+                raise headers_too_large(self._limits)
         return event
 
     async def _wait_for_head(self) -> Any:
@@ -144,56 +153,90 @@
             await self._receive_chunk(
                 deadline, ErrorKind.HEADER_TIMEOUT, 'the headers are too slow'
             )
-            event = self._http.next_event()
+            if self._received_bytes > _CHEAP_BYTES:
+                await self._turn.end()
+            event = await self._next_event()
         return event
 
     async def _wait_for_first_byte(self) -> None:
         self.idle = True
+        self._account.enter(ConnectionState.IDLE)
+        if sockets.is_idle(self._sock):
+            self._turn.restart()
         try:
             chunk = await sockets.receive(
-                self._sock, self._limits.idle_timeout_ms
+                self._sock,
+                self._limits.idle_timeout_ms,
+                self._limits.max_header_bytes,
             )
         except sockets.WaitExpired:
             raise CallerGone('no further request') from None
         self.idle = False
-        self._head_bytes = len(chunk)
-        self._traffic.received += len(chunk)
-        self._http.receive_data(chunk)
+        self._account.enter(ConnectionState.RECEIVING)
+        await self._accept_bytes(chunk)
 
     async def _receive_chunk(
-        self, deadline: int, kind: ErrorKind, detail: str
+        self, deadline: int, kind: ErrorKind, detail: str, expected: int = 0
     ) -> None:
+        """Receive bytes of the current request.
+
+        Not much more is received than the request may still have, so that the
+        parser holds little of what follows.
+        """
         remaining = Millis(max(0, deadline - self._clock.now()))
+        size = max(expected, self._limits.max_header_bytes)
         try:
-            chunk = await sockets.receive(self._sock, remaining)
+            chunk = await sockets.receive(
+                self._sock, remaining, min(size, sockets.RECEIVE_BYTES)
+            )
         except sockets.WaitExpired:
             raise BadRequest(_STATUS_REQUEST_TIMEOUT, kind, detail) from None
-        self._head_bytes += len(chunk)
+        await self._accept_bytes(chunk)
+
+    async def _accept_bytes(self, chunk: bytes) -> None:
+        self._received_bytes += len(chunk)
         self._traffic.received += len(chunk)
         self._http.receive_data(chunk)
+        await self._cover(self._received_bytes)
+
+    async def _cover(self, amount: int) -> None:
+        if not await self._account.cover(amount):
+            raise overloaded()
+
+    async def _next_event(self) -> Any:
+        await self._turn.step()
+        return self._http.next_event()
 
     async def _read_body(self, declared_length: str | None) -> bytes:
-        limit = self._limits.max_body_bytes
-        if declared_length and int(declared_length) > limit:
-            raise self._body_too_large()
-        event = self._http.next_event()
+        declared = int(declared_length or 0)
+        self._check_body(declared, 0)
+        head_bytes = self._received_bytes - len(self._http.trailing_data[0])
+        event = await self._next_event()
         if isinstance(event, h11.EndOfMessage):
             return b''
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        chunks = 0
         deadline = self._clock.now() + self._limits.body_timeout_ms
         while not isinstance(event, h11.EndOfMessage):
             if isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-                size += len(event.data)
+                body += event.data
+                chunks += event.chunk_start
+                framing = chunks * _CHUNK_FRAMING_BYTES
             else:
-                await self._receive_body_chunk(deadline)
-            if size > limit:
-                raise self._body_too_large()
-            event = self._http.next_event()
-        return chunks[0] if len(chunks) == 1 else b''.join(chunks)
-
-    async def _receive_body_chunk(self, deadline: int) -> None:
+                framing = self._received_bytes - head_bytes - len(body)
+            self._check_body(len(body), framing)
+            if event is h11.NEED_DATA:
+                await self._receive_body_chunk(deadline, declared - len(body))
+            event = await self._next_event()
+        return bytes(body)
+
+    def _check_body(self, size: int, framing: int) -> None:
+        if size > self._limits.max_body_bytes:
+            raise body_too_large(self._limits)
+        if framing > _FRAMING_ALLOWANCE + _FRAMING_FACTOR * size:
+            raise chunk_overhead()
+
+    async def _receive_body_chunk(self, deadline: int, expected: int) -> None:
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
@@ -204,23 +247,10 @@
                 self._limits.write_timeout_ms,
             )
         await self._receive_chunk(
-            deadline, ErrorKind.BODY_TIMEOUT, 'the body is too slow'
-        )
-
-    def _headers_too_large(self) -> BadRequest:
-        limit = self._limits.max_header_bytes
-        return BadRequest(
-            _STATUS_HEADERS_TOO_LARGE,
-            ErrorKind.HEADERS_TOO_LARGE,
-            f'request line and headers exceed {limit} bytes',
-        )
-
-    def _body_too_large(self) -> BadRequest:
-        limit = self._limits.max_body_bytes
-        return BadRequest(
-            _STATUS_BODY_TOO_LARGE,
-            ErrorKind.BODY_TOO_LARGE,
-            f'the body exceeds {limit} bytes',
+            deadline,
+            ErrorKind.BODY_TIMEOUT,
+            'the body is too slow',
+            expected,
         )
 
 
--- a/jayshore/http/server.py
+++ b/jayshore/http/server.py
@@ -1,5 +1,6 @@
 """HTTP server: accepts, limits and drains connections."""
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -11,9 +12,10 @@
     to_seconds,
 )
 from jayshore.http import sockets
+from jayshore.http.budgets import AddressBudget, ClientBudgets
 from jayshore.http.messages import ErrorKind, error_response
-from jayshore.http.requestreader import ServerLimits
 from jayshore.http.serverconnection import Handler, ServerConnection
+from jayshore.http.serverlimits import ServerLimits
 from jayshore.outcomes import JayshoreError
 from jayshore.traffic import Traffic
 
@@ -39,6 +41,9 @@
 # retrying at once would only use processor time.
 _ACCEPT_RETRY_MS = Millis(50)
 
+# Accepting does not yield in curio while connections wait to be accepted.
+_ACCEPTS_PER_TURN = 16
+
 
 class NotListening(JayshoreError):
     """The server has no listening socket."""
@@ -53,8 +58,9 @@
         host: str,
         port: int,
         handler: Handler,
-        limits: ServerLimits,
+        limits: ServerLimits | Callable[[], ServerLimits],
         traffic: Traffic | None = None,
+        budget: AddressBudget | None = None,
     ) -> None:
         """Configure a server; `listen` or `serve` makes it listen.
 
@@ -62,12 +68,16 @@
             host: IP address to bind.
             port: TCP port to bind, 0 for any free one.
             handler: handles the requests.
-            limits: limits on the resources that callers use.
+            limits: limits on the resources that callers use, or a function
+                that returns those in force.
             traffic: counts bytes and responses.
+            budget: what the connections may use of the process, by default
+                without limit.
         """
         self._address = (host, port)
         self._handler = handler
-        self._limits = limits
+        self._read_limits = limits if callable(limits) else lambda: limits
+        self._budget = budget or ClientBudgets().address(trusted=False)
         self._traffic = traffic or Traffic()
         self._listener: Any = None
         self._accept_task: Any = None
@@ -139,11 +149,16 @@
         await self._stopped.set()
 
     async def _accept_connections(self) -> None:
+        accepted = 0
         while True:
+            accepted += 1
+            if accepted % _ACCEPTS_PER_TURN == 0:
+                await curio.sleep(0)
             try:
                 sock, _ = await self._listener.accept()
             except OSError as error:
                 eliot.log_message('http:accept_failed', error=repr(error))
+                await self._budget.evict_one()
                 await curio.sleep(to_seconds(_ACCEPT_RETRY_MS))
             else:
                 await self._start_connection(sock)
@@ -152,21 +167,30 @@
         connection = ServerConnection(
             sock=sock,
             handler=self._handler,
-            limits=self._limits,
+            read_limits=self._read_limits,
             traffic=self._traffic,
+            budget=self._budget,
         )
         connection.draining = self._draining
-        if len(self._connection_tasks) < self._limits.max_connections:
+        is_open = await connection.account.open()
+        if is_open and await self._budget.make_room(
+            self._has_room, own_only=True
+        ):
             self._connection_tasks[connection] = await curio.spawn(
                 self._run_connection(sock, connection), daemon=True
             )
-        elif self._pending_refusals < _MAX_PENDING_REFUSALS:
+        elif is_open and self._pending_refusals < _MAX_PENDING_REFUSALS:
             self._pending_refusals += 1
             await curio.spawn(
                 self._refuse_connection(sock, connection), daemon=True
             )
         else:
-            await sock.close()
+            connection.refuse_at_once()
+            await connection.close()
+
+    def _has_room(self) -> bool:
+        limit = self._read_limits().max_connections
+        return len(self._connection_tasks) < limit
 
     async def _run_connection(
         self, sock: Any, connection: ServerConnection
@@ -178,12 +202,12 @@
             eliot.write_traceback()
         finally:
             del self._connection_tasks[connection]
-            await sock.close()
+            await connection.close()
 
     async def _refuse_connection(
         self, sock: Any, connection: ServerConnection
     ) -> None:
-        limit = self._limits.max_connections
+        limit = self._read_limits().max_connections
         try:
             await connection.refuse(
                 error_response(
@@ -194,7 +218,7 @@
             )
         finally:
             self._pending_refusals -= 1
-            await sock.close()
+            await connection.close()
 
     async def _stop_accepting(self) -> None:
         if self._accept_task is not None:
--- a/jayshore/http/sockets.py
+++ b/jayshore/http/sockets.py
@@ -80,6 +80,26 @@
         sock._socket.shutdown(socket.SHUT_RD)  # noqa: WPS437
 
 
+def shutdown_both(sock: Any) -> None:
+    """Shut down both sides, which wakes a task that waits for the socket.
+
+    Args:
+        sock: a curio socket.
+    """
+    with contextlib.suppress(OSError):
+        sock._socket.shutdown(socket.SHUT_RDWR)  # noqa: WPS437
+
+
+def discard_received(sock: Any) -> None:
+    """Read and discard what has arrived, without waiting.
+
+    Args:
+        sock: a curio socket.
+    """
+    with contextlib.suppress(OSError):
+        sock._socket.recv(RECEIVE_BYTES)  # noqa: WPS437
+
+
 def shutdown_sending(sock: Any) -> None:
     """Shut down the sending side: the peer reads the end of the stream.
 
@@ -90,12 +110,15 @@
         sock._socket.shutdown(socket.SHUT_WR)  # noqa: WPS437
 
 
-async def receive(sock: Any, limit_ms: Millis) -> bytes:
+async def receive(
+    sock: Any, limit_ms: Millis, size: int = RECEIVE_BYTES
+) -> bytes:
     """Receive the next bytes.
 
     Args:
         sock: a curio socket.
         limit_ms: timeout in ms.
+        size: most bytes to receive.
 
     Returns:
         The bytes; empty at the end of the stream.
@@ -104,7 +127,7 @@
         WaitExpired: nothing arrived in time.
     """
     async with curio.ignore_after(to_seconds(limit_ms)):
-        return bytes(await sock.recv(RECEIVE_BYTES))
+        return bytes(await sock.recv(size))
     raise WaitExpired(f'nothing received for {limit_ms} ms')
 
 
