--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -83,7 +83,7 @@
             self.add(f'i{number}', **settings) for number in range(instances)
         ]
 
-    def add(self, name, **fields):
+    def add(self, name, **changes):
         front, ready, internal_port = self.reservation.reserve(3)
         settings = {
             'Node': name,
@@ -96,7 +96,7 @@
             'Advice': f'127.0.0.1:{self.ports["advice"]}',
             'platform': {'Addr': f'127.0.0.1:{self.ports["store"]}'},
             'Unknown': {'new': 1},
-            **fields,
+            **changes,
         }
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings))
