--- a/jayshore/fleet/admission.py
+++ b/jayshore/fleet/admission.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import hashlib
 from collections.abc import Callable
 from typing import Final
 
@@ -30,6 +31,7 @@
 _RETURN_GAP_MS: Final = Millis(250)
 _LAST_RETURN_MS: Final = Millis(16_000)
 _FULL_RETURN_MS: Final = Millis(4000)
+_SHARE_BYTES: Final = 4
 
 
 class RefusedReason(enum.StrEnum):
@@ -118,7 +120,6 @@
         self._clock = clock
         self._metrics = metrics
         self._returns = ReturnSchedule()
-        self._owed: dict[tuple[str, str], float] = {}
 
     def check(self, job: Job) -> Verdict | None:
         """Decide on a submission.
@@ -144,8 +145,8 @@
             objective_ms(job, job.queue), longest_chain_ms(job)
         )
         for refusal in notice.refusals:
-            if refusal.wait_ms > RESUME_FACTOR * useful_ms and self._is_due(
-                refusal
+            if refusal.wait_ms > RESUME_FACTOR * useful_ms and _is_in_share(
+                job, refusal.share
             ):
                 excess_ms = refusal.wait_ms - RESUME_FACTOR * useful_ms
                 return Verdict(
@@ -175,14 +176,6 @@
             retry_after_ms=verdict.retry_after_ms,
         )
 
-    def _is_due(self, refusal: Refusal) -> bool:
-        """Return whether the next submission belongs to the refused share."""
-        key = (refusal.queue, refusal.workspace)
-        owed = self._owed.get(key, 0) + refusal.share
-        refused = owed >= 1
-        self._owed[key] = owed - 1 if refused else owed
-        return refused
-
 
 def has_other_times(job: Job) -> bool:
     """Return whether the objective of a job says nothing of its use.
@@ -198,6 +191,18 @@
     )
 
 
+def _is_in_share(job: Job, share: float) -> bool:
+    """Return whether a job belongs to a refused share of the submissions.
+
+    It is the same for all attempts and at all instances. If each attempt had
+    its own chance, repeated ones would get through, and the rate at which the
+    workspace submits would be overestimated from what is accepted.
+    """
+    name = f'{job.workspace}/{job.job_id}'.encode()
+    digest = hashlib.blake2b(name, digest_size=_SHARE_BYTES).digest()
+    return int.from_bytes(digest) < share * (1 << (8 * _SHARE_BYTES))
+
+
 def _reason(refusal: Refusal) -> RefusedReason:
     if refusal.share < 1:
         return RefusedReason.OVER_RATE
--- a/jayshore/fleet/backlog_test.py
+++ b/jayshore/fleet/backlog_test.py
@@ -11,13 +11,16 @@
 from jayshore.fleet.backlog import BacklogMeter
 from jayshore.fleet.jobservice import Refused
 from jayshore.fleet.jobtable import JobState
+from jayshore.fleet.members import Membership
 from jayshore.fleet.refusals import (
+    FULL_KEY,
     NOTHING_REFUSED,
     Refusal,
     RefusalNotice,
     decode_notice,
     encode_notice,
 )
+from jayshore.http.client import Address
 from tests.memory_fleet_test import (
     COMPLETED,
     CONFIG,
@@ -135,3 +138,27 @@
                 await instance.kill()
 
     curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def test_notice_of_unknown_age_refuses_nothing():
+    """Guards against refusals by a leader that was lost before a restart."""
+
+    async def scenario():
+        fleet = Fleet(config=CONFIG)
+        await fleet.store.put(
+            FULL_KEY,
+            encode_notice(RefusalNotice(workspaces=('riverbend',))),
+            expect_revision=0,
+        )
+        membership = Membership(
+            store=fleet.store,
+            clock=fleet.clock,
+            name='i9',
+            address=Address(host='127.0.0.1', port=1),
+        )
+        following = await curio.spawn(membership.follow, daemon=True)
+        await membership.wait_loaded()
+        assert membership.refused('checks', 'riverbend') == NOTHING_REFUSED
+        await following.cancel()
+
+    curio.run(scenario, taskcls=curio.task.ContextTask)
--- a/jayshore/fleet/backlogwalk.py
+++ b/jayshore/fleet/backlogwalk.py
@@ -17,6 +17,7 @@
 from jayshore.fleet.demands import WaitReason
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.placing import PlacementRound
+from jayshore.fleet.ranking import DeadlineStatus
 from jayshore.fleet.screening import Screen
 from jayshore.fleet.waiting import SortKey, WaitingGroup, WaitingIndex
 
@@ -37,8 +38,12 @@
     WaitReason.NO_ADVICE,
     None,
     WaitReason.OLD_TICKET,
+    WaitReason.LIMIT,
 )
-"""Outcomes of groups that take the next free workers from those behind."""
+"""Outcomes of groups that take the next free workers from those behind.
+
+A group at the limit of its workspace takes from those of its workspace only.
+"""
 
 
 class BacklogWalk:
@@ -131,7 +136,7 @@
                     return
             reason = self._consider(current, waiting)
         self.reasons[waiting.group_id] = reason
-        if reason in _COMPETING:
+        if reason in _COMPETING and not _starts_by_chance(waiting, reason):
             self._gate.note_group(
                 waiting.queue.service, waiting.workspace, waiting.cpu_millis
             )
@@ -152,3 +157,16 @@
             reason = self._round.consider(demand) or reason
         self._spent += _PLACEMENT_COST * (len(placements) - placed)
         return reason
+
+
+def _starts_by_chance(waiting: WaitingGroup, reason: WaitReason | None) -> bool:
+    """Return whether a group may wait for long without taking any worker.
+
+    No workers are reserved for a gang that is late, so it would keep others
+    from asking for advice on workers that it does not use.
+    """
+    return (
+        reason is WaitReason.NO_ROOM
+        and waiting.group.spec.gang
+        and waiting.rank.deadline_status is not DeadlineStatus.IN_TIME
+    )
--- a/jayshore/fleet/members.py
+++ b/jayshore/fleet/members.py
@@ -147,7 +147,7 @@
             await self._set_leader(entry)
         elif key == FULL_KEY:
             self._notice = decode_notice('' if entry is None else entry.value)
-            self._noticed_at = self._clock.now()
+            self._noticed_at = self._confirmed_at()
         elif key.startswith(_MEMBERS):
             self._set_member(key.removeprefix(_MEMBERS), entry)
 
@@ -201,6 +201,18 @@
                 eliot.log_message('members:not_registered', error=str(error))
             await curio.sleep(to_seconds(_RETRY_MS))
 
+    def _confirmed_at(self) -> Millis:
+        """Return when a notice that was just read counts as confirmed.
+
+        After a restart or an outage its age is not known, so that it refuses
+        nothing until the leader confirms it.
+        """
+        now = self._clock.now()
+        age = self._mirror.age_ms
+        if age is None or age >= _REFUSALS_VALID_MS:
+            return Millis(now - _REFUSALS_VALID_MS)
+        return now
+
     async def _register_once(self) -> None:
         lease = await self._store.grant_lease(_TTL_MS)
         entry = _MemberEntry(address=str(self._address), cores=self._cores)
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -163,16 +163,13 @@
 
     async def _start(self, task: TaskEntry, run: int) -> None:
         await self._wait_until_known(task, run)
-        change = self._find_change(task)
-        if change:
-            await self._report_not_started(task, run, change)
         await self._send_until_answered(task, run)
 
     async def _send_until_answered(self, task: TaskEntry, run: int) -> None:
         attempts = 0
         while _is_starting(task, run):
             session = self._observer.find_session(task.worker)
-            obstacle = _find_obstacle(task, session)
+            obstacle = self._find_obstacle(task, session, attempts)
             if session is None or obstacle:
                 if not attempts:
                     await self._report_not_started(task, run, obstacle)
@@ -245,6 +242,17 @@
             task.phase = Phase.STOPPING
             await self._stop(task, run, poll=True)
 
+    def _find_obstacle(
+        self, task: TaskEntry, session: WorkerSession | None, attempts: int
+    ) -> str:
+        """Return why a start cannot be sent, empty when it can."""
+        if session is None or session.closed:
+            return 'no_session'
+        if not session.is_incarnation(task.incarnation):
+            return 'other_life'
+        # A start that may have arrived is repeated whatever has changed.
+        return '' if attempts else self._find_change(task)
+
     def _find_change(self, task: TaskEntry) -> str:
         """Return what forbids a start since it was decided, empty for nothing.
 
@@ -370,13 +378,6 @@
     return task.run == run and task.phase is Phase.STARTING
 
 
-def _find_obstacle(task: TaskEntry, session: WorkerSession | None) -> str:
-    """Return why a start cannot be sent, empty when it can."""
-    if session is None or session.closed:
-        return 'no_session'
-    return '' if session.is_incarnation(task.incarnation) else 'other_life'
-
-
 def _start_order(
     task: TaskEntry, session: WorkerSession, lease_until: int
 ) -> StartOrder:
--- a/jayshore/fleet/overload.py
+++ b/jayshore/fleet/overload.py
@@ -53,7 +53,10 @@
 """Share of a full capacity that finishes accepted jobs of no use any more."""
 
 _MAX_PROMOTED_MS: Final = 1000
-"""Capacity of this time, in ms, is promoted at most at once."""
+"""Capacity of this time, in ms, is promoted at most at once.
+
+A job of more work runs only on capacity that nothing else needs.
+"""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -296,7 +299,8 @@
         missed = {
             work.waiting.job_id: work
             for work in self._tracker.oldest_missed(name, now)
-            if plan.full or work.waiting.workspace in plan.limited
+            if work.waiting.work <= cores * _MAX_PROMOTED_MS
+            and (plan.full or work.waiting.workspace in plan.limited)
         }
         chosen, left = choose_promoted(
             [work.waiting for work in missed.values()], service.allowance
--- a/jayshore/fleet/queueload.py
+++ b/jayshore/fleet/queueload.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Mapping
 from typing import Final
 
 from jayshore.fleet.model import FleetConfig
@@ -81,39 +82,47 @@
 
     def __init__(self) -> None:
         """Create rates of no submissions."""
-        self._arrived: collections.Counter[str] = collections.Counter()
+        self._arrived: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._rates: dict[str, float] = {}
-        self._refused: dict[str, float] = {}
 
-    def add(self, workspace: str) -> None:
+    def add(self, workspace: str, queue: str) -> None:
         """Count an accepted job.
 
         Args:
             workspace: its owner.
+            queue: name of its queue.
         """
-        self._arrived[workspace] += 1
+        self._arrived[workspace, queue] += 1
 
     def step(
-        self, elapsed_ms: int, config: FleetConfig, refused: dict[str, float]
+        self,
+        elapsed_ms: int,
+        config: FleetConfig,
+        refused: Mapping[tuple[str, str], float],
     ) -> dict[str, float]:
         """Compute which share of the submissions is beyond the rates.
 
         Args:
             elapsed_ms: time since the last step, in ms.
             config: the configuration in force.
-            refused: share of the submissions of each workspace that is being
-                refused.
+            refused: share of the submissions that is being refused, by
+                workspace and queue.
 
         Returns:
             Share by workspace, without those within their rate; at most 0.9.
         """
         weight = _weight(elapsed_ms, _OFFERED_MS)
         shares: dict[str, float] = {}
+        arrived: dict[str, float] = {}
+        for key, accepted in self._arrived.items():
+            offered = accepted / (1 - refused.get(key, 0))
+            arrived[key[0]] = arrived.get(key[0], 0) + offered
         for workspace in config.workspaces:
             name = workspace.name
-            accepted = self._arrived[name] / max(1, elapsed_ms)
-            offered = accepted * _MILLIS_PER_SECOND
-            offered /= 1 - refused.get(name, 0)
+            offered = arrived.get(name, 0) / max(1, elapsed_ms)
+            offered *= _MILLIS_PER_SECOND
             rate = self._rates.get(name, 0)
             rate += weight * (offered - rate)
             self._rates[name] = rate
--- a/jayshore/fleet/ranking.py
+++ b/jayshore/fleet/ranking.py
@@ -128,7 +128,10 @@
             False, entry.over_rate, deadline_status, queue.priority, due_at
         )
     if standing is Standing.PROMOTED:
-        return Rank(False, False, DeadlineStatus.IN_TIME, 0, due_at)
+        # Behind urgent work that can be in time, and before all other work.
+        return Rank(
+            False, False, DeadlineStatus.IN_TIME, _PLANNED_PRIORITY, due_at
+        )
     return Rank(
         standing is Standing.DEFERRED,
         entry.over_rate,
--- a/jayshore/fleet/refusaltable.py
+++ b/jayshore/fleet/refusaltable.py
@@ -44,18 +44,17 @@
         """Refusals in force."""
         return tuple(self._refusals.values())
 
-    def shares(self) -> dict[str, float]:
-        """Return which share of the submissions of a workspace is refused.
+    def shares(self) -> dict[tuple[str, str], float]:
+        """Return which shares of submissions beyond a rate are refused.
 
         Returns:
-            Largest share by workspace.
+            Share by workspace and queue.
         """
-        found: dict[str, float] = {}
-        for refusal in self._refusals.values():
-            if refusal.share < 1:
-                name = refusal.workspace
-                found[name] = max(found.get(name, 0), refusal.share)
-        return found
+        return {
+            (refusal.workspace, refusal.queue): refusal.share
+            for refusal in self._refusals.values()
+            if refusal.share < 1
+        }
 
     def update(
         self, waits: Iterable[QueueWait], over_rates: Mapping[str, float]
--- a/jayshore/fleet/roundrunner.py
+++ b/jayshore/fleet/roundrunner.py
@@ -55,6 +55,12 @@
         self._queue_of = queue_of
         self._wait_log = WaitReasonLog()
         self._round_log = RoundLog(metrics=metrics)
+        self._took_ms = Millis(0)
+
+    @property
+    def took_ms(self) -> Millis:
+        """How long the last round kept the event loop, in ms."""
+        return self._took_ms
 
     async def run_round(
         self,
@@ -102,9 +108,8 @@
         now = self._clock.now()
         self._probation.note_starts(decisions.placements, now)
         self._wait_log.record(decisions.waiting, now)
-        self._round_log.record(
-            decisions, took_ms=Millis(self._clock.now() - started), now=now
-        )
+        self._took_ms = Millis(self._clock.now() - started)
+        self._round_log.record(decisions, took_ms=self._took_ms, now=now)
         for request in decisions.advice_requests:
             await self._request_advice(request)
         return decisions.cut
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -291,15 +291,16 @@
         swept_at = self._clock.now()
         try:
             while True:
-                started = self._clock.now()
                 if self._changed:
                     self._changed = False
                     await self._run_round()
                 if self._clock.now() - swept_at >= _SWEEP_INTERVAL_MS:
                     swept_at = self._clock.now()
                     await self._sweep()
-                took = self._clock.now() - started
-                pause = max(_ROUND_INTERVAL_MS, _PAUSE_FACTOR * took)
+                pause = max(
+                    _ROUND_INTERVAL_MS,
+                    _PAUSE_FACTOR * self._round_runner.took_ms,
+                )
                 await curio.sleep(to_seconds(Millis(pause)))
         finally:
             await self._close()
--- a/jayshore/fleet/screening.py
+++ b/jayshore/fleet/screening.py
@@ -86,6 +86,10 @@
         self, waiting: WaitingGroup, pool: WorkerPool
     ) -> WaitReason | None:
         group = waiting.group
+        if pool.has_any(group.tickets) and self._round.is_at_limit(
+            waiting.workspace, waiting.need, waiting.least
+        ):
+            return WaitReason.LIMIT
         if (
             not group.advice_pending
             and self._gate.may_ask(
@@ -98,10 +102,6 @@
             return WaitReason.NO_ADVICE
         if not pool.has_any(group.tickets):
             return None if self._round.evacuates else WaitReason.NOT_ADVISED
-        if self._round.is_at_limit(
-            waiting.workspace, waiting.need, waiting.least
-        ):
-            return WaitReason.LIMIT
         if self._may_reserve(waiting):
             return None
         if _has_room(waiting, pool, group.tickets):
--- a/jayshore/fleet/serviceplan.py
+++ b/jayshore/fleet/serviceplan.py
@@ -95,10 +95,19 @@
         The plan; no job is planned while no limit is full.
     """
     plan = ServicePlan()
+    by_workspace = _group(works)
+    missed_by_workspace = _group(missed)
+    held_back: float = 0
     for limit in limits:
-        own = _select(works, limit.workspace)
-        wanted = sum(map(_WANTED, own))
-        wanted += sum(map(_WANTED, _select(missed, limit.workspace)))
+        name = limit.workspace
+        own = by_workspace.get(name, []) if name else works
+        left_out = missed_by_workspace.get(name, []) if name else missed
+        wanted = sum(map(_WANTED, own)) + sum(map(_WANTED, left_out))
+        if name:
+            # What a workspace may not start takes no worker from others.
+            held_back += max(0, wanted - max(0, limit.cores - limit.used))
+        else:
+            wanted -= held_back
         if limit.used + wanted <= limit.cores:
             continue
         if limit.workspace:
@@ -109,11 +118,12 @@
     return plan
 
 
-def _select(works: Sequence[JobWork], workspace: str) -> Sequence[JobWork]:
-    """Return the jobs of a workspace, or all when none is named."""
-    if not workspace:
-        return works
-    return [work for work in works if work.waiting.workspace == workspace]
+def _group(works: Sequence[JobWork]) -> dict[str, list[JobWork]]:
+    """Group jobs by workspace."""
+    found: dict[str, list[JobWork]] = {}
+    for work in works:
+        found.setdefault(work.waiting.workspace, []).append(work)
+    return found
 
 
 def _plan_limit(
--- a/jayshore/fleet/speeds.py
+++ b/jayshore/fleet/speeds.py
@@ -315,4 +315,7 @@
         )
         # The runs of fast workers end first, which raises an early median.
         if len(paces) >= max(_MIN_REFERENCE_WORKERS, in_use / 2):
-            self._reference = statistics.median(paces)
+            median = statistics.median(paces)
+            # Most runs may stand still for a while, which tells no speed.
+            if median > 0:
+                self._reference = median
--- a/jayshore/fleet/speeds_test.py
+++ b/jayshore/fleet/speeds_test.py
@@ -93,6 +93,17 @@
     assert speeds.speed('w0', 1) == 1.0
 
 
+def test_standing_runs_are_no_reference():
+    """Guards against a division by a median of 0 while most runs stand."""
+    speeds = learned_speeds()
+    for worker in WORKERS[1:]:
+        for number in range(4):
+            speeds.note_progress(worker, advance(0, number), Millis(9000))
+        speeds.judge(worker, Millis(9000))
+    speeds.judge(WORKERS[0], Millis(9900))
+    assert speeds.speed(WORKERS[0], 1) == 1
+
+
 def test_slow_workers_count_for_the_median():
     """Guards against verdicts that raise the median, and so cause others."""
     speeds = learned_speeds((1, 1, 1, 3, 3))
--- a/jayshore/http/accounts.py
+++ b/jayshore/http/accounts.py
@@ -74,6 +74,22 @@
         self._budgets.report.note('refused_memory')
         return False
 
+    async def cover_response(self, size: int, sent: int) -> bool:
+        """Take the memory of a response that the caller has not taken yet.
+
+        Responses to other instances may be listings of many megabytes, so that
+        only what is left of them counts.
+
+        Args:
+            size: bytes of the response.
+            sent: bytes that were sent already.
+
+        Returns:
+            False when there is too little, and no connection is slow or idle.
+        """
+        amount = size - sent if self._address.trusted else 2 * size
+        return await self.cover(amount)
+
     def release(self) -> None:
         """Return the memory of the current request and response."""
         extra = self.covered - _COVERED_BY_CONNECTION
--- a/jayshore/http/serverconnection.py
+++ b/jayshore/http/serverconnection.py
@@ -199,6 +199,8 @@
             try:
                 request = await self._reader.next_request()
             except BadRequest as bad:
+                if self.activity.evicted:
+                    raise CallerGone('closed to make room') from None
                 self.account.note(bad.kind.value)
                 return bad.response
             response = await self._call_handler(request)
@@ -246,7 +248,7 @@
     async def _send_rest(self, message: bytes, sent: int) -> None:
         """Send what the caller has not taken, which takes memory meanwhile."""
         self.activity.enter(ConnectionState.SENDING)
-        if not await self.account.cover(2 * len(message)):
+        if not await self.account.cover_response(len(message), sent):
             raise CallerGone('too little memory for an unread response')
         await sockets.send_remaining(
             self._sock, message, sent, self._limits.write_timeout_ms
--- a/jayshore/placement/predicted_waits.py
+++ b/jayshore/placement/predicted_waits.py
@@ -90,10 +90,9 @@
     highest: float = 0
     for job in [one for one in useful if not one.over_rate]:
         reason = deferred.get(job.job_id)
-        if not job.priority and reason is not DeferReason.LATE:
-            urgent += job.work
         if reason is None:
             kept += job.work
+            urgent += 0 if job.priority else job.work
         else:
             put_off += job.work
             if reason is DeferReason.COSTLIER and job.density > highest:
