--- a/jayshore/fleet/advising.py
+++ b/jayshore/fleet/advising.py
@@ -37,9 +37,11 @@
 would be chosen often because it becomes free sooner than the others.
 """
 
-# The validity of a ticket starts with the reply of the service, which is some
-# time old when it arrives here.
-_TICKET_TRANSFER_MS: Final = 20
+TICKET_TRANSFER_MS: Final = 20
+"""Part of the validity of a ticket that has passed when it arrives.
+
+The validity starts with the reply of the service.
+"""
 
 _HORIZON_MS: Final = 2500
 """Calling time of each instance that requests may take up, in ms.
@@ -229,7 +231,7 @@
 
     def _store_tickets(self, call: _QueuedCall, advice: Advice) -> None:
         group = call.group
-        until = self._clock.now() + advice.validity_ms - _TICKET_TRANSFER_MS
+        until = self._clock.now() + advice.validity_ms - TICKET_TRANSFER_MS
         group.evaluated.update(call.request.workers)
         for worker in call.request.workers:
             group.tickets.pop(worker, None)
