--- a/jayshore/cli/check.py
+++ b/jayshore/cli/check.py
@@ -1,10 +1,12 @@
-"""`jayshore check`: list every fault of a configuration directory."""
+"""`jayshore check`: list every fault of a configuration."""
 
 import argparse
 import dataclasses
+import os
 import pathlib
 
-from jayshore.cli.arguments import Commands, add_command
+from jayshore.cli.arguments import Commands, UsageError, add_command
+from jayshore.cli.check_deployment import check_deployment
 from jayshore.cli.console import Console, ExitCode
 from jayshore.config.document import Document
 from jayshore.config.loading import load_directory
@@ -12,6 +14,12 @@
 
 _EXAMPLES = """  jayshore check ./cell
   jayshore check --json ./cell
+  jayshore check desired.json --against in-force.json
+
+exit codes for a desired state:
+  0  clean, or differences only
+  1  warnings
+  2  errors, or wrong usage
 """
 
 
@@ -41,15 +49,33 @@
     parser = add_command(
         commands,
         'check',
-        summary='check a configuration directory without applying it',
+        summary='check a configuration without applying it',
         examples=_EXAMPLES,
     )
-    parser.add_argument('directory', metavar='DIR', type=pathlib.Path)
+    parser.add_argument(
+        'path',
+        metavar='PATH',
+        type=pathlib.Path,
+        help='configuration directory, or file with a desired state',
+    )
+    parser.add_argument(
+        '--against',
+        metavar='FILE',
+        type=pathlib.Path,
+        help='desired state in force; its differences are shown',
+    )
+    parser.add_argument(
+        '--format',
+        metavar='MODULE',
+        type=pathlib.Path,
+        help='Python file that decodes a desired state; default:'
+        ' platform/desired_state_check.py of the source tree',
+    )
     parser.set_defaults(run_local=run)
 
 
 def run(arguments: argparse.Namespace, console: Console) -> ExitCode:
-    """Check a directory and print its digest or its faults.
+    """Check a directory or a desired state, and print what was found.
 
     Args:
         arguments: the parsed arguments.
@@ -57,8 +83,20 @@
 
     Returns:
         The exit code.
+
+    Raises:
+        UsageError: an option for desired states is used with a directory.
     """
-    loaded = load_checked(arguments.directory, console)
+    if os.path.isfile(arguments.path):
+        return check_deployment(
+            arguments.path,
+            console,
+            against=arguments.against,
+            format_path=arguments.format,
+        )
+    if arguments.against is not None or arguments.format is not None:
+        raise UsageError('--against and --format need a file to check')
+    loaded = load_checked(arguments.path, console)
     if isinstance(loaded, ExitCode):
         return loaded
     size = len(loaded.to_bytes())
