--- a/jayshore/config/loading.py
+++ b/jayshore/config/loading.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import os
 import pathlib
 from collections.abc import Mapping
 from typing import TypeVar
@@ -42,7 +43,7 @@
     Returns:
         The document in canonical order, or every fault found.
     """
-    if not path.is_dir():
+    if not os.path.isdir(path):
         return _single_fault(Fault(message=f'{path} is not a directory'))
     try:
         present = {entry.name for entry in path.glob('*.json')}
--- a/jayshore/config/loading_test.py
+++ b/jayshore/config/loading_test.py
@@ -255,3 +255,10 @@
     assert snapshot.authenticate(str(first.bearer)).team == 'ridge'
     assert not hasattr(snapshot.authenticate(str(second.bearer)), 'team')
     assert first.bearer.secret not in repr(first)
+
+
+@pytest.mark.parametrize('name', ['missing', 'n' * 300])
+def test_unusable_path_is_one_fault(tmp_path, name):
+    """Guards against a traceback for a path longer than the system allows."""
+    (fault,) = load_directory(tmp_path / name).faults
+    assert 'is not a directory' in fault.message
