--- a/jayshore/fleet/leasing.py
+++ b/jayshore/fleet/leasing.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from jayshore.clock import Millis
+from jayshore.fleet.unanswered import LATEST_MS
 
 LEASE_MS: Final = Millis(8000)
 """Length of a lease where workers accept one that long, in ms.
@@ -53,6 +54,8 @@
         self._read_at = Millis(0)
         self._granted_until = 0
         self._former_until = Millis(0)
+        self._reset_at: Millis | None = None
+        self._arrives_by = Millis(0)
 
     @property
     def clock_known(self) -> bool:
@@ -79,10 +82,31 @@
             now: time on the local clock, in ms.
         """
         if self._granted_until:
-            self._former_until = latest_expiry(now, self._max_ms)
+            self._extend_former(Millis(max(now, self._arrives_by)))
+        self._reset_at = now
+        self._arrives_by = Millis(0)
         self._clock_reading = None
         self._granted_until = 0
 
+    def note_start(
+        self, sent_at: Millis, now: Millis, *, answered: bool
+    ) -> None:
+        """Record the outcome of a start order that named the end of the lease.
+
+        One without an answer may arrive later. At a later incarnation it is
+        refused, and may grant the longest lease all the same.
+
+        Args:
+            sent_at: when it was sent on the local clock, in ms.
+            now: time on the local clock, in ms.
+            answered: whether the worker has answered it.
+        """
+        arrives_by = now if answered else Millis(sent_at + LATEST_MS)
+        if self._reset_at is not None and sent_at <= self._reset_at:
+            self._extend_former(arrives_by)
+        else:
+            self._arrives_by = max(self._arrives_by, arrives_by)
+
     def grant(
         self, now: Millis, lease_deadline: Millis, *, extend: bool
     ) -> int | None:
@@ -122,3 +146,9 @@
         remaining_ms = Millis(max(0, self._granted_until - self._clock_reading))
         own_until = latest_expiry(self._read_at, remaining_ms)
         return max(own_until, self._former_until)
+
+    def _extend_former(self, arrives_by: Millis) -> None:
+        """Wait for the lease that an order on a former clock may grant."""
+        self._former_until = max(
+            self._former_until, latest_expiry(arrives_by, self._max_ms)
+        )
--- a/jayshore/fleet/leasing_test.py
+++ b/jayshore/fleet/leasing_test.py
@@ -9,6 +9,7 @@
     WorkerLease,
     latest_expiry,
 )
+from jayshore.fleet.unanswered import LATEST_MS
 
 LATER = Millis(1_000_000)
 
@@ -68,6 +69,38 @@
     assert lease.expires_by() >= longest
 
 
+STARTS = (
+    ('lost before the contact', 1500, 1900, False, 1500 + LATEST_MS),
+    ('in flight at the contact', 1500, 2500, False, 1500 + LATEST_MS),
+    ('answered after the contact', 1500, 2500, True, 2500),
+    ('answered before the contact', 1500, 1900, True, 2000),
+    ('lost after the contact', 2100, 2500, False, 2000),
+)
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'noted_at', 'answered', 'arrives_by'),
+    [row[1:] for row in STARTS],
+    ids=[row[0] for row in STARTS],
+)
+def test_start_that_names_a_former_clock_may_extend_the_lease(
+    sent_at, noted_at, answered, arrives_by
+):
+    """Guards against runs that are given up while their lease lasts.
+
+    The worker is another incarnation from 2000 ms on.
+    """
+    lease = make_lease()
+    lease.grant(Millis(1000), LATER, extend=True)
+    contact = Millis(2000)
+    if noted_at > contact:
+        lease.reset(contact)
+    lease.note_start(Millis(sent_at), Millis(noted_at), answered=answered)
+    if noted_at <= contact:
+        lease.reset(contact)
+    assert lease.expires_by() == latest_expiry(Millis(arrives_by), MAX_LEASE_MS)
+
+
 @pytest.mark.parametrize('rate', [0.98, 0.99, 1.0, 1.02])
 def test_lease_is_over_on_every_clock(rate):
     """Guards against a second run while a slow clock keeps the first alive."""
--- a/jayshore/fleet/orders.py
+++ b/jayshore/fleet/orders.py
@@ -215,12 +215,16 @@
         One lost reply says little of a worker; the next order shows whether it
         replies.
         """
+        sent_at = self._clock.now()
         if attempts == 1:
-            task.ordered_at = self._clock.now()
+            task.ordered_at = sent_at
         try:
             reply = await session.client.start(order)
         except WorkerUnreachable as error:
             if error.sent:
+                session.lease.note_start(
+                    sent_at, self._clock.now(), answered=False
+                )
                 self._unanswered.note(
                     task.worker,
                     task.task_id,
@@ -232,6 +236,7 @@
                 task, order.run, attempts, sent=error.sent
             )
             return False
+        session.lease.note_start(sent_at, self._clock.now(), answered=True)
         await self._handle_reply(task, order.run, reply, uncertain=attempts > 1)
         return True
 
--- a/jayshore/fleet/sessions.py
+++ b/jayshore/fleet/sessions.py
@@ -145,6 +145,11 @@
         """Client of the worker."""
         return self._client
 
+    @property
+    def lease(self) -> WorkerLease:
+        """The lease that the worker was granted."""
+        return self._lease
+
     @property
     def fence(self) -> int:
         """Epoch under which the worker is called."""
