--- a/jayshore/fleet/overload.py
+++ b/jayshore/fleet/overload.py
@@ -149,7 +149,9 @@
             deferred += self._change_standings(name, works, plan)
             self._promote(name, service, plan, now, elapsed)
             self._log.record(name, plan, works, now)
-        shares = self._rates.step(elapsed, config, self._table.shares())
+        shares = self._rates.step(
+            elapsed, config, self._table.workspaces_beyond_rate()
+        )
         self._table.update(waits, shares)
         self._metrics.deferred_jobs.set(deferred)
         return self._table.refusals
--- a/jayshore/fleet/overload_test.py
+++ b/jayshore/fleet/overload_test.py
@@ -18,6 +18,7 @@
     Workspace,
 )
 from jayshore.fleet.overload import SETTLED_MS, OverloadMonitor
+from jayshore.fleet.queueload import OfferedRates
 from jayshore.fleet.standing import Standing
 from jayshore.resources import NOTHING, Resources
 
@@ -205,6 +206,29 @@
     assert found.get('a', 1) == 1
 
 
+@pytest.mark.parametrize('following', [1.0, 0.65])
+def test_refused_share_settles_at_the_rate(following):
+    """Guards against refusing what a workspace is entitled to.
+
+    Some instances do not follow the refusals, as when they are cut off.
+    """
+    rates = OfferedRates()
+    config = FleetConfig(
+        version=1,
+        workspaces=(Workspace(name='a', keys=frozenset(), weight=40),),
+    )
+    share = 0.0
+    accepted = []
+    for step in range(80):
+        count = round(25 * (1 - following * share))
+        accepted.append(4 * count)
+        for _ in range(count):
+            rates.add('a')
+        refused = {'a'} if step > 8 else ()
+        share = rates.step(250, config, refused).get('a', 0)
+    assert 36 <= sum(accepted[-20:]) / 20 <= 44
+
+
 def test_missed_jobs_are_finished_within_a_small_part():
     """Guards against an accepted job that is never finished."""
     leader = Leader()
--- a/jayshore/fleet/queueload.py
+++ b/jayshore/fleet/queueload.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Collection
 from typing import Final
 
 from jayshore.fleet.model import FleetConfig
@@ -18,6 +18,12 @@
 _OFFERED_MS: Final = 2000
 """Time over which the submissions of a workspace are averaged, in ms."""
 
+_ADJUST_MS: Final = 1000
+"""Time in which a refused share follows what is accepted, in ms.
+
+Instances follow a change within half a second; faster changes would overshoot.
+"""
+
 _THROUGHPUT_MS: Final = 8000
 """Time over which the work done is averaged, in ms.
 
@@ -74,66 +80,82 @@
 
 
 class OfferedRates:
-    """Submissions of each workspace, including those that were refused.
+    """Which share of the submissions of a workspace is beyond its rate.
 
-    An instance sees only a part of the submissions, so the leader computes the
-    share that is beyond the rate of a workspace.
+    While nothing is refused, the share follows from the rate of accepted jobs.
+    While a share is refused it is adjusted until what is accepted is the rate
+    of the workspace: how many submissions there were cannot be told, since
+    instances that are cut off refuse nothing, and others follow late.
     """
 
     def __init__(self) -> None:
         """Create rates of no submissions."""
-        self._arrived: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
+        self._arrived: collections.Counter[str] = collections.Counter()
         self._rates: dict[str, float] = {}
+        self._shares: dict[str, float] = {}
 
-    def add(self, workspace: str, queue: str) -> None:
+    def add(self, workspace: str) -> None:
         """Count an accepted job.
 
         Args:
             workspace: its owner.
-            queue: name of its queue.
         """
-        self._arrived[workspace, queue] += 1
+        self._arrived[workspace] += 1
 
     def step(
-        self,
-        elapsed_ms: int,
-        config: FleetConfig,
-        refused: Mapping[tuple[str, str], float],
+        self, elapsed_ms: int, config: FleetConfig, refused: Collection[str]
     ) -> dict[str, float]:
         """Compute which share of the submissions is beyond the rates.
 
         Args:
             elapsed_ms: time since the last step, in ms.
             config: the configuration in force.
-            refused: share of the submissions that is being refused, by
-                workspace and queue.
+            refused: workspaces of whose submissions a share is being refused.
 
         Returns:
             Share by workspace, without those within their rate; at most 0.9.
         """
-        weight = _weight(elapsed_ms, _OFFERED_MS)
         shares: dict[str, float] = {}
-        arrived: dict[str, float] = {}
-        for key, accepted in self._arrived.items():
-            offered = accepted / (1 - refused.get(key, 0))
-            arrived[key[0]] = arrived.get(key[0], 0) + offered
         for workspace in config.workspaces:
             name = workspace.name
-            offered = arrived.get(name, 0) / max(1, elapsed_ms)
-            offered *= _MILLIS_PER_SECOND
+            accepted = self._arrived[name] / max(1, elapsed_ms)
+            accepted *= _MILLIS_PER_SECOND
             rate = self._rates.get(name, 0)
-            rate += weight * (offered - rate)
+            rate += _weight(elapsed_ms, _OFFERED_MS) * (accepted - rate)
             self._rates[name] = rate
-            if workspace.weight and rate > workspace.weight:
-                share = min(_MAX_SHARE, 1 - workspace.weight / rate)
-                if share >= _MIN_SHARE:
-                    shares[name] = round(share, 2)
+            if not workspace.weight:
+                continue
+            share = max(0, 1 - workspace.weight / max(rate, workspace.weight))
+            if name in refused:
+                share = _adjust(
+                    self._shares.get(name, 0),
+                    rate / workspace.weight,
+                    _weight(elapsed_ms, _ADJUST_MS),
+                )
+            if share >= _MIN_SHARE:
+                shares[name] = round(min(_MAX_SHARE, share), 2)
         self._arrived.clear()
+        self._shares = shares
         return shares
 
 
+def _adjust(share: float, excess: float, weight: float) -> float:
+    """Adjust a refused share by what is accepted all the same.
+
+    Args:
+        share: the share.
+        excess: accepted jobs as a multiple of the rate of the workspace.
+        weight: part of the difference that is made up.
+
+    Returns:
+        A higher share while more than the rate is accepted, otherwise a lower
+        one.
+    """
+    if excess > 1:
+        return share + weight * (1 - share) * (1 - 1 / excess)
+    return share - weight * share * (1 - excess)
+
+
 class Throughput:
     """Estimated work that a full capacity gets done, for each of its cores.
 
--- a/jayshore/fleet/refusaltable.py
+++ b/jayshore/fleet/refusaltable.py
@@ -44,17 +44,17 @@
         """Refusals in force."""
         return tuple(self._refusals.values())
 
-    def shares(self) -> dict[tuple[str, str], float]:
-        """Return which shares of submissions beyond a rate are refused.
+    def workspaces_beyond_rate(self) -> frozenset[str]:
+        """Return the workspaces of whose submissions a share is refused.
 
         Returns:
-            Share by workspace and queue.
+            Their names.
         """
-        return {
-            (refusal.workspace, refusal.queue): refusal.share
+        return frozenset(
+            refusal.workspace
             for refusal in self._refusals.values()
             if refusal.share < 1
-        }
+        )
 
     def update(
         self, waits: Iterable[QueueWait], over_rates: Mapping[str, float]
--- a/jayshore/fleet/worktracker.py
+++ b/jayshore/fleet/worktracker.py
@@ -210,7 +210,7 @@
         load = self._loads.setdefault(queue.name, QueueLoad())
         work = measure_job(entry, queue, capacity, load)
         if now - entry.accepted_at <= _NEW_MS:
-            self._rates.add(entry.job.workspace, queue.name)
+            self._rates.add(entry.job.workspace)
             load.arrived += 0 if entry.over_rate else work.whole
         if work.started:
             work.refresh(queue, capacity)
