--- a/review/lib-2/platform_test.py
+++ b/review/lib-2/platform_test.py
@@ -349,6 +349,8 @@
         self.capacity = capacity
         self.server = HttpServer(self._handle)
         self.state = 'ready'
+        self.cut = False
+        self.cut_off = None
         self._seq = 0
         self._born()
 
@@ -372,6 +374,19 @@
         asyncio.create_task(self._beat())
         asyncio.create_task(self._lapse())
 
+    async def crash(self, down_s):
+        """End the process at once, and start it again under its id."""
+        port = self.server.port
+        for run in self._running.values():
+            run.ended = time.monotonic()
+            run.how = 'gone'
+            run.timer.cancel()
+        self._running = {}
+        await self.server.stop()
+        await asyncio.sleep(down_s)
+        self._born()
+        await self.server.start(port)
+
     async def _beat(self):
         while True:
             self._seq += 1
@@ -407,6 +422,10 @@
         if headers.get('jayshore-target-instance') != self.name:
             return 421, {}
         fields = json.loads(body)
+        if self.cut or (self.cut_off and self.cut_off(self, path, fields)):
+            # What is sent into a cut is lost with the process behind it.
+            await asyncio.sleep(LOST_CHANNEL_S)
+            return None
         if fields.get('Fence', 0) < self._fence:
             return 409, {'ClockMs': self.clock_ms, 'Reason': 'fence'}
         self._fence = fields.get('Fence', 0)
