Keep the records of large jobs small, however many tasks have ended

Cause: the progress of a job was one value with a row for each task of each occurrence, written whole at each change. At some 20,000 ended tasks it exceeded the largest value of the store, and every leader ended on writing it.

Change: the rows of a job that repeats, or has more than 32 tasks, are in records of 16 tasks, and a change writes those that it concerns. The progress record says which groups are not finished; a finished group has no rows, and a leader forgets it. Records of the earlier version are converted. No further occurrence is added to a job that has 10,000 waiting tasks. A new leader also removes the progress of jobs that are not stored any more.

--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from jayshore.clock import Millis
 from jayshore.fleet.blame import SETTLED_MS
@@ -137,6 +137,7 @@
         failed_on: workers on which a task failed, or ran too slowly.
         failed_at: time of the last failure of a task on the local clock, None
             for none.
+        settled: the stored record says that all tasks are done.
     """
 
     group_id: GroupId
@@ -151,6 +152,7 @@
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     failed_on: set[str] = dataclasses.field(default_factory=set)
     failed_at: Millis | None = None
+    settled: bool = False
 
     @property
     def finished(self) -> bool:
@@ -184,8 +186,9 @@
         durable_state: state that is recorded durably and may be reported to
             callers.
         cancelled: a cancellation is stored.
-        groups: entries of all occurrences that are due.
-        next_occurrence: the first occurrence without entries.
+        groups: entries of the groups of all occurrences that were added. A
+            job that repeats forgets those that are finished.
+        next_occurrence: the first occurrence that was not added.
         ended_at: when the state became final, on the local clock.
         changed_jobs: collects the jobs whose waiting groups may have changed,
             by id; None before the job is in a table.
@@ -223,6 +226,14 @@
         """Whether the state is final."""
         return self.state in FINAL_STATES
 
+    @property
+    def has_finished_groups(self) -> bool:
+        """Whether a group is finished, also one that was forgotten."""
+        known = self.next_occurrence * len(self.job.groups)
+        return len(self.groups) < known or any(
+            group.finished for group in self.groups.values()
+        )
+
     def note_change(self) -> None:
         """Note that groups may have begun or ceased to wait."""
         if self.changed_jobs is not None:
@@ -281,21 +292,42 @@
         """Create the entries of the next occurrence."""
         occurrence = self.next_occurrence
         self.next_occurrence += 1
-        for position, spec in enumerate(self.job.groups):
-            group_id = GroupId(self.job.job_id, occurrence, position)
-            entry = GroupEntry(
-                group_id=group_id,
-                job=self,
-                spec=spec,
-                due_at_ms=self.due_at_ms(occurrence),
-            )
-            entry.tasks = [
-                TaskEntry(task_id=TaskId(*group_id, index), group=entry)
-                for index in range(spec.count)
-            ]
-            self.groups[group_id] = entry
+        for position, _ in enumerate(self.job.groups):
+            self.add_group(occurrence, position)
         self.note_change()
 
+    def add_group(self, occurrence: int, position: int) -> None:
+        """Create the entries of one group of an occurrence.
+
+        Args:
+            occurrence: the occurrence.
+            position: position of the group in the job.
+        """
+        group_id = GroupId(self.job.job_id, occurrence, position)
+        entry = GroupEntry(
+            group_id=group_id,
+            job=self,
+            spec=self.job.groups[position],
+            due_at_ms=self.due_at_ms(occurrence),
+        )
+        entry.tasks = [
+            TaskEntry(task_id=TaskId(*group_id, index), group=entry)
+            for index in range(entry.spec.count)
+        ]
+        self.groups[group_id] = entry
+
+    def forget_finished(self, holds: Callable[[TaskEntry], bool]) -> None:
+        """Forget the finished groups of a job that repeats.
+
+        Args:
+            holds: returns whether a task still holds resources.
+        """
+        if not self.job.schedule.repeats:
+            return
+        for group in tuple(self.groups.values()):
+            if group.settled and not any(map(holds, group.tasks)):
+                self.groups.pop(group.group_id)
+
     def is_ready(self, group: GroupEntry) -> bool:
         """Return whether all groups that a group depends on are done.
 
@@ -305,10 +337,11 @@
         Returns:
             True when its tasks may start.
         """
-        return all(
-            self.groups[group.group_id._replace(group=earlier)].finished
+        needed = (
+            self.groups.get(group.group_id._replace(group=earlier))
             for earlier in group.spec.after
         )
+        return all(earlier is None or earlier.finished for earlier in needed)
 
     def tasks(self) -> Iterator[TaskEntry]:
         """Iterate over the tasks.
--- a/jayshore/fleet/leaderrole.py
+++ b/jayshore/fleet/leaderrole.py
@@ -19,10 +19,12 @@
     JOB_PREFIX,
     PROGRESS_PREFIX,
     InvalidRecord,
-    ProgressRecord,
+    StoredProgress,
     decode_job,
     decode_progress,
+    decode_segment,
     parse_job_key,
+    parse_progress_key,
 )
 from jayshore.fleet.scheduler import Scheduler, SchedulerDependencies
 from jayshore.leases.leadership import Leadership, LeadershipObserver
@@ -48,7 +50,7 @@
     """Passes accepted jobs and cancellations from the store to a scheduler."""
 
     def __init__(
-        self, *, scheduler: Scheduler, progress: dict[str, ProgressRecord]
+        self, *, scheduler: Scheduler, progress: dict[str, StoredProgress]
     ) -> None:
         """Create a subscriber.
 
@@ -77,6 +79,7 @@
             job = decode_job(entry.value)
         except InvalidRecord as error:
             eliot.log_message('job:invalid', job=job_id, error=str(error))
+            self._progress.pop(job_id, None)
             return
         self._scheduler.add_job(job, self._progress.pop(job_id, None))
         self._added += 1
@@ -273,6 +276,9 @@
                 await group.spawn(evacuation_mirror.run)
             await group.spawn(jobs.run)
             await jobs.wait_loaded()
+            for job_id, orphan in progress.items():
+                scheduler.drop_orphan(job_id, orphan)
+            progress.clear()
             self._ready = True
             self._metrics.leader_epoch.set(epoch)
             self._metrics.note_takeover(Millis(self._clock.now() - started_at))
@@ -285,7 +291,7 @@
             await group.spawn(scheduler.run)
         _raise_group_error(group)
 
-    async def _read_progress(self) -> dict[str, ProgressRecord]:
+    async def _read_progress(self) -> dict[str, StoredProgress]:
         listing: Listing | None = None
         while listing is None:
             try:
@@ -342,14 +348,22 @@
         raise group.exception
 
 
-async def _decode_progress(listing: Listing) -> dict[str, ProgressRecord]:
-    found: dict[str, ProgressRecord] = {}
+async def _decode_progress(listing: Listing) -> dict[str, StoredProgress]:
+    found: dict[str, StoredProgress] = {}
     for number, entry in enumerate(listing.entries, 1):
         if number % _JOBS_PER_TURN == 0:
             await curio.sleep(0)
-        job_id = entry.key.removeprefix(PROGRESS_PREFIX)
         try:
-            found[job_id] = decode_progress(entry.value)
+            _add_progress(found, entry)
         except InvalidRecord as error:
-            eliot.log_message('job:invalid', job=job_id, error=str(error))
+            eliot.log_message('job:invalid', key=entry.key, error=str(error))
     return found
+
+
+def _add_progress(found: dict[str, StoredProgress], entry: Entry) -> None:
+    job_id, segment = parse_progress_key(entry.key)
+    stored = found.setdefault(job_id, StoredProgress())
+    if segment is None:
+        stored.record = decode_progress(entry.value)
+    else:
+        stored.segments[segment] = decode_segment(entry.value)
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -1,18 +1,23 @@
 """Stored records of jobs and of their progress.
 
 A job is written once, when it is accepted. Its progress is a second record,
-which only the leader writes, before it acts on the change.
+which only the leader writes, before it acts on the change. The tasks of a large
+job are in records of their own, of `SEGMENT_TASKS` tasks of one group each, so
+that the size of a write does not grow with the job. A group that is finished
+has none; the progress record says which groups are not.
 """
 
 import dataclasses
+from collections.abc import Iterator
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
-from jayshore.clock import Millis
 from jayshore.decoding import DECODE_ERRORS
 from jayshore.fleet.blame import SETTLED_MS
 from jayshore.fleet.jobtable import (
     PLACED_PHASES,
+    GroupEntry,
     JobEntry,
     JobState,
     Phase,
@@ -20,7 +25,7 @@
 )
 from jayshore.fleet.model import (
     UNKNOWN_INCARNATION,
-    Incarnation,
+    GroupId,
     Job,
     TaskId,
 )
@@ -35,10 +40,25 @@
 HEAD_KEY = 'jobs/head'
 """Key that fences the writes of leaders."""
 
+SEGMENT_TASKS = 16
+"""Tasks of one group whose progress is one record, in a large job.
+
+A row takes about 100 bytes while its task is placed.
+"""
+
+MAX_INLINE_TASKS = 32
+"""Tasks up to which the progress of a job without due times is one record."""
+
 _CANCEL_SUFFIX = '/cancel'
-_PLACED = 'p'
-_DONE = 'd'
-_WAITING = 'w'
+PLACED_ROW = 'p'
+"""Phase of a row whose task was placed, and may run."""
+
+DONE_ROW = 'd'
+"""Phase of a row whose task is done."""
+
+_WAITING_ROW = 'w'
+
+_Decoded = TypeVar('_Decoded')
 
 
 class InvalidRecord(JayshoreError):
@@ -81,17 +101,52 @@
     born_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ProgressRecord:
+class ProgressRecord(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
     """Progress of a job.
 
     Attributes:
         state: state of the job, as reported to callers.
-        tasks: tasks that have been placed at least once.
+        tasks: tasks that have been placed at least once; those of a large job
+            only in a record that an earlier version wrote.
+        next_occurrence: the first occurrence of which the record says nothing;
+            0 when it does not say which groups are finished.
+        unfinished: occurrence and position of the groups before
+            `next_occurrence` that are not finished.
     """
 
-    state: JobState
+    state: JobState = JobState.QUEUED
     tasks: tuple[TaskRecord, ...] = ()
+    next_occurrence: int = 0
+    unfinished: tuple[tuple[int, int], ...] = ()
+
+
+class SegmentId(NamedTuple):
+    """Identifies the record of some tasks of a large job.
+
+    Attributes:
+        group: the occurrence of their group.
+        number: position of the segment in the group.
+    """
+
+    group: GroupId
+    number: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StoredProgress:
+    """Everything that is stored of the progress of a job.
+
+    Attributes:
+        record: the progress record.
+        segments: rows of the tasks of a large job by segment.
+    """
+
+    record: ProgressRecord = ProgressRecord()
+    segments: dict[SegmentId, tuple[TaskRecord, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def job_key(job_id: str) -> str:
@@ -130,6 +185,80 @@
     return f'{PROGRESS_PREFIX}{job_id}'
 
 
+def segment_key(segment: SegmentId) -> str:
+    """Return the key of the record of a segment.
+
+    Args:
+        segment: the segment.
+
+    Returns:
+        The key, which begins with that of the progress record.
+    """
+    job_id, occurrence, group = segment.group
+    return f'{progress_key(job_id)}/{occurrence}.{group}.{segment.number}'
+
+
+def parse_progress_key(key: str) -> tuple[str, SegmentId | None]:
+    """Parse a key with the prefix `PROGRESS_PREFIX`.
+
+    Args:
+        key: the key.
+
+    Returns:
+        The job id, and the segment, None for the progress record.
+
+    Raises:
+        InvalidRecord: the key names neither.
+    """
+    job_id, separator, name = key.removeprefix(PROGRESS_PREFIX).partition('/')
+    if not separator:
+        return job_id, None
+    try:
+        occurrence, group, number = map(int, name.split('.'))
+    except ValueError:
+        raise InvalidRecord(f'{key}: not a segment') from None
+    return job_id, SegmentId(GroupId(job_id, occurrence, group), number)
+
+
+def is_large(job: Job) -> bool:
+    """Return whether the tasks of a job are in records of their own.
+
+    Args:
+        job: the job.
+
+    Returns:
+        True for jobs that repeat or have more than `MAX_INLINE_TASKS` tasks.
+    """
+    return bool(job.schedule.repeats) or (
+        sum(group.count for group in job.groups) > MAX_INLINE_TASKS
+    )
+
+
+def segment_of(task: TaskEntry) -> SegmentId:
+    """Return the segment of a task of a large job.
+
+    Args:
+        task: the task.
+
+    Returns:
+        Its segment.
+    """
+    number = task.task_id.position // SEGMENT_TASKS
+    return SegmentId(task.group.group_id, number)
+
+
+def segments_of(group: GroupEntry) -> list[SegmentId]:
+    """List the segments of a group with tasks that were placed.
+
+    Args:
+        group: a group of a large job.
+
+    Returns:
+        Those that may have a record.
+    """
+    return list(dict.fromkeys(segment_of(task) for task in _placed_once(group)))
+
+
 def parse_job_key(key: str) -> tuple[str, bool]:
     """Parse a key with the prefix `JOB_PREFIX`.
 
@@ -167,14 +296,11 @@
     Raises:
         InvalidRecord: the text is not a job.
     """
-    try:
-        return msgspec.json.decode(text, type=Job)
-    except DECODE_ERRORS as error:
-        raise InvalidRecord(str(error)) from None
+    return _decode(text, Job)
 
 
 def encode_progress(entry: JobEntry) -> str:
-    """Encode the progress of a job.
+    """Encode the progress of a job, without the segments of a large one.
 
     Args:
         entry: the job.
@@ -182,22 +308,55 @@
     Returns:
         JSON text.
     """
-    record = ProgressRecord(
-        state=entry.state,
-        tasks=tuple(
-            _task_record(task)
-            for task in entry.tasks()
-            if task.run or task.phase is Phase.DONE
-        ),
-    )
+    if is_large(entry.job):
+        record = ProgressRecord(
+            state=entry.state,
+            next_occurrence=entry.next_occurrence,
+            unfinished=tuple(
+                group.group_id[1:]
+                for group in entry.groups.values()
+                if not group.finished
+            ),
+        )
+    else:
+        record = ProgressRecord(
+            state=entry.state,
+            tasks=tuple(
+                _task_record(task)
+                for group in entry.groups.values()
+                for task in _placed_once(group)
+            ),
+        )
     return msgspec.json.encode(record).decode()
 
 
+def encode_segment(group: GroupEntry, number: int) -> str | None:
+    """Encode a segment of a group.
+
+    Args:
+        group: a group of a large job.
+        number: position of the segment.
+
+    Returns:
+        JSON text, or None when the record is to be removed, as the progress
+        record says that the group is finished.
+    """
+    if group.settled:
+        return None
+    first = number * SEGMENT_TASKS
+    rows = [
+        _task_record(task)
+        for task in group.tasks[first : first + SEGMENT_TASKS]
+        if _was_placed(task)
+    ]
+    return msgspec.json.encode(rows).decode()
+
+
 def decode_progress(text: str) -> ProgressRecord:
-    """Decode the progress of a job.
+    """Decode a progress record.
 
     Args:
-        text: JSON text.
+        text: JSON text, also of an earlier version.
 
     Returns:
         The record.
@@ -205,44 +364,48 @@
     Raises:
         InvalidRecord: the text is not a progress record.
     """
-    try:
-        return msgspec.json.decode(text, type=ProgressRecord)
-    except DECODE_ERRORS as error:
-        raise InvalidRecord(str(error)) from None
+    return _decode(text, ProgressRecord)
 
 
-def restore_progress(entry: JobEntry, record: ProgressRecord) -> None:
-    """Restore a job to the state that a former leader recorded.
-
-    Placed tasks become `Phase.UNKNOWN` until their workers report.
+def decode_segment(text: str) -> tuple[TaskRecord, ...]:
+    """Decode the record of a segment.
 
     Args:
-        entry: the job, with entries of its first occurrence.
-        record: the recorded progress.
+        text: JSON text.
+
+    Returns:
+        Its rows.
+
+    Raises:
+        InvalidRecord: the text is not such a record.
     """
-    entry.state = record.state
-    entry.durable_state = record.state
-    for stored in record.tasks:
-        while entry.next_occurrence <= stored.occurrence:
-            entry.add_occurrence()
-    groups = list(entry.groups.values())
-    width = len(entry.job.groups)
-    for row in record.tasks:
-        group = groups[row.occurrence * width + row.group]
-        _restore_task(group.tasks[row.index], row)
-    for restored in groups:
-        restored.done = sum(task.phase is Phase.DONE for task in restored.tasks)
+    return _decode(text, tuple[TaskRecord, ...])
+
+
+def _was_placed(task: TaskEntry) -> bool:
+    return bool(task.run) or task.phase is Phase.DONE
+
+
+def _placed_once(group: GroupEntry) -> Iterator[TaskEntry]:
+    return filter(_was_placed, group.tasks)
+
+
+def _decode(text: str, expected: type[_Decoded]) -> _Decoded:
+    try:
+        return msgspec.json.decode(text, type=expected)
+    except DECODE_ERRORS as error:
+        raise InvalidRecord(str(error)) from None
 
 
 def _task_record(task: TaskEntry) -> TaskRecord:
     task_id: TaskId = task.task_id
-    phase = _WAITING
+    phase = _WAITING_ROW
     if task.phase is Phase.DONE:
-        phase = _DONE
+        phase = DONE_ROW
     elif task.phase in PLACED_PHASES:
-        phase = _PLACED
+        phase = PLACED_ROW
     incarnation = UNKNOWN_INCARNATION
-    if phase == _PLACED:
+    if phase == PLACED_ROW:
         incarnation = task.incarnation
     return TaskRecord(
         occurrence=task_id.occurrence,
@@ -250,7 +413,7 @@
         index=task_id.position,
         phase=phase,
         run=task.run,
-        worker=task.worker if phase == _PLACED else '',
+        worker=task.worker if phase == PLACED_ROW else '',
         failures=task.failures,
         checkpoint=task.checkpoint,
         crashes=task.crashes,
@@ -259,19 +422,3 @@
         address=incarnation.address,
         born_ms=incarnation.born_ms,
     )
-
-
-def _restore_task(task: TaskEntry, row: TaskRecord) -> None:
-    task.run = row.run
-    task.failures = row.failures
-    task.checkpoint = row.checkpoint
-    task.crashes = row.crashes
-    task.exposures = row.exposures
-    task.doubt_ms = Millis(row.doubt_ms)
-    task.confirmed = bool(row.failures or row.checkpoint)
-    if row.phase == _DONE:
-        task.phase = Phase.DONE
-    elif row.phase == _PLACED:
-        task.phase = Phase.UNKNOWN
-        task.worker = row.worker
-        task.incarnation = Incarnation(row.address, row.born_ms)
--- a/jayshore/fleet/records_test.py
+++ b/jayshore/fleet/records_test.py
@@ -9,6 +9,7 @@
 from jayshore.fleet.model import Job, Queue, TaskGroup
 from jayshore.fleet.records import (
     InvalidRecord,
+    StoredProgress,
     cancel_key,
     decode_job,
     decode_progress,
@@ -16,8 +17,8 @@
     encode_progress,
     job_key,
     parse_job_key,
-    restore_progress,
 )
+from jayshore.fleet.restoring import restore_progress
 from jayshore.resources import Resources
 
 JOB = Job(
@@ -54,7 +55,8 @@
     placed.phase, placed.run, placed.worker = Phase.STOPPING, 3, 'w'
     retried.run, retried.failures, retried.checkpoint = 4, 1, 'c'
     restored = make_entry()
-    restore_progress(restored, decode_progress(encode_progress(entry)))
+    record = decode_progress(encode_progress(entry))
+    restore_progress(restored, StoredProgress(record=record))
     first, second, third, *others = restored.tasks()
     assert (first.phase, first.run) == (Phase.DONE, 2)
     assert (second.phase, second.run, second.worker) == (Phase.UNKNOWN, 3, 'w')
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -306,6 +306,7 @@
         1
         for entry in job_table.active()
         if entry.job.queue.name == queue
+        and not entry.has_finished_groups
         and not any(_has_started_task(group) for group in entry.groups.values())
     )
 
--- a/jayshore/fleet/runs.py
+++ b/jayshore/fleet/runs.py
@@ -1,6 +1,6 @@
 """Tracks runs: reconciles the reports of workers and records the changes."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import eliot
@@ -30,7 +30,7 @@
 from jayshore.fleet.pacemonitor import PaceMonitor
 from jayshore.fleet.placementlog import PlacedTask, log_placements
 from jayshore.fleet.probation import clear_suspicion, has_settled
-from jayshore.fleet.records import encode_progress, progress_key
+from jayshore.fleet.progresswriter import ProgressWriter
 from jayshore.fleet.sessions import WorkerSession
 from jayshore.fleet.spread import (
     ListedRun,
@@ -47,7 +47,6 @@
     unsent_members,
 )
 from jayshore.fleet.workerresults import WorkerResults
-from jayshore.store.journal import Journal
 
 _TICKET_RESULTS = frozenset((StartResult.BAD_TICKET, 'old_ticket'))
 
@@ -61,7 +60,7 @@
         clock: Clock,
         job_table: JobTable,
         ledger: Ledger,
-        journal: Journal,
+        progress_writer: ProgressWriter,
         order_sender: OrderSender,
         results: WorkerResults,
         metrics: FleetMetrics,
@@ -73,7 +72,7 @@
             clock: local clock.
             job_table: the jobs.
             ledger: resources in use.
-            journal: makes progress durable.
+            progress_writer: makes progress durable.
             order_sender: sends orders to workers.
             results: counts successes and failures of the workers.
             metrics: metrics of this instance.
@@ -82,7 +81,7 @@
         self._clock = clock
         self._job_table = job_table
         self._ledger = ledger
-        self._journal = journal
+        self._progress_writer = progress_writer
         self._order_sender = order_sender
         self._results = results
         self._pace_monitor = PaceMonitor(metrics=metrics)
@@ -171,7 +170,7 @@
             await self._apply_consequence(
                 entry, end_job(entry, JobState.CANCELLED)
             )
-            self._record(entry)
+            self._progress_writer.record(entry)
 
     async def fail(self, entry: JobEntry) -> None:
         """End a job as failed.
@@ -180,7 +179,7 @@
             entry: a job that has not ended.
         """
         await self._apply_consequence(entry, end_job(entry, JobState.FAILED))
-        self._record(entry)
+        self._progress_writer.record(entry)
 
     async def mark_not_started(self, task: TaskEntry, result: str) -> None:
         """Handle a run that did not start and never will.
@@ -189,7 +188,8 @@
             task: the task.
             result: reason, for the log and the metrics.
         """
-        for member in unsent_members(task) if result == EVACUATED else (task,):
+        unsent = unsent_members(task) if result == EVACUATED else (task,)
+        for member in unsent:
             eliot.log_message(
                 'task:not_started',
                 task=format_task_id(member.task_id),
@@ -202,7 +202,7 @@
             member.phase = Phase.WAITING
         if result in _TICKET_RESULTS:
             invalidate_ticket(task.group.tickets, task.worker)
-        await self.mark_lost(task)
+        await self._requeue(task, unsent)
 
     async def mark_lost(self, task: TaskEntry) -> None:
         """Handle a run that is over without a reported end.
@@ -210,10 +210,15 @@
         Args:
             task: the task.
         """
+        await self._requeue(task, (task,))
+
+    async def _requeue(
+        self, task: TaskEntry, changed: tuple[TaskEntry, ...]
+    ) -> None:
         self._ledger.release(task)
         entry = task.group.job
         await self._apply_consequence(entry, requeue_task(task))
-        self._record(entry)
+        self._progress_writer.record(entry, changed)
 
     def _is_expected(
         self, task: TaskEntry, run: int, session: WorkerSession
@@ -245,7 +250,7 @@
             entry, placed, age_ms=Millis(self._clock.now() - entry.accepted_at)
         )
         runs = [(task, task.run) for task in tasks]
-        self._record(entry, partial(self._start, runs))
+        self._progress_writer.record(entry, tasks, partial(self._start, runs))
 
     async def _start(self, runs: list[tuple[TaskEntry, int]]) -> None:
         for task, run in runs:
@@ -292,7 +297,8 @@
         )
         _log_end(task, ended)
         await self._apply_consequence(entry, consequence)
-        self._record(entry, recorded)
+        changed = task.group.tasks if task.group.spec.gang else (task,)
+        self._progress_writer.record(entry, changed, recorded)
 
     def _count_result(self, task: TaskEntry, kind: EndKind) -> None:
         """Count the end of a run as a success or failure of its worker."""
@@ -332,29 +338,6 @@
                 age_ms=self._clock.now() - entry.accepted_at,
             )
 
-    def _record(
-        self,
-        entry: JobEntry,
-        callback: Callable[[], Awaitable[None]] | None = None,
-    ) -> None:
-        self._journal.write(
-            progress_key(entry.job.job_id),
-            partial(encode_progress, entry),
-            partial(_publish_state, entry, entry.state, callback),
-        )
-
-
-async def _publish_state(
-    entry: JobEntry,
-    state: JobState,
-    callback: Callable[[], Awaitable[None]] | None,
-) -> None:
-    """Make a state visible to callers after it became durable."""
-    if entry.durable_state not in FINAL_STATES:
-        entry.durable_state = state
-    if callback is not None:
-        await callback()
-
 
 def _is_current_run(task: TaskEntry, run: int, session: WorkerSession) -> bool:
     return task.run == run and task.worker == session.entry.worker_id
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -31,7 +31,8 @@
 from jayshore.fleet.orders import OrderObserver, OrderSender
 from jayshore.fleet.outages import Outage
 from jayshore.fleet.probation import Probation
-from jayshore.fleet.records import ProgressRecord, restore_progress
+from jayshore.fleet.progresswriter import ProgressWriter
+from jayshore.fleet.records import StoredProgress, is_large
 from jayshore.fleet.refusalpublisher import RefusalPublisher
 from jayshore.fleet.roundrunner import RoundRunner
 from jayshore.fleet.rounds import RoundPlanner, count_pending
@@ -102,7 +103,6 @@
         metrics = dependencies.metrics
         self._clock = clock
         self._wall_clock = dependencies.wall_clock
-        self._journal = journal
         self._epoch = epoch
         self._connector = dependencies.connector
         self._config = dependencies.config
@@ -121,11 +121,12 @@
             metrics=metrics,
             evacuations=evacuations,
         )
+        self._progress_writer = ProgressWriter(journal=journal)
         self._run_tracker = RunTracker(
             clock=clock,
             job_table=self._job_table,
             ledger=self._ledger,
-            journal=journal,
+            progress_writer=self._progress_writer,
             order_sender=self._order_sender,
             results=WorkerResults(health=health, metrics=metrics),
             metrics=metrics,
@@ -160,7 +161,7 @@
             ledger=self._ledger,
             loss_tracker=self._loss_tracker,
             sessions=self._sessions,
-            journal=journal,
+            progress_writer=self._progress_writer,
             clock=clock,
             wall_clock=dependencies.wall_clock,
             inherited_until=self._inherited_until,
@@ -216,7 +217,7 @@
         """
         return count_pending(self._job_table, queue)
 
-    def add_job(self, job: Job, progress: ProgressRecord | None = None) -> None:
+    def add_job(self, job: Job, progress: StoredProgress | None = None) -> None:
         """Add an accepted job.
 
         Args:
@@ -238,6 +239,15 @@
         if progress is not None:
             self._restore(entry, progress)
 
+    def drop_orphan(self, job_id: str, progress: StoredProgress) -> None:
+        """Remove the progress of a job that is not stored any more.
+
+        Args:
+            job_id: the job.
+            progress: progress that a former leader recorded.
+        """
+        self._progress_writer.forget_orphan(job_id, progress)
+
     async def cancel_job(self, job_id: str) -> None:
         """Cancel a job whose cancellation is stored.
 
@@ -378,17 +388,30 @@
             self._sessions.pop(worker_id)
             self._run_tracker.pace_monitor.forget(worker_id)
 
-    def _restore(self, entry: JobEntry, progress: ProgressRecord) -> None:
-        restore_progress(entry, progress)
+    def _restore(self, entry: JobEntry, progress: StoredProgress) -> None:
+        self._progress_writer.restore(entry, progress)
         for task in entry.tasks():
             if task.phase is Phase.UNKNOWN:
                 self._ledger.hold(task)
                 self._loss_tracker.inherit(task)
             if task.crashes:
                 self._probation.add(task)
+        if not entry.ended and self._has_failed(entry):
+            # The former leader was lost before it recorded the state.
+            entry.state = JobState.FAILED
+            self._progress_writer.record(entry)
         if entry.ended:
             entry.ended_at = self._clock.now()
 
+    def _has_failed(self, entry: JobEntry) -> bool:
+        max_attempts = self._queue_of(entry).max_attempts
+        return is_large(entry.job) and any(
+            task.failures >= max_attempts and task.phase is not Phase.DONE
+            for group in entry.unfinished()
+            if not group.spec.long_running
+            for task in group.tasks
+        )
+
     async def _close(self) -> None:
         self._run_tracker.pace_monitor.close()
         await self._advisor.close()
--- a/jayshore/fleet/sweeping.py
+++ b/jayshore/fleet/sweeping.py
@@ -6,13 +6,19 @@
 import curio
 
 from jayshore.clock import Clock, Millis
-from jayshore.fleet.jobtable import JobEntry, JobTable
+from jayshore.fleet.jobtable import JobEntry, JobTable, Phase
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.losses import LossTracker
-from jayshore.fleet.records import cancel_key, job_key, progress_key
-from jayshore.store.journal import Journal
+from jayshore.fleet.progresswriter import ProgressWriter
 
 _JOB_RETENTION_MS: Final = Millis(180_000)
+_MAX_WAITING_TASKS: Final = 10_000
+"""Waiting tasks of one job from which no further occurrence is added.
+
+A job whose occurrences fall due faster than they run would take up the memory
+of the leader.
+"""
+
 _JOBS_PER_TURN: Final = 1000
 """Jobs that a sweep looks at before others run, about 2 ms.
 
@@ -30,7 +36,7 @@
         ledger: Ledger,
         loss_tracker: LossTracker,
         sessions: Container[str],
-        journal: Journal,
+        progress_writer: ProgressWriter,
         clock: Clock,
         wall_clock: Clock,
         inherited_until: Millis,
@@ -42,7 +48,7 @@
             ledger: resources in use.
             loss_tracker: handles the runs of workers that are not listed.
             sessions: ids of the workers that have a session.
-            journal: takes what is published and removed.
+            progress_writer: removes the records of old jobs.
             clock: local clock.
             wall_clock: time of day, for due times.
             inherited_until: when all leases of former leaders have expired, on
@@ -52,7 +58,7 @@
         self._ledger = ledger
         self._loss_tracker = loss_tracker
         self._sessions = sessions
-        self._journal = journal
+        self._progress_writer = progress_writer
         self._clock = clock
         self._wall_clock = wall_clock
         self._inherited_until = inherited_until
@@ -71,18 +77,20 @@
                     await self._loss_tracker.handle_unlisted(worker_id)
 
     def _sweep_job(self, entry: JobEntry, now: Millis, wall_ms: int) -> None:
+        entry.forget_finished(self._ledger.holds)
         if entry.ended_at is not None:
             if now - entry.ended_at > _JOB_RETENTION_MS:
-                self._forget(entry)
-        elif entry.is_due(wall_ms):
+                self._job_table.jobs.pop(entry.job.job_id)
+                self._progress_writer.forget(entry)
+        elif entry.is_due(wall_ms) and not _is_behind(entry):
             entry.add_occurrence()
 
-    def _forget(self, entry: JobEntry) -> None:
-        job_id = entry.job.job_id
-        self._job_table.jobs.pop(job_id)
-        for key in (job_key(job_id), progress_key(job_id), cancel_key(job_id)):
-            self._journal.write(key, _encode_removal)
-
 
-def _encode_removal() -> str | None:
-    """Encode the removal of a key; the journal deletes a key without value."""
+def _is_behind(entry: JobEntry) -> bool:
+    """Return whether a job has so much to start that more can wait."""
+    waiting = sum(
+        task.phase is Phase.WAITING
+        for group in entry.unfinished()
+        for task in group.tasks
+    )
+    return waiting >= _MAX_WAITING_TASKS
--- a/standins/memorystore.py
+++ b/standins/memorystore.py
@@ -15,6 +15,7 @@
     Listing,
     RenewResult,
     StoreLease,
+    StoreRejected,
     StoreUnavailable,
     StoreUncertain,
     Written,
@@ -41,6 +42,7 @@
         late_ms: delay until a write without an answer is applied, in ms.
         silent: calls get no answer.
         answer_ms: delay of every call, in ms.
+        max_value_bytes: size above which a value is refused, None for none.
     """
 
     down: bool = False
@@ -48,6 +50,7 @@
     late_ms: Millis = Millis(0)
     silent: bool = False
     answer_ms: Millis = Millis(0)
+    max_value_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -197,9 +200,15 @@
             The revision of the write, or why it was not applied.
 
         Raises:
+            StoreRejected: a value is too large.
             StoreUncertain: the answer is lost.
         """
         await self._begin_call('transact')
+        limit = self.faults.max_value_bytes
+        if limit is not None and any(
+            len(put.value.encode()) > limit for put in transaction.puts
+        ):
+            raise StoreRejected('a value is too large')
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             await curio.spawn(
--- /dev/null
+++ b/tests/fleet_repeating_test.py
@@ -0,0 +1,148 @@
+"""Deployments in memory: jobs that repeat, and jobs of many tasks.
+
+Their records have to stay small however many tasks have ended, and still tell
+the next leader all that counts.
+"""
+
+import collections
+import dataclasses
+
+import curio
+import pytest
+
+from jayshore.clock import Millis, WallClock
+from jayshore.fleet.interfaces import EndKind
+from jayshore.fleet.jobtable import JobState
+from jayshore.fleet.model import Schedule
+from jayshore.fleet.records import PROGRESS_PREFIX
+from tests.fleet_checks_test import check_runs
+from tests.memory_fleet_test import (
+    COMPLETED,
+    NEED,
+    make_group,
+    make_job,
+    running_fleet,
+    shorten_leases,
+    wait_for,
+)
+
+VALUE_BYTES = 4000
+"""Limit of a value here; 40 rows of a former record fit."""
+
+RUN_MS = Millis(20)
+SMALL = dataclasses.replace(NEED, cpu_millis=100, memory_mb=10)
+
+
+def run_scenario(scenario):
+    """Run a scenario in a new curio kernel."""
+    curio.run(scenario, taskcls=curio.task.ContextTask)
+
+
+def make_repeating(repeats, *groups, interval_ms=30):
+    """Make a job whose first occurrence is due now."""
+    return dataclasses.replace(
+        make_job(*groups),
+        schedule=Schedule(
+            start_at_ms=WallClock().now(),
+            interval_ms=Millis(interval_ms),
+            repeats=repeats,
+        ),
+    )
+
+
+def small_group(count, **fields):
+    """Make a group of short tasks that need little room."""
+    return make_group(count, need=SMALL, estimate_ms=RUN_MS, **fields)
+
+
+def check_job(fleet, job):
+    """Check that each occurrence of a job has run once and completely.
+
+    The end of one member of a gang represents all of them.
+    """
+    check_runs(fleet, [job])
+    done = collections.Counter(
+        task[1:3]
+        for task in {
+            run.task for run, _ in fleet.runs() if run.kind is EndKind.DONE
+        }
+    )
+    for occurrence in range(max(1, job.schedule.repeats)):
+        for position, group in enumerate(job.groups):
+            ended = done[occurrence, position]
+            assert ended == group.count or (group.gang and ended)
+
+
+@pytest.mark.parametrize(
+    'groups',
+    [
+        (small_group(20), small_group(5, after=(0,))),
+        (small_group(20, gang=True),),
+    ],
+)
+def test_records_of_a_repeating_job_stay_small(groups):
+    """Guards against a job that outgrows a value and stops all workspaces."""
+
+    async def scenario():
+        async with running_fleet(run_ms=RUN_MS, workers=4) as fleet:
+            fleet.store.faults.max_value_bytes = VALUE_BYTES
+            repeating = make_repeating(12, *groups)
+            await fleet.submit(repeating)
+            await fleet.wait_state([repeating.job_id], COMPLETED)
+            check_job(fleet, repeating)
+            other = make_job()
+            await fleet.submit(other)
+            await fleet.wait_state([other.job_id], COMPLETED)
+            entry = fleet.leading().leader_role.scheduler._job_table.jobs[
+                repeating.job_id
+            ]
+            await wait_for(lambda: not entry.groups, 'no group is kept')
+            key = f'{PROGRESS_PREFIX}{repeating.job_id}'
+            await wait_for(
+                lambda: list(fleet.store.values(key)) == [key], 'one record'
+            )
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('pause_s', [0.15, 0.4])
+@pytest.mark.parametrize('repeats', [0, 8])
+def test_large_jobs_survive_changes_of_leader(monkeypatch, repeats, pause_s):
+    """Guards against runs and ends that are lost between two records."""
+    shorten_leases(monkeypatch)
+
+    async def scenario():
+        async with running_fleet(run_ms=RUN_MS, workers=4) as fleet:
+            fleet.store.faults.max_value_bytes = VALUE_BYTES
+            groups = (small_group(70), small_group(7, gang=True, after=(0,)))
+            job = make_repeating(repeats, *groups)
+            await fleet.submit(job)
+            for number in range(1, 4):
+                await curio.sleep(pause_s)
+                await fleet.leading().kill()
+                await fleet.add_instance(f'i{number}')
+                await fleet.wait_leader()
+            await fleet.wait_state([job.job_id], COMPLETED, 15)
+            check_job(fleet, job)
+
+    run_scenario(scenario)
+
+
+def test_records_of_cancelled_jobs_are_removed(monkeypatch):
+    """Guards against segments that are kept after their job is forgotten."""
+    monkeypatch.setattr(
+        'jayshore.fleet.sweeping._JOB_RETENTION_MS', Millis(200)
+    )
+
+    async def scenario():
+        async with running_fleet(run_ms=Millis(60_000), workers=4) as fleet:
+            job = make_repeating(3, small_group(40))
+            await fleet.submit(job)
+            await wait_for(lambda: len(fleet.runs()) >= 60, 'runs')
+            service = fleet.leading().job_service
+            assert await service.cancel(job.job_id, job.workspace)
+            await fleet.wait_state([job.job_id], JobState.CANCELLED)
+            await wait_for(lambda: not fleet.store.values('jobs/run/'), 'none')
+            assert not fleet.store.values('jobs/in/')
+
+    run_scenario(scenario)
