Let a record that the store rejects hold up no other

Change: the records of a rejected transaction are written one by one. A store that rejects a transaction without records still ends the leader. Values of a transaction take up to 256 KiB together, as thirty large ones would exceed the timeout of a call.

Tests: journal_test.py; the 4 cases of test_rejected_record_holds_up_no_other failed before with StoreRejected.

--- a/jayshore/store/journal.py
+++ b/jayshore/store/journal.py
@@ -8,7 +8,7 @@
 """
 
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeAlias
 
 import curio
@@ -36,6 +36,11 @@
 # The condition on the head and its new value take two entries.
 _RECORDS_PER_TRANSACTION = MAX_TRANSACTION_ENTRIES - 2
 
+_MAX_BYTES = 262_144
+"""Size of the values of a transaction from which no further one is added.
+
+They take half a second over a link of 5 Mbit/s.
+"""
 
 _Callback: TypeAlias = Callable[[], Awaitable[None]]
 
@@ -60,7 +65,8 @@
     """Writes records in batches, one transaction at a time.
 
     A record is encoded when its transaction is built, so that several changes
-    of one record in quick succession cost one write.
+    of one record in quick succession cost one write. A record that the store
+    rejects, for example as too large, is logged and not written.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         self._count = 0
         self._revision = 0
         self._pending: dict[str, _PendingRecord] = {}
+        self._rejected: set[str] = set()
 
     async def claim(self) -> None:
         """Claim the head, so that no later write of a former leader is applied.
@@ -116,7 +123,8 @@
             key: key of the record.
             encode: called when the transaction is built; returns the value, or
                 None to remove the key. Ignored while the key is already queued.
-            callback: awaited once a value encoded after this call is durable.
+            callback: awaited once a value encoded after this call is durable,
+                never for a value that the store rejects.
         """
         pending = self._pending.get(key)
         if pending is None:
@@ -130,6 +138,7 @@
 
         Raises:
             JournalFenced: another process has claimed the head.
+            StoreRejected: the store rejects the head itself.
         """
         while True:
             if self._pending:
@@ -148,30 +157,80 @@
             await self._write_batch()
 
     async def _write_batch(self) -> None:
-        keys = tuple(self._pending)[:_RECORDS_PER_TRANSACTION]
-        batch = {key: self._pending.pop(key) for key in keys}
-        values = {key: record.encode() for key, record in batch.items()}
+        batch: dict[str, _PendingRecord] = {}
+        values: dict[str, str | None] = {}
+        size = 0
+        for key in tuple(self._pending)[:_RECORDS_PER_TRANSACTION]:
+            text = self._pending[key].encode()
+            size += len(text or '')
+            if batch and (size > _MAX_BYTES or key in self._rejected):
+                break
+            batch[key] = self._pending.pop(key)
+            values[key] = text
+            if key in self._rejected:
+                break
+        await self._write_records(batch, values)
+
+    async def _write_records(
+        self,
+        batch: Mapping[str, _PendingRecord],
+        values: Mapping[str, str | None],
+    ) -> None:
         self._count += 1
-        await self._commit(
-            Transaction(
-                expected=((self._head_key, self._revision),),
-                puts=(
-                    self._head_put(),
-                    *(
-                        Put(key=key, value=text)
-                        for key, text in values.items()
-                        if text is not None
-                    ),
-                ),
-                removals=tuple(
-                    key for key, text in values.items() if text is None
-                ),
-            )
-        )
+        try:
+            await self._commit(self._make_transaction(values))
+        except StoreRejected as error:
+            if not batch:
+                raise
+            await self._isolate_rejected(batch, values, error)
+            return
+        self._rejected.difference_update(batch)
         for record in batch.values():
             for callback in record.callbacks:
                 await callback()
 
+    async def _isolate_rejected(
+        self,
+        batch: Mapping[str, _PendingRecord],
+        values: Mapping[str, str | None],
+        error: StoreRejected,
+    ) -> None:
+        """Write the records of a rejected transaction one by one.
+
+        One that is rejected by itself is dropped until its next change, and
+        holds up no other. A store that rejects a transaction without records
+        as well rejects this journal.
+        """
+        if len(batch) > 1:
+            for key, record in batch.items():
+                await self._write_records({key: record}, {key: values[key]})
+            return
+        await self._write_records({}, {})
+        for rejected, text in values.items():
+            self._rejected.add(rejected)
+            eliot.log_message(
+                'journal:rejected',
+                key=rejected,
+                bytes=len((text or '').encode()),
+                error=str(error),
+            )
+
+    def _make_transaction(
+        self, values: Mapping[str, str | None]
+    ) -> Transaction:
+        return Transaction(
+            expected=((self._head_key, self._revision),),
+            puts=(
+                self._head_put(),
+                *(
+                    Put(key=key, value=text)
+                    for key, text in values.items()
+                    if text is not None
+                ),
+            ),
+            removals=tuple(key for key, text in values.items() if text is None),
+        )
+
     async def _commit(self, transaction: Transaction) -> None:
         """Repeat a transaction until it is known to be applied."""
         revision = None
--- a/jayshore/store/journal_test.py
+++ b/jayshore/store/journal_test.py
@@ -4,7 +4,9 @@
 import pytest
 
 from jayshore.clock import Millis
+from jayshore.store import journal as journal_module
 from jayshore.store.journal import Journal, JournalFenced
+from jayshore.store.store import StoreRejected
 from standins.memorystore import MemoryStore
 
 HEAD = 'head'
@@ -128,3 +130,65 @@
         assert not store.values('r/')
 
     run(scenario)
+
+
+@pytest.mark.parametrize('large', [(0,), (29,), (3, 4), (0, 1, 2)])
+def test_rejected_record_holds_up_no_other(large):
+    """Guards against one value too large that ends every leader in turn."""
+
+    async def scenario():
+        store = MemoryStore()
+        store.faults.max_value_bytes = 50
+        journal = make_journal(store)
+        await journal.claim()
+        durable = []
+        for number in range(40):
+
+            async def note(number=number):
+                durable.append(number)
+
+            size = 51 if number in large else 1
+            journal.write(f'r/{number:02}', lambda size=size: 'x' * size, note)
+        await journal.flush()
+        written = [number for number in range(40) if number not in large]
+        assert sorted(durable) == written
+        assert list(store.values('r/')) == [f'r/{one:02}' for one in written]
+        journal.write(f'r/{large[0]:02}', lambda: 'small again')
+        journal.write('r/99', lambda: 'x')
+        await journal.flush()
+        assert len(store.values('r/')) == 40 - len(large) + 2
+
+    run(scenario)
+
+
+def test_store_that_rejects_every_write_ends_the_journal():
+    """Guards against a leader that goes on without being able to record."""
+
+    async def scenario():
+        store = MemoryStore()
+        journal = make_journal(store)
+        await journal.claim()
+        store.faults.max_value_bytes = 1
+        journal.write('r/1', lambda: 'xx')
+        with pytest.raises(StoreRejected):
+            await journal.flush()
+
+    run(scenario)
+
+
+def test_large_values_are_written_in_several_transactions(monkeypatch):
+    """Guards against transactions that take longer than a call may take."""
+    monkeypatch.setattr(journal_module, '_MAX_BYTES', 100)
+
+    async def scenario():
+        store = MemoryStore()
+        journal = make_journal(store)
+        await journal.claim()
+        for number in range(10):
+            journal.write(f'r/{number}', lambda: 'x' * 40)
+        calls = store.calls['transact']
+        await journal.flush()
+        assert store.calls['transact'] - calls == 5
+        assert len(store.values('r/')) == 10
+
+    run(scenario)
