Refuse a job that the store cannot hold with 413

What callers saw: a submission that is larger than a value of the store was answered 503 with a time to come back, though it can never be accepted.

Cause: `JobService.submit` answered every StoreError as unavailable.

Change: the size is compared with `ValueBytes` of the settings (1 MiB where the platform names none) before anything is sent, and a rejection by the store is a final refusal, unless an earlier attempt may have been applied. Both are answered 413 without Retry-After.

--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -41,7 +41,7 @@
 from jayshore.retry import PLATFORM_BACKOFF
 from jayshore.store.mirror import Mirror
 from jayshore.store.relay import RelayedStore
-from jayshore.store.transactions import TransactionStore
+from jayshore.store.transactions import MAX_VALUE_BYTES, TransactionStore
 from jayshore.store.writeresolver import WriteResolver
 
 FRESH_MS = Millis(2500)
@@ -73,6 +73,7 @@
         memory_mb: memory of the process, in millions of bytes, None for no
             limit on what clients use of it.
         max_fds: file descriptors of the process, None likewise.
+        max_value_bytes: largest value that the store takes, in bytes.
     """
 
     name: str
@@ -85,6 +86,7 @@
     max_lease_ms: Millis = MAX_LEASE_MS
     memory_mb: float | None = None
     max_fds: float | None = None
+    max_value_bytes: int = MAX_VALUE_BYTES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -242,6 +244,7 @@
             admission=Admission(
                 refused=self._membership.refused, clock=clock, metrics=metrics
             ),
+            max_value_bytes=settings.max_value_bytes,
         )
         budgets = make_budgets(
             memory_mb=settings.memory_mb,
--- a/jayshore/fleet/jobservice.py
+++ b/jayshore/fleet/jobservice.py
@@ -36,10 +36,12 @@
 from jayshore.store.store import (
     Entry,
     StoreError,
+    StoreRejected,
     StoreUncertain,
     Written,
 )
 from jayshore.store.transactions import (
+    MAX_VALUE_BYTES,
     Put,
     Transaction,
 )
@@ -108,6 +110,7 @@
         scheduler: Callable[[], Scheduler | None],
         clock: Clock,
         admission: Admission,
+        max_value_bytes: int = MAX_VALUE_BYTES,
     ) -> None:
         """Create the service of one instance.
 
@@ -118,9 +121,11 @@
                 lead.
             clock: local clock.
             admission: decides what is refused under load.
+            max_value_bytes: largest value that the store takes, in bytes.
         """
         self._clock = clock
         self._admission = admission
+        self._max_value_bytes = max_value_bytes
         self._store = store
         self._leader = leader
         self._scheduler = scheduler
@@ -151,31 +156,15 @@
         Returns:
             Outcome to report to the caller.
         """
+        text = encode_job(job)
+        if len(text.encode()) > self._max_value_bytes:
+            return Refused(reason=RefusedReason.TOO_LARGE)
         if self._store.reachability.no_route:
             return self._refuse_unavailable()
         verdict = self._admission.check(job)
         if verdict is not None:
             return await self._refuse(job, verdict)
-        key = job_key(job.job_id)
-        put = Put(key=key, value=encode_job(job))
-        transaction = Transaction(expected=((key, 0),), puts=(put,))
-        uncertain = False
-        started = self._clock.now()
-        while self._may_send(started):
-            try:
-                written = await self._store.transact(transaction)
-            except StoreUncertain:
-                uncertain = True
-                continue
-            except StoreError as error:
-                eliot.log_message(
-                    'job:not_stored', job=job.job_id, error=str(error)
-                )
-                break
-            if isinstance(written, Written):
-                return Accepted()
-            return await self._compare_stored(job, uncertain)
-        return Uncertain() if uncertain else self._refuse_unavailable()
+        return await self._store_job(job, text)
 
     async def cancel(self, job_id: str, workspace: str | None) -> bool:
         """Cancel a job.
@@ -251,6 +240,33 @@
         except LeaderUnavailable as error:
             raise JobServiceUnavailable(str(error)) from None
 
+    async def _store_job(self, job: Job, text: str) -> SubmitResult:
+        key = job_key(job.job_id)
+        transaction = Transaction(
+            expected=((key, 0),), puts=(Put(key=key, value=text),)
+        )
+        uncertain = False
+        started = self._clock.now()
+        while self._may_send(started):
+            try:
+                written = await self._store.transact(transaction)
+            except StoreUncertain:
+                uncertain = True
+                continue
+            except StoreError as error:
+                refusal = self._refuse_not_stored(job, error)
+                return Uncertain() if uncertain else refusal
+            if isinstance(written, Written):
+                return Accepted()
+            return await self._compare_stored(job, uncertain)
+        return Uncertain() if uncertain else self._refuse_unavailable()
+
+    def _refuse_not_stored(self, job: Job, error: StoreError) -> Refused:
+        eliot.log_message('job:not_stored', job=job.job_id, error=str(error))
+        if isinstance(error, StoreRejected):
+            return Refused(reason=RefusedReason.TOO_LARGE)
+        return self._refuse_unavailable()
+
     async def _refuse(self, job: Job, verdict: Verdict) -> SubmitResult:
         """Refuse a job unless an earlier attempt has been accepted.
 
--- a/jayshore/store/transactions.py
+++ b/jayshore/store/transactions.py
@@ -17,6 +17,9 @@
 MAX_TRANSACTION_ENTRIES = 32
 """Limit for conditions, puts and removals together in one transaction."""
 
+MAX_VALUE_BYTES = 1_048_576
+"""Size of the largest value where the platform names none, in bytes."""
+
 
 class HistoryLost(StoreUnavailable):
     """The store no longer holds the changes after the requested revision."""
