Take no registration as proof that a worker is over

Cause: a registration with a later start at the same address counted as proof that the incarnation before is over, though nobody had answered for it, and whatever its service. The log of a run shows `worker:runs_lost` with the cause `restarted` for the four workers within 15 ms of `leader:ready`, before any of them has replied. The same was asked where the lease of a silent worker had expired, and counted a crash against each of its tasks.

Change: only a reply shows that an earlier incarnation at its address is over, in a takeover as after an expired lease. The session of a foreign entry ends with the refusal of the worker at its address, and with it no run. `InheritedIncarnations.take_preceding`, which judged by a registration, is gone; its column in inherited_test.py is replaced by the rule that a registration shows nothing, which fleet_foreign_registration_test.py checks.

Tests: the 10 cases of fleet_foreign_registration_test.py failed before (12 runs of 6 tasks; crashes counted against all tasks). Those of fleet_former_incarnation_test.py hold.

--- a/jayshore/fleet/inherited.py
+++ b/jayshore/fleet/inherited.py
@@ -2,8 +2,8 @@
 
 A worker that has crashed is soon back at its address, often under another id,
 while the registration of its former incarnation is still listed. Which of the
-two is over is decided by their order of birth, never by the order in which a
-new leader happens to read them.
+two is over is decided by a reply from the address and by their order of birth,
+never by what is registered: an entry may be of another program.
 """
 
 from typing import NamedTuple
@@ -40,24 +40,6 @@
         if address:
             self._by_address.setdefault(address, set()).add(placed_at)
 
-    def take_preceding(self, current: Incarnation) -> list[PlacedAt]:
-        """Remove the incarnations that a registration shows to be over.
-
-        Args:
-            current: a registered incarnation, perhaps over itself.
-
-        Returns:
-            Earlier incarnations at the same address, in order of birth.
-        """
-        return self._take(
-            current.address,
-            {
-                placed_at
-                for placed_at in self._by_address.get(current.address, ())
-                if placed_at.incarnation.precedes(current)
-            },
-        )
-
     def take_replaced(
         self, worker_id: str, current: Incarnation
     ) -> list[PlacedAt]:
--- a/jayshore/fleet/losses.py
+++ b/jayshore/fleet/losses.py
@@ -10,7 +10,7 @@
 from jayshore.fleet.jobtable import Phase, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.metrics import FleetMetrics
-from jayshore.fleet.model import Incarnation, WorkerEntry, format_task_id
+from jayshore.fleet.model import Incarnation, format_task_id
 from jayshore.fleet.orders import OrderSender
 from jayshore.fleet.outages import LossCause, Outage, age_in_outage
 from jayshore.fleet.runs import RunTracker
@@ -92,31 +92,22 @@
             await self._order_sender.stop_unanswered(session)
         await self._give_up(given_up)
 
-    async def handle_registration(self, worker: WorkerEntry) -> None:
-        """Handle a registration, perhaps of another incarnation of a worker.
-
-        Args:
-            worker: the registration.
-        """
-        current = worker.incarnation
-        former, lost = self._expired.get(worker.address, (current, None))
-        if lost is not None and former.precedes(current):
-            self._expired.pop(worker.address)
-            await self._give_up(self._crash_counter.count(lost, self._silent()))
-        for placed_at in self._inherited.take_preceding(current):
-            await self._handle_inherited_crash(placed_at, worker.worker_id)
-
     async def handle_reply(self, session: WorkerSession, born_ms: int) -> None:
         """Handle a reply of a worker, which ends its silence.
 
+        Only a reply shows that an earlier incarnation at the same address is
+        over. A registration may be of another program.
+
         Args:
             session: session of the worker.
             born_ms: start of the incarnation that replied, 0 when unknown.
         """
         address = session.entry.address
-        self._expired.pop(address, None)
         worker_id = session.entry.worker_id
         replied = Incarnation(address, born_ms)
+        former, lost = self._expired.pop(address, (replied, None))
+        if lost is not None and former.precedes(replied):
+            await self._give_up(self._crash_counter.count(lost, self._silent()))
         for placed_at in self._inherited.take_replaced(worker_id, replied):
             await self._handle_inherited_crash(placed_at, worker_id)
 
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -274,7 +274,6 @@
             if session is not None:
                 session.registered = False
             return
-        await self._loss_tracker.handle_registration(entry)
         if session is not None and not session.closed:
             former = session.update(entry)
             if former is not None:
