Store a tombstone before a cancellation is answered with 410

Cause: `JobService.cancel` answered from a read. A write that got no answer may still be carried out, as its only condition is that the job does not exist. In the record of the case the write of `jobs/in/<id>` lands after the 410, and the leader places the job.

Change: the cancellation of a job that is not stored writes a tombstone for the id in its workspace, then reads the job again; the acceptance of a job requires that it has none.

Ruled out: a tombstone without the workspace (one workspace could hinder the submissions of another); a revision that every submission depends on, which leaves no keys (a submission that a frozen instance has read and not sent would still be accepted).

--- a/jayshore/fleet/admission.py
+++ b/jayshore/fleet/admission.py
@@ -40,6 +40,7 @@
     STORE_UNAVAILABLE = 'store_unavailable'
     OTHER_JOB = 'other_job'
     TOO_LARGE = 'too_large'
+    CANCELLED = 'cancelled'
     BACKLOG_FULL = 'backlog_full'
     OVERLOADED = 'overloaded'
     OVER_RATE = 'over_rate'
--- a/jayshore/fleet/instance.py
+++ b/jayshore/fleet/instance.py
@@ -34,6 +34,7 @@
     make_server,
     peer_limits,
 )
+from jayshore.fleet.tombstones import TombstoneWriter
 from jayshore.http.client import Address
 from jayshore.http.server import Handler
 from jayshore.leases.leadership import Leadership
@@ -244,6 +245,11 @@
             admission=Admission(
                 refused=self._membership.refused, clock=clock, metrics=metrics
             ),
+            tombstones=TombstoneWriter(
+                store=store,
+                clock=clock,
+                count_instances=lambda: len(self._membership.members),
+            ),
             max_value_bytes=settings.max_value_bytes,
         )
         budgets = make_budgets(
--- a/jayshore/fleet/jobservice.py
+++ b/jayshore/fleet/jobservice.py
@@ -31,6 +31,11 @@
     progress_key,
 )
 from jayshore.fleet.scheduler import Scheduler
+from jayshore.fleet.tombstones import (
+    TombstonesExhausted,
+    TombstoneWriter,
+    tombstone_key,
+)
 from jayshore.outcomes import JayshoreError
 from jayshore.store.relay import RelayedStore
 from jayshore.store.store import (
@@ -42,8 +47,10 @@
 )
 from jayshore.store.transactions import (
     MAX_VALUE_BYTES,
+    Mismatch,
     Put,
     Transaction,
+    TransactionResult,
 )
 
 MIN_RETRY_MS = Millis(2000)
@@ -110,6 +117,7 @@
         scheduler: Callable[[], Scheduler | None],
         clock: Clock,
         admission: Admission,
+        tombstones: TombstoneWriter,
         max_value_bytes: int = MAX_VALUE_BYTES,
     ) -> None:
         """Create the service of one instance.
@@ -121,10 +129,12 @@
                 lead.
             clock: local clock.
             admission: decides what is refused under load.
+            tombstones: writes those of cancelled jobs that are not stored.
             max_value_bytes: largest value that the store takes, in bytes.
         """
         self._clock = clock
         self._admission = admission
+        self._tombstones = tombstones
         self._max_value_bytes = max_value_bytes
         self._store = store
         self._leader = leader
@@ -151,7 +161,8 @@
         """Accept a job.
 
         Args:
-            job: the job; an id is accepted only once.
+            job: the job; an id is accepted only once, and not after a
+                cancellation in its workspace.
 
         Returns:
             Outcome to report to the caller.
@@ -174,13 +185,19 @@
             workspace: workspace of the caller, None in a public queue.
 
         Returns:
-            False when this workspace has no such job.
+            False when this workspace has no such job, and none is accepted
+            from a submission before this call.
 
         Raises:
-            JobServiceUnavailable: the store did not reply.
+            JobServiceUnavailable: the store did not reply, or too many jobs
+                that it does not hold are cancelled.
         """
         try:
             entry = await self._store.get(job_key(job_id))
+            if entry is None:
+                await self._tombstones.write(workspace or '', job_id)
+                # The job may have been stored before its tombstone.
+                entry = await self._store.get(job_key(job_id))
             if entry is None or not _is_owner(entry, workspace):
                 return False
             key = cancel_key(job_id)
@@ -190,7 +207,7 @@
                     puts=(Put(key=key, value=_NO_VALUE),),
                 )
             )
-        except StoreError as error:
+        except (StoreError, TombstonesExhausted) as error:
             raise JobServiceUnavailable(str(error)) from None
         eliot.log_message('job:cancelled', job=job_id)
         return True
@@ -242,8 +259,10 @@
 
     async def _store_job(self, job: Job, text: str) -> SubmitResult:
         key = job_key(job.job_id)
+        tombstone = tombstone_key(job.workspace, job.job_id)
         transaction = Transaction(
-            expected=((key, 0),), puts=(Put(key=key, value=text),)
+            expected=((key, 0), (tombstone, 0)),
+            puts=(Put(key=key, value=text),),
         )
         uncertain = False
         started = self._clock.now()
@@ -258,6 +277,8 @@
                 return Uncertain() if uncertain else refusal
             if isinstance(written, Written):
                 return Accepted()
+            if _is_cancelled(written, key, tombstone):
+                return Refused(reason=RefusedReason.CANCELLED)
             return await self._compare_stored(job, uncertain)
         return Uncertain() if uncertain else self._refuse_unavailable()
 
@@ -332,6 +353,15 @@
         return StateReply(state=state, workspace=job.workspace)
 
 
+def _is_cancelled(written: TransactionResult, key: str, tombstone: str) -> bool:
+    """Return whether a job was not stored because it has a tombstone."""
+    return (
+        isinstance(written, Mismatch)
+        and not written.revisions.get(key)
+        and bool(written.revisions.get(tombstone))
+    )
+
+
 def _is_owner(entry: Entry, workspace: str | None) -> bool:
     try:
         job = decode_job(entry.value)
--- a/jayshore/fleet/jobservice_test.py
+++ b/jayshore/fleet/jobservice_test.py
@@ -10,6 +10,7 @@
 from jayshore.fleet.jobservice import Accepted, JobService, Refused
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.refusals import NOTHING_REFUSED
+from jayshore.fleet.tombstones import TombstoneWriter
 from jayshore.store.relay import RelayedStore
 from standins.memorystore import MemoryStore
 from tests.memory_fleet_test import UnreachableStoreRelay, make_job
@@ -18,10 +19,11 @@
 def make_service(store, **fields):
     """Make the job service of one instance."""
     clock = MonotonicClock()
+    relayed = RelayedStore(
+        direct=store, relay=UnreachableStoreRelay(), clock=clock
+    )
     return JobService(
-        store=RelayedStore(
-            direct=store, relay=UnreachableStoreRelay(), clock=clock
-        ),
+        store=relayed,
         leader=None,
         scheduler=lambda: None,
         clock=clock,
@@ -30,6 +32,9 @@
             clock=clock,
             metrics=FleetMetrics(),
         ),
+        tombstones=TombstoneWriter(
+            store=relayed, clock=clock, count_instances=lambda: 1
+        ),
         **fields,
     )
 
--- a/tests/memory_fleet_test.py
+++ b/tests/memory_fleet_test.py
@@ -48,6 +48,7 @@
     state_reply,
 )
 from jayshore.fleet.scheduler import SchedulerDependencies
+from jayshore.fleet.tombstones import TombstoneWriter
 from jayshore.http.client import Address
 from jayshore.leases.leadership import Leadership
 from jayshore.resources import Resources
@@ -230,6 +231,11 @@
                 clock=clock,
                 metrics=FleetMetrics(),
             ),
+            tombstones=TombstoneWriter(
+                store=self.store,
+                clock=clock,
+                count_instances=lambda: len(self.membership.members),
+            ),
         )
         self.alive = True
         self._tasks = []
