Give no task up for crashes that its workers may not owe to it

Cause: a start without an answer counted as a run that may have crashed its worker, though it may never have arrived there. With one real crash the task had two and was given up.

Change: crashes of a run that the worker has confirmed are counted and stored apart. The limits of two, three and four crashes hold once two are confirmed; before that a task is given up at its fifth crash in doubt, as one that crashes its worker at once prevents the answer. Five starts are within the limit of three crashes and fewer than three further starts.

--- a/jayshore/fleet/blame.py
+++ b/jayshore/fleet/blame.py
@@ -5,6 +5,10 @@
 older run is not suspected. What is left in doubt is decided by a second run
 apart from the other new ones: a task is given up when it was the only one in
 doubt, and not for the first time.
+
+A start without an answer may never have arrived. A task is given up when two
+workers have crashed that had confirmed its run; one whose starts are never
+answered, only after `MAX_UNCONFIRMED` crashes.
 """
 
 import dataclasses
@@ -29,6 +33,15 @@
 MAX_CRASHES: Final = 4
 """Crashes after which a task in doubt is given up in any case."""
 
+MIN_CONFIRMED: Final = 2
+"""Crashes during a confirmed run of a task from which the limits above hold."""
+
+MAX_UNCONFIRMED: Final = 5
+"""Crashes in doubt after which a task is given up that was not confirmed.
+
+A task that crashes its workers at once prevents their answers.
+"""
+
 MAX_EXPOSURES: Final = 3
 """Crashes at any age after which a task is in doubt for longer.
 
@@ -46,6 +59,9 @@
         crashes: earlier crashes in which the task was in doubt.
         exposures: earlier crashes of workers that ran the task.
         doubt_ms: age up to which the task is in doubt, in ms.
+        is_confirmed: the worker has confirmed the run.
+        confirmed_crashes: those of the earlier crashes in doubt in which it
+            had.
     """
 
     task: TaskId
@@ -53,6 +69,8 @@
     crashes: int = 0
     exposures: int = 0
     doubt_ms: Millis = SETTLED_MS
+    is_confirmed: bool = True
+    confirmed_crashes: int = 0
 
     @property
     def in_doubt(self) -> bool:
@@ -61,6 +79,21 @@
             self.age_ms < self.doubt_ms or self.exposures + 1 >= MAX_EXPOSURES
         )
 
+    def exceeds(self, limit: int) -> bool:
+        """Return whether the task is given up after this crash in doubt.
+
+        Args:
+            limit: crashes in doubt after which it is, if its runs were
+                confirmed in `MIN_CONFIRMED` of them.
+
+        Returns:
+            True when it must not run again.
+        """
+        confirmed = self.confirmed_crashes + self.is_confirmed
+        if confirmed < MIN_CONFIRMED:
+            limit = MAX_UNCONFIRMED
+        return self.crashes + 1 >= limit
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
@@ -96,9 +129,7 @@
         limit = CRASHES_APART if timed else CRASHES_APART_UNTIMED
     return Verdict(
         suspects=frozenset(run.task for run in suspects),
-        given_up=frozenset(
-            run.task for run in suspects if run.crashes + 1 >= limit
-        ),
+        given_up=frozenset(run.task for run in suspects if run.exceeds(limit)),
         alone=alone,
     )
 
--- a/jayshore/fleet/crashes.py
+++ b/jayshore/fleet/crashes.py
@@ -88,6 +88,7 @@
             task.exposures += int(not shared)
             if task.task_id in verdict.suspects:
                 task.crashes += 1
+                task.confirmed_crashes += int(_is_confirmed(task))
                 task.doubt_ms = Millis(max(task.doubt_ms, age + SETTLED_MS))
                 self._probation.add(task, alone=verdict.alone)
             if task.task_id in verdict.given_up:
@@ -156,9 +157,16 @@
         crashes=task.crashes,
         exposures=task.exposures,
         doubt_ms=task.doubt_ms,
+        is_confirmed=_is_confirmed(task),
+        confirmed_crashes=task.confirmed_crashes,
     )
 
 
+def _is_confirmed(task: TaskEntry) -> bool:
+    """Return whether the worker has confirmed the latest run of a task."""
+    return task.seen_at is not None
+
+
 def _has_suspects(lost: LostRuns) -> bool:
     return any(_exposed_run(*item).in_doubt for item in lost.ages.items())
 
--- a/jayshore/fleet/jobtable.py
+++ b/jayshore/fleet/jobtable.py
@@ -87,6 +87,7 @@
             stalled.
         crashes: crashes of workers in which the task was in doubt, since it
             last ran without one.
+        confirmed_crashes: those in which its worker had confirmed the run.
         exposures: crashes of workers that ran the task, in the same time.
         doubt_ms: age up to which a run is in doubt when its worker crashes.
     """
@@ -105,6 +106,7 @@
     confirmed: bool = False
     moves: int = 0
     crashes: int = 0
+    confirmed_crashes: int = 0
     exposures: int = 0
     doubt_ms: Millis = SETTLED_MS
 
--- a/jayshore/fleet/probation.py
+++ b/jayshore/fleet/probation.py
@@ -193,5 +193,6 @@
         crashes=task.crashes,
     )
     task.crashes = 0
+    task.confirmed_crashes = 0
     task.exposures = 0
     task.doubt_ms = SETTLED_MS
--- a/jayshore/fleet/records.py
+++ b/jayshore/fleet/records.py
@@ -84,6 +84,7 @@
         doubt_ms: age up to which a run is in doubt, in ms.
         address: address of the worker, empty unless placed.
         born_ms: start of the worker's incarnation, 0 unless placed.
+        confirmed_crashes: crashes in doubt of a run that was confirmed.
     """
 
     occurrence: int
@@ -99,6 +100,7 @@
     doubt_ms: int = SETTLED_MS
     address: str = ''
     born_ms: int = 0
+    confirmed_crashes: int = 0
 
 
 class ProgressRecord(
@@ -421,4 +423,5 @@
         doubt_ms=task.doubt_ms,
         address=incarnation.address,
         born_ms=incarnation.born_ms,
+        confirmed_crashes=task.confirmed_crashes,
     )
--- a/jayshore/fleet/restoring.py
+++ b/jayshore/fleet/restoring.py
@@ -107,6 +107,7 @@
     task.failures = row.failures
     task.checkpoint = row.checkpoint
     task.crashes = row.crashes
+    task.confirmed_crashes = row.confirmed_crashes
     task.exposures = row.exposures
     task.doubt_ms = Millis(row.doubt_ms)
     task.confirmed = bool(row.failures or row.checkpoint)
--- a/tests/fleet_crashing_task_test.py
+++ b/tests/fleet_crashing_task_test.py
@@ -12,6 +12,7 @@
     make_job,
     running_fleet,
     shorten_leases,
+    wait_for,
 )
 
 MAX_CRASHES = 3
@@ -210,3 +211,45 @@
             check_runs(fleet, jobs)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('lost', [1, 2, 3])
+@pytest.mark.parametrize('new_id', [True, False])
+def test_unanswered_starts_give_no_job_up(lost, new_id):
+    """Guards against a job that fails after one crash, as starts were lost.
+
+    Each worker to which a start was sent in vain crashes. The first worker that
+    runs the task crashes as well, and has nothing to do with it.
+    """
+
+    async def scenario():
+        async with running_fleet(workers=6, run_ms=Millis(400)) as fleet:
+            job = make_job(make_group(1))
+            for worker in fleet.workers.values():
+                worker.faults.new_id = new_id
+                worker.faults.lose_starts = 1
+                worker.faults.late_ms = None
+            await fleet.submit(job)
+            for _ in range(lost):
+                await wait_for(lambda: find_lost_start(fleet), 'a start')
+                worker = find_lost_start(fleet)
+                worker.faults.lose_starts = 1
+                worker.crash()
+            for worker in fleet.workers.values():
+                worker.faults.lose_starts = 0
+            await wait_for(fleet.runs, 'a run')
+            await curio.sleep(0.1)
+            _, worker = fleet.runs()[0]
+            worker.crash()
+            await fleet.wait_state([job.job_id], COMPLETED)
+            check_runs(fleet, [job])
+
+    run_scenario(scenario)
+
+
+def find_lost_start(fleet):
+    """Find a worker that was sent a start in vain."""
+    for worker in fleet.workers.values():
+        if not worker.faults.lose_starts:
+            return worker
+    return None
