Count crashes at the same moment against a job that they have in common

Cause: crashes within 200 ms of each other without a run in doubt were taken for a loss of power and counted against nobody. Tasks that start together and crash at the same age are lost together, and start together again.

Change: the runs of a job that ran on all workers that failed at that moment count as exposed. At the third time they are in doubt, run apart, and are judged by the usual limits.

Tests: test_tasks_that_crash_their_workers_together_are_given_up failed before in 2 of 2 cases; test_loss_of_power_of_a_rack_gives_no_job_up passes with one to three losses of the same rack, before and after.

--- a/jayshore/fleet/crashes.py
+++ b/jayshore/fleet/crashes.py
@@ -8,7 +8,13 @@
 import eliot
 
 from jayshore.clock import Millis
-from jayshore.fleet.blame import SETTLED_MS, ExposedRun, Verdict, judge_crash
+from jayshore.fleet.blame import (
+    MAX_EXPOSURES,
+    SETTLED_MS,
+    ExposedRun,
+    Verdict,
+    judge_crash,
+)
 from jayshore.fleet.jobtable import TaskEntry
 from jayshore.fleet.metrics import FleetMetrics
 from jayshore.fleet.model import TaskId, format_task_id
@@ -36,6 +42,21 @@
     ages: dict[TaskEntry, Millis]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Failure:
+    """A worker that stopped replying.
+
+    Attributes:
+        outage: when it stopped replying.
+        is_explained: a run in doubt may have crashed it.
+        jobs: ids of the jobs that ran there.
+    """
+
+    outage: Outage
+    is_explained: bool
+    jobs: frozenset[str]
+
+
 class CrashCounter:
     """Counts the crashes of one leader's workers, and suspects tasks."""
 
@@ -53,8 +74,8 @@
         """
         self._probation = probation
         self._metrics = metrics
-        self._recent: collections.deque[tuple[Outage, bool]] = (
-            collections.deque(maxlen=_MAX_RECENT)
+        self._recent: collections.deque[_Failure] = collections.deque(
+            maxlen=_MAX_RECENT
         )
 
     def count(
@@ -64,7 +85,9 @@
 
         A crash is nobody's fault when the worker was leaving, or when another
         worker failed at the same time without any run in doubt, as after a
-        loss of power.
+        loss of power. A job that ran on all workers that failed then may still
+        be the common cause: its runs count as exposed, so that they are in
+        doubt when it happens again and again.
 
         Args:
             lost: the runs at the worker.
@@ -77,15 +100,18 @@
             [_exposed_run(*item) for item in lost.ages.items()],
             timed=lost.outage.is_timed,
         )
-        shared = lost.draining or self._has_common_cause(lost, silent)
+        beside = self._find_simultaneous(lost, silent)
+        shared = lost.draining or bool(beside)
         if lost.ages:
-            self._recent.append((lost.outage, bool(verdict.suspects)))
+            self._recent.append(_describe(lost))
+        exposed = set(lost.ages)
         if shared:
-            verdict = Verdict()
+            exposed = _find_common(lost, beside)
+            verdict = _judge_common(lost, exposed)
         self._log(lost, verdict, shared=shared)
         given_up = []
         for task, age in lost.ages.items():
-            task.exposures += int(not shared)
+            task.exposures += int(task in exposed)
             if task.task_id in verdict.suspects:
                 task.crashes += 1
                 task.confirmed_crashes += int(_is_confirmed(task))
@@ -95,18 +121,21 @@
                 given_up.append(task)
         return given_up
 
-    def _has_common_cause(
+    def _find_simultaneous(
         self, lost: LostRuns, silent: Iterable[LostRuns]
-    ) -> bool:
+    ) -> list['_Failure']:
+        """Find the failures at the same time that no run explains."""
         others = [
-            (other.outage, _has_suspects(other))
+            _describe(other)
             for other in silent
             if other.ages and other.worker_id != lost.worker_id
         ]
-        return any(
-            outage.overlaps(lost.outage, _SIMULTANEOUS_MS) and not explained
-            for outage, explained in (*others, *self._recent)
-        )
+        return [
+            other
+            for other in (*others, *self._recent)
+            if not other.is_explained
+            and other.outage.overlaps(lost.outage, _SIMULTANEOUS_MS)
+        ]
 
     def _log(self, lost: LostRuns, verdict: Verdict, *, shared: bool) -> None:
         cause = 'suspected' if verdict.suspects else 'none'
@@ -167,8 +196,34 @@
     return task.seen_at is not None
 
 
-def _has_suspects(lost: LostRuns) -> bool:
-    return any(_exposed_run(*item).in_doubt for item in lost.ages.items())
+def _describe(lost: LostRuns) -> _Failure:
+    return _Failure(
+        outage=lost.outage,
+        is_explained=any(
+            _exposed_run(*item).in_doubt for item in lost.ages.items()
+        ),
+        jobs=frozenset(task.task_id.job_id for task in lost.ages),
+    )
+
+
+def _find_common(lost: LostRuns, beside: Iterable[_Failure]) -> set[TaskEntry]:
+    """Find the runs of jobs that ran on all workers that failed together."""
+    if lost.draining:
+        return set()
+    return {
+        task
+        for task in lost.ages
+        if all(task.task_id.job_id in other.jobs for other in beside)
+    }
+
+
+def _judge_common(lost: LostRuns, common: set[TaskEntry]) -> Verdict:
+    """Judge the runs that were lost like this before, whatever their age."""
+    runs = [_exposed_run(task, lost.ages[task]) for task in common]
+    return judge_crash(
+        [run for run in runs if run.exposures + 1 >= MAX_EXPOSURES],
+        timed=lost.outage.is_timed,
+    )
 
 
 def _format(tasks: frozenset[TaskId]) -> list[str]:
--- a/tests/fleet_crashing_task_test.py
+++ b/tests/fleet_crashing_task_test.py
@@ -253,3 +253,51 @@
         if not worker.faults.lose_starts:
             return worker
     return None
+
+
+@pytest.mark.parametrize('new_id', [True, False])
+def test_tasks_that_crash_their_workers_together_are_given_up(new_id):
+    """Guards against tasks whose simultaneous crashes pass for a power loss."""
+
+    async def scenario():
+        async with running_fleet(workers=6, run_ms=Millis(1500)) as fleet:
+            other = make_job(make_group(6, max_per_worker=1))
+            job = make_job(make_group(3, max_per_worker=1))
+            positions = (0, 1, 2)
+            make_crashing(
+                fleet, job, positions, new_id=new_id, crash_after_ms=Millis(500)
+            )
+            await fleet.submit(other)
+            await wait_for(lambda: len(fleet.runs()) == 6, 'other runs')
+            await fleet.submit(job)
+            await fleet.wait_state([job.job_id], JobState.FAILED, limit_s=20)
+            await fleet.wait_state([other.job_id], COMPLETED)
+            check_runs(fleet, [job, other])
+            check_budget(fleet, job, positions)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('losses', [1, 2, 3])
+@pytest.mark.parametrize('new_id', [True, False])
+def test_loss_of_power_of_a_rack_gives_no_job_up(new_id, losses):
+    """Guards against a wide job that is blamed for repeated losses of power."""
+
+    async def scenario():
+        async with running_fleet(workers=6, run_ms=Millis(1500)) as fleet:
+            for worker in fleet.workers.values():
+                worker.faults.new_id = new_id
+            jobs = [make_job(make_group(6, max_per_worker=1)) for _ in '12']
+            ids = await fleet.submit(*jobs)
+            for number in range(losses):
+                expected = 12 + 6 * number
+                await wait_for(
+                    lambda least=expected: len(fleet.runs()) >= least, 'runs'
+                )
+                await curio.sleep(0.4)
+                for name in ('w0', 'w1', 'w2'):
+                    fleet.workers[name].crash()
+            await fleet.wait_state(ids, COMPLETED, limit_s=15)
+            check_runs(fleet, jobs)
+
+    run_scenario(scenario)
