--- a/jayshore/fleet/backlog.py
+++ b/jayshore/fleet/backlog.py
@@ -86,12 +86,13 @@
             workspace = entry.job.workspace
             waiting[workspace] += entry.state is JobState.QUEUED
             tasks[workspace] += _count_unfinished(entry)
+        task_limit = _limit_tasks(tasks)
         full = tuple(
             sorted(
                 name
                 for name, count in waiting.items()
                 if count >= self._limit(name)
-                or tasks[name] >= self._task_limit(name, tasks)
+                or tasks[name] >= self._task_limit(name, task_limit)
             )
         )
         known = self._notice
@@ -113,13 +114,9 @@
         full = workspace in self.notice.workspaces
         return RESUME_WAITING if full else MAX_WAITING
 
-    def _task_limit(self, workspace: str, tasks: Mapping[str, int]) -> float:
-        limit: float = MAX_TASKS
-        if sum(tasks.values()) >= MAX_ALL_TASKS:
-            limit = min(limit, MAX_ALL_TASKS // len(tasks))
-        if workspace in self.notice.workspaces:
-            limit *= _RESUME_SHARE
-        return limit
+    def _task_limit(self, workspace: str, limit: int) -> float:
+        full = workspace in self.notice.workspaces
+        return limit * _RESUME_SHARE if full else limit
 
     def _is_confirmation_due(self, now: Millis | None) -> bool:
         if now is None or not (self.notice.workspaces or self.notice.refusals):
@@ -127,6 +124,13 @@
         return now - self._published_at >= CONFIRM_MS
 
 
+def _limit_tasks(tasks: Mapping[str, int]) -> int:
+    """Return the limit on the unfinished tasks of each workspace."""
+    if sum(tasks.values()) < MAX_ALL_TASKS:
+        return MAX_TASKS
+    return min(MAX_TASKS, MAX_ALL_TASKS // len(tasks))
+
+
 def _count_unfinished(entry: JobEntry) -> int:
     """Count the tasks of a job that are not done, also those not due yet."""
     if entry.state is JobState.QUEUED:
