--- a/tests/fleet_repeating_test.py
+++ b/tests/fleet_repeating_test.py
@@ -8,13 +8,19 @@
 import dataclasses
 
 import curio
+import msgspec
 import pytest
 
 from jayshore.clock import Millis, WallClock
 from jayshore.fleet.interfaces import EndKind
 from jayshore.fleet.model import Schedule
 from jayshore.fleet.phases import JobState
-from jayshore.fleet.recordkeys import PROGRESS_PREFIX
+from jayshore.fleet.recordkeys import (
+    PROGRESS_PREFIX,
+    job_key,
+    progress_key,
+)
+from jayshore.fleet.records import encode_job
 from tests.fleet_checks_test import check_runs
 from tests.memory_fleet_test import (
     COMPLETED,
@@ -146,3 +152,28 @@
             assert not fleet.store.values('jobs/in/')
 
     run_scenario(scenario)
+
+
+def test_failed_task_ends_a_job_whose_state_was_not_recorded():
+    """Guards against an attempt beyond the limit after a change of leader."""
+
+    async def scenario():
+        async with running_fleet(run_ms=RUN_MS) as fleet:
+            await fleet.leading().kill()
+            job = make_job(small_group(40))
+            row = (0, 0, 3, 'w', 3, '', job.queue.max_attempts, '')
+            key = progress_key(job.job_id)
+            fleet.store.write(
+                key,
+                '{"state":"running","next_occurrence":1,"unfinished":[[0,0]]}',
+            )
+            fleet.store.write(
+                f'{key}/0.0.0', msgspec.json.encode([row]).decode()
+            )
+            fleet.store.write(job_key(job.job_id), encode_job(job))
+            await fleet.add_instance('i1')
+            await fleet.wait_leader()
+            await fleet.wait_state([job.job_id], JobState.FAILED)
+            assert not fleet.runs()
+
+    run_scenario(scenario)
