--- a/review/13/case_test.py
+++ b/review/13/case_test.py
@@ -1,7 +1,6 @@
-"""Restarts of the leader in turn keep lasting tasks from running again."""
+"""Large submissions keep others from advice, and most executors stand idle."""
 
 import pathlib
-import signal
 import sys
 import time
 
@@ -17,101 +16,94 @@
 )
 from deployment_test import play  # noqa: E402
 
-LASTING = 'a' * 16
-TASKS = 12
+WORK_MS = 8400
+WIDE = 60
+WIDE_CPU = 5300
+NARROW_CPU = 2000
 EXECUTORS = 24
-RESTARTS = 5
-GAP_S = 9.8
-FIRST_RESTART_S = 3.5
-DOWN_S = 2.8
-CALM_S = 7
-STILL_MS = 3000
-LAST_RUN_MS = 6000
+CAPACITY = EXECUTORS * 32_000
+NARROW = 6
+FINISH_S = 14
+STILL_S = 3
+LARGE = tuple(f'{number:016x}' for number in range(0x100, 0x106))
+SMALL = tuple(f'{number:016x}' for number in range(0x200, 0x200 + NARROW))
 CONFIG = desired_state(
-    [route('mix-batch', '/mix/')],
-    [tenant('kaje80', 'key-kaje80')],
-)
-BODY = {
-    'Spec': spec(ms=3_600_000),
-    'Steps': [
-        {
-            'Count': TASKS,
-            'Cpu': 4000,
-            'MemMb': 4000,
-            'EstMs': 1000,
-            'LongRunning': True,
-            'AntiAffinity': 2,
-        }
+    [
+        route(
+            'mix-batch',
+            '/mix/',
+            Priority=2,
+            Advice={'DecisionMs': 83.0, 'PeriodMs': 1.2, 'ValidityMs': 2500},
+        )
+    ],
+    [
+        tenant('kaje80', 'key-kaje80'),
+        tenant('ziny153', 'key-ziny153'),
+        tenant('xaba960', 'key-xaba960'),
+        tenant('riverbend', 'key-riverbend'),
     ],
-}
+)
+
+
+def submission(count, cpu, apart):
+    """Make a submission of three steps that follow each other."""
+    first = {'Count': count, 'Cpu': cpu, 'MemMb': 500, 'EstMs': WORK_MS}
+    if apart:
+        first['AntiAffinity'] = apart
+    rest = {'Count': 2, 'Cpu': cpu, 'MemMb': 500, 'EstMs': WORK_MS}
+    return {
+        'Spec': spec(ms=WORK_MS),
+        'Steps': [first, {**rest, 'After': [0]}, {**rest, 'After': [1]}],
+    }
 
 
-def runs_of(rows):
-    """Make the intervals in which each lasting task has run."""
-    runs = {}
+def measure(rows, at):
+    """Return the tasks that run at a time, and the processor that they use."""
+    running = set()
     for row in rows:
-        if not row['task'].startswith(LASTING):
-            continue
-        own = runs.setdefault(row['task'], [])
+        if row['at'] > at:
+            break
         if row['event'] == 'start':
-            own.append([row['at'], float('inf')])
+            running.add(row['task'])
         else:
-            own[-1][1] = row['at']
-    return runs
-
-
-def is_still(runs, begin, end):
-    """Tell whether a task, which ran before, has no run in an interval."""
-    former = [last for first, last in runs if last <= begin]
-    beside = [first for first, last in runs if first < end and last > begin]
-    return bool(former) and begin - max(former) >= LAST_RUN_MS and not beside
+            running.discard(row['task'])
+    used = sum(
+        WIDE_CPU if task[:16] in LARGE else NARROW_CPU for task in running
+    )
+    return running, used
 
 
 def case(deployment, trouble):
-    """Let an executor leave, and restart the leader five times in turn."""
+    """Submit some narrow work after a burst of large submissions."""
     deployment.start(instances=6, executors=EXECUTORS, config=CONFIG)
-    caller = Caller(deployment, key='key-kaje80', prefix='/mix/')
-    time.sleep(3)
-    caller.submit(LASTING, BODY)
+    large = [
+        Caller(deployment, key=f'key-{name}', prefix='/mix/')
+        for name in ('kaje80', 'ziny153', 'xaba960')
+    ]
+    plain = Caller(deployment, key='key-riverbend', prefix='/mix/')
     time.sleep(3)
-    rows = deployment.control('GET', '/rows')
-    leaving = rows[0]['executor']
-    deployment.record.note('leaves on purpose:', leaving)
-    deployment.control('POST', '/leave', {'executor': leaving})
-    time.sleep(FIRST_RESTART_S)
-    calm = []
-    for _ in range(RESTARTS):
-        began = time.monotonic()
-        leader = deployment.leader()
-        if trouble and leader is not None:
-            deployment.kill(leader, signal.SIGTERM)
-        time.sleep(max(0, began + DOWN_S - time.monotonic()))
-        calm.append(time.monotonic())
-        time.sleep(max(0, began + GAP_S - time.monotonic()))
-        caller.state(LASTING)
+    if trouble:
+        for number, job in enumerate(LARGE):
+            large[number % 3].submit(job, submission(WIDE, WIDE_CPU, 1))
+    time.sleep(1)
+    for job in SMALL:
+        plain.submit(job, submission(2, NARROW_CPU, 0))
+    time.sleep(FINISH_S + STILL_S)
+    end = int(time.monotonic() * 1000)
     rows = deployment.control('GET', '/rows')
     broken = []
-    for begin in calm:
-        end = int((begin + CALM_S) * 1000)
-        still = [
-            task
-            for task, runs in sorted(runs_of(rows).items())
-            if is_still(runs, end - STILL_MS, end)
-        ]
-        at = begin - deployment.record.started
-        if still:
+    for job in SMALL:
+        state = plain.state(job)
+        moments = range(end - 1000 * STILL_S, end, 100)
+        found = [measure(rows, at) for at in moments]
+        runs = any(task.startswith(job) for run, _ in found for task in run)
+        most = max(used for _, used in found)
+        deployment.record.note(job, state, 'runs', runs, 'in use', most)
+        if state in {'queued', 'running'} and not runs and most < CAPACITY / 2:
             broken.append(
-                f'LOST: {len(still)} lasting tasks do not run in the last 3 s '
-                f'of the 7 calm seconds from {at:.1f} s on: {still[:2]}'
+                f'LOST: {job} is {state}, nothing of it runs for {STILL_S} s, '
+                f'and at most {most} of {CAPACITY} are in use'
             )
-    for row in rows:
-        deployment.record.note('executor', row)
-    for instance in deployment.instances:
-        deployment.record.note(
-            instance.name,
-            'elected',
-            deployment.logs(instance).count('leadership:elected'),
-        )
     return broken
 
 
