--- a/review/lib-3/deployment_test.py
+++ b/review/lib-3/deployment_test.py
@@ -203,6 +203,7 @@
             'HeartbeatMs': 1500,
             'Bounds': {'HoldMaxMs': 10_000, 'StopTimeoutMs': 900},
             'Orders': 'request',
+            'Advice': f'{HOST}:{self._platform["advice"]}',
             'platform': {
                 'Addr': f'{HOST}:{self._platform["store"]}',
                 'form': 'kv',
--- a/review/lib-3/platform_test.py
+++ b/review/lib-3/platform_test.py
@@ -17,6 +17,7 @@
 import sys
 import time
 import urllib.parse
+import zlib
 
 HOST = '127.0.0.1'
 SERVICE = 'ballast'
@@ -27,6 +28,10 @@
 GANG_TIMEOUT_S = 3.0
 STORE_ANSWER_S = 0.004
 DRAIN_S = 2.5
+ADVICE_MS = 83
+ADVICE_MS_EACH = 1.2
+ADVICE_GOOD = 45
+ADVICE_VALID_MS = 2500
 HOLD_MAX_MS = 10_000
 HISTORY = 20_000
 CLOCK_START_MS = 10_000
@@ -491,6 +496,18 @@
     return True
 
 
+async def advise(method, path, query, body):
+    """Permit a fixed share of the executors for each step, after a while."""
+    workers = body['Workers']
+    await asyncio.sleep((ADVICE_MS + ADVICE_MS_EACH * len(workers)) / 1000)
+    good = [
+        [worker, f'{body["Step"]}/{worker}']
+        for worker in workers
+        if zlib.crc32(f'{body["Step"]} {worker}'.encode()) % 100 < ADVICE_GOOD
+    ]
+    return 200, {'Good': good, 'ValidityMs': ADVICE_VALID_MS}
+
+
 def make_control(store, platform, executors):
     """Make the handler of the calls of the cases."""
 
@@ -523,6 +540,7 @@
     platform = Platform()
     tasks = [asyncio.create_task(store.run())]
     ports = {'store': await serve(store.handle, is_down=lambda: store.is_down)}
+    ports['advice'] = await serve(advise)
     executors = []
     ports['control'] = await serve(make_control(store, platform, executors))
     for number in range(settings['executors']):
