Look up the tickets of a group, not all workers of its pool

`WorkerPool.has_any` compared the pool with the tickets by `isdisjoint`, which walks the pool when a group has no tickets.

Walks the tickets instead.

--- a/jayshore/fleet/pools.py
+++ b/jayshore/fleet/pools.py
@@ -113,7 +113,7 @@
 
     def has_any(self, names: Mapping[str, object]) -> bool:
         """Return whether a worker of the pool is among some names."""
-        return not names.keys().isdisjoint(self._by_id)
+        return any(name in self._by_id for name in names)
 
     def is_covered(self, names: Container[str]) -> bool:
         """Return whether all workers of the pool are among some names."""
