Count against those behind only the room that a group can use

Behind gangs that are never whole nothing ran at all.

Cause: a group may request advice while better ranked groups leave room now or soon. Each of these counted with all its waiting tasks, also those that a limit per worker, a label, few permitted workers or the size of a gang keep from every worker. The maximum of a workspace was counted alike.

Change: `contention` bounds what a waiting group takes by what it can use. Gangs that the usable workers could not hold even if they were empty, or that exceed the maximum of their workspace, take nothing and are not asked about. While less than half of the service, or of the workers with the label, is in use, a group that fits on a worker now may ask in any case; there only groups that await advice count. `group:waiting` tells what advice has said of a group and why none was requested, with the figures that decided.

`limit_allowance` has its own module now. `tests/plain_round_test.py`, the reference of rounds, has the rule for gangs that are never whole as well.

--- a/jayshore/fleet/backlogwalk.py
+++ b/jayshore/fleet/backlogwalk.py
@@ -13,6 +13,7 @@
 
 from jayshore.clock import Millis
 from jayshore.fleet.adviceneeds import AdviceGate
+from jayshore.fleet.contention import measure_claim
 from jayshore.fleet.demandmaker import DemandMaker
 from jayshore.fleet.demands import WaitReason
 from jayshore.fleet.model import GroupId
@@ -36,7 +37,6 @@
 _COMPETING: Final = (
     WaitReason.NO_ROOM,
     WaitReason.NO_ADVICE,
-    None,
     WaitReason.OLD_TICKET,
     WaitReason.LIMIT,
 )
@@ -126,6 +126,9 @@
 
     def _visit(self, key: SortKey, waiting: WaitingGroup) -> None:
         self._spent += _SCREEN_COST
+        decisions = self._round.decisions
+        placed = len(decisions.placements)
+        asked = len(decisions.advice_requests)
         reason = self._screen.find_reason(waiting)
         if reason is None:
             current = self._index.current_key(waiting, self._now)
@@ -136,9 +139,41 @@
                     return
             reason = self._consider(current, waiting)
         self.reasons[waiting.group_id] = reason
-        if reason in _COMPETING and not _starts_by_chance(waiting, reason):
-            self._gate.note_group(
-                waiting.queue.service, waiting.workspace, waiting.cpu_millis
+        self._note_room(
+            waiting,
+            reason,
+            placed=len(decisions.placements) - placed,
+            awaits_advice=waiting.group.advice_pending
+            or len(decisions.advice_requests) > asked,
+        )
+
+    def _note_room(
+        self,
+        waiting: WaitingGroup,
+        reason: WaitReason | None,
+        *,
+        placed: int,
+        awaits_advice: bool,
+    ) -> None:
+        """Let the gate count the room that a group takes from those behind."""
+        if placed:
+            self._gate.note_placed(
+                waiting.scope, placed * waiting.need.cpu_millis
+            )
+        if (
+            reason not in _COMPETING
+            or _starts_by_chance(waiting, reason)
+            or not self._gate.leaves_any(
+                waiting.scope, awaits_advice=awaits_advice
+            )
+        ):
+            return
+        pool = self._screen.find_pool(waiting)
+        if pool is not None and pool.workers:
+            self._gate.note_waiting(
+                waiting.scope,
+                measure_claim(waiting, pool, placed),
+                awaits_advice=awaits_advice,
             )
 
     def _consider(
--- a/jayshore/fleet/demands.py
+++ b/jayshore/fleet/demands.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from jayshore.clock import Millis
 from jayshore.fleet.model import (
@@ -32,6 +33,20 @@
     NOT_REACHED = 'not_reached'
 
 
+class Scope(NamedTuple):
+    """What the room of a group depends on.
+
+    Attributes:
+        service: service whose workers run it.
+        label: label that a worker must have, empty for any.
+        workspace: its owner.
+    """
+
+    service: str
+    label: str
+    workspace: str
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class WorkerHeadroom:
     """Free resources of a worker; a round reduces them as it places tasks.
@@ -148,6 +163,11 @@
     tight: bool = False
     policy: AdvicePolicy | None = None
 
+    @property
+    def scope(self) -> Scope:
+        """What its room depends on."""
+        return Scope(self.service, self.required_label, self.workspace)
+
     @property
     def may_probe(self) -> bool:
         """Whether a task may show that a quarantined worker has recovered.
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -34,6 +34,7 @@
 )
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.pools import (
+    Gang,
     PoolKey,
     RoundWork,
     WorkerPool,
@@ -52,8 +53,6 @@
 Covers the time to record the start and to send it to the worker.
 """
 
-_UNLIMITED: Final = 1 << 60
-
 
 class PlacementRound:
     """One round over all demands."""
@@ -188,17 +187,9 @@
             return explain_lack(
                 demand, self._evacuated.values(), WaitReason.NO_WORKER
             )
-        if demand.advised and not demand.evaluated:
-            self._request_advice_on_new(demand, pool)
-            return WaitReason.NO_ADVICE
-        permitted = pool.workers
-        if demand.advised:
-            permitted = pool.choose(demand.tickets)
-            if not permitted:
-                self._request_advice_on_new(demand, pool)
-                return explain_lack(
-                    demand, self._evacuated.values(), WaitReason.NOT_ADVISED
-                )
+        permitted = self._find_permitted(demand, pool)
+        if isinstance(permitted, WaitReason):
+            return permitted
         permitted = self._find_apart(
             demand, avoid_failed_workers(demand, permitted)
         )
@@ -228,6 +219,40 @@
         self._request_advice_on_new(demand, pool)
         return WaitReason.NO_ROOM
 
+    def _find_permitted(
+        self, demand: GroupDemand, pool: WorkerPool
+    ) -> list[WorkerHeadroom] | WaitReason:
+        """Find the workers that advice permits, or why there are none."""
+        if not demand.advised:
+            return pool.workers
+        never_whole = self._explain_gang(demand, pool) if demand.gang else None
+        if never_whole is not None:
+            return never_whole
+        if not demand.evaluated:
+            self._request_advice_on_new(demand, pool)
+            return WaitReason.NO_ADVICE
+        permitted = pool.choose(demand.tickets)
+        if permitted:
+            return permitted
+        self._request_advice_on_new(demand, pool)
+        return explain_lack(
+            demand, self._evacuated.values(), WaitReason.NOT_ADVISED
+        )
+
+    def _explain_gang(
+        self, demand: GroupDemand, pool: WorkerPool
+    ) -> WaitReason | None:
+        gang = Gang(
+            demand.need,
+            len(demand.indexes),
+            demand.max_per_worker,
+            demand.evaluated,
+            demand.tickets.keys(),
+        )
+        return self._gate.explain_gang(
+            demand.group_id, demand.scope, gang, pool
+        )
+
     def _find_roomy(
         self,
         demand: GroupDemand,
@@ -313,7 +338,10 @@
             not demand.advised
             or demand.advice_pending
             or not self._gate.may_ask(
-                demand.service, demand.workspace, demand.policy
+                demand.group_id,
+                demand.scope,
+                demand.policy,
+                lambda: bool(pool.with_room(demand.need, demand.group_id)),
             )
         ):
             return
@@ -388,24 +416,6 @@
             self._allowances[demand.workspace] = allowance - demand.need
 
 
-def limit_allowance(maximum: Resources, used: Resources) -> Resources:
-    """Compute the resources that a workspace may still start.
-
-    Args:
-        maximum: limit of the workspace; a component of 0 has no limit.
-        used: resources of its running tasks.
-
-    Returns:
-        The remainder, negative when usage exceeds a limit that was lowered.
-    """
-    limit = Resources(
-        cpu_millis=maximum.cpu_millis or _UNLIMITED,
-        memory_mb=maximum.memory_mb or _UNLIMITED,
-        accelerators=maximum.accelerators or _UNLIMITED,
-    )
-    return limit - used
-
-
 def _demand_rank(demand: GroupDemand) -> tuple[Rank, GroupId]:
     return demand.rank, demand.group_id
 
--- a/jayshore/fleet/placing_checks_test.py
+++ b/jayshore/fleet/placing_checks_test.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies as st
 
 from jayshore.clock import Millis
+from jayshore.fleet.allowances import limit_allowance
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.placing import (
     TICKET_MARGIN_MS,
     PlacementRound,
-    limit_allowance,
 )
 from jayshore.fleet.placing_test import NEED, NOW, demand, worker
 from jayshore.resources import NOTHING, Resources, total
--- a/jayshore/fleet/placing_test.py
+++ b/jayshore/fleet/placing_test.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 
 from jayshore.clock import Millis
+from jayshore.fleet.allowances import limit_allowance
 from jayshore.fleet.demands import GroupDemand, WaitReason, WorkerHeadroom
 from jayshore.fleet.model import GroupId
-from jayshore.fleet.placing import PlacementRound, limit_allowance
+from jayshore.fleet.placing import PlacementRound
 from jayshore.fleet.ranking import DeadlineStatus, Rank
 from jayshore.resources import NOTHING, Resources, total
 
--- a/jayshore/fleet/pools.py
+++ b/jayshore/fleet/pools.py
@@ -1,7 +1,15 @@
 """Workers that several demands of a placement round may use."""
 
+import collections
 import dataclasses
-from collections.abc import Callable, Container, Iterable, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Container,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from typing import Final, NamedTuple
 
 from jayshore.fleet.demands import WorkerHeadroom
@@ -12,6 +20,9 @@
 """Workers without room that a search may examine before it sorts anew."""
 
 
+_UNBOUNDED: Final = 1 << 30
+
+
 class PoolKey(NamedTuple):
     """What the eligibility of a worker for a demand depends on.
 
@@ -28,6 +39,24 @@
     any_worker: bool
 
 
+class Gang(NamedTuple):
+    """Shape of a gang.
+
+    Attributes:
+        need: resources of a task.
+        size: number of tasks.
+        max_per_worker: tasks on one worker, 0 for no limit.
+        evaluated: workers that advice has covered, empty without advice.
+        tickets: those that it permits.
+    """
+
+    need: Resources
+    size: int
+    max_per_worker: int
+    evaluated: Collection[str]
+    tickets: Collection[str]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RoundWork:
     """Work of a round so far, shared by its pools.
@@ -56,7 +85,10 @@
         self.workers = workers
         self._work = work
         self._by_id = {worker.worker_id: worker for worker in workers}
-        self._capacities = list({worker.capacity for worker in workers})
+        self._capacities = collections.Counter(
+            worker.capacity for worker in workers
+        )
+        self._slots: dict[tuple[Resources, int], int] = {}
         self._least_cpu = min(
             (capacity.cpu_millis for capacity in self._capacities), default=-1
         )
@@ -78,6 +110,49 @@
             and not need.requests
         )
 
+    def count_slots(self, need: Resources, max_per_worker: int) -> int:
+        """Count the tasks that the workers could hold if they were empty.
+
+        Args:
+            need: resources of a task.
+            max_per_worker: tasks on one worker, 0 for no limit.
+
+        Returns:
+            Number of tasks.
+        """
+        key = (need, max_per_worker)
+        slots = self._slots.get(key)
+        if slots is None:
+            slots = sum(
+                number * _count_when_empty(need, capacity, max_per_worker)
+                for capacity, number in self._capacities.items()
+            )
+            self._slots[key] = slots
+        return slots
+
+    def holds_gang(self, gang: Gang) -> bool:
+        """Return whether the workers could hold a gang if they were empty.
+
+        Args:
+            gang: its shape, and what advice says of the workers.
+
+        Returns:
+            True also when workers that advice has not covered are needed.
+        """
+        limit = gang.max_per_worker
+        if self.count_slots(gang.need, limit) < gang.size:
+            return False
+        if not gang.evaluated:
+            return True
+        left = gang.size
+        for name in self._permitted(gang):
+            left -= _count_when_empty(
+                gang.need, self._by_id[name].capacity, limit
+            )
+            if left <= 0:
+                return True
+        return False
+
     def may_have_room(self, need: Resources) -> bool:
         """Return False when certainly no worker has room for a task."""
         order = self._roomiest
@@ -166,6 +241,12 @@
             self._roomiest = None
         return found
 
+    def _permitted(self, gang: Gang) -> Iterator[str]:
+        """Iterate over the workers that advice permits or has not covered."""
+        by_id = self._by_id
+        yield from (name for name in gang.tickets if name in by_id)
+        yield from (name for name in by_id if name not in gang.evaluated)
+
     def _sort_by_room(self) -> list[tuple[int, WorkerHeadroom]]:
         """Sort the workers by free processor, without the reserved ones."""
         self._roomiest = []
@@ -199,6 +280,20 @@
         return self._workers
 
 
+def _count_when_empty(
+    need: Resources, capacity: Resources, max_per_worker: int
+) -> int:
+    """Count the tasks that an empty worker holds; a pool fits one."""
+    counts = [
+        whole // wanted
+        for wanted, whole in zip(need, capacity, strict=True)
+        if wanted
+    ]
+    if max_per_worker:
+        counts.append(max_per_worker)
+    return min(counts, default=_UNBOUNDED)
+
+
 def may_hold(
     need: Resources, workers: Iterable[WorkerHeadroom], count: int
 ) -> bool:
--- a/jayshore/fleet/roundrunner.py
+++ b/jayshore/fleet/roundrunner.py
@@ -10,7 +10,7 @@
 from jayshore.fleet.evacuation import Evacuations
 from jayshore.fleet.jobtable import JobEntry, JobTable
 from jayshore.fleet.metrics import FleetMetrics
-from jayshore.fleet.model import FleetConfig, Queue
+from jayshore.fleet.model import FleetConfig, GroupId, Queue
 from jayshore.fleet.probation import Probation
 from jayshore.fleet.roundlog import RoundLog
 from jayshore.fleet.rounds import RoundPlanner
@@ -107,13 +107,30 @@
         self._run_tracker.place(decisions.placements)
         now = self._clock.now()
         self._probation.note_starts(decisions.placements, now)
-        self._wait_log.record(decisions.waiting, now)
+        self._wait_log.record(decisions.waiting, now, self._describe_advice)
         self._took_ms = Millis(self._clock.now() - started)
         self._round_log.record(decisions, took_ms=self._took_ms, now=now)
         for request in decisions.advice_requests:
             await self._request_advice(request)
         return decisions.cut
 
+    def _describe_advice(self, group_id: GroupId) -> dict[str, str | float]:
+        """Describe what is known of the advice on a waiting group.
+
+        `evaluated` workers were asked about, and `permitted` of them allowed.
+        """
+        entry = self._job_table.jobs[group_id.job_id]
+        group = entry.groups[group_id]
+        if self._queue_of(entry).advice is None:
+            return {}
+        described: dict[str, str | float] = {
+            'evaluated': len(group.evaluated),
+            'permitted': len(group.tickets),
+        }
+        if group.advice_pending:
+            return {**described, 'advice': 'pending'}
+        return described | self._planner.describe_obstacle(group_id)
+
     async def _request_advice(self, request: AdviceRequest) -> None:
         entry = self._job_table.jobs[request.group_id.job_id]
         policy = self._queue_of(entry).advice
--- a/jayshore/fleet/rounds.py
+++ b/jayshore/fleet/rounds.py
@@ -5,16 +5,23 @@
 from typing import NamedTuple
 
 from jayshore.clock import Millis
-from jayshore.fleet.adviceneeds import SOON_SHARE, AdviceGate, CallBudget
+from jayshore.fleet.adviceneeds import (
+    AdviceGate,
+    AdviceObstacle,
+    CallBudget,
+    OpenGate,
+)
+from jayshore.fleet.allowances import limit_allowance
 from jayshore.fleet.apart import limit_probation
 from jayshore.fleet.backlogwalk import BacklogWalk
+from jayshore.fleet.contention import RoomAccounts
 from jayshore.fleet.demandmaker import DemandMaker
 from jayshore.fleet.demands import Decisions, WaitReason, WorkerHeadroom
 from jayshore.fleet.jobtable import GroupEntry, JobTable
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, GroupId
 from jayshore.fleet.phases import Phase
-from jayshore.fleet.placing import PlacementRound, limit_allowance
+from jayshore.fleet.placing import PlacementRound
 from jayshore.fleet.probation import Probation
 from jayshore.fleet.quarantine import WaitTimes, busy_services
 from jayshore.fleet.screening import Screen
@@ -59,6 +66,8 @@
         self._reasons: dict[GroupId, WaitReason] = {}
         self._resume: SortKey | None = None
         self._free: dict[str, _KnownFree] = {}
+        self._gate: AdviceGate = OpenGate()
+        self._obstacles: dict[GroupId, AdviceObstacle] = {}
 
     def update_index(
         self, config: FleetConfig, now: Millis, wall_ms: int
@@ -118,8 +127,11 @@
                 unaccounted[name] = unaccounted.get(name, NOTHING) + used
         allowances = self._allowances(config, unaccounted)
         gate = AdviceGate(
-            workers=[one for one in usable.values() if not one.evacuated],
-            limits=_limits_soon(config, allowances),
+            accounts=RoomAccounts(
+                workers=[one for one in usable.values() if not one.evacuated],
+                maximums=_maximums(config),
+                allowances=allowances,
+            ),
             budget=call_budget or CallBudget(long_ms=math.inf, all_ms=math.inf),
         )
         placement_round = PlacementRound(
@@ -142,9 +154,33 @@
             ),
             now=now,
         )
-        self._resume = walk.run(self._resume)
+        resume = self._resume
+        self._resume = walk.run(resume)
+        if resume is not None or self._resume is not None:
+            # Not all groups were considered, so the others keep theirs.
+            for group_id in walk.reasons:
+                self._obstacles.pop(group_id, None)
+        else:
+            self._obstacles.clear()
+        self._obstacles.update(gate.obstacles)
+        self._gate = gate
         return self._conclude(placement_round.decisions, walk, now)
 
+    def describe_obstacle(self, group_id: GroupId) -> dict[str, str | float]:
+        """Describe why advice was not requested for a group.
+
+        Args:
+            group_id: a group that the last rounds have considered.
+
+        Returns:
+            Fields for the log, none when nothing stood in the way.
+        """
+        obstacle = self._obstacles.get(group_id)
+        if obstacle is None or group_id not in self._index:
+            return {}
+        scope = self._index.scope(group_id)
+        return {'advice': obstacle.value, **self._gate.measure(scope)}
+
     def _drop_removed(self) -> None:
         """Follow the groups that have begun or ceased to wait."""
         for group_id in self._index.take_touched():
@@ -152,6 +188,7 @@
                 self._reasons.setdefault(group_id, WaitReason.NOT_REACHED)
             else:
                 self._reasons.pop(group_id, None)
+                self._obstacles.pop(group_id, None)
                 self._wait_times.forget(group_id)
 
     def _conclude(
@@ -196,13 +233,11 @@
     ) -> dict[str, Resources]:
         """Compute what each workspace with a maximum may still start."""
         return {
-            workspace.name: limit_allowance(
-                workspace.maximum,
-                self._ledger.used_by(workspace.name)
-                + unaccounted.get(workspace.name, NOTHING),
+            name: limit_allowance(
+                maximum,
+                self._ledger.used_by(name) + unaccounted.get(name, NOTHING),
             )
-            for workspace in config.workspaces
-            if workspace.maximum != NOTHING
+            for name, maximum in _maximums(config).items()
         }
 
     def _reserve_for_suspects(
@@ -281,15 +316,11 @@
     free: Resources
 
 
-def _limits_soon(
-    config: FleetConfig, allowances: dict[str, Resources]
-) -> dict[str, float]:
-    """Compute which processors workspaces with a maximum may use soon."""
+def _maximums(config: FleetConfig) -> dict[str, Resources]:
     return {
-        workspace.name: allowances[workspace.name].cpu_millis
-        + SOON_SHARE * workspace.maximum.cpu_millis
+        workspace.name: workspace.maximum
         for workspace in config.workspaces
-        if workspace.maximum.cpu_millis
+        if workspace.maximum != NOTHING
     }
 
 
--- a/jayshore/fleet/screening.py
+++ b/jayshore/fleet/screening.py
@@ -11,7 +11,7 @@
 from jayshore.fleet.demands import WaitReason
 from jayshore.fleet.model import GroupId
 from jayshore.fleet.placing import PlacementRound
-from jayshore.fleet.pools import PoolKey, WorkerPool, may_hold
+from jayshore.fleet.pools import Gang, PoolKey, WorkerPool, may_hold
 from jayshore.fleet.ranking import DeadlineStatus
 from jayshore.fleet.waiting import WaitingGroup
 
@@ -65,15 +65,13 @@
         """
         if waiting.group_id in self._suspects:
             return None
-        pool = self._find_pool(waiting)
+        pool = self.find_pool(waiting)
         if pool is None:
             return None
         need = waiting.need
-        if not pool.holds_each(need):
-            pool = pool.limit_to(need)
-            if not pool.workers:
-                # The reason may be an evacuation, which needs a demand.
-                return None if self._round.evacuates else WaitReason.NO_WORKER
+        if not (pool.workers or pool.holds_each(need)):
+            # The reason may be an evacuation, which needs a demand.
+            return None if self._round.evacuates else WaitReason.NO_WORKER
         if waiting.queue.advice is not None:
             return self._screen_advised(waiting, pool)
         if self._round.is_at_limit(waiting.workspace, need, waiting.least):
@@ -82,10 +80,29 @@
             return None
         return WaitReason.NO_ROOM
 
+    def find_pool(self, waiting: WaitingGroup) -> WorkerPool | None:
+        """Find the workers that may run a group, regardless of their load.
+
+        Args:
+            waiting: the group.
+
+        Returns:
+            The workers without those that are too small for a task; None when
+            the round has considered no group like it.
+        """
+        pool = self._find_pool(waiting)
+        if pool is None or pool.holds_each(waiting.need):
+            return pool
+        return pool.limit_to(waiting.need)
+
     def _screen_advised(
         self, waiting: WaitingGroup, pool: WorkerPool
     ) -> WaitReason | None:
         group = waiting.group
+        if group.spec.gang:
+            reason = self._explain_gang(waiting, pool)
+            if reason is not None:
+                return reason
         if pool.has_any(group.tickets) and self._round.is_at_limit(
             waiting.workspace, waiting.need, waiting.least
         ):
@@ -93,7 +110,10 @@
         if (
             not group.advice_pending
             and self._gate.may_ask(
-                waiting.queue.service, waiting.workspace, waiting.queue.advice
+                waiting.group_id,
+                waiting.scope,
+                waiting.queue.advice,
+                lambda: _has_room(waiting, pool, None),
             )
             and not pool.is_covered(group.evaluated)
         ):
@@ -108,6 +128,27 @@
             return None
         return WaitReason.NO_ROOM
 
+    def _explain_gang(
+        self, waiting: WaitingGroup, pool: WorkerPool
+    ) -> WaitReason | None:
+        group = waiting.group
+        if (
+            not group.evaluated
+            and waiting.least <= len(pool.workers)
+            and not self._gate.limits(waiting.workspace)
+        ):
+            return None
+        gang = Gang(
+            waiting.need,
+            waiting.least,
+            group.spec.max_per_worker,
+            group.evaluated,
+            group.tickets.keys(),
+        )
+        return self._gate.explain_gang(
+            waiting.group_id, waiting.scope, gang, pool
+        )
+
     def _find_pool(self, waiting: WaitingGroup) -> WorkerPool | None:
         if self._may_use_any is None and not waiting.group.failed_on:
             pool = self._pools.get(waiting.kind)
--- a/jayshore/fleet/waiting.py
+++ b/jayshore/fleet/waiting.py
@@ -11,6 +11,7 @@
 from sortedcontainers import SortedKeyList
 
 from jayshore.clock import Millis
+from jayshore.fleet.demands import Scope
 from jayshore.fleet.jobtable import GroupEntry, JobEntry, JobTable, TaskEntry
 from jayshore.fleet.ledger import Ledger
 from jayshore.fleet.model import FleetConfig, GroupId, Queue
@@ -42,7 +43,7 @@
         group_id: its id.
         workspace: its owner.
         least: number of tasks that have to start together.
-        cpu_millis: processor time that the waiting tasks need together.
+        scope: what its room depends on.
         kind: service, label, and whether it may never probe a worker.
     """
 
@@ -54,7 +55,7 @@
     group_id: GroupId
     workspace: str
     least: int
-    cpu_millis: int
+    scope: Scope
     kind: tuple[str, str, bool]
 
     @property
@@ -92,6 +93,17 @@
         """Return whether a group waits."""
         return group_id in self._groups
 
+    def scope(self, group_id: GroupId) -> Scope:
+        """Return what the room of a waiting group depends on.
+
+        Args:
+            group_id: a group of the index.
+
+        Returns:
+            Its service, label and workspace.
+        """
+        return self._groups[group_id].scope
+
     def take_touched(self) -> list[GroupId]:
         """Take the groups that were added or removed since the last call.
 
@@ -220,7 +232,9 @@
             group_id=group_id,
             workspace=group.job.job.workspace,
             least=len(tasks) if spec.gang else 1,
-            cpu_millis=need.cpu_millis * len(tasks),
+            scope=Scope(
+                queue.service, spec.required_label, group.job.job.workspace
+            ),
             kind=(
                 queue.service,
                 spec.required_label,
--- a/jayshore/fleet/waitlog.py
+++ b/jayshore/fleet/waitlog.py
@@ -1,6 +1,6 @@
 """Logs why task groups wait, once for each reason of a group."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import eliot
@@ -36,7 +36,10 @@
         self._recorded_at: Millis | None = None
 
     def record(
-        self, waiting: Mapping[GroupId, WaitReason], now: Millis
+        self,
+        waiting: Mapping[GroupId, WaitReason],
+        now: Millis,
+        describe: Callable[[GroupId], Mapping[str, str | float]],
     ) -> None:
         """Record the waiting groups of a round and log lasting reasons.
 
@@ -45,6 +48,7 @@
         Args:
             waiting: reason by waiting group.
             now: time on the leader's clock, in ms.
+            describe: returns further fields for the line of a group.
         """
         last = self._recorded_at
         if (
@@ -75,4 +79,5 @@
                     group=group.group,
                     reason=reason,
                     since_ms=now - since,
+                    **describe(group),
                 )
--- a/tests/plain_round_test.py
+++ b/tests/plain_round_test.py
@@ -5,9 +5,11 @@
 worker may run, and in which order workers are preferred, is shared with it.
 """
 
+import collections
 import math
 import types
 
+from jayshore.fleet.allowances import limit_allowance
 from jayshore.fleet.apart import (
     least_used,
     limit_probation,
@@ -25,7 +27,6 @@
 from jayshore.fleet.placing import (
     TICKET_MARGIN_MS,
     fill_order,
-    limit_allowance,
 )
 from jayshore.fleet.quarantine import PATIENCE_MS, busy_services
 from jayshore.fleet.ranking import DeadlineStatus, rank_group
@@ -42,8 +43,11 @@
 class PlainRound:
     """One round over all demands."""
 
-    def __init__(self, *, workers, allowances, now, probation_slots=0):
+    def __init__(
+        self, *, workers, allowances, maximums, now, probation_slots=0
+    ):
         """Create a round; it consumes the workers and allowances."""
+        self._maximums = maximums
         self._workers = list(workers)
         self._evacuated = {
             worker.worker_id: worker
@@ -97,6 +101,10 @@
             return explain_lack(
                 demand, self._evacuated.values(), WaitReason.NO_WORKER
             )
+        if demand.advised and demand.gang:
+            never_whole = self._explain_gang(demand, usable)
+            if never_whole is not None:
+                return never_whole
         if demand.advised and not demand.evaluated:
             if not demand.advice_pending:
                 self._request_advice(
@@ -137,6 +145,23 @@
         self._request_advice_on_new(demand, usable)
         return WaitReason.NO_ROOM
 
+    def _explain_gang(self, demand, usable):
+        """Explain why a gang can never be whole."""
+        count = len(demand.indexes)
+        maximum = self._maximums[demand.workspace]
+        if count > count_fits(demand, maximum):
+            return WaitReason.LIMIT
+        slot_count = sum(
+            min(
+                demand.max_per_worker or count,
+                count_fits(demand, worker.capacity),
+            )
+            for worker in usable
+            if worker.worker_id in demand.tickets
+            or worker.worker_id not in demand.evaluated
+        )
+        return WaitReason.NO_ROOM if slot_count < count else None
+
     def _commit_slots(self, demand, slots):
         """Place tasks in slots, but hold slots whose ticket must be renewed.
 
@@ -359,6 +384,13 @@
                 )
                 for workspace in config.workspaces
             },
+            maximums=collections.defaultdict(
+                lambda: limit_allowance(NOTHING, NOTHING),
+                {
+                    workspace.name: limit_allowance(workspace.maximum, NOTHING)
+                    for workspace in config.workspaces
+                },
+            ),
             now=now,
         ).decide(self._demands(config, usable, now, wall_ms))
         lacking = {'no_worker', 'evacuated', 'not_advised', 'no_room'}
