Let every gang that can be whole count against those behind

The share of workers that advice permits was applied to gangs as an estimate, so that a gang that could just be whole took no room. Whether it can be whole is known exactly from the check before its request; it takes all its room or none.

--- a/jayshore/fleet/adviceneeds.py
+++ b/jayshore/fleet/adviceneeds.py
@@ -127,6 +127,7 @@
         self._budget = budget
         self._closed = False
         self.obstacles: dict[GroupId, AdviceObstacle] = {}
+        self.never_whole: set[GroupId] = set()
 
     def close(self) -> None:
         """Refuse everything from now on."""
@@ -233,10 +234,12 @@
             None when it could be, if all else ended.
         """
         if not self._accounts.holds_gang(scope.workspace, gang):
+            self.never_whole.add(group_id)
             self.obstacles[group_id] = AdviceObstacle.WORKSPACE
             return WaitReason.LIMIT
         if pool.holds_gang(gang):
             return None
+        self.never_whole.add(group_id)
         slots = pool.count_slots(gang.need, gang.max_per_worker)
         self.obstacles[group_id] = (
             AdviceObstacle.TOO_WIDE
--- a/jayshore/fleet/backlogwalk.py
+++ b/jayshore/fleet/backlogwalk.py
@@ -162,6 +162,7 @@
             )
         if (
             reason not in _COMPETING
+            or waiting.group_id in self._gate.never_whole
             or _starts_by_chance(waiting, reason)
             or not self._gate.leaves_any(
                 waiting.scope, awaits_advice=awaits_advice
--- a/jayshore/fleet/contention.py
+++ b/jayshore/fleet/contention.py
@@ -40,9 +40,6 @@
     share: float
 
 
-_NO_CLAIM: Final = Claim(0, 0)
-
-
 def measure_claim(
     waiting: WaitingGroup, pool: WorkerPool, placed: int
 ) -> Claim:
@@ -65,10 +62,11 @@
         share = min(1, (len(group.tickets) + unknown) / size)
     rest = len(waiting.tasks) - placed
     running = spec.count - group.done - rest
-    slots = int(share * pool.count_slots(waiting.need, spec.max_per_worker))
-    usable = min(rest, slots - running)
-    if usable <= 0 or usable < waiting.least - placed:
-        return _NO_CLAIM
+    slots = pool.count_slots(waiting.need, spec.max_per_worker)
+    if spec.gang:
+        usable = rest if rest <= slots else 0
+    else:
+        usable = max(0, min(rest, int(share * slots) - running))
     return Claim(usable * waiting.need.cpu_millis, share)
 
 
