Take no service for full by work that cannot use its workers

What callers would see: while jobs wait that a label, a limit per worker or the size of a gang keeps from the workers, new jobs of their queue are refused with 429, also those that idle workers could start at once.

Cause: a service counts as full when its waiting tasks need more than its free cores, and all of them counted as if every worker could run them.

Change: `usablework` adds up what finds no room under these limits, and `plan_service` leaves it out when it decides whether the workers are full.

--- a/jayshore/fleet/overload.py
+++ b/jayshore/fleet/overload.py
@@ -29,6 +29,7 @@
     plan_service,
 )
 from jayshore.fleet.standing import Standing
+from jayshore.fleet.usablework import WorkerRoom
 from jayshore.fleet.waitingwork import Capacity, JobWork, sum_capacity
 from jayshore.fleet.worktracker import WorkTracker
 from jayshore.placement.fairness import ShareCase
@@ -198,6 +199,11 @@
                 works,
                 missed=missed,
                 limits=self._limits(service),
+                room=WorkerRoom(
+                    workers=service.workers,
+                    in_cores=service.capacity.in_cores,
+                    used_at=self._ledger.used_at,
+                ),
                 shares=self._shares(service.capacity),
                 usual=self._usual_jobs(name),
                 now=now,
--- a/jayshore/fleet/overload_test.py
+++ b/jayshore/fleet/overload_test.py
@@ -67,6 +67,7 @@
     ):
         """Accept a job; its tasks have a core each."""
         shape = {'count': tasks, 'need': CORE, 'estimate_ms': Millis(path)}
+        shape.update(fields.pop('shape', {}))
         entry = JobEntry(
             job=Job(
                 job_id=str(len(self.table.jobs)),
@@ -83,6 +84,10 @@
         self.table.add(entry)
         return entry
 
+    def add_shape(self, *, tasks, **shape):
+        """Accept a job whose tasks may not use all workers."""
+        return self.add(WIDE, tasks=tasks, shape=shape)
+
     def flood(self, jobs, **fields):
         """Accept jobs for seconds of work, the first of which waits already."""
         self.add(WIDE, age=4000, **fields)
--- a/jayshore/fleet/pools.py
+++ b/jayshore/fleet/pools.py
@@ -124,7 +124,7 @@
         slots = self._slots.get(key)
         if slots is None:
             slots = sum(
-                number * _count_when_empty(need, capacity, max_per_worker)
+                number * count_when_empty(need, capacity, max_per_worker)
                 for capacity, number in self._capacities.items()
             )
             self._slots[key] = slots
@@ -146,7 +146,7 @@
             return True
         left = gang.size
         for name in self._permitted(gang):
-            left -= _count_when_empty(
+            left -= count_when_empty(
                 gang.need, self._by_id[name].capacity, limit
             )
             if left <= 0:
@@ -280,10 +280,19 @@
         return self._workers
 
 
-def _count_when_empty(
+def count_when_empty(
     need: Resources, capacity: Resources, max_per_worker: int
 ) -> int:
-    """Count the tasks that an empty worker holds; a pool fits one."""
+    """Count the tasks of a group that an empty worker holds.
+
+    Args:
+        need: resources of a task.
+        capacity: capacity of the worker.
+        max_per_worker: tasks on one worker, 0 for no limit.
+
+    Returns:
+        Number of tasks.
+    """
     counts = [
         whole // wanted
         for wanted, whole in zip(need, capacity, strict=True)
--- a/jayshore/fleet/serviceplan.py
+++ b/jayshore/fleet/serviceplan.py
@@ -6,11 +6,13 @@
 """
 
 import dataclasses
+import itertools
 import operator
 from collections.abc import Iterable, Mapping, Sequence
 
 from jayshore.clock import Millis
 from jayshore.fleet.refusaltable import QueueWait
+from jayshore.fleet.usablework import WorkerRoom
 from jayshore.fleet.waitingwork import JobWork
 from jayshore.placement.fairness import ShareCase
 from jayshore.placement.overload import OverloadPlan, OverloadPolicy
@@ -77,6 +79,7 @@
     *,
     missed: Sequence[JobWork],
     limits: Iterable[Limit],
+    room: WorkerRoom,
     shares: Mapping[str, ShareCase],
     usual: Sequence[UsualJob],
     now: Millis,
@@ -87,6 +90,7 @@
         works: its waiting jobs that may still be of use.
         missed: its other waiting jobs, which only count as wanting room.
         limits: the maximums of workspaces, and then the workers.
+        room: what the workers could run of tasks that may not use all of them.
         shares: use and weight of each workspace.
         usual: the usual new job of each queue.
         now: time on the leader's clock, in ms.
@@ -108,6 +112,13 @@
             held_back += max(0, wanted - max(0, limit.cores - limit.used))
         else:
             wanted -= held_back
+            if limit.used + wanted > limit.cores:
+                wanted -= room.unusable_cores(
+                    tasks
+                    for work in itertools.chain(works, missed)
+                    if work.waiting.workspace not in plan.limited
+                    for tasks in work.limited
+                )
         if limit.used + wanted <= limit.cores:
             continue
         if limit.workspace:
--- a/jayshore/fleet/waitingwork.py
+++ b/jayshore/fleet/waitingwork.py
@@ -12,6 +12,7 @@
 from jayshore.fleet.phases import JobState, Phase
 from jayshore.fleet.queueload import QueueLoad
 from jayshore.fleet.ranking import longest_chain_ms, objective_ms
+from jayshore.fleet.usablework import LimitedTasks
 from jayshore.placement.waiting_jobs import WaitingJob, job_value
 from jayshore.resources import Resources, total
 
@@ -85,6 +86,7 @@
         waiting: its waiting work, as the policy takes it.
         whole: its whole work, in core-milliseconds.
         wanted: cores of the tasks that may start now.
+        limited: those of them that may not use all workers.
         done: work of the tasks that are done, in core-milliseconds.
         untouched: not measured since a task has started.
         logged: its deferral has been logged.
@@ -95,6 +97,7 @@
     waiting: WaitingJob
     whole: float
     wanted: float
+    limited: tuple[LimitedTasks, ...] = ()
     done: float = 0
     untouched: bool = True
     logged: bool = False
@@ -116,6 +119,7 @@
         work: float = 0
         self.done = 0
         self.wanted = 0
+        limited = []
         first = len(entry.job.groups)
         for group in entry.groups.values():
             cores = capacity.in_cores(group.spec.reserved)
@@ -127,6 +131,11 @@
             work += waiting * cores * group.spec.estimate_ms
             if waiting and entry.is_ready(group):
                 self.wanted += waiting * cores
+                if _is_limited(group.spec):
+                    limited.append(
+                        _limit_tasks(group.spec, cores, waiting, group.done)
+                    )
+        self.limited = tuple(limited)
         if work != self.waiting.work:
             self.waiting = _make_waiting(
                 entry, queue, work, self.waiting.value, first
@@ -162,6 +171,29 @@
             for spec in entry.job.groups
             if not spec.after
         ),
+        limited=tuple(
+            _limit_tasks(spec, capacity.in_cores(spec.reserved), spec.count, 0)
+            for spec in entry.job.groups
+            if not spec.after and _is_limited(spec)
+        ),
+    )
+
+
+def _is_limited(spec: TaskGroup) -> bool:
+    return bool(spec.required_label or spec.max_per_worker or spec.gang)
+
+
+def _limit_tasks(
+    spec: TaskGroup, cores: float, waiting: int, done: int
+) -> LimitedTasks:
+    return LimitedTasks(
+        label=spec.required_label,
+        max_per_worker=spec.max_per_worker,
+        gang=spec.gang,
+        need=spec.reserved,
+        cores=cores,
+        waiting=waiting,
+        running=spec.count - done - waiting,
     )
 
 
