Complete a restored job whose tasks are all done

Cause: the segments of a large job are recorded before its state. A leader lost in between leaves rows that are all done and the state `running`; the next one asked only whether such a job has failed, and no task is left whose end would complete it.

Change: `find_final_state` derives both final states of a restored large job. The state is recorded with the groups that are finished, whose segments then go.

--- a/jayshore/fleet/restoring.py
+++ b/jayshore/fleet/restoring.py
@@ -13,6 +13,7 @@
     ProgressRecord,
     StoredProgress,
     TaskRecord,
+    is_large,
 )
 
 
@@ -43,6 +44,31 @@
         group.done = sum(task.phase is Phase.DONE for task in group.tasks)
 
 
+def find_final_state(entry: JobEntry, max_attempts: int) -> JobState | None:
+    """Find the state of a job that ended before its state was recorded.
+
+    The segments of a large job are recorded before its state.
+
+    Args:
+        entry: a restored job.
+        max_attempts: failed runs after which a task counts as failed.
+
+    Returns:
+        The state, None when the job has not ended or its state was recorded.
+    """
+    if entry.ended or not is_large(entry.job):
+        return None
+    if entry.all_done():
+        return JobState.COMPLETED
+    failed = any(
+        task.failures >= max_attempts and task.phase is not Phase.DONE
+        for group in entry.unfinished()
+        if not group.spec.long_running
+        for task in group.tasks
+    )
+    return JobState.FAILED if failed else None
+
+
 def _restore_groups(
     entry: JobEntry, record: ProgressRecord, rows: Iterable[TaskId]
 ) -> None:
--- a/jayshore/fleet/scheduler.py
+++ b/jayshore/fleet/scheduler.py
@@ -27,8 +27,9 @@
 from jayshore.fleet.phases import JobState, Phase
 from jayshore.fleet.probation import Probation
 from jayshore.fleet.progresswriter import ProgressWriter
-from jayshore.fleet.records import StoredProgress, is_large
+from jayshore.fleet.records import StoredProgress
 from jayshore.fleet.refusalpublisher import RefusalPublisher
+from jayshore.fleet.restoring import find_final_state
 from jayshore.fleet.roundrunner import RoundRunner
 from jayshore.fleet.rounds import RoundPlanner, count_pending
 from jayshore.fleet.runs import RunTracker
@@ -390,22 +391,16 @@
                 self._loss_tracker.inherit(task)
             if task.crashes:
                 self._probation.add(task)
-        if not entry.ended and self._has_failed(entry):
+        state = find_final_state(entry, self._queue_of(entry).max_attempts)
+        if state is not None:
             # The former leader was lost before it recorded the state.
-            entry.state = JobState.FAILED
-            self._progress_writer.record(entry)
+            entry.state = state
+            self._progress_writer.record(
+                entry, [one for one in entry.tasks() if one.group.finished]
+            )
         if entry.ended:
             entry.ended_at = self._clock.now()
 
-    def _has_failed(self, entry: JobEntry) -> bool:
-        max_attempts = self._queue_of(entry).max_attempts
-        return is_large(entry.job) and any(
-            task.failures >= max_attempts and task.phase is not Phase.DONE
-            for group in entry.unfinished()
-            if not group.spec.long_running
-            for task in group.tasks
-        )
-
     async def _close(self) -> None:
         self._run_tracker.pace_monitor.close()
         await self._advisor.close()
--- a/tests/fleet_repeating_test.py
+++ b/tests/fleet_repeating_test.py
@@ -177,3 +177,61 @@
             assert not fleet.runs()
 
     run_scenario(scenario)
+
+
+ALL_DONE = (
+    # groups of the job, and done tasks in the segments of each group
+    ('one group', (small_group(40),), (range(40),)),
+    ('two groups', (small_group(40), small_group(7, after=(0,))),
+     (range(40), range(7))),
+    ('a gang of which one end is recorded', (small_group(40, gang=True),),
+     ((5,),)),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('groups', 'done'),
+    [row[1:] for row in ALL_DONE],
+    ids=[row[0] for row in ALL_DONE],
+)
+def test_job_whose_tasks_are_all_done_is_completed_by_the_next_leader(
+    groups, done
+):
+    """Guards against a finished job that is shown as running for ever.
+
+    The former leader was lost after the segments and before the state.
+    """
+
+    async def scenario():
+        async with running_fleet(run_ms=RUN_MS) as fleet:
+            await fleet.leading().kill()
+            job = make_job(*groups)
+            key = progress_key(job.job_id)
+            unfinished = [[0, position] for position in range(len(groups))]
+            fleet.store.write(
+                key,
+                msgspec.json.encode(
+                    {
+                        'state': 'running',
+                        'next_occurrence': 1,
+                        'unfinished': unfinished,
+                    }
+                ).decode(),
+            )
+            for position, indexes in enumerate(done):
+                rows = [
+                    (0, position, index, 'd', 1, '', 0, '') for index in indexes
+                ]
+                fleet.store.write(
+                    f'{key}/0.{position}.0', msgspec.json.encode(rows).decode()
+                )
+            fleet.store.write(job_key(job.job_id), encode_job(job))
+            await fleet.add_instance('i1')
+            await fleet.wait_leader()
+            await fleet.wait_state([job.job_id], COMPLETED)
+            await wait_for(
+                lambda: set(fleet.store.values(key)) == {key}, 'no segments'
+            )
+            assert not fleet.runs()
+
+    run_scenario(scenario)
