Count idle workers one by one at the advice gate

What callers see: of two workers one is full and one is empty, and groups that fit on the empty one are not asked about, or one at a time. The better ranked groups are permitted on the full worker only. Their claims are sums over the service, which exhaust what is free now or soon; and the room until half of the service is in use, which stays open to those that fit, is zero at that point.

Change: what stays open to groups that fit now is the room of each worker that is less than half in use, until it is half in use. A service that is less than half in use has such a worker, so this holds wherever the former rule did. Groups whose pool is covered by advice no longer count as refused in the log.

Evidence: test_one_idle_worker_is_not_kept_by_those_that_may_not_use_it fails before.

--- a/jayshore/fleet/adviceneeds.py
+++ b/jayshore/fleet/adviceneeds.py
@@ -199,7 +199,7 @@
             scope: what the room of a group depends on.
 
         Returns:
-            The cores that waiting groups leave now or soon and in idle workers,
+            The cores that waiting groups leave now or soon and on idle workers,
             and the calling time that is left, in ms.
         """
         return {
--- a/jayshore/fleet/contention.py
+++ b/jayshore/fleet/contention.py
@@ -22,9 +22,10 @@
 """
 
 IDLE_SHARE: Final = 0.5
-"""Share of the processors in use below which capacity counts as idle.
+"""Share of the processors of a worker in use below which it counts as idle.
 
-Work that fits has to start while under half is in use.
+Work that fits has to start while under half of a service is in use, which
+leaves at least one worker idle.
 """
 
 
@@ -74,8 +75,8 @@
 class _Account:
     """Thousandths of a core that are left.
 
-    `soon` are free now or soon, `idle` are free until `IDLE_SHARE` is in use,
-    and `whole` is the initial value of `soon`.
+    `soon` are free now or soon, `idle` are free on idle workers until these
+    are idle no more, and `whole` is the initial value of `soon`.
     """
 
     soon: float
@@ -118,7 +119,9 @@
         self._rooms: dict[Scope, list[_Account]] = {}
         self._maximums = maximums
         self._workspaces = {
-            name: _open_account(allowances[name].cpu_millis, maximum.cpu_millis)
+            name: _open_workspace(
+                allowances[name].cpu_millis, maximum.cpu_millis
+            )
             for name, maximum in maximums.items()
             if maximum.cpu_millis
         }
@@ -174,18 +177,17 @@
         return all(room.soon > 0 for room in self._rooms_of(scope))
 
     def leaves_idle(self, scope: Scope) -> bool:
-        """Return whether more than half of the workers stay unused.
+        """Return whether workers stay idle.
 
-        Those that found no room there wait for something else.
+        The groups that found no room there wait for something else.
 
         Args:
             scope: what the room of a group depends on.
 
         Returns:
-            True when that holds of the service, or of the workers with the
-            label, also after the groups that await advice have started.
+            True when some do after the groups that await advice have started.
         """
-        return any(room.idle > 0 for room in self._rooms_of(scope))
+        return all(room.idle > 0 for room in self._rooms_of(scope))
 
     def leaves_any(self, scope: Scope, *, awaits_advice: bool) -> bool:
         """Return whether a waiting group could take any room.
@@ -251,7 +253,7 @@
         return min(room.soon for room in self._rooms_of(scope)) / 1000
 
     def idle_cores(self, scope: Scope) -> float:
-        """Return what is left until half of the workers are in use.
+        """Return what is left on idle workers.
 
         Args:
             scope: what the room of a group depends on.
@@ -259,7 +261,7 @@
         Returns:
             Cores.
         """
-        return max(room.idle for room in self._rooms_of(scope)) / 1000
+        return min(room.idle for room in self._rooms_of(scope)) / 1000
 
     def _rooms_of(self, scope: Scope) -> list[_Account]:
         """Return the accounts of the service, and of the label after it."""
@@ -280,9 +282,16 @@
                 if worker.service == service
                 and (not label or label in worker.labels)
             ]
-            account = _open_account(
-                sum(worker.free for worker in own),
-                sum(worker.capacity for worker in own),
+            soon = sum(
+                worker.free + SOON_SHARE * worker.capacity for worker in own
+            )
+            account = _Account(
+                soon=soon,
+                idle=sum(
+                    max(0, worker.free - (1 - IDLE_SHARE) * worker.capacity)
+                    for worker in own
+                ),
+                whole=soon,
             )
             self._labelled[service, label] = account
         return account
@@ -295,8 +304,8 @@
     capacity: int
 
 
-def _open_account(free: int, capacity: int) -> _Account:
-    soon = free + SOON_SHARE * capacity
+def _open_workspace(left: int, maximum: int) -> _Account:
+    soon = left + SOON_SHARE * maximum
     return _Account(
-        soon=soon, idle=free - (1 - IDLE_SHARE) * capacity, whole=soon
+        soon=soon, idle=left - (1 - IDLE_SHARE) * maximum, whole=soon
     )
--- a/jayshore/fleet/placing.py
+++ b/jayshore/fleet/placing.py
@@ -334,22 +334,18 @@
         self, demand: GroupDemand, pool: WorkerPool
     ) -> None:
         """Request advice on workers that earlier advice did not cover."""
-        if (
-            not demand.advised
-            or demand.advice_pending
-            or not self._gate.may_ask(
-                demand.group_id,
-                demand.scope,
-                demand.policy,
-                lambda: bool(pool.with_room(demand.need, demand.group_id)),
-            )
-        ):
+        if not demand.advised or demand.advice_pending:
             return
         known = demand.evaluated
         first = next(
             (one for one in pool.workers if one.worker_id not in known), None
         )
-        if first is not None:
+        if first is not None and self._gate.may_ask(
+            demand.group_id,
+            demand.scope,
+            demand.policy,
+            lambda: bool(pool.with_room(demand.need, demand.group_id)),
+        ):
             self._request_advice(
                 demand,
                 choose_workers_to_ask(demand, first, pool.by_preference()),
--- a/jayshore/fleet/screening.py
+++ b/jayshore/fleet/screening.py
@@ -109,13 +109,13 @@
             return WaitReason.LIMIT
         if (
             not group.advice_pending
+            and not _is_covered(group.evaluated, pool)
             and self._gate.may_ask(
                 waiting.group_id,
                 waiting.scope,
                 waiting.queue.advice,
                 lambda: _has_room(waiting, pool, None),
             )
-            and not pool.is_covered(group.evaluated)
         ):
             return None
         if not group.evaluated:
@@ -174,6 +174,11 @@
         )
 
 
+def _is_covered(evaluated: Collection[str], pool: WorkerPool) -> bool:
+    """Return whether advice has covered all workers of a pool."""
+    return len(evaluated) >= len(pool.workers) and pool.is_covered(evaluated)
+
+
 def _has_room(
     waiting: WaitingGroup,
     pool: WorkerPool,
--- a/tests/fleet_advice_room_test.py
+++ b/tests/fleet_advice_room_test.py
@@ -221,6 +221,24 @@
     assert runs_any(narrow)
 
 
+def test_one_idle_worker_is_not_kept_by_those_that_may_not_use_it():
+    """Guards against an idle worker in a service that is half in use."""
+    service = Service()
+    del service.sessions[2:]
+    lasting = service.add(32, 1)
+    service.start(lasting.tasks[0], service.sessions[0].entry.worker_id)
+    for _ in range(4):
+        group = service.add(30, 60)
+        group.evaluated = {'w00', 'w01'}
+        group.tickets['w00'] = Ticket(
+            text='t', valid_until=Millis(NOW + 60_000)
+        )
+    narrow = service.add(2, 2, permitted=100)
+    for _ in range(ROUNDS):
+        service.play_round()
+    assert runs_any(narrow)
+
+
 def test_contended_workers_are_left_to_better_ranked_groups():
     """Guards against calls for groups that could not start soon.
 
