Reserve no empty worker for a gang that still lacks room

Cause: a gang without room reserves up to 40% of the workers, here one of two. It was empty, and the rest of the gang had to fit on the other one, which may not be reserved and which small tasks kept full.

Change: an empty worker is reserved only when what may be reserved, once empty, and what is free elsewhere now hold the gang. Workers in use are reserved as before. The reference of rounds has the same rule.

--- a/jayshore/fleet/reservations.py
+++ b/jayshore/fleet/reservations.py
@@ -36,7 +36,9 @@
         """Reserve the workers with the most free processor for a gang.
 
         Nothing is reserved for a gang that does not fit even in empty workers,
-        nor for one that is late, because others would wait for it in vain.
+        nor for one that is late, because others would wait for it in vain. For
+        the same reason no empty worker is reserved for one that needs more than
+        may be reserved and is free elsewhere.
 
         Args:
             demand: a gang without room.
@@ -49,14 +51,30 @@
             or not _fits_when_empty(demand, usable)
         ):
             return
+        chosen = self._choose(demand, by_free())
+        for worker in chosen:
+            worker.reserved_for = demand.group_id
+        self._left -= len(chosen)
+
+    def _choose(
+        self, demand: GroupDemand, by_free: list[WorkerHeadroom]
+    ) -> list[WorkerHeadroom]:
+        """Choose the workers to reserve; empty ones only if they suffice."""
         wanted = len(demand.indexes)
-        for worker in by_free():
-            if wanted <= 0 or self.exhausted:
-                return
-            if worker.reserved_for is None:
-                worker.reserved_for = demand.group_id
-                self._left -= 1
+        chosen: list[WorkerHeadroom] = []
+        for worker in by_free:
+            if wanted <= 0:
+                break
+            if worker.reserved_for is not None:
+                continue
+            if len(chosen) < self._left:
+                chosen.append(worker)
                 wanted -= _slots_when_empty(demand, worker)
+            else:
+                wanted -= _free_slots(demand, worker)
+        if wanted <= 0:
+            return chosen
+        return [one for one in chosen if not one.empty]
 
 
 def _fits_when_empty(demand: GroupDemand, usable: list[WorkerHeadroom]) -> bool:
@@ -70,3 +88,7 @@
 
 def _slots_when_empty(demand: GroupDemand, worker: WorkerHeadroom) -> int:
     return min(slot_limit(worker, demand), count_fits(demand, worker.capacity))
+
+
+def _free_slots(demand: GroupDemand, worker: WorkerHeadroom) -> int:
+    return min(slot_limit(worker, demand), count_fits(demand, worker.free))
--- a/tests/plain_round_test.py
+++ b/tests/plain_round_test.py
@@ -276,7 +276,9 @@
         """Reserve the workers with the most free processor for a gang.
 
         Nothing is reserved for a gang that does not fit even in empty workers,
-        nor for one that is late, because others would wait for it in vain.
+        nor for one that is late, because others would wait for it in vain. For
+        the same reason no empty worker is reserved for one that needs more than
+        may be reserved and is free elsewhere.
         """
         wanted = len(demand.indexes)
         slot_count = sum(
@@ -298,15 +300,24 @@
             (worker for worker in usable if worker.reserved_for is None),
             key=lambda worker: (-worker.free.cpu_millis, worker.worker_id),
         )
+        chosen = []
         for worker in by_preference:
-            if wanted <= 0 or self._reserved_count >= max_reserved:
-                return
-            worker.reserved_for = demand.group_id
-            self._reserved_count += 1
+            may_reserve = self._reserved_count + len(chosen) < max_reserved
+            if wanted <= 0:
+                break
+            if may_reserve:
+                chosen.append(worker)
             wanted -= min(
                 slot_limit(worker, demand),
-                count_fits(demand, worker.capacity),
+                count_fits(
+                    demand, worker.capacity if may_reserve else worker.free
+                ),
             )
+        if wanted > 0:
+            chosen = [worker for worker in chosen if not worker.empty]
+        self._reserved_count += len(chosen)
+        for worker in chosen:
+            worker.reserved_for = demand.group_id
 
     def _request_advice(self, demand, workers):
         self._decisions.advice_requests.append(
