Count idle workers of the whole service for groups that need a label

A group that fits on a worker with its label was refused advice while these workers were more than half in use, although most of the service was idle; work that fits has to start then. The room of idle workers of the service now keeps the gate open for it as well.

test_label_in_use_is_not_contended_in_an_idle_service fails before and passes with the change; the property test draws labels for the narrow group too.

--- a/jayshore/fleet/contention.py
+++ b/jayshore/fleet/contention.py
@@ -179,7 +179,9 @@
     def leaves_idle(self, scope: Scope) -> bool:
         """Return whether workers stay idle.
 
-        The groups that found no room there wait for something else.
+        The groups that found no room there wait for something else. Workers of
+        the service count also for a group that may not use them, as it has to
+        start while under half of the service is in use.
 
         Args:
             scope: what the room of a group depends on.
@@ -187,7 +189,7 @@
         Returns:
             True when some do after the groups that await advice have started.
         """
-        return all(room.idle > 0 for room in self._rooms_of(scope))
+        return any(room.idle > 0 for room in self._rooms_of(scope))
 
     def leaves_any(self, scope: Scope, *, awaits_advice: bool) -> bool:
         """Return whether a waiting group could take any room.
@@ -261,7 +263,7 @@
         Returns:
             Cores.
         """
-        return min(room.idle for room in self._rooms_of(scope)) / 1000
+        return max(room.idle for room in self._rooms_of(scope)) / 1000
 
     def _rooms_of(self, scope: Scope) -> list[_Account]:
         """Return the accounts of the service, and of the label after it."""
--- a/tests/fleet_advice_room_test.py
+++ b/tests/fleet_advice_room_test.py
@@ -239,6 +239,21 @@
     assert runs_any(narrow)
 
 
+def test_label_in_use_is_not_contended_in_an_idle_service():
+    """Guards against work that fits and waits while most workers are idle."""
+    service = Service()
+    for session in service.sessions:
+        if 'r0' in session.entry.labels:
+            lasting = service.add(17, 1)
+            service.start(lasting.tasks[0], session.entry.worker_id)
+    for _ in range(6):
+        service.add(16, 60, required_label='r0')
+    narrow = service.add(2, 2, required_label='r0')
+    for _ in range(ROUNDS):
+        service.play_round()
+    assert runs_any(narrow)
+
+
 def test_contended_workers_are_left_to_better_ranked_groups():
     """Guards against calls for groups that could not start soon.
 
@@ -292,7 +307,7 @@
             gang=rng.random() < 0.4,
             required_label=rng.choice(('', '', 'r0', 'r1')),
         )
-    narrow = service.add(0.5, 2)
+    narrow = service.add(0.5, 2, required_label=rng.choice(('', 'r0')))
     for _ in range(ROUNDS):
         service.play_round()
     assert narrow.evaluated or service.share_in_use() >= 0.5
