Describe no group that is gone in the log of waiting groups

The line of a waiting group reads its entry. A group that is gone would end the round, and with it the leadership, for the sake of a log line.

--- a/jayshore/fleet/roundrunner.py
+++ b/jayshore/fleet/roundrunner.py
@@ -119,9 +119,9 @@
 
         `evaluated` workers were asked about, and `permitted` of them allowed.
         """
-        entry = self._job_table.jobs[group_id.job_id]
-        group = entry.groups[group_id]
-        if self._queue_of(entry).advice is None:
+        entry = self._job_table.jobs.get(group_id.job_id)
+        group = None if entry is None else entry.groups.get(group_id)
+        if group is None or self._queue_of(group.job).advice is None:
             return {}
         described: dict[str, str | float] = {
             'evaluated': len(group.evaluated),
